feat(domain): add the decisions of every role

Cause: ownership by log epochs needs entry, owner and runner as state machines. Change: ownership, configuration, membership, retention, fairness, placement, admission, entry, owner, runner and their composition in a sidecar; invariants are asserted in the program. Conclusion: no package here knows a clock, a codec or a connection.

--- /dev/null
+++ b/domain/configuration/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Whole versions of the operators' configuration, settled by log order.
+ */
+export * from "./configuration_history.ts";
--- /dev/null
+++ b/domain/entry/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Decisions of the entry role.
+ */
+export * from "./entry_decisions.ts";
--- /dev/null
+++ b/domain/fairness/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Fair queues for the places where work waits.
+ */
+export * from "./fair_queue.ts";
--- /dev/null
+++ b/domain/membership/src/fleet_follower.ts
@@ -0,0 +1,263 @@
+/**
+ * Follows the fleet on behalf of one process: reads the log into the view, announces the process,
+ * sends heartbeats, and removes members that have been silent for long.
+ */
+import { ConfigurationHistory, Verdict } from "@eelgrassfront/configuration";
+import {
+  assertNever,
+  EventNumber,
+  type HeartbeatAnswered,
+  InputKind,
+  LogRecordKind,
+  type LogRecordsRead,
+  type MemberJoined,
+  type Milliseconds,
+  type OutputCollector,
+  OutputKind,
+  type PlatformLogInput,
+  type ProcessIdentifier,
+  RemovalReason,
+  type RequestIdentifier,
+  Role,
+  Severity,
+} from "@eelgrassfront/model";
+import { OwnershipTable } from "@eelgrassfront/ownership";
+import { type FleetChange, FleetChangeKind, FleetView } from "./fleet_view.ts";
+import { Heartbeats } from "./heartbeats.ts";
+import type { Timing } from "./timing.ts";
+
+/** What a follower needs. */
+export interface FleetFollowerOptions {
+  readonly self: ProcessIdentifier;
+  readonly timing: Timing;
+  readonly collector: OutputCollector;
+}
+
+/** Time after which an append that did not show in the log is made again. */
+const APPEND_RETRY_MILLISECONDS: Milliseconds = 1_000;
+
+/** The fleet as one process follows it. */
+export class FleetFollower {
+  readonly view: FleetView;
+  readonly heartbeats: Heartbeats;
+  readonly #options: FleetFollowerOptions;
+  #announcement: MemberJoined | undefined;
+  #announcedAt: Milliseconds | undefined;
+  #isLogAvailable = true;
+  #removalsAskedAt = new Map<ProcessIdentifier, Milliseconds>();
+
+  constructor(options: FleetFollowerOptions) {
+    this.#options = options;
+    const { self, timing, collector } = options;
+    this.view = new FleetView({
+      ownership: new OwnershipTable(),
+      configuration: new ConfigurationHistory(),
+      horizonMilliseconds: timing.horizonMilliseconds,
+    });
+    this.heartbeats = new Heartbeats({
+      self,
+      timing,
+      collector,
+      view: this.view,
+    });
+  }
+
+  /** Whether the log shows this process as a member. */
+  get isMember(): boolean {
+    return this.view.find(this.#options.self) !== undefined;
+  }
+
+  /** Announces the process, now and again until the log shows it. */
+  announce(announcement: MemberJoined): void {
+    this.#announcement = announcement;
+    this.#announcedAt = undefined;
+  }
+
+  /** Takes the process out of the fleet. */
+  leave(): void {
+    this.#announcement = undefined;
+    this.#appendRemoval(this.#options.self, RemovalReason.Left);
+  }
+
+  /** When the follower next has something to do. */
+  nextAlarm(): Milliseconds {
+    return this.heartbeats.nextAlarm();
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    this.heartbeats.tick();
+    this.#announceIfDue();
+    this.#removeSilentMembers();
+  }
+
+  /** Takes an input from the log. */
+  handleLog(input: PlatformLogInput): readonly FleetChange[] {
+    switch (input.kind) {
+      case InputKind.LogRecordsRead:
+        return this.#read(input);
+      case InputKind.LogUnavailable:
+        this.#noteAvailability(false);
+        return [];
+      case InputKind.AppendSettled:
+      case InputKind.AppendInDoubt:
+        // The log itself tells what took effect; whoever appended looks there.
+        return [];
+      default:
+        return assertNever(input);
+    }
+  }
+
+  /** Takes the answer to a heartbeat; the changes that follow from it. */
+  handleAnswer(
+    request: RequestIdentifier,
+    answer: HeartbeatAnswered,
+  ): readonly FleetChange[] {
+    this.heartbeats.take(request, answer);
+    const version = answer.newerConfiguration;
+    if (version === undefined) return [];
+    const changes = this.view.learnConfiguration(version);
+    if (changes.length > 0) {
+      this.#options.collector.record(
+        EventNumber.ConfigurationLearntFromPeer,
+        "took a newer configuration from a peer",
+        { context: { version: version.offset } },
+      );
+      this.#applyConfiguration();
+    }
+    return changes;
+  }
+
+  #read(input: LogRecordsRead): readonly FleetChange[] {
+    this.#noteAvailability(true);
+    const changes = this.view.read(input);
+    for (const change of changes) this.#recordChange(change);
+    return changes;
+  }
+
+  #recordChange(change: FleetChange): void {
+    const { collector } = this.#options;
+    switch (change.kind) {
+      case FleetChangeKind.MemberJoined:
+        collector.record(EventNumber.MemberJoined, "a member joined", {
+          context: { member: change.member.joined.process },
+        });
+        return;
+      case FleetChangeKind.MemberDeparted:
+        collector.record(EventNumber.MemberRemoved, "a member departed", {
+          context: {
+            member: change.departed.member.joined.process,
+            reason: change.departed.reason,
+          },
+        });
+        return;
+      case FleetChangeKind.OwnershipChanged:
+        return;
+      case FleetChangeKind.ConfigurationJudged:
+        if (change.judgement.verdict !== Verdict.Rejected) return;
+        collector.record(
+          EventNumber.ConfigurationRejected,
+          "a publication lost against another version",
+          { context: { publication: change.judgement.publication } },
+        );
+        return;
+      case FleetChangeKind.ConfigurationInForce:
+        collector.record(
+          EventNumber.ConfigurationAccepted,
+          "a configuration is in force",
+          { context: { version: change.version.offset } },
+        );
+        this.#applyConfiguration();
+        return;
+      default:
+        return assertNever(change);
+    }
+  }
+
+  #applyConfiguration(): void {
+    const version = this.view.configuration.current;
+    if (version === undefined) return;
+    this.#options.collector.add({
+      kind: OutputKind.ApplyConfiguration,
+      version,
+      logOffset: this.view.nextOffset,
+    });
+  }
+
+  #noteAvailability(isAvailable: boolean): void {
+    if (isAvailable === this.#isLogAvailable) return;
+    this.#isLogAvailable = isAvailable;
+    const { collector } = this.#options;
+    if (isAvailable) {
+      collector.record(EventNumber.LogAvailable, "the log answers again");
+      return;
+    }
+    collector.record(EventNumber.LogUnavailable, "the log does not answer", {
+      severity: Severity.Warning,
+    });
+  }
+
+  #announceIfDue(): void {
+    const { collector } = this.#options;
+    if (this.#announcement === undefined || this.isMember) return;
+    const isWaiting = this.#announcedAt !== undefined &&
+      collector.now - this.#announcedAt < APPEND_RETRY_MILLISECONDS;
+    if (isWaiting) return;
+    this.#announcedAt = collector.now;
+    collector.add({
+      kind: OutputKind.AppendRecord,
+      append: collector.nextRequest(),
+      record: this.#announcement,
+    });
+  }
+
+  #removeSilentMembers(): void {
+    if (!this.#isRemover()) return;
+    const { timing } = this.#options;
+    for (const member of this.view.members()) {
+      const peer = member.joined.process;
+      if (this.heartbeats.silenceOf(peer) < timing.removalMilliseconds) {
+        continue;
+      }
+      this.#appendRemovalOnce(peer);
+    }
+  }
+
+  /** The reachable sidecar that joined first writes the removals, so that one death costs one append. */
+  #isRemover(): boolean {
+    if (!this.isMember || !this.heartbeats.hearsMajority()) return false;
+    const first = this.view.sidecars().find((member) =>
+      this.heartbeats.isReachable(member.joined.process)
+    );
+    return first?.joined.process === this.#options.self &&
+      first.joined.role === Role.Sidecar;
+  }
+
+  #appendRemovalOnce(peer: ProcessIdentifier): void {
+    const { collector } = this.#options;
+    const askedAt = this.#removalsAskedAt.get(peer);
+    const isWaiting = askedAt !== undefined &&
+      collector.now - askedAt < APPEND_RETRY_MILLISECONDS;
+    if (isWaiting) return;
+    this.#removalsAskedAt.set(peer, collector.now);
+    collector.record(EventNumber.MemberUnreachable, "a member is silent", {
+      severity: Severity.Warning,
+      context: { member: peer },
+    });
+    this.#appendRemoval(peer, RemovalReason.Unreachable);
+  }
+
+  #appendRemoval(process: ProcessIdentifier, reason: RemovalReason): void {
+    const { collector, self } = this.#options;
+    collector.add({
+      kind: OutputKind.AppendRecord,
+      append: collector.nextRequest(),
+      record: {
+        kind: LogRecordKind.MemberRemoved,
+        process,
+        reason,
+        reportedBy: self,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/domain/membership/src/fleet_view.ts
@@ -0,0 +1,248 @@
+/**
+ * What one process knows of the fleet: members, ownership and configuration, folded from the log, and
+ * how far and how recently the log has been read.
+ */
+import {
+  type ConfigurationHistory,
+  type Judgement,
+  Verdict,
+} from "@eelgrassfront/configuration";
+import {
+  assertNever,
+  type ConfigurationVersion,
+  type LogOffset,
+  LogRecordKind,
+  type LogRecordsRead,
+  type MemberJoined,
+  type MemberRemoved,
+  type Milliseconds,
+  type PlacedRecord,
+  type ProcessIdentifier,
+  processName,
+  RemovalReason,
+  Role,
+} from "@eelgrassfront/model";
+import type { Ownership, OwnershipTable } from "@eelgrassfront/ownership";
+
+/** A member of the fleet. */
+export interface Member {
+  readonly joined: MemberJoined;
+  /** Offset of the record with which it first joined. */
+  readonly joinOffset: LogOffset;
+}
+
+/** A member that is no longer in the fleet. */
+export interface DepartedMember {
+  readonly member: Member;
+  readonly reason: RemovalReason;
+  /** When the removal was stored, on the log's clock. */
+  readonly removedAt: Milliseconds;
+}
+
+/** Kinds of changes to the fleet. */
+export enum FleetChangeKind {
+  MemberJoined = "member-joined",
+  MemberDeparted = "member-departed",
+  OwnershipChanged = "ownership-changed",
+  ConfigurationJudged = "configuration-judged",
+  ConfigurationInForce = "configuration-in-force",
+}
+
+/** A process joined. */
+export interface MemberJoinedChange {
+  readonly kind: FleetChangeKind.MemberJoined;
+  readonly member: Member;
+}
+
+/** A process left, was replaced or was found dead. */
+export interface MemberDepartedChange {
+  readonly kind: FleetChangeKind.MemberDeparted;
+  readonly departed: DepartedMember;
+}
+
+/** A shard changed hands. */
+export interface OwnershipChange {
+  readonly kind: FleetChangeKind.OwnershipChanged;
+  readonly ownership: Ownership;
+}
+
+/** A publication was judged. */
+export interface ConfigurationJudgedChange {
+  readonly kind: FleetChangeKind.ConfigurationJudged;
+  readonly judgement: Judgement;
+}
+
+/** A newer configuration is in force. */
+export interface ConfigurationInForceChange {
+  readonly kind: FleetChangeKind.ConfigurationInForce;
+  readonly version: ConfigurationVersion;
+}
+
+/** Any change to the fleet. */
+export type FleetChange =
+  | MemberJoinedChange
+  | MemberDepartedChange
+  | OwnershipChange
+  | ConfigurationJudgedChange
+  | ConfigurationInForceChange;
+
+/** Parts that a view folds records into. */
+export interface FleetViewOptions {
+  readonly ownership: OwnershipTable;
+  readonly configuration: ConfigurationHistory;
+  /** How long departed members are remembered. */
+  readonly horizonMilliseconds: Milliseconds;
+}
+
+const FIRST_OFFSET: LogOffset = 1;
+
+/** The fleet as far as the log has been read. */
+export class FleetView {
+  readonly ownership: OwnershipTable;
+  readonly configuration: ConfigurationHistory;
+  readonly #horizonMilliseconds: Milliseconds;
+  readonly #members = new Map<ProcessIdentifier, Member>();
+  readonly #departed = new Map<ProcessIdentifier, DepartedMember>();
+  #nextOffset: LogOffset = FIRST_OFFSET;
+  #logClock: Milliseconds = 0;
+  #lastReadToEndAt: Milliseconds | undefined;
+
+  constructor(options: FleetViewOptions) {
+    this.ownership = options.ownership;
+    this.configuration = options.configuration;
+    this.#horizonMilliseconds = options.horizonMilliseconds;
+  }
+
+  /** Offset at which the log is read next. */
+  get nextOffset(): LogOffset {
+    return this.#nextOffset;
+  }
+
+  /** When a read that reached the end of the log began; undefined before the first. */
+  get lastReadToEndAt(): Milliseconds | undefined {
+    return this.#lastReadToEndAt;
+  }
+
+  /** Finds a member by its identifier. */
+  find(process: ProcessIdentifier): Member | undefined {
+    return this.#members.get(process);
+  }
+
+  /** All members. */
+  members(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
+  /** All sidecars, in the order in which they joined. */
+  sidecars(): readonly Member[] {
+    return this.members()
+      .filter((member) => member.joined.role === Role.Sidecar)
+      .sort((left, right) => left.joinOffset - right.joinOffset);
+  }
+
+  /** Members that departed within the horizon. */
+  departed(): readonly DepartedMember[] {
+    return [...this.#departed.values()];
+  }
+
+  /** Folds the records of one read. */
+  read(input: LogRecordsRead): readonly FleetChange[] {
+    if (input.firstRetained > this.#nextOffset) {
+      this.configuration.missOlderRecords();
+    }
+    const changes = input.records
+      .filter((placed) => placed.offset >= this.#nextOffset)
+      .flatMap((placed) => this.#apply(placed));
+    this.#nextOffset = Math.max(this.#nextOffset, input.nextOffset);
+    this.#logClock = Math.max(this.#logClock, input.logClock);
+    if (input.isAtEnd) this.#lastReadToEndAt = input.readStartedAt;
+    this.#forgetOldDepartures();
+    return changes;
+  }
+
+  /** Takes a configuration learnt from a peer. */
+  learnConfiguration(version: ConfigurationVersion): readonly FleetChange[] {
+    if (!this.configuration.learn(version)) return [];
+    return [{ kind: FleetChangeKind.ConfigurationInForce, version }];
+  }
+
+  #apply(placed: PlacedRecord): readonly FleetChange[] {
+    const { record, offset } = placed;
+    switch (record.kind) {
+      case LogRecordKind.MemberJoined:
+        return this.#join(placed, record);
+      case LogRecordKind.MemberRemoved:
+        return this.#remove(placed, record);
+      case LogRecordKind.ShardsClaimed:
+        return this.ownership.apply(offset, record).map((ownership) => ({
+          kind: FleetChangeKind.OwnershipChanged,
+          ownership,
+        }));
+      case LogRecordKind.ConfigurationPublished: {
+        const judgement = this.configuration.apply(offset, record);
+        return this.#configurationChanges(judgement);
+      }
+      default:
+        return assertNever(record);
+    }
+  }
+
+  #configurationChanges(judgement: Judgement): readonly FleetChange[] {
+    const judged: FleetChange = {
+      kind: FleetChangeKind.ConfigurationJudged,
+      judgement,
+    };
+    const version = this.configuration.current;
+    if (judgement.verdict !== Verdict.Accepted || version === undefined) {
+      return [judged];
+    }
+    return [judged, { kind: FleetChangeKind.ConfigurationInForce, version }];
+  }
+
+  #join(placed: PlacedRecord, joined: MemberJoined): readonly FleetChange[] {
+    const known = this.#members.get(joined.process);
+    const member = { joined, joinOffset: known?.joinOffset ?? placed.offset };
+    const replaced = known === undefined
+      ? this.#earlierIncarnation(joined.process)
+      : undefined;
+    const departures = replaced === undefined
+      ? []
+      : this.#depart(replaced, RemovalReason.Replaced, placed.appendedAt);
+    this.#members.set(joined.process, member);
+    this.#departed.delete(joined.process);
+    if (known !== undefined) return departures;
+    return [...departures, { kind: FleetChangeKind.MemberJoined, member }];
+  }
+
+  #remove(placed: PlacedRecord, record: MemberRemoved): readonly FleetChange[] {
+    const member = this.#members.get(record.process);
+    if (member === undefined) return [];
+    return this.#depart(member, record.reason, placed.appendedAt);
+  }
+
+  #depart(
+    member: Member,
+    reason: RemovalReason,
+    removedAt: Milliseconds,
+  ): readonly FleetChange[] {
+    const departed = { member, reason, removedAt };
+    this.#members.delete(member.joined.process);
+    this.#departed.set(member.joined.process, departed);
+    return [{ kind: FleetChangeKind.MemberDeparted, departed }];
+  }
+
+  #earlierIncarnation(process: ProcessIdentifier): Member | undefined {
+    const name = processName(process);
+    return this.members().find((member) =>
+      processName(member.joined.process) === name
+    );
+  }
+
+  #forgetOldDepartures(): void {
+    for (const [process, { removedAt }] of this.#departed) {
+      if (this.#logClock - removedAt > this.#horizonMilliseconds) {
+        this.#departed.delete(process);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/domain/owner/src/evidence_book.ts
@@ -0,0 +1,69 @@
+/**
+ * What runners reported as started under earlier owners, by submission.
+ */
+import {
+  type Milliseconds,
+  type ProcessIdentifier,
+  type ShardNumber,
+  type StartRecord,
+  type SubmissionIdentifier,
+} from "@eelgrassfront/model";
+import { RecentMap } from "@eelgrassfront/retention";
+
+/** A start with the runner that reported it. */
+export interface ReportedStart {
+  readonly runner: ProcessIdentifier;
+  readonly record: StartRecord;
+}
+
+/** Everything reported of one submission. */
+export interface SubmissionEvidence {
+  readonly digest: string;
+  readonly shard: ShardNumber;
+  readonly starts: ReadonlyMap<number, ReportedStart>;
+}
+
+const MAXIMUM_SUBMISSIONS = 1_000_000;
+
+/** Starts reported by runners. */
+export class EvidenceBook {
+  readonly #submissions: RecentMap<SubmissionIdentifier, SubmissionEvidence>;
+
+  constructor(options: { readonly horizonMilliseconds: Milliseconds }) {
+    this.#submissions = new RecentMap({
+      horizonMilliseconds: options.horizonMilliseconds,
+      maximumWeight: MAXIMUM_SUBMISSIONS,
+      weigh: () => 1,
+    });
+  }
+
+  /** Finds what was reported of a submission. */
+  find(submission: SubmissionIdentifier): SubmissionEvidence | undefined {
+    return this.#submissions.get(submission);
+  }
+
+  /** Adds the records of one runner. A record with a result goes before one without. */
+  add(
+    now: Milliseconds,
+    runner: ProcessIdentifier,
+    records: readonly StartRecord[],
+  ): void {
+    for (const record of records) this.#addOne(now, { runner, record });
+  }
+
+  /** Forgets the submissions of shards that were lost. */
+  forgetShard(shard: ShardNumber): void {
+    for (const [submission, evidence] of [...this.#submissions.entries()]) {
+      if (evidence.shard === shard) this.#submissions.delete(submission);
+    }
+  }
+
+  #addOne(now: Milliseconds, reported: ReportedStart): void {
+    const { submission, digest, shard, taskIndex } = reported.record;
+    const known = this.#submissions.get(submission);
+    const starts = new Map(known?.starts ?? []);
+    const earlier = starts.get(taskIndex);
+    if (earlier?.record.end === undefined) starts.set(taskIndex, reported);
+    this.#submissions.set(now, submission, { digest, shard, starts });
+  }
+}
--- /dev/null
+++ b/domain/owner/src/shard_grants.ts
@@ -0,0 +1,446 @@
+/**
+ * The shards of one owner: when to claim them, and the way from a claim in the log to the grant. A
+ * claim is granted after a majority has read it, the earlier owner's lease term has passed, and the
+ * runners have given their start records, which fences the earlier owner.
+ */
+import {
+  assertNever,
+  ClaimReason,
+  type Epoch,
+  EventNumber,
+  type EvidenceGiven,
+  LogRecordKind,
+  type Milliseconds,
+  type OutputCollector,
+  OutputKind,
+  PeerRequestKind,
+  type ProcessIdentifier,
+  RemovalReason,
+  type RequestIdentifier,
+  Severity,
+  type ShardClaim,
+  type ShardEpoch,
+  type ShardNumber,
+} from "@eelgrassfront/model";
+import type { FleetFollower, Timing } from "@eelgrassfront/membership";
+import {
+  ownerCandidates,
+  type Ownership,
+  preferredOwner,
+} from "@eelgrassfront/ownership";
+import type { EvidenceBook } from "./evidence_book.ts";
+
+/** What the grants need. */
+export interface ShardGrantsOptions {
+  readonly self: ProcessIdentifier;
+  readonly collector: OutputCollector;
+  readonly follower: FleetFollower;
+  readonly evidence: EvidenceBook;
+  readonly timing: Timing;
+  readonly shardCount: number;
+  /** Sidecars that own shards at a time. */
+  readonly ownerCount: number;
+  /** Told when a shard is granted. */
+  readonly onGranted: (shard: ShardNumber) => void;
+}
+
+/** Phases of a grant. */
+export enum GrantPhase {
+  AwaitingMajority = "awaiting-majority",
+  AwaitingLease = "awaiting-lease",
+  GatheringEvidence = "gathering-evidence",
+  Granted = "granted",
+}
+
+/** A majority has yet to read the claim. */
+export interface AwaitingMajority {
+  readonly phase: GrantPhase.AwaitingMajority;
+}
+
+/** The earlier owner may act until its lease term ends. */
+export interface AwaitingLease {
+  readonly phase: GrantPhase.AwaitingLease;
+  readonly until: Milliseconds;
+}
+
+/** Runners are asked for their start records. */
+export interface GatheringEvidence {
+  readonly phase: GrantPhase.GatheringEvidence;
+  readonly startedAt: Milliseconds;
+}
+
+/** The owner decides on submissions of the shards. */
+export interface Granted {
+  readonly phase: GrantPhase.Granted;
+  /** Until when evidence that is missing matters. */
+  readonly windowEndsAt: Milliseconds;
+}
+
+/** State of a grant. */
+export type GrantState =
+  | AwaitingMajority
+  | AwaitingLease
+  | GatheringEvidence
+  | Granted;
+
+/** How a shard stands with this owner. */
+export enum ShardStanding {
+  NotOwned = "not-owned",
+  Pending = "pending",
+  Granted = "granted",
+}
+
+interface Grant {
+  readonly epoch: Epoch;
+  readonly reason: ClaimReason;
+  readonly shards: Set<ShardNumber>;
+  /** Runners whose records are still missing. */
+  readonly missing: Set<ProcessIdentifier>;
+  state: GrantState;
+  nextAskAt: Milliseconds;
+}
+
+interface Question {
+  readonly grant: Grant;
+  readonly runner: ProcessIdentifier;
+}
+
+const SETTLE_MILLISECONDS: Milliseconds = 500;
+const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
+const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
+const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
+
+/** Claims and grants of one owner. */
+export class ShardGrants {
+  readonly #options: ShardGrantsOptions;
+  readonly #grants = new Map<Epoch, Grant>();
+  readonly #byShard = new Map<ShardNumber, Grant>();
+  readonly #questions = new Map<RequestIdentifier, Question>();
+  #membershipChangedAt: Milliseconds = 0;
+  #claimedAt: Milliseconds = -Infinity;
+  #isLeaving = false;
+  #isGrantingStopped = false;
+
+  constructor(options: ShardGrantsOptions) {
+    this.#options = options;
+  }
+
+  /** Number of shards owned, granted or not. */
+  get size(): number {
+    return this.#byShard.size;
+  }
+
+  /** How a shard stands with this owner. */
+  standingOf(shard: ShardNumber): ShardStanding {
+    const grant = this.#byShard.get(shard);
+    if (grant === undefined) return ShardStanding.NotOwned;
+    const isGranted = grant.state.phase === GrantPhase.Granted &&
+      !this.#isGrantingStopped;
+    return isGranted && this.#options.follower.heartbeats.isFresh()
+      ? ShardStanding.Granted
+      : ShardStanding.Pending;
+  }
+
+  /** The epoch under which this owner owns a shard. */
+  epochOf(shard: ShardNumber): Epoch | undefined {
+    return this.#byShard.get(shard)?.epoch;
+  }
+
+  /** Whether every start of the shard under earlier owners is known. */
+  isEvidenceComplete(shard: ShardNumber): boolean {
+    const grant = this.#byShard.get(shard);
+    if (grant === undefined || grant.state.phase !== GrantPhase.Granted) {
+      return false;
+    }
+    return grant.missing.size === 0 ||
+      grant.state.windowEndsAt <= this.#options.collector.now;
+  }
+
+  /** Shards owned, with their epochs. */
+  owned(): readonly ShardEpoch[] {
+    return [...this.#byShard].map(([shard, { epoch }]) => ({ shard, epoch }));
+  }
+
+  /** Shards granted, with their epochs. */
+  granted(): readonly ShardEpoch[] {
+    return this.owned().filter(({ shard }) =>
+      this.#byShard.get(shard)?.state.phase === GrantPhase.Granted
+    );
+  }
+
+  /** Notes that the membership changed; claims wait until it has settled. */
+  noteMembershipChange(): void {
+    this.#membershipChangedAt = this.#options.collector.now;
+  }
+
+  /** Stops claiming. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Grants nothing any more: a successor is asked to claim the shards. */
+  stopGranting(): void {
+    this.#isGrantingStopped = true;
+  }
+
+  /**
+   * Takes a change of ownership.
+   *
+   * @returns true when this owner lost the shard
+   */
+  changeOwnership(ownership: Ownership): boolean {
+    const { shard, epoch, owner, reason } = ownership;
+    const lost = this.#drop(shard);
+    if (owner === this.#options.self) this.#begin(shard, epoch, reason);
+    return lost;
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    for (const grant of this.#grants.values()) this.#advance(grant);
+    this.#claimIfDue();
+  }
+
+  /** Takes a runner's evidence; false when it answers no question of this owner. */
+  takeEvidence(request: RequestIdentifier, given: EvidenceGiven): boolean {
+    const question = this.#questions.get(request);
+    if (question === undefined) return false;
+    this.#questions.delete(request);
+    const { grant, runner } = question;
+    const { collector, evidence } = this.#options;
+    evidence.add(collector.now, runner, given.records);
+    grant.missing.delete(runner);
+    this.#advance(grant);
+    return true;
+  }
+
+  /** Notes that a question will not be answered; false when it was none. */
+  loseQuestion(request: RequestIdentifier): boolean {
+    return this.#questions.delete(request);
+  }
+
+  /** Claims shards that a leaving owner handed over. */
+  claimHandedOver(shards: readonly ShardEpoch[]): void {
+    const claims = shards.map(({ shard, epoch }) => ({
+      shard,
+      replaces: epoch,
+    }));
+    this.#appendClaim(ClaimReason.HandOver, claims);
+  }
+
+  #begin(shard: ShardNumber, epoch: Epoch, reason: ClaimReason): void {
+    const known = this.#grants.get(epoch);
+    const grant = known ?? {
+      epoch,
+      reason,
+      shards: new Set<ShardNumber>(),
+      missing: new Set<ProcessIdentifier>(),
+      state: { phase: GrantPhase.AwaitingMajority },
+      nextAskAt: 0,
+    };
+    grant.shards.add(shard);
+    this.#grants.set(epoch, grant);
+    this.#byShard.set(shard, grant);
+  }
+
+  #drop(shard: ShardNumber): boolean {
+    const grant = this.#byShard.get(shard);
+    if (grant === undefined) return false;
+    this.#byShard.delete(shard);
+    grant.shards.delete(shard);
+    if (grant.shards.size === 0) this.#grants.delete(grant.epoch);
+    this.#options.evidence.forgetShard(shard);
+    return true;
+  }
+
+  #advance(grant: Grant): void {
+    switch (grant.state.phase) {
+      case GrantPhase.AwaitingMajority:
+        this.#awaitMajority(grant);
+        return;
+      case GrantPhase.AwaitingLease:
+        if (this.#options.collector.now < grant.state.until) return;
+        this.#startGathering(grant);
+        return;
+      case GrantPhase.GatheringEvidence:
+        this.#gather(grant, grant.state.startedAt);
+        return;
+      case GrantPhase.Granted:
+        this.#askMissing(grant);
+        return;
+      default:
+        assertNever(grant.state);
+    }
+  }
+
+  #awaitMajority(grant: Grant): void {
+    const { collector, follower, timing } = this.#options;
+    if (!follower.heartbeats.hasMajorityRead(grant.epoch)) return;
+    if (grant.reason !== ClaimReason.Takeover) {
+      this.#startGathering(grant);
+      return;
+    }
+    grant.state = {
+      phase: GrantPhase.AwaitingLease,
+      until: collector.now + timing.leaseMilliseconds,
+    };
+  }
+
+  #startGathering(grant: Grant): void {
+    const { collector, follower } = this.#options;
+    const startedAt = collector.now;
+    for (const { joined } of follower.view.sidecars()) {
+      grant.missing.add(joined.process);
+    }
+    for (const { member, reason } of follower.view.departed()) {
+      const isEvidenceLost = reason !== RemovalReason.Left &&
+        member.joined.backendServer !== undefined;
+      if (isEvidenceLost) grant.missing.add(member.joined.process);
+    }
+    grant.state = { phase: GrantPhase.GatheringEvidence, startedAt };
+    this.#gather(grant, startedAt);
+  }
+
+  #gather(grant: Grant, startedAt: Milliseconds): void {
+    const { collector } = this.#options;
+    const isPatient =
+      collector.now - startedAt < EVIDENCE_PATIENCE_MILLISECONDS;
+    const awaited = [...grant.missing].filter((runner) =>
+      this.#isAnswerLikely(runner)
+    );
+    if (awaited.length > 0 && isPatient) {
+      this.#askMissing(grant);
+      return;
+    }
+    this.#grantNow(grant);
+  }
+
+  #grantNow(grant: Grant): void {
+    const { collector, timing, onGranted } = this.#options;
+    grant.state = {
+      phase: GrantPhase.Granted,
+      windowEndsAt: collector.now + timing.horizonMilliseconds,
+    };
+    collector.record(EventNumber.ShardsGranted, "shards are granted", {
+      context: { epoch: grant.epoch, shards: grant.shards.size },
+    });
+    if (grant.missing.size > 0) {
+      collector.record(
+        EventNumber.EvidenceMissing,
+        "runners did not give their start records",
+        {
+          severity: Severity.Warning,
+          context: { epoch: grant.epoch, runners: [...grant.missing].join() },
+        },
+      );
+    }
+    for (const shard of grant.shards) onGranted(shard);
+  }
+
+  #isAnswerLikely(runner: ProcessIdentifier): boolean {
+    const { follower } = this.#options;
+    return follower.view.find(runner) !== undefined &&
+      follower.heartbeats.isReachable(runner);
+  }
+
+  #askMissing(grant: Grant): void {
+    const { collector, follower } = this.#options;
+    if (collector.now < grant.nextAskAt) return;
+    grant.nextAskAt = collector.now + EVIDENCE_RETRY_MILLISECONDS;
+    for (const runner of grant.missing) {
+      const member = follower.view.find(runner);
+      if (member === undefined) continue;
+      this.#ask(grant, runner, member.joined.address);
+    }
+  }
+
+  #ask(grant: Grant, runner: ProcessIdentifier, address: string): void {
+    const { collector } = this.#options;
+    const request = collector.nextRequest();
+    this.#questions.set(request, { grant, runner });
+    const { epoch } = grant;
+    const shards = [...grant.shards].map((shard) => ({ shard, epoch }));
+    collector.add({
+      kind: OutputKind.SendRequest,
+      request,
+      peer: runner,
+      address,
+      message: { kind: PeerRequestKind.GatherEvidence, shards },
+    });
+  }
+
+  #claimIfDue(): void {
+    if (!this.#mayClaim()) return;
+    const candidates = this.#candidates();
+    if (!candidates.includes(this.#options.self)) return;
+    const unowned: ShardClaim[] = [];
+    const ownerless: ShardClaim[] = [];
+    for (let shard = 0; shard < this.#options.shardCount; shard += 1) {
+      this.#sortClaim(shard, candidates, { unowned, ownerless });
+    }
+    this.#appendClaim(ClaimReason.Unowned, unowned);
+    this.#appendClaim(ClaimReason.Takeover, ownerless);
+  }
+
+  #mayClaim(): boolean {
+    const { collector, follower } = this.#options;
+    const hasSettled =
+      collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
+    const isAnswerDue =
+      collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
+    return !this.#isLeaving && follower.isMember && hasSettled &&
+      !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
+      follower.heartbeats.hearsMajority();
+  }
+
+  #candidates(): readonly ProcessIdentifier[] {
+    const { follower, ownerCount } = this.#options;
+    const reachable = follower.view.sidecars()
+      .map(({ joined }) => joined.process)
+      .filter((process) =>
+        follower.heartbeats.isReachable(process) &&
+        !follower.heartbeats.isLeaving(process)
+      );
+    return ownerCandidates(reachable, ownerCount);
+  }
+
+  #sortClaim(
+    shard: ShardNumber,
+    candidates: readonly ProcessIdentifier[],
+    claims: {
+      readonly unowned: ShardClaim[];
+      readonly ownerless: ShardClaim[];
+    },
+  ): void {
+    const { follower, self } = this.#options;
+    const ownership = follower.view.ownership.find(shard);
+    if (ownership !== undefined && this.#isOwnerAlive(ownership.owner)) return;
+    if (preferredOwner(shard, candidates) !== self) return;
+    const replaces = follower.view.ownership.epochOf(shard);
+    const list = ownership === undefined ? claims.unowned : claims.ownerless;
+    list.push({ shard, replaces });
+  }
+
+  #isOwnerAlive(owner: ProcessIdentifier): boolean {
+    return this.#isAnswerLikely(owner);
+  }
+
+  #appendClaim(reason: ClaimReason, claims: readonly ShardClaim[]): void {
+    if (claims.length === 0) return;
+    const { collector, self } = this.#options;
+    this.#claimedAt = collector.now;
+    collector.record(EventNumber.ShardsClaimed, "claims shards", {
+      context: { reason, shards: claims.length },
+    });
+    collector.add({
+      kind: OutputKind.AppendRecord,
+      append: collector.nextRequest(),
+      record: {
+        kind: LogRecordKind.ShardsClaimed,
+        claimant: self,
+        reason,
+        claims,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/domain/ownership/src/shard.ts
@@ -0,0 +1,52 @@
+/**
+ * Submissions are spread over a fixed number of shards by a hash of their identifier, and each shard
+ * prefers its owners in an order of its own (rendezvous hashing), so that a member's leaving moves
+ * only the shards that it owned.
+ */
+import type {
+  ProcessIdentifier,
+  ShardNumber,
+  SubmissionIdentifier,
+} from "@eelgrassfront/model";
+import { processName } from "@eelgrassfront/model";
+import { stableHash } from "./stable_hash.ts";
+
+/** Returns the shard of a submission, from 0 to `shardCount - 1`. */
+export function shardOf(
+  submission: SubmissionIdentifier,
+  shardCount: number,
+): ShardNumber {
+  return stableHash(submission) % shardCount;
+}
+
+/** Returns the candidates that may own shards: the `count` most preferred of the fleet. */
+export function ownerCandidates(
+  processes: readonly ProcessIdentifier[],
+  count: number,
+): readonly ProcessIdentifier[] {
+  return rank("owner", processes).slice(0, count);
+}
+
+/** Returns the candidate that a shard prefers, or undefined where there is none. */
+export function preferredOwner(
+  shard: ShardNumber,
+  candidates: readonly ProcessIdentifier[],
+): ProcessIdentifier | undefined {
+  return rank(`shard ${shard}`, candidates)[0];
+}
+
+function rank(
+  purpose: string,
+  processes: readonly ProcessIdentifier[],
+): readonly ProcessIdentifier[] {
+  return processes
+    .map((process) => ({
+      process,
+      weight: stableHash(`${purpose} ${processName(process)}`),
+    }))
+    .sort((left, right) =>
+      right.weight - left.weight ||
+      (left.process < right.process ? -1 : 1)
+    )
+    .map(({ process }) => process);
+}
--- /dev/null
+++ b/domain/placement/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Which runner gets the next task.
+ */
+export * from "./runner_pool.ts";
--- /dev/null
+++ b/domain/runner/src/runner_decisions.ts
@@ -0,0 +1,446 @@
+/**
+ * Decisions of the runner: the only part of the system that starts tasks on its backend server. Every
+ * request it takes is idempotent: a placement that arrives again attaches to the first, and a refused
+ * attempt stays refused, however late its copies come.
+ */
+import { FairQueue } from "@eelgrassfront/fairness";
+import {
+  assertInvariant,
+  type AttemptIdentifier,
+  type BackendServerDescription,
+  type CancelTask,
+  Counter,
+  type Epoch,
+  EventNumber,
+  type EvidenceGiven,
+  type GatherEvidence,
+  Gauge,
+  type HandOverRecords,
+  Invariant,
+  type Milliseconds,
+  type OutputCollector,
+  OutputKind,
+  type PeerReply,
+  PeerReplyKind,
+  type RunnerLoad,
+  Severity,
+  type ShardEpoch,
+  type ShardNumber,
+  type StartRecord,
+  type StartTask,
+  type TaskEnd,
+  TaskEndKind,
+  taskIdentifier,
+  TaskRefusalReason,
+  UNCLAIMED_EPOCH,
+} from "@eelgrassfront/model";
+import { StartLedger } from "./start_ledger.ts";
+import {
+  attemptOf,
+  RecordPhase,
+  type TaskRecord,
+  type Waiter,
+} from "./task_record.ts";
+
+/** What a runner needs. */
+export interface RunnerDecisionsOptions {
+  readonly collector: OutputCollector;
+  /** Whether this process may act on its view of the log. */
+  readonly isFresh: () => boolean;
+  readonly horizonMilliseconds: Milliseconds;
+  readonly maximumResultBytes: number;
+  /** Tasks that may wait for a slot. */
+  readonly maximumQueuedTasks: number;
+}
+
+const INITIAL_RUN_MILLISECONDS: Milliseconds = 300;
+const RUN_TIME_SMOOTHING = 0.1;
+
+/** The runner of one backend server. */
+export class RunnerDecisions {
+  readonly #options: RunnerDecisionsOptions;
+  readonly #ledger: StartLedger;
+  readonly #queue = new FairQueue<TaskRecord>();
+  readonly #running = new Map<AttemptIdentifier, TaskRecord>();
+  readonly #fences = new Map<ShardNumber, Epoch>();
+  #backendServer: BackendServerDescription | undefined;
+  #isLeaving = false;
+  #meanRunMilliseconds = INITIAL_RUN_MILLISECONDS;
+
+  constructor(options: RunnerDecisionsOptions) {
+    this.#options = options;
+    this.#ledger = new StartLedger(options);
+  }
+
+  /** Whether nothing runs and nothing waits. */
+  get isIdle(): boolean {
+    return this.#running.size === 0 && this.#queue.size === 0;
+  }
+
+  /** Load as it is told to owners. */
+  load(): RunnerLoad {
+    const slots = this.#backendServer?.slots ?? 0;
+    const queued = this.#queue.size;
+    return {
+      slots,
+      running: this.#running.size,
+      queued,
+      expectedWaitMilliseconds: slots === 0
+        ? 0
+        : queued * this.#meanRunMilliseconds / slots,
+      isLeaving: this.#isLeaving,
+    };
+  }
+
+  /** Every start this runner knows, for the runner that keeps them when this one leaves. */
+  allStarts(): readonly StartRecord[] {
+    return this.#ledger.starts();
+  }
+
+  /** Takes the backend server's description. */
+  describeBackendServer(description: BackendServerDescription): void {
+    this.#backendServer = description;
+    this.#startNext();
+  }
+
+  /** Refuses all that waits: the backend server does not answer. */
+  loseBackendServer(): void {
+    if (this.#backendServer === undefined) return;
+    this.#backendServer = undefined;
+    this.#options.collector.record(
+      EventNumber.BackendServerUnreachable,
+      "the backend server does not answer",
+      { severity: Severity.Warning },
+    );
+    this.#refuseQueued(TaskRefusalReason.BackendServerUnavailable, () => true);
+  }
+
+  /** Refuses all that waits and all that comes; what runs finishes. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.#refuseQueued(TaskRefusalReason.Leaving, () => true);
+  }
+
+  /** Starts what can start now. */
+  tick(): void {
+    this.#startNext();
+  }
+
+  /** Takes a placement. */
+  start(waiter: Waiter, order: StartTask): void {
+    const attempt = attemptOf(order);
+    this.#raiseFence({ shard: order.shard, epoch: order.epoch });
+    const record = this.#ledger.find(
+      taskIdentifier(order.submission, order.taskIndex),
+    );
+    if (record !== undefined) {
+      this.#attach(waiter, attempt, record);
+      return;
+    }
+    const refusal = this.#ledger.findRefusal(attempt) ?? this.#refusalOf(order);
+    if (refusal !== undefined) {
+      this.#refuse(waiter, attempt, refusal);
+      return;
+    }
+    this.#enqueue(waiter, attempt, order);
+    this.#startNext();
+  }
+
+  /** Takes back a placement, if it has not started. */
+  cancel(waiter: Waiter, cancellation: CancelTask): void {
+    const attempt = attemptOf(cancellation);
+    const task = taskIdentifier(
+      cancellation.submission,
+      cancellation.taskIndex,
+    );
+    const record = this.#ledger.find(task);
+    const isSame = record?.attempt === attempt;
+    if (!isSame || record === undefined) {
+      this.#refuse(waiter, attempt, TaskRefusalReason.Cancelled);
+      return;
+    }
+    switch (record.phase.phase) {
+      case RecordPhase.Queued:
+        record.waiters.push(waiter);
+        this.#refuseQueued(
+          TaskRefusalReason.Cancelled,
+          (queued) => queued === record,
+        );
+        return;
+      case RecordPhase.Running:
+      case RecordPhase.ResultDropped:
+        this.#reply(waiter, {
+          kind: PeerReplyKind.TaskStarted,
+          load: this.load(),
+        });
+        return;
+      case RecordPhase.Ended:
+        this.#reply(waiter, this.#endedReply(record.phase.end));
+        return;
+    }
+  }
+
+  /** Raises the fence of shards and gives their start records. */
+  gather(request: GatherEvidence): EvidenceGiven {
+    const isNewerKnown = ({ shard, epoch }: ShardEpoch) =>
+      this.#fenceOf(shard) > epoch;
+    const fenced = request.shards.filter(isNewerKnown);
+    for (const shardEpoch of request.shards) this.#raiseFence(shardEpoch);
+    const shards = new Set(request.shards.map(({ shard }) => shard));
+    return {
+      kind: PeerReplyKind.EvidenceGiven,
+      records: this.#ledger.starts(shards),
+      fenced: fenced.map(({ shard }) => ({
+        shard,
+        epoch: this.#fenceOf(shard),
+      })),
+    };
+  }
+
+  /** Keeps the records of a runner that leaves. */
+  adopt(message: HandOverRecords): void {
+    this.#ledger.adopt(this.#options.collector.now, message.records);
+  }
+
+  /** Takes the end of a task. */
+  end(attempt: AttemptIdentifier, end: TaskEnd): void {
+    const record = this.#running.get(attempt);
+    assertInvariant(
+      record !== undefined,
+      Invariant.AnswerReachesItsRequest,
+      () => `the backend server ended ${attempt}, which does not run`,
+    );
+    this.#running.delete(attempt);
+    this.#ledger.close(this.#options.collector.now, record, end);
+    this.#learnRunTime(record, end);
+    for (const waiter of record.waiters) {
+      this.#reply(waiter, this.#endedReply(end));
+    }
+    record.waiters = [];
+    this.#startNext();
+  }
+
+  /** Takes back a task that never reached the backend server. */
+  takeBack(attempt: AttemptIdentifier): void {
+    const record = this.#running.get(attempt);
+    if (record === undefined) return;
+    this.#running.delete(attempt);
+    this.#withdraw(record, TaskRefusalReason.BackendServerUnavailable);
+    this.#startNext();
+  }
+
+  #attach(
+    waiter: Waiter,
+    attempt: AttemptIdentifier,
+    record: TaskRecord,
+  ): void {
+    switch (record.phase.phase) {
+      case RecordPhase.Queued:
+        if (record.attempt !== attempt) {
+          const reason = TaskRefusalReason.TaskAlreadyRecorded;
+          this.#refuse(waiter, attempt, reason);
+          return;
+        }
+        record.waiters.push(waiter);
+        return;
+      case RecordPhase.Running:
+        record.waiters.push(waiter);
+        return;
+      case RecordPhase.Ended:
+        this.#reply(waiter, this.#endedReply(record.phase.end));
+        return;
+      case RecordPhase.ResultDropped:
+        this.#reply(
+          waiter,
+          this.#endedReply({
+            kind: TaskEndKind.Lost,
+            detail: "the result is no longer kept",
+          }),
+        );
+        return;
+    }
+  }
+
+  #refusalOf(order: StartTask): TaskRefusalReason | undefined {
+    if (order.epoch < this.#fenceOf(order.shard)) {
+      return TaskRefusalReason.Fenced;
+    }
+    if (this.#isLeaving) return TaskRefusalReason.Leaving;
+    if (!this.#options.isFresh()) return TaskRefusalReason.Isolated;
+    if (this.#backendServer === undefined) {
+      return TaskRefusalReason.BackendServerUnavailable;
+    }
+    const task = taskIdentifier(order.submission, order.taskIndex);
+    if (this.#ledger.isAdopted(task)) {
+      return TaskRefusalReason.TaskAlreadyRecorded;
+    }
+    if (this.#queue.size >= this.#options.maximumQueuedTasks) {
+      return TaskRefusalReason.QueueFull;
+    }
+    return undefined;
+  }
+
+  #enqueue(
+    waiter: Waiter,
+    attempt: AttemptIdentifier,
+    order: StartTask,
+  ): void {
+    const { now } = this.#options.collector;
+    const record: TaskRecord = {
+      order,
+      attempt,
+      phase: {
+        phase: RecordPhase.Queued,
+        deadlineAt: now + order.remainingMilliseconds,
+      },
+      waiters: [waiter],
+    };
+    this.#ledger.open(record);
+    this.#queue.add(order, record);
+  }
+
+  #startNext(): void {
+    const slots = this.#backendServer?.slots ?? 0;
+    while (
+      this.#running.size < slots && this.#queue.size > 0 &&
+      this.#options.isFresh()
+    ) {
+      const record = this.#queue.take();
+      if (record === undefined) break;
+      this.#startOrExpire(record);
+    }
+    this.#reportGauges();
+  }
+
+  #startOrExpire(record: TaskRecord): void {
+    const { now } = this.#options.collector;
+    const { phase } = record;
+    assertInvariant(
+      phase.phase === RecordPhase.Queued,
+      Invariant.NoSecondStart,
+      () => `${record.attempt} is ${phase.phase}`,
+    );
+    if (phase.deadlineAt <= now) {
+      this.#withdraw(record, TaskRefusalReason.DeadlinePassed);
+      return;
+    }
+    this.#execute(record);
+  }
+
+  #execute(record: TaskRecord): void {
+    const { order, attempt } = record;
+    const { collector } = this.#options;
+    assertInvariant(
+      !this.#isLeaving,
+      Invariant.NoStartAfterLeaving,
+      () => `${attempt} would start after leaving`,
+    );
+    assertInvariant(
+      order.epoch >= this.#fenceOf(order.shard),
+      Invariant.NoStartForFencedEpoch,
+      () => `${attempt} is fenced by ${this.#fenceOf(order.shard)}`,
+    );
+    record.phase = { phase: RecordPhase.Running, startedAt: collector.now };
+    this.#running.set(attempt, record);
+    assertInvariant(
+      this.#running.size <= (this.#backendServer?.slots ?? 0),
+      Invariant.SlotsNotExceeded,
+      () => `${this.#running.size} tasks run`,
+    );
+    collector.count(Counter.TasksStarted);
+    collector.add({
+      kind: OutputKind.ExecuteTask,
+      attempt,
+      kindOfWork: order.kindOfWork,
+      task: order.task,
+    });
+  }
+
+  #raiseFence({ shard, epoch }: ShardEpoch): void {
+    if (epoch <= this.#fenceOf(shard)) return;
+    this.#fences.set(shard, epoch);
+    this.#refuseQueued(
+      TaskRefusalReason.Fenced,
+      ({ order }) => order.shard === shard && order.epoch < epoch,
+    );
+  }
+
+  #fenceOf(shard: ShardNumber): Epoch {
+    return this.#fences.get(shard) ?? UNCLAIMED_EPOCH;
+  }
+
+  #refuseQueued(
+    reason: TaskRefusalReason,
+    matches: (record: TaskRecord) => boolean,
+  ): void {
+    for (const record of this.#queue.removeWhere(matches)) {
+      this.#withdraw(record, reason);
+    }
+  }
+
+  #withdraw(record: TaskRecord, reason: TaskRefusalReason): void {
+    this.#ledger.withdraw(this.#options.collector.now, record, reason);
+    for (const waiter of record.waiters) {
+      this.#replyRefused(waiter, record.order.shard, reason);
+    }
+    record.waiters = [];
+  }
+
+  #refuse(
+    waiter: Waiter,
+    attempt: AttemptIdentifier,
+    reason: TaskRefusalReason,
+  ): void {
+    this.#ledger.refuse(this.#options.collector.now, attempt, reason);
+    this.#replyRefused(waiter, undefined, reason);
+  }
+
+  #replyRefused(
+    waiter: Waiter,
+    shard: ShardNumber | undefined,
+    reason: TaskRefusalReason,
+  ): void {
+    this.#options.collector.count(Counter.TasksRefused, reason);
+    this.#reply(waiter, {
+      kind: PeerReplyKind.TaskRefused,
+      reason,
+      knownEpoch: shard === undefined ? UNCLAIMED_EPOCH : this.#fenceOf(shard),
+      load: this.load(),
+    });
+  }
+
+  #endedReply(end: TaskEnd): PeerReply {
+    return { kind: PeerReplyKind.TaskEnded, end, load: this.load() };
+  }
+
+  #reply(waiter: Waiter, message: PeerReply): void {
+    this.#options.collector.add({
+      kind: OutputKind.SendReply,
+      to: waiter.from,
+      request: waiter.request,
+      message,
+    });
+  }
+
+  #learnRunTime(record: TaskRecord, end: TaskEnd): void {
+    if (end.kind === TaskEndKind.Lost) return;
+    const change = end.runMilliseconds - this.#meanRunMilliseconds;
+    this.#meanRunMilliseconds += change * RUN_TIME_SMOOTHING;
+    this.#queue.charge(record.order.submission, end.runMilliseconds);
+  }
+
+  #reportGauges(): void {
+    const { collector } = this.#options;
+    const { queued, running } = this.load();
+    collector.add({
+      kind: OutputKind.SetGauge,
+      gauge: Gauge.QueuedTasks,
+      value: queued,
+    });
+    collector.add({
+      kind: OutputKind.SetGauge,
+      gauge: Gauge.RunningTasks,
+      value: running,
+    });
+  }
+}
