feat(adapters): add ports and adapters

Cause: the decisions need HTTP, tRPC, the log, time, signals, logs, metrics and settings. Change: one port each; most streams as inputs; a terminating tRPC link on a lasting connection sends at once. Conclusion: ruled out the stock tRPC links, which wait for a timer to send.

--- /dev/null
+++ b/adapters/callers_http/src/answer_encoding.ts
@@ -0,0 +1,121 @@
+/**
+ * Answers to callers as HTTP statuses and JSON bodies. Refused, failed and unknown are different
+ * statuses and say so in the body.
+ */
+import {
+  assertNever,
+  type CallerAnswer,
+  CallerAnswerKind,
+  type JobOutcome,
+  JobOutcomeKind,
+  type NotRunOutcome,
+  RejectionReason,
+} from "@eelgrassfront/model";
+
+/** An answer ready to be written. */
+export interface EncodedAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Encodes an answer. */
+export function encodeAnswer(answer: CallerAnswer): EncodedAnswer {
+  switch (answer.kind) {
+    case CallerAnswerKind.Outcome:
+      return encodeOutcome(answer.outcome);
+    case CallerAnswerKind.Standing: {
+      const { kind: _kind, outcome, ...standing } = answer.standing;
+      const body = outcome === undefined
+        ? JSON.stringify(standing)
+        : JSON.stringify({ ...standing, outcome: outcome.kind });
+      return { status: 200, headers: {}, body };
+    }
+    case CallerAnswerKind.Rejection:
+      return encodeRejection(answer.reason, answer.detail);
+    default:
+      return assertNever(answer);
+  }
+}
+
+/** Encodes the rejection of a request that never became a submission. */
+export function encodeRejection(
+  reason: RejectionReason,
+  detail: string,
+): EncodedAnswer {
+  return {
+    status: REJECTION_STATUSES[reason],
+    headers: {},
+    body: JSON.stringify({ outcome: "rejected", reason, detail }),
+  };
+}
+
+function encodeOutcome(outcome: JobOutcome): EncodedAnswer {
+  switch (outcome.kind) {
+    case JobOutcomeKind.Completed:
+      return { status: 200, headers: {}, body: encodeResults(outcome.results) };
+    case JobOutcomeKind.Failed: {
+      const { kind, ...content } = outcome;
+      return encodeContent(422, { outcome: kind, ...content });
+    }
+    case JobOutcomeKind.NotRun:
+      return encodeNotRun(outcome);
+    case JobOutcomeKind.Unknown: {
+      const { kind, ...content } = outcome;
+      return encodeContent(504, { outcome: kind, ...content });
+    }
+    default:
+      return assertNever(outcome);
+  }
+}
+
+function encodeNotRun(outcome: NotRunOutcome): EncodedAnswer {
+  const { kind, ...content } = outcome;
+  const encoded = encodeContent(503, { outcome: kind, ...content });
+  const { retryAfterMilliseconds } = outcome;
+  if (retryAfterMilliseconds === undefined) return encoded;
+  const seconds = Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
+  return { ...encoded, headers: { "retry-after": String(seconds) } };
+}
+
+/** Results are JSON texts of the backend server; text that is no JSON is given as a string. */
+function encodeResults(results: readonly string[]): string {
+  const encoded = results.map((result) =>
+    isJson(result) ? result : JSON.stringify(result)
+  );
+  return `{"outcome":"${JobOutcomeKind.Completed}","results":[${
+    encoded.join(",")
+  }]}`;
+}
+
+function isJson(text: string): boolean {
+  try {
+    JSON.parse(text);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function encodeContent(status: number, content: object): EncodedAnswer {
+  return { status, headers: {}, body: JSON.stringify(content) };
+}
+
+const REJECTION_STATUSES: Readonly<Record<RejectionReason, number>> = {
+  [RejectionReason.MalformedBody]: 400,
+  [RejectionReason.BodyTooLarge]: 413,
+  [RejectionReason.BodyTooSlow]: 408,
+  [RejectionReason.MissingIdempotencyKey]: 400,
+  [RejectionReason.InvalidIdempotencyKey]: 400,
+  [RejectionReason.InvalidField]: 422,
+  [RejectionReason.TooManyTasks]: 413,
+  [RejectionReason.Unauthorized]: 401,
+  [RejectionReason.KeyReused]: 409,
+  [RejectionReason.NotFound]: 404,
+  [RejectionReason.MethodNotAllowed]: 405,
+  [RejectionReason.EntryLeaving]: 503,
+  [RejectionReason.EntryNotReady]: 503,
+  [RejectionReason.EntryBusy]: 503,
+};
--- /dev/null
+++ b/adapters/callers_http/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Callers HTTP interface.
+ */
+export * from "./http_callers.ts";
--- /dev/null
+++ b/adapters/clock/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Monotonic time and alarms.
+ */
+export * from "./monotonic_clock.ts";
--- /dev/null
+++ b/adapters/clock/src/monotonic_clock.ts
@@ -0,0 +1,47 @@
+/**
+ * The clock of a process: Node's monotonic time and one timer.
+ */
+import {
+  type AlarmRang,
+  InputKind,
+  type Milliseconds,
+} from "@eelgrassfront/model";
+import type { ClockPort } from "@eelgrassfront/ports";
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+
+/** Monotonic time with one alarm. */
+export class MonotonicClock implements ClockPort {
+  readonly inputs: Stream<AlarmRang>;
+  readonly #ring: (alarm: AlarmRang) => void;
+  #timer: NodeJS.Timeout | undefined;
+  #alarmAt: Milliseconds | undefined;
+
+  constructor() {
+    [this.#ring, this.inputs] = createAdapter<AlarmRang>();
+  }
+
+  now(): Milliseconds {
+    return performance.now();
+  }
+
+  setAlarm(at: Milliseconds | undefined): void {
+    if (at === this.#alarmAt && this.#timer !== undefined) return;
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    this.#alarmAt = at;
+    if (at === undefined) return;
+    const delay = Math.max(1, Math.ceil(at - this.now()));
+    this.#timer = setTimeout(() => this.#fire(), delay);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    clearTimeout(this.#timer);
+    return Promise.resolve();
+  }
+
+  #fire(): void {
+    this.#timer = undefined;
+    this.#ring({ kind: InputKind.AlarmRang });
+  }
+}
--- /dev/null
+++ b/adapters/journal_roarr/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Numbered events written with roarr.
+ */
+export * from "./roarr_journal.ts";
--- /dev/null
+++ b/adapters/peers_trpc/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Calls between processes by tRPC over lasting connections.
+ */
+export * from "./trpc_peers.ts";
--- /dev/null
+++ b/adapters/peers_trpc/src/peer_router.ts
@@ -0,0 +1,54 @@
+/**
+ * The tRPC router that peers call: one typed procedure that carries any request of the system and
+ * returns its reply.
+ */
+import {
+  type PeerReply,
+  type PeerRequest,
+  PeerRequestKind,
+  type ProcessIdentifier,
+  type RequestIdentifier,
+} from "@eelgrassfront/model";
+import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+
+/** A request on its way from one process to another. */
+export interface PeerEnvelope {
+  readonly from: ProcessIdentifier;
+  readonly to: ProcessIdentifier;
+  readonly request: RequestIdentifier;
+  readonly message: PeerRequest;
+}
+
+/** What the procedures need. */
+export interface PeerContext {
+  /** Takes a request; the reply comes when the decisions have made it. */
+  readonly accept: (envelope: PeerEnvelope) => Promise<PeerReply>;
+}
+
+const identifier = z.custom<ProcessIdentifier>((value) =>
+  typeof value === "string" && value.includes("~")
+);
+const message = z.custom<PeerRequest>((value) =>
+  typeof value === "object" && value !== null && "kind" in value &&
+  Object.values(PeerRequestKind).some((kind) => kind === value.kind)
+);
+// Peers hold the shared key, so the envelope is checked and the content trusted.
+const envelopeSchema = z.object({
+  from: identifier,
+  to: identifier,
+  request: z.number().int(),
+  message,
+});
+
+const trpc = initTRPC.context<PeerContext>().create();
+
+/** The procedures that peers call. */
+export const peerRouter = trpc.router({
+  deliver: trpc.procedure
+    .input(envelopeSchema)
+    .mutation(({ ctx, input }) => ctx.accept(input)),
+});
+
+/** Type of the router, for typed clients. */
+export type PeerRouter = typeof peerRouter;
--- /dev/null
+++ b/adapters/platform_log_http/src/http_platform_log.ts
@@ -0,0 +1,133 @@
+/**
+ * The platform's log by HTTP: `GET /records` reads from an offset and waits a little for more,
+ * `POST /records` appends and answers after the record is synced.
+ */
+import {
+  type AppendRecord,
+  InputKind,
+  type LogOffset,
+  type LogRecord,
+  type Milliseconds,
+  type PlatformLogInput,
+} from "@eelgrassfront/model";
+import type { PlatformLogPort } from "@eelgrassfront/ports";
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+import { Pool } from "undici";
+import { z } from "zod";
+
+/** Where the log is and how it is read. */
+export interface HttpPlatformLogOptions {
+  /** Origin, as `http://host:port`. */
+  readonly origin: string;
+  /** How long a read waits for new records. */
+  readonly waitMilliseconds: Milliseconds;
+}
+
+const REQUEST_TIMEOUT_MILLISECONDS: Milliseconds = 2_000;
+const READ_AGAIN_MILLISECONDS: Milliseconds = 200;
+const CONNECTIONS = 4;
+const FIRST_OFFSET: LogOffset = 1;
+
+const readSchema = z.object({
+  firstRetained: z.number().int(),
+  nextOffset: z.number().int(),
+  isAtEnd: z.boolean(),
+  logClock: z.number(),
+  records: z.array(z.object({
+    offset: z.number().int(),
+    appendedAt: z.number(),
+    record: z.custom<LogRecord>((value) =>
+      typeof value === "object" && value !== null && "kind" in value
+    ),
+  })),
+});
+const appendSchema = z.object({ offset: z.number().int().positive() });
+
+/** Reads and appends with undici. */
+export class HttpPlatformLog implements PlatformLogPort {
+  readonly inputs: Stream<PlatformLogInput>;
+  readonly #induce: (input: PlatformLogInput) => void;
+  readonly #options: HttpPlatformLogOptions;
+  readonly #pool: Pool;
+  readonly #stop = new AbortController();
+  #nextOffset: LogOffset = FIRST_OFFSET;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: HttpPlatformLogOptions) {
+    [this.#induce, this.inputs] = createAdapter<PlatformLogInput>();
+    this.#options = options;
+    this.#pool = new Pool(options.origin, { connections: CONNECTIONS });
+  }
+
+  /** Begins to read. */
+  start(): void {
+    void this.#readOn();
+  }
+
+  perform(output: AppendRecord): void {
+    void this.#append(output);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stop.abort();
+    clearTimeout(this.#timer);
+    await this.#pool.destroy();
+  }
+
+  async #readOn(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      const isRead = await this.#read();
+      if (!isRead) await this.#pause();
+    }
+  }
+
+  async #read(): Promise<boolean> {
+    const readStartedAt = performance.now();
+    const { waitMilliseconds } = this.#options;
+    try {
+      const response = await this.#pool.request({
+        method: "GET",
+        path: "/records",
+        query: { from: this.#nextOffset, waitMilliseconds },
+        signal: this.#signal(waitMilliseconds),
+      });
+      const read = readSchema.parse(await response.body.json());
+      this.#nextOffset = read.nextOffset;
+      this.#induce({ kind: InputKind.LogRecordsRead, readStartedAt, ...read });
+      return true;
+    } catch {
+      if (this.#stop.signal.aborted) return false;
+      this.#induce({ kind: InputKind.LogUnavailable });
+      return false;
+    }
+  }
+
+  async #append({ append, record }: AppendRecord): Promise<void> {
+    try {
+      const response = await this.#pool.request({
+        method: "POST",
+        path: "/records",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(record),
+        signal: this.#signal(0),
+      });
+      const { offset } = appendSchema.parse(await response.body.json());
+      this.#induce({ kind: InputKind.AppendSettled, append, offset });
+    } catch {
+      if (this.#stop.signal.aborted) return;
+      this.#induce({ kind: InputKind.AppendInDoubt, append });
+    }
+  }
+
+  #signal(waitMilliseconds: Milliseconds): AbortSignal {
+    const timeout = waitMilliseconds + REQUEST_TIMEOUT_MILLISECONDS;
+    return AbortSignal.any([this.#stop.signal, AbortSignal.timeout(timeout)]);
+  }
+
+  #pause(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#timer = setTimeout(resolve, READ_AGAIN_MILLISECONDS);
+    });
+  }
+}
--- /dev/null
+++ b/adapters/platform_log_http/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Client of the platform log.
+ */
+export * from "./http_platform_log.ts";
--- /dev/null
+++ b/adapters/settings_ini/src/setting_types.ts
@@ -0,0 +1,80 @@
+/**
+ * Types of single settings. Durations and sizes carry their unit in the file, so that a number can
+ * never be read in the wrong one.
+ */
+import { z } from "zod";
+
+const DURATION_PATTERN = /^(\d+)(ms|s|min)$/;
+const SIZE_PATTERN = /^(\d+)(B|KiB|MiB)$/;
+const ADDRESS_PATTERN = /^([0-9.]+|\[[0-9a-f:]+\]):(\d{1,5})$/;
+const HIGHEST_PORT = 65_535;
+
+const MILLISECONDS_OF_UNIT: ReadonlyMap<string, number> = new Map([
+  ["ms", 1],
+  ["s", 1_000],
+  ["min", 60_000],
+]);
+const BYTES_OF_UNIT: ReadonlyMap<string, number> = new Map([
+  ["B", 1],
+  ["KiB", 1_024],
+  ["MiB", 1_048_576],
+]);
+
+/** An address of a process. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A duration with its unit, in milliseconds. */
+export const duration: z.ZodType<number> = z.string({
+  error: "a duration such as 250ms, 5s or 10min",
+}).regex(DURATION_PATTERN, "a duration such as 250ms, 5s or 10min")
+  .transform((text) => scale(DURATION_PATTERN, MILLISECONDS_OF_UNIT, text));
+
+/** A size with its unit, in bytes. */
+export const size: z.ZodType<number> = z.string({
+  error: "a size such as 512B, 64KiB or 8MiB",
+}).regex(SIZE_PATTERN, "a size such as 512B, 64KiB or 8MiB")
+  .transform((text) => scale(SIZE_PATTERN, BYTES_OF_UNIT, text));
+
+/** An address as IP number and port. */
+export const address: z.ZodType<Address> = z.string({
+  error: "an address such as 127.0.0.1:7000",
+}).refine(isAddress, "an IP number and a port, such as 127.0.0.1:7000")
+  .transform(splitAddress);
+
+/** A whole number from 1. */
+export const count: z.ZodType<number> = z.string({
+  error: "a whole number from 1",
+}).regex(/^[1-9]\d{0,8}$/, "a whole number from 1").transform(Number);
+
+/** A text that is not empty. */
+export const text: z.ZodType<string> = z.string({ error: "a text" }).min(
+  1,
+  "a text that is not empty",
+);
+
+/** Writes an address as `host:port`. */
+export function formatAddress({ host, port }: Address): string {
+  return `${host}:${port}`;
+}
+
+function scale(
+  pattern: RegExp,
+  units: ReadonlyMap<string, number>,
+  value: string,
+): number {
+  const [, amount, unit] = pattern.exec(value) ?? [];
+  return Number(amount) * (units.get(unit ?? "") ?? Number.NaN);
+}
+
+function isAddress(value: string): boolean {
+  const port = Number(ADDRESS_PATTERN.exec(value)?.[2]);
+  return port > 0 && port <= HIGHEST_PORT;
+}
+
+function splitAddress(value: string): Address {
+  const [, host, port] = ADDRESS_PATTERN.exec(value) ?? [];
+  return { host: host ?? "", port: Number(port) };
+}
--- /dev/null
+++ b/adapters/signals/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Operating system signals as inputs.
+ */
+export * from "./process_signals.ts";
--- /dev/null
+++ b/ports/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Interfaces between the decisions and the adapters.
+ */
+export * from "./port.ts";
--- /dev/null
+++ b/ports/src/port.ts
@@ -0,0 +1,66 @@
+/**
+ * The ports: what the decisions need of the world, without saying by which protocol. An adapter gives
+ * a stream of inputs, performs outputs, and is disposed of by its owner.
+ */
+import type {
+  AlarmRang,
+  AnswerCaller,
+  AppendRecord,
+  BackendServerInput,
+  CallerInput,
+  CountOccurrence,
+  DrainAsked,
+  ExecuteTask,
+  Milliseconds,
+  PeerInput,
+  PlatformLogInput,
+  ProcessEvent,
+  ReportReadiness,
+  SendReply,
+  SendRequest,
+  SetGauge,
+} from "@eelgrassfront/model";
+import type { Stream } from "@most/types";
+
+/** A source of inputs that its owner disposes of. */
+export interface InputPort<Input> extends AsyncDisposable {
+  readonly inputs: Stream<Input>;
+}
+
+/** A port that also performs outputs. It never throws for what the world does; that comes as input. */
+export interface Port<Input, Output> extends InputPort<Input> {
+  perform(output: Output): void;
+}
+
+/** Callers of an entry. */
+export type CallersPort = Port<CallerInput, AnswerCaller | ReportReadiness>;
+
+/** Other processes of the system. */
+export type PeersPort = Port<PeerInput, SendRequest | SendReply>;
+
+/** The backend server beside a sidecar. */
+export type BackendServerPort = Port<BackendServerInput, ExecuteTask>;
+
+/** The platform's log. */
+export type PlatformLogPort = Port<PlatformLogInput, AppendRecord>;
+
+/** Signals and commands of operators. */
+export type OperatorsPort = InputPort<DrainAsked>;
+
+/** Time. */
+export interface ClockPort extends InputPort<AlarmRang> {
+  /** The local monotonic time. */
+  now(): Milliseconds;
+  /** Rings once at the given time; replaces the alarm set before. */
+  setAlarm(at: Milliseconds | undefined): void;
+}
+
+/** The event log of the process. */
+export interface JournalPort {
+  record(event: ProcessEvent): void;
+}
+
+/** Counters and gauges. */
+export interface MetricsPort extends AsyncDisposable {
+  measure(output: CountOccurrence | SetGauge): void;
+}
