feat(daemon): run the whole path as separate processes

Cause: the first milestone is a job answered from end to end. Conclusion: the path is whole; failures and policy come next.

--- /dev/null
+++ b/cli/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The command-line tool.
+ */
+export * from "./exit_code.ts";
--- /dev/null
+++ b/daemon/src/main.ts
@@ -0,0 +1,87 @@
+#!/usr/bin/env node
+/**
+ * The daemon `eelgrassfrontd`: one process of the system, in the role that its settings name.
+ *
+ * Exit codes: 0 after leaving, 1 when it could not start, 2 for faulty settings, 70 after a broken
+ * invariant.
+ */
+import { readFileSync } from "node:fs";
+import { Role } from "@eelgrassfront/model";
+import {
+  describeFault,
+  readSettings,
+  SettingsResultKind,
+} from "@eelgrassfront/settings-ini";
+import { defineCommand, runMain } from "citty";
+import { parse } from "ini";
+import { schemaFor } from "./daemon_settings.ts";
+import { runProcess } from "./process_factory.ts";
+
+const FAULTY_SETTINGS_EXIT_CODE = 2;
+const FAILED_START_EXIT_CODE = 1;
+
+const command = defineCommand({
+  meta: {
+    name: "eelgrassfrontd",
+    description: "Runs one process of eelgrassfront",
+  },
+  args: {
+    settings: {
+      type: "string",
+      required: true,
+      description: "INI file with the settings of the process",
+    },
+  },
+  run: async ({ args }) => {
+    process.exit(await runFromFile(args.settings));
+  },
+});
+
+async function runFromFile(file: string): Promise<number> {
+  const text = readText(file);
+  if (text === undefined) return FAULTY_SETTINGS_EXIT_CODE;
+  const role = roleOf(text);
+  if (role === undefined) {
+    complain(`${file}: process.role: allowed: entry, sidecar`);
+    return FAULTY_SETTINGS_EXIT_CODE;
+  }
+  const result = readSettings({ file, text, schema: schemaFor(role) });
+  switch (result.kind) {
+    case SettingsResultKind.Faulty:
+      for (const fault of result.faults) complain(describeFault(fault));
+      return FAULTY_SETTINGS_EXIT_CODE;
+    case SettingsResultKind.Read:
+      return await runOrComplain(result.settings);
+  }
+}
+
+async function runOrComplain(
+  settings: Parameters<typeof runProcess>[0],
+): Promise<number> {
+  try {
+    return await runProcess(settings);
+  } catch (error) {
+    complain(`eelgrassfrontd could not start: ${String(error)}`);
+    return FAILED_START_EXIT_CODE;
+  }
+}
+
+function readText(file: string): string | undefined {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    complain(`${file}: cannot be read: ${String(error)}`);
+    return undefined;
+  }
+}
+
+function roleOf(text: string): Role | undefined {
+  const named: unknown = parse(text)["process"]?.role;
+  return Object.values(Role).find((role) => role === named);
+}
+
+function complain(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+await runMain(command);
--- /dev/null
+++ b/daemon/src/process_factory.ts
@@ -0,0 +1,180 @@
+/**
+ * Builds a process from its settings: the adapters, the decisions of its role and the loop. Whatever is
+ * opened is disposed of when the process ends, the last first.
+ */
+import { randomBytes } from "node:crypto";
+import { HttpBackendServer } from "@eelgrassfront/backend-server-http";
+import { HttpCallers } from "@eelgrassfront/callers-http";
+import { MonotonicClock } from "@eelgrassfront/clock";
+import { EntryDecisions } from "@eelgrassfront/entry";
+import { RoarrJournal } from "@eelgrassfront/journal-roarr";
+import type { Timing } from "@eelgrassfront/membership";
+import { HotShotsMetrics } from "@eelgrassfront/metrics-hot-shots";
+import {
+  assertNever,
+  EventNumber,
+  type ProcessIdentifier,
+  processIdentifier,
+  Role,
+  Severity,
+} from "@eelgrassfront/model";
+import { TrpcPeers } from "@eelgrassfront/peers-trpc";
+import { HttpPlatformLog } from "@eelgrassfront/platform-log-http";
+import { formatAddress } from "@eelgrassfront/settings-ini";
+import { SidecarDecisions } from "@eelgrassfront/sidecar";
+import { ProcessSignals } from "@eelgrassfront/signals";
+import type {
+  DaemonSettings,
+  EntrySettings,
+  SidecarSettings,
+} from "./daemon_settings.ts";
+import { ProcessLoop } from "./process_loop.ts";
+
+const INCARNATION_BYTES = 6;
+
+/** Runs a process until it stops; returns its exit code. */
+export function runProcess(settings: DaemonSettings): Promise<number> {
+  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const self = processIdentifier(settings.process.name, incarnation);
+  switch (settings.process.role) {
+    case Role.Entry:
+      return runEntry(self, settings as EntrySettings);
+    case Role.Sidecar:
+      return runSidecar(self, settings as SidecarSettings);
+    default:
+      return assertNever(settings.process);
+  }
+}
+
+async function runEntry(
+  self: ProcessIdentifier,
+  settings: EntrySettings,
+): Promise<number> {
+  const { callers: limits } = settings;
+  await using shared = await openShared(self, settings);
+  await using callers = await HttpCallers.listen({
+    self,
+    ...limits.listen,
+    maximumBodyBytes: limits.maximum_body,
+    maximumTasks: limits.maximum_tasks,
+    maximumConnections: limits.maximum_connections,
+    bodyMilliseconds: limits.body_time,
+  });
+  const decisions = new EntryDecisions({
+    self,
+    availabilityZone: settings.process.availability_zone,
+    address: formatAddress(settings.peers.listen),
+    timing: timingOf(settings),
+    shardCount: settings.ownership.shards,
+    maximumPending: limits.maximum_pending,
+  });
+  const running = new ProcessLoop(decisions, { ...shared.ports, callers })
+    .run();
+  shared.start(self);
+  return await running;
+}
+
+async function runSidecar(
+  self: ProcessIdentifier,
+  settings: SidecarSettings,
+): Promise<number> {
+  await using shared = await openShared(self, settings);
+  await using backendServer = new HttpBackendServer({
+    origin: settings.backend_server.origin,
+    connections: settings.backend_server.connections,
+    descriptionMilliseconds: settings.backend_server.description_interval,
+  });
+  const decisions = new SidecarDecisions({
+    self,
+    availabilityZone: settings.process.availability_zone,
+    address: formatAddress(settings.peers.listen),
+    timing: timingOf(settings),
+    random: Math.random,
+    shardCount: settings.ownership.shards,
+    ownerCount: settings.ownership.owners,
+    maximumAnswerBytes: settings.owner.kept_answers,
+    maximumResultBytes: settings.runner.kept_results,
+    maximumQueuedTasks: settings.runner.queued_tasks,
+    waitingPerRunner: settings.owner.waiting_per_runner,
+  });
+  const ports = { ...shared.ports, backendServer };
+  const running = new ProcessLoop(decisions, ports).run();
+  shared.start(self);
+  backendServer.start();
+  return await running;
+}
+
+/** Ports that both roles have. */
+class SharedPorts implements AsyncDisposable {
+  readonly ports;
+  readonly #platformLog: HttpPlatformLog;
+
+  constructor(ports: OpenedPorts) {
+    this.ports = ports;
+    this.#platformLog = ports.platformLog;
+  }
+
+  /** Begins to read the log. */
+  start(self: ProcessIdentifier): void {
+    this.ports.journal.record({
+      number: EventNumber.ProcessStarted,
+      severity: Severity.Information,
+      message: "the process started",
+      context: { process: self },
+    });
+    this.#platformLog.start();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { clock, operators, peers, platformLog, metrics } = this.ports;
+    await operators[Symbol.asyncDispose]();
+    await clock[Symbol.asyncDispose]();
+    await platformLog[Symbol.asyncDispose]();
+    await peers[Symbol.asyncDispose]();
+    await metrics?.[Symbol.asyncDispose]();
+  }
+}
+
+interface OpenedPorts {
+  readonly clock: MonotonicClock;
+  readonly peers: TrpcPeers;
+  readonly platformLog: HttpPlatformLog;
+  readonly operators: ProcessSignals;
+  readonly journal: RoarrJournal;
+  readonly metrics?: HotShotsMetrics;
+}
+
+async function openShared(
+  self: ProcessIdentifier,
+  settings: DaemonSettings,
+): Promise<SharedPorts> {
+  const { peers, platform_log: log, metrics } = settings;
+  const opened = {
+    clock: new MonotonicClock(),
+    peers: await TrpcPeers.listen({
+      self,
+      ...peers.listen,
+      sharedKey: peers.shared_key,
+    }),
+    platformLog: new HttpPlatformLog({
+      origin: log.origin,
+      waitMilliseconds: log.read_wait,
+    }),
+    operators: new ProcessSignals(),
+    journal: new RoarrJournal(self),
+  };
+  if (metrics === undefined) return new SharedPorts(opened);
+  const { receiver } = metrics;
+  const sender = new HotShotsMetrics({ self, ...receiver });
+  return new SharedPorts({ ...opened, metrics: sender });
+}
+
+function timingOf({ timing }: DaemonSettings): Timing {
+  return {
+    heartbeatMilliseconds: timing.heartbeat,
+    unreachableMilliseconds: timing.unreachable,
+    leaseMilliseconds: timing.lease,
+    removalMilliseconds: timing.removal,
+    horizonMilliseconds: timing.horizon,
+  };
+}
--- /dev/null
+++ b/measure/src/local_system.ts
@@ -0,0 +1,275 @@
+/**
+ * A whole system on loopback, as separate processes: the log stand-in, entries in several availability
+ * zones, and a sidecar with a backend server stand-in each. Everything ends when it is disposed of.
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
+import { request } from "undici";
+import { Child } from "./child_process.ts";
+import { LOCAL_CONFIGURATION } from "./local_configuration.ts";
+import { entrySettings, sidecarSettings } from "./local_settings.ts";
+
+/** Size and faults of a local system. */
+export interface LocalSystemOptions {
+  readonly entries: number;
+  readonly sidecars: number;
+  readonly slots: number;
+  readonly configuration?: Configuration;
+  /** Time of a synced append, in milliseconds. */
+  readonly appendMilliseconds?: number;
+  /** Told of each event that a process writes. */
+  readonly onLine?: (name: string, line: string) => void;
+}
+
+/** One process of the system with the address that others use. */
+export interface LocalProcess {
+  readonly child: Child;
+  readonly address: string;
+}
+
+const READY_MILLISECONDS = 30_000;
+const READY_AGAIN_MILLISECONDS = 50;
+const LEAVE_MILLISECONDS = 5_000;
+const AVAILABILITY_ZONES = 3;
+
+/** A system of separate processes on loopback. */
+export class LocalSystem implements AsyncDisposable {
+  readonly entries: LocalProcess[] = [];
+  readonly sidecars: LocalProcess[] = [];
+  readonly backendServers: LocalProcess[] = [];
+  readonly #options: LocalSystemOptions;
+  readonly #folder: string;
+  #log: LocalProcess | undefined;
+
+  private constructor(options: LocalSystemOptions, folder: string) {
+    this.#options = options;
+    this.#folder = folder;
+  }
+
+  /**
+   * Starts a system and waits until it takes work.
+   *
+   * @throws when it is not ready within 30 s
+   */
+  static async start(options: LocalSystemOptions): Promise<LocalSystem> {
+    const folder = await mkdtemp(join(tmpdir(), "eelgrassfront-"));
+    const system = new LocalSystem(options, folder);
+    try {
+      await system.#startAll();
+      return system;
+    } catch (error) {
+      await system[Symbol.asyncDispose]();
+      throw error;
+    }
+  }
+
+  /** The log stand-in. */
+  get log(): LocalProcess {
+    if (this.#log === undefined) throw new Error("the log is not started");
+    return this.#log;
+  }
+
+  /** Every process, by what it is. */
+  all(): readonly LocalProcess[] {
+    const log = this.#log === undefined ? [] : [this.#log];
+    return [...this.entries, ...this.sidecars, ...this.backendServers, ...log];
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await endInOrder(this.all().map(({ child }) => child));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  /** Starts a sidecar with its backend server. */
+  async startSidecar(index: number, ports: SidecarPorts): Promise<void> {
+    const { slots } = this.#options;
+    const name = `sidecar-${index}`;
+    const origin = `http://127.0.0.1:${ports.backendServer}`;
+    this.backendServers[index] = this.#startScript(
+      `backend-server-${index}`,
+      scriptOf("@eelgrassfront/stand-in-backend-server"),
+      ["--port", String(ports.backendServer), "--slots", String(slots)],
+      ports.backendServer,
+    );
+    const settings = sidecarSettings({
+      name,
+      availabilityZone: zoneOf(index),
+      peers: ports.peers,
+      backendServerOrigin: origin,
+      logOrigin: `http://${this.log.address}`,
+    });
+    this.sidecars[index] = await this.#startDaemon(name, settings, ports.peers);
+  }
+
+  async #startAll(): Promise<void> {
+    const { entries, sidecars } = this.#options;
+    const ports = await freePorts(1 + entries * 2 + sidecars * 2);
+    const nextPort = () => ports.pop() ?? 0;
+    await this.#startLog(nextPort());
+    for (let index = 0; index < sidecars; index += 1) {
+      await this.startSidecar(index, {
+        peers: nextPort(),
+        backendServer: nextPort(),
+      });
+    }
+    for (let index = 0; index < entries; index += 1) {
+      await this.#startEntry(index, nextPort(), nextPort());
+    }
+    await this.#waitUntilReady();
+  }
+
+  async #startLog(port: number): Promise<void> {
+    const append = String(this.#options.appendMilliseconds ?? 4);
+    this.#log = this.#startScript(
+      "platform-log",
+      scriptOf("@eelgrassfront/stand-in-platform-log"),
+      ["--port", String(port), "--append", append],
+      port,
+    );
+    await waitFor(() => isAnswering(`http://127.0.0.1:${port}/statistics`));
+    await this.#publishFirstConfiguration();
+  }
+
+  async #publishFirstConfiguration(): Promise<void> {
+    const record = {
+      kind: LogRecordKind.ConfigurationPublished,
+      publication: "local-1",
+      replaces: 0,
+      publishedBy: "local system",
+      configuration: this.#options.configuration ?? LOCAL_CONFIGURATION,
+    };
+    const response = await request(`http://${this.log.address}/records`, {
+      method: "POST",
+      body: JSON.stringify(record),
+    });
+    await response.body.dump();
+  }
+
+  async #startEntry(
+    index: number,
+    peers: number,
+    callers: number,
+  ): Promise<void> {
+    const name = `entry-${index}`;
+    const settings = entrySettings({
+      name,
+      availabilityZone: zoneOf(index),
+      peers,
+      callers,
+      logOrigin: `http://${this.log.address}`,
+    });
+    this.entries[index] = await this.#startDaemon(name, settings, callers);
+  }
+
+  async #startDaemon(
+    name: string,
+    settings: string,
+    port: number,
+  ): Promise<LocalProcess> {
+    const file = join(this.#folder, `${name}.ini`);
+    await writeFile(file, settings);
+    const script = scriptOf(`@eelgrassfront/daemon`);
+    return this.#startScript(name, script, ["--settings", file], port);
+  }
+
+  #startScript(
+    name: string,
+    script: string,
+    args: readonly string[],
+    port: number,
+  ): LocalProcess {
+    const { onLine } = this.#options;
+    const child = new Child(
+      onLine === undefined
+        ? { name, script, args }
+        : { name, script, args, onLine },
+    );
+    return { child, address: `127.0.0.1:${port}` };
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    for (const { address } of this.entries) {
+      await waitFor(() => isAnswering(`http://${address}/ready`));
+    }
+  }
+}
+
+/** Ports of a sidecar and its backend server. */
+export interface SidecarPorts {
+  readonly peers: number;
+  readonly backendServer: number;
+}
+
+/** Finds ports on loopback that nobody listens on. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, () => listenAnywhere()),
+  );
+  const ports = servers.map((server) => {
+    const bound = server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : 0;
+  });
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
+
+/** Waits until a condition holds. */
+export async function waitFor(
+  condition: () => Promise<boolean>,
+  limitMilliseconds = READY_MILLISECONDS,
+): Promise<void> {
+  const limit = performance.now() + limitMilliseconds;
+  while (!(await condition())) {
+    if (performance.now() > limit) {
+      throw new Error(`not ready within ${limitMilliseconds} ms`);
+    }
+    await pause(READY_AGAIN_MILLISECONDS);
+  }
+}
+
+/** Waits for a time. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+async function isAnswering(url: string): Promise<boolean> {
+  try {
+    const response = await request(url);
+    await response.body.dump();
+    return response.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+function listenAnywhere(): Promise<ReturnType<typeof createServer>> {
+  const server = createServer();
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => resolve(server));
+  });
+}
+
+function scriptOf(packageName: string): string {
+  return fileURLToPath(new URL("main.js", import.meta.resolve(packageName)));
+}
+
+function zoneOf(index: number): string {
+  return `zone-${index % AVAILABILITY_ZONES + 1}`;
+}
+
+/** Entries and sidecars are asked to leave; what has not left in time is ended. */
+async function endInOrder(children: readonly Child[]): Promise<void> {
+  for (const child of children) child.signal("SIGTERM");
+  await Promise.race([
+    Promise.all(children.map((child) => child.exited)),
+    pause(LEAVE_MILLISECONDS),
+  ]);
+  await Promise.all(children.map((child) => child[Symbol.asyncDispose]()));
+}
--- /dev/null
+++ b/measure/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Local systems and experiments.
+ */
+export * from "./local_system.ts";
--- /dev/null
+++ b/stand-ins/backend_server/src/backend_server.ts
@@ -0,0 +1,195 @@
+/**
+ * HTTP of the stand-in backend server: `GET /description`, `POST /tasks`, `GET /statistics`, and
+ * `POST /control` for its faults. It counts how often each task started.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { z } from "zod";
+
+/** What the stand-in offers. */
+export interface BackendServerOptions {
+  readonly service: string;
+  readonly slots: number;
+  readonly processorCores: number;
+  readonly memoryMegabytes: number;
+  readonly accelerators: number;
+  /** Run time of a task whose payload names none. */
+  readonly runMilliseconds: number;
+}
+
+const taskSchema = z.object({ kindOfWork: z.string(), payload: z.string() });
+const payloadSchema = z.object({
+  runMilliseconds: z.number().nonnegative().optional(),
+  fail: z.boolean().optional(),
+});
+const controlSchema = z.strictObject({
+  /** Fail every task at once. */
+  isFailing: z.boolean().optional(),
+  /** Accept tasks and never answer. */
+  isStalling: z.boolean().optional(),
+  /** Tasks that run and whose answer is lost. */
+  loseAnswers: z.number().int().nonnegative().optional(),
+});
+
+/** Counts of one stand-in. */
+export interface BackendServerStatistics {
+  readonly starts: number;
+  /** Tasks that started more than once on this backend server. */
+  readonly repeatedStarts: number;
+  readonly highestConcurrency: number;
+  /** Number of starts of each task. */
+  readonly startsByTask: Readonly<Record<string, number>>;
+}
+
+/** A backend server that can be reached by HTTP. */
+export class BackendServer implements AsyncDisposable {
+  readonly #options: BackendServerOptions;
+  readonly #server: Server;
+  readonly #starts = new Map<string, number>();
+  #running = 0;
+  #highestConcurrency = 0;
+  #isFailing = false;
+  #isStalling = false;
+  #answersToLose = 0;
+
+  private constructor(options: BackendServerOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) =>
+      void this.#serve(request, response)
+    );
+  }
+
+  /** Listens on loopback. */
+  static async listen(
+    port: number,
+    options: BackendServerOptions,
+  ): Promise<BackendServer> {
+    const server = new BackendServer(options);
+    await new Promise<void>((resolve, reject) => {
+      server.#server.once("error", reject);
+      server.#server.listen(port, "127.0.0.1", resolve);
+    });
+    return server;
+  }
+
+  /** Port that the backend server listens on. */
+  get port(): number {
+    const bound = this.#server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : 0;
+  }
+
+  /** Counts so far. */
+  statistics(): BackendServerStatistics {
+    const counts = [...this.#starts.values()];
+    return {
+      starts: counts.reduce((sum, count) => sum + count, 0),
+      repeatedStarts: counts.filter((count) => count > 1).length,
+      highestConcurrency: this.#highestConcurrency,
+      startsByTask: Object.fromEntries(this.#starts),
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    switch (`${request.method} ${request.url}`) {
+      case "GET /description":
+        write(response, 200, this.#description());
+        return;
+      case "GET /statistics":
+        write(response, 200, this.statistics());
+        return;
+      case "POST /tasks":
+        await this.#runTask(request, response);
+        return;
+      case "POST /control":
+        await this.#control(request, response);
+        return;
+      default:
+        write(response, 404, { error: "no such path" });
+    }
+  }
+
+  #description(): object {
+    const { runMilliseconds: _run, ...description } = this.#options;
+    return description;
+  }
+
+  async #runTask(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const task = taskSchema.parse(await readJson(request));
+    const payload = readPayload(task.payload);
+    this.#countStart(String(request.headers["attempt"] ?? "direct"));
+    if (this.#isStalling) return;
+    if (this.#isFailing || payload.fail === true) {
+      write(response, 500, { error: "the task failed" });
+      return;
+    }
+    await this.#run(payload.runMilliseconds ?? this.#options.runMilliseconds);
+    if (this.#answersToLose > 0) {
+      this.#answersToLose -= 1;
+      response.destroy();
+      return;
+    }
+    write(response, 200, { verdict: "accepted", of: task.payload });
+  }
+
+  async #run(milliseconds: number): Promise<void> {
+    this.#running += 1;
+    this.#highestConcurrency = Math.max(
+      this.#highestConcurrency,
+      this.#running,
+    );
+    await new Promise((resolve) => setTimeout(resolve, milliseconds));
+    this.#running -= 1;
+  }
+
+  #countStart(attempt: string): void {
+    const task = attempt.replace(/\.\d+\.\d+$/, "");
+    this.#starts.set(task, (this.#starts.get(task) ?? 0) + 1);
+  }
+
+  async #control(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const parsed = controlSchema.safeParse(await readJson(request));
+    if (!parsed.success) {
+      write(response, 400, { error: parsed.error.message });
+      return;
+    }
+    const { isFailing, isStalling, loseAnswers } = parsed.data;
+    this.#isFailing = isFailing ?? this.#isFailing;
+    this.#isStalling = isStalling ?? this.#isStalling;
+    this.#answersToLose = loseAnswers ?? this.#answersToLose;
+    write(response, 200, {});
+  }
+}
+
+function readPayload(text: string): z.infer<typeof payloadSchema> {
+  const parsed = payloadSchema.safeParse(JSON.parse(text));
+  return parsed.success ? parsed.data : {};
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+}
+
+function write(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/stand-ins/backend_server/src/main.ts
@@ -0,0 +1,44 @@
+#!/usr/bin/env node
+/**
+ * Runs the stand-in backend server as a process.
+ */
+import { defineCommand, runMain } from "citty";
+import { BackendServer } from "./backend_server.ts";
+
+const command = defineCommand({
+  meta: {
+    name: "backend-server-stand-in",
+    description: "Stands in for a backend server",
+  },
+  args: {
+    port: { type: "string", default: "7400", description: "Port on loopback" },
+    service: {
+      type: "string",
+      default: "dossier",
+      description: "Name of the service",
+    },
+    slots: { type: "string", default: "8", description: "Tasks at a time" },
+    run: {
+      type: "string",
+      default: "50",
+      description: "Run time of a task whose payload names none, in ms",
+    },
+  },
+  run: async ({ args }) => {
+    const server = await BackendServer.listen(Number(args.port), {
+      service: args.service,
+      slots: Number(args.slots),
+      processorCores: 32,
+      memoryMegabytes: 131_072,
+      accelerators: 0,
+      runMilliseconds: Number(args.run),
+    });
+    const stop = () =>
+      void server[Symbol.asyncDispose]().then(() => process.exit(0));
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+    process.stdout.write(`listening on ${server.port}\n`);
+  },
+});
+
+await runMain(command);
--- /dev/null
+++ b/stand-ins/backend_server/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a backend server.
+ */
+export * from "./backend_server.ts";
