test(emulator): run the real decisions in virtual time

Cause: proofs and policy need runs that a seed replays exactly. Conclusion: the same decisions run here and in the daemon.

--- /dev/null
+++ b/emulator/src/fake_backend_server.ts
@@ -0,0 +1,85 @@
+/**
+ * A backend server in virtual time. The payload of a task is its run time in milliseconds, or `fail`.
+ * It counts the starts of each task over the whole system.
+ */
+import {
+  type BackendServerDescription,
+  type BackendServerInput,
+  type ExecuteTask,
+  InputKind,
+  type Milliseconds,
+  TaskEndKind,
+} from "@eelgrassfront/model";
+import type { SeededRandom } from "./seeded_random.ts";
+import type { StartCounter } from "./start_counter.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+/** What a backend server needs. */
+export interface FakeBackendServerOptions {
+  readonly time: VirtualTime;
+  readonly random: SeededRandom;
+  readonly slots: number;
+  readonly starts: StartCounter;
+}
+
+/** Payload of a task that fails. */
+export const FAILING_PAYLOAD = "fail";
+const FAILURE_MILLISECONDS: Milliseconds = 1;
+
+/** Runs tasks in virtual time. */
+export class FakeBackendServer {
+  /** Share of tasks whose answer is lost after they ran. */
+  answerLossProbability = 0;
+  /** Fails every task at once. */
+  isFailing = false;
+  readonly #options: FakeBackendServerOptions;
+
+  constructor(options: FakeBackendServerOptions) {
+    this.#options = options;
+  }
+
+  /** What the sidecar announces. */
+  get description(): BackendServerDescription {
+    return {
+      service: "service",
+      slots: this.#options.slots,
+      processorCores: 32,
+      memoryMegabytes: 131_072,
+      accelerators: 0,
+    };
+  }
+
+  /** Runs a task and tells the sidecar when it ended. */
+  execute(
+    output: ExecuteTask,
+    tell: (input: BackendServerInput) => void,
+  ): void {
+    const { time, starts } = this.#options;
+    const { attempt, task } = output;
+    starts.count(attempt);
+    const isFailing = this.isFailing || task.payload === FAILING_PAYLOAD;
+    const runMilliseconds = isFailing
+      ? FAILURE_MILLISECONDS
+      : Number(task.payload);
+    time.after(runMilliseconds, () => {
+      tell({
+        kind: InputKind.TaskExecutionEnded,
+        attempt,
+        end: this.#end(isFailing, task.payload, runMilliseconds),
+      });
+    });
+  }
+
+  #end(isFailing: boolean, payload: string, runMilliseconds: Milliseconds) {
+    if (isFailing) {
+      const detail = "the task failed";
+      return { kind: TaskEndKind.Failed as const, detail, runMilliseconds };
+    }
+    if (this.#options.random.happens(this.answerLossProbability)) {
+      const detail = "the answer was lost";
+      return { kind: TaskEndKind.Lost as const, detail };
+    }
+    const result = `ran ${payload}`;
+    return { kind: TaskEndKind.Succeeded as const, result, runMilliseconds };
+  }
+}
--- /dev/null
+++ b/emulator/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Small fakes at the ports and a virtual clock around the real decision code.
+ */
+export * from "./fake_backend_server.ts";
+export * from "./fake_log.ts";
+export * from "./fake_network.ts";
+export * from "./sample_work.ts";
+export * from "./seeded_random.ts";
+export * from "./start_counter.ts";
+export * from "./virtual_process.ts";
+export * from "./virtual_system.ts";
+export * from "./virtual_time.ts";
--- /dev/null
+++ b/emulator/src/virtual_process.ts
@@ -0,0 +1,106 @@
+/**
+ * One process in virtual time: the real decisions behind fakes. It can be killed, or paused so that
+ * what arrives waits.
+ */
+import type {
+  Decisions,
+  Milliseconds,
+  ProcessIdentifier,
+  ProcessInput,
+  ProcessOutput,
+} from "@eelgrassfront/model";
+import type { VirtualTime } from "./virtual_time.ts";
+
+/** What a process needs. */
+export interface VirtualProcessOptions {
+  readonly identifier: ProcessIdentifier;
+  readonly decisions: Decisions;
+  readonly time: VirtualTime;
+  readonly perform: (output: ProcessOutput) => void;
+  readonly alarm: () => ProcessInput;
+}
+
+/** Whether a process runs. */
+export enum ProcessState {
+  Running = "running",
+  Paused = "paused",
+  Ended = "ended",
+}
+
+/** Decisions with a virtual clock. */
+export class VirtualProcess {
+  readonly identifier: ProcessIdentifier;
+  readonly #options: VirtualProcessOptions;
+  #state: ProcessState = ProcessState.Running;
+  #waiting: ProcessInput[] = [];
+  #alarmAt: Milliseconds | undefined;
+
+  constructor(options: VirtualProcessOptions) {
+    this.#options = options;
+    this.identifier = options.identifier;
+  }
+
+  /** Whether the process runs. */
+  get state(): ProcessState {
+    return this.#state;
+  }
+
+  /** Gives the process an input. */
+  take(input: ProcessInput): void {
+    switch (this.#state) {
+      case ProcessState.Running:
+        this.#step(input);
+        return;
+      case ProcessState.Paused:
+        this.#waiting.push(input);
+        return;
+      case ProcessState.Ended:
+        return;
+    }
+  }
+
+  /** Ends the process at once. */
+  kill(): void {
+    this.#state = ProcessState.Ended;
+  }
+
+  /** Freezes the process. */
+  pause(): void {
+    if (this.#state === ProcessState.Running) this.#state = ProcessState.Paused;
+  }
+
+  /** Lets a frozen process go on with what has arrived. */
+  resume(): void {
+    if (this.#state !== ProcessState.Paused) return;
+    this.#state = ProcessState.Running;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const input of waiting) this.take(input);
+    this.#armAlarm();
+  }
+
+  /** Sets the first alarm. */
+  start(): void {
+    this.#armAlarm();
+  }
+
+  #step(input: ProcessInput): void {
+    const { decisions, time, perform } = this.#options;
+    for (const output of decisions.step(time.now, input)) perform(output);
+    this.#armAlarm();
+  }
+
+  #armAlarm(): void {
+    const { decisions, time } = this.#options;
+    const at = decisions.nextAlarm();
+    if (at === undefined || at === this.#alarmAt) return;
+    this.#alarmAt = at;
+    time.after(at - time.now, () => this.#ring(at));
+  }
+
+  #ring(at: Milliseconds): void {
+    if (this.#alarmAt !== at || this.#state !== ProcessState.Running) return;
+    this.#alarmAt = undefined;
+    this.#step(this.#options.alarm());
+  }
+}
--- /dev/null
+++ b/emulator/src/virtual_system.ts
@@ -0,0 +1,295 @@
+/**
+ * A whole system in virtual time: the real decisions of every role, with small fakes at the ports.
+ * Faults are injected from outside; runs with the same seed are the same.
+ */
+import { EntryDecisions } from "@eelgrassfront/entry";
+import { DEFAULT_TIMING, type Timing } from "@eelgrassfront/membership";
+import {
+  assertNever,
+  type CallerAnswer,
+  type CallerRequestIdentifier,
+  type Configuration,
+  type Decisions,
+  InputKind,
+  LogRecordKind,
+  type Milliseconds,
+  OutputKind,
+  type ProcessEvent,
+  type ProcessIdentifier,
+  processIdentifier,
+  type ProcessOutput,
+  type SendReply,
+  type SendRequest,
+  type Submission,
+} from "@eelgrassfront/model";
+import { SidecarDecisions } from "@eelgrassfront/sidecar";
+import { FakeBackendServer } from "./fake_backend_server.ts";
+import { FakeLog } from "./fake_log.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { StartCounter } from "./start_counter.ts";
+import { ProcessState, VirtualProcess } from "./virtual_process.ts";
+import { VirtualTime } from "./virtual_time.ts";
+
+/** Size and delays of a system. */
+export interface VirtualSystemOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly sidecars: number;
+  readonly slots: number;
+  readonly owners: number;
+  readonly shards: number;
+  readonly configuration: Configuration;
+  /** One-way delay between processes. */
+  readonly delayMilliseconds: Milliseconds;
+  readonly timing?: Timing;
+  readonly waitingPerRunner?: number;
+  /** Told of each output of each process, for golden files. */
+  readonly onOutput?: (process: string, output: ProcessOutput) => void;
+  /** Told of each event. */
+  readonly onEvent?: (process: string, event: ProcessEvent) => void;
+}
+
+/** A sidecar with its backend server. */
+export interface VirtualSidecar {
+  readonly process: VirtualProcess;
+  readonly backendServer: FakeBackendServer;
+}
+
+const APPEND_MILLISECONDS: Milliseconds = 4;
+const READ_MILLISECONDS: Milliseconds = 1;
+const READ_WAIT_MILLISECONDS: Milliseconds = 500;
+const DESCRIPTION_MILLISECONDS: Milliseconds = 1;
+const AVAILABILITY_ZONES = 3;
+
+/** The system. */
+export class VirtualSystem {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandom;
+  readonly network: FakeNetwork;
+  readonly log: FakeLog;
+  readonly starts = new StartCounter();
+  readonly entries: VirtualProcess[] = [];
+  readonly sidecars: VirtualSidecar[] = [];
+  readonly #options: VirtualSystemOptions;
+  readonly #processes = new Map<ProcessIdentifier, VirtualProcess>();
+  readonly #replies = new Map<string, () => void>();
+  readonly #callers = new Map<
+    CallerRequestIdentifier,
+    (answer: CallerAnswer, epochToken: number) => void
+  >();
+  #incarnations = 0;
+  #callerRequests = 0;
+
+  constructor(options: VirtualSystemOptions) {
+    this.#options = options;
+    const { time } = this;
+    this.random = new SeededRandom(options.seed);
+    const { random } = this;
+    const { delayMilliseconds } = options;
+    this.network = new FakeNetwork({ time, random, delayMilliseconds });
+    this.log = new FakeLog({
+      time,
+      random,
+      appendMilliseconds: APPEND_MILLISECONDS,
+      readMilliseconds: READ_MILLISECONDS,
+      waitMilliseconds: READ_WAIT_MILLISECONDS,
+    });
+    this.log.seed({
+      kind: LogRecordKind.ConfigurationPublished,
+      publication: "first",
+      replaces: 0,
+      publishedBy: "emulator",
+      configuration: options.configuration,
+    });
+    for (let index = 0; index < options.sidecars; index += 1) {
+      this.startSidecar(index);
+    }
+    for (let index = 0; index < options.entries; index += 1) {
+      this.startEntry(index);
+    }
+  }
+
+  /** Starts a sidecar, or a later run of one. */
+  startSidecar(index: number): void {
+    const { random, time, starts } = this;
+    const { slots, owners, shards, timing } = this.#options;
+    const identifier = this.#identifier(`sidecar-${index}`);
+    const backendServer = new FakeBackendServer({
+      time,
+      random,
+      slots,
+      starts,
+    });
+    const decisions = new SidecarDecisions({
+      self: identifier,
+      availabilityZone: zoneOf(index),
+      address: identifier,
+      timing: timing ?? DEFAULT_TIMING,
+      random: () => random.next(),
+      shardCount: shards,
+      ownerCount: owners,
+      maximumAnswerBytes: 64_000_000,
+      maximumResultBytes: 64_000_000,
+      maximumQueuedTasks: 1_000,
+      waitingPerRunner: this.#options.waitingPerRunner ?? 2,
+    });
+    const process = this.#start(identifier, decisions, backendServer);
+    this.sidecars[index] = { process, backendServer };
+    this.time.after(DESCRIPTION_MILLISECONDS, () =>
+      process.take({
+        kind: InputKind.BackendServerDescribed,
+        description: backendServer.description,
+      }));
+  }
+
+  /** Starts an entry, or a later run of one. */
+  startEntry(index: number): void {
+    const identifier = this.#identifier(`entry-${index}`);
+    const decisions = new EntryDecisions({
+      self: identifier,
+      availabilityZone: zoneOf(index),
+      address: identifier,
+      timing: this.#options.timing ?? DEFAULT_TIMING,
+      shardCount: this.#options.shards,
+      maximumPending: 100_000,
+    });
+    this.entries[index] = this.#start(identifier, decisions);
+  }
+
+  /** Submits through an entry; the answer comes once, if the entry lives. */
+  submit(
+    entry: VirtualProcess,
+    submission: Submission,
+    onAnswer: (answer: CallerAnswer, epochToken: number) => void,
+  ): CallerRequestIdentifier {
+    this.#callerRequests += 1;
+    const request: CallerRequestIdentifier =
+      `${entry.identifier}:${this.#callerRequests}`;
+    this.#callers.set(request, onAnswer);
+    entry.take({ kind: InputKind.SubmissionArrived, request, submission });
+    return request;
+  }
+
+  #identifier(name: string): ProcessIdentifier {
+    this.#incarnations += 1;
+    return processIdentifier(name, String(this.#incarnations));
+  }
+
+  #start(
+    identifier: ProcessIdentifier,
+    decisions: Decisions,
+    backendServer?: FakeBackendServer,
+  ): VirtualProcess {
+    const process: VirtualProcess = new VirtualProcess({
+      identifier,
+      decisions,
+      time: this.time,
+      perform: (output) => this.#perform(process, output, backendServer),
+      alarm: () => ({ kind: InputKind.AlarmRang }),
+    });
+    this.#processes.set(identifier, process);
+    process.start();
+    this.#readLog(process, 1);
+    return process;
+  }
+
+  #readLog(process: VirtualProcess, from: number): void {
+    if (process.state === ProcessState.Ended) return;
+    this.log.read(from, (input) => {
+      process.take(input);
+      const isRead = input.kind === InputKind.LogRecordsRead;
+      this.#readLog(process, isRead ? input.nextOffset : from);
+    });
+  }
+
+  #perform(
+    process: VirtualProcess,
+    output: ProcessOutput,
+    backendServer?: FakeBackendServer,
+  ): void {
+    this.#options.onOutput?.(process.identifier, output);
+    switch (output.kind) {
+      case OutputKind.AnswerCaller: {
+        const { request, answer, epochToken } = output;
+        this.#callers.get(request)?.(answer, epochToken);
+        this.#callers.delete(request);
+        return;
+      }
+      case OutputKind.SendRequest:
+        this.#sendRequest(process, output);
+        return;
+      case OutputKind.SendReply:
+        this.#sendReply(process, output);
+        return;
+      case OutputKind.ExecuteTask:
+        backendServer?.execute(output, (input) => process.take(input));
+        return;
+      case OutputKind.AppendRecord:
+        this.log.append(
+          output.append,
+          output.record,
+          (input) => process.take(input),
+        );
+        return;
+      case OutputKind.RecordEvent:
+        this.#options.onEvent?.(process.identifier, output.event);
+        return;
+      case OutputKind.Stop:
+        process.kill();
+        return;
+      case OutputKind.CountOccurrence:
+      case OutputKind.SetGauge:
+      case OutputKind.ReportReadiness:
+      case OutputKind.ApplyConfiguration:
+        return;
+      default:
+        assertNever(output);
+    }
+  }
+
+  #sendRequest(sender: VirtualProcess, output: SendRequest): void {
+    const { peer, request, message } = output;
+    const lose = () =>
+      sender.take({ kind: InputKind.PeerRequestLost, peer, request });
+    this.#replies.set(`${sender.identifier} ${request}`, lose);
+    this.network.send({
+      from: sender.identifier,
+      to: peer,
+      onLost: lose,
+      deliver: () => {
+        const receiver = this.#processes.get(peer);
+        if (receiver === undefined || receiver.state === ProcessState.Ended) {
+          lose();
+          return;
+        }
+        const from = sender.identifier;
+        const kind = InputKind.PeerRequestArrived;
+        receiver.take({ kind, from, request, message });
+      },
+    });
+  }
+
+  #sendReply(sender: VirtualProcess, output: SendReply): void {
+    const { to, request, message } = output;
+    const key = `${to} ${request}`;
+    this.network.send({
+      from: sender.identifier,
+      to,
+      onLost: () => this.#replies.get(key)?.(),
+      deliver: () => {
+        this.#replies.delete(key);
+        this.#processes.get(to)?.take({
+          kind: InputKind.PeerReplyArrived,
+          from: sender.identifier,
+          request,
+          message,
+        });
+      },
+    });
+  }
+}
+
+function zoneOf(index: number): string {
+  return `zone-${index % AVAILABILITY_ZONES + 1}`;
+}
