feat(model): let errors carry the step and the peer at which they arose

Cause: the house style asks for tagged unions that carry step and peer; the first types for it were not used by anything. Change: a union over a stable tag with step, peer and detail, a hint for each tag, carried by every input that reports a failure and written as an event once for each peer; failed and unknown outcomes name their step. Conclusion: ruled out an event for each lost request, which a death would multiply by everything in flight.

--- a/adapters/backend_server_http/src/http_backend_server.ts
+++ b/adapters/backend_server_http/src/http_backend_server.ts
@@ -5,9 +5,12 @@
 import {
   type AttemptIdentifier,
   type BackendServerInput,
+  ErrorTag,
   type ExecuteTask,
   InputKind,
   type Milliseconds,
+  type ProcessError,
+  Step,
   type TaskEnd,
   TaskEndKind,
 } from "@eelgrassfront/model";
@@ -93,13 +96,26 @@
   #fail(attempt: AttemptIdentifier, error: unknown): void {
     if (this.#isDisposed) return;
     if (isNeverSent(error)) {
-      this.#induce({ kind: InputKind.TaskNotSent, attempt });
+      this.#induce({
+        kind: InputKind.TaskNotSent,
+        attempt,
+        error: this.#unreachable(Step.ExecuteTask, error),
+      });
       return;
     }
     const end: TaskEnd = { kind: TaskEndKind.Lost, detail: String(error) };
     this.#induce({ kind: InputKind.TaskExecutionEnded, attempt, end });
   }
 
+  #unreachable(step: Step, cause: unknown): ProcessError {
+    return {
+      tag: ErrorTag.Unreachable,
+      step,
+      peer: this.#options.origin,
+      detail: String(cause),
+    };
+  }
+
   async #describe(): Promise<void> {
     const input = await this.#readDescription();
     if (this.#isDisposed) return;
@@ -119,8 +135,11 @@
       });
       const description = descriptionSchema.parse(await response.body.json());
       return { kind: InputKind.BackendServerDescribed, description };
-    } catch {
-      return { kind: InputKind.BackendServerUnreachable };
+    } catch (cause) {
+      return {
+        kind: InputKind.BackendServerUnreachable,
+        error: this.#unreachable(Step.DescribeBackendServer, cause),
+      };
     }
   }
 }
--- a/adapters/peers_trpc/src/trpc_peers.ts
+++ b/adapters/peers_trpc/src/trpc_peers.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import {
   assertNever,
+  ErrorTag,
   InputKind,
   OutputKind,
   type PeerInput,
@@ -15,6 +16,7 @@
   type ProcessIdentifier,
   type SendReply,
   type SendRequest,
+  Step,
 } from "@eelgrassfront/model";
 import type { PeersPort } from "@eelgrassfront/ports";
 import { createAdapter } from "@most/adapter";
@@ -145,7 +147,8 @@
     resolve?.(message);
   }
 
-  #call({ request, peer, address, message }: SendRequest): void {
+  #call(output: SendRequest): void {
+    const { request, peer, address, message } = output;
     const { client } = this.#connect(address);
     const envelope = { from: this.#options.self, to: peer, request, message };
     client.deliver.mutate(envelope).then(
@@ -156,13 +159,23 @@
           request,
           message: reply,
         }),
-      () => this.#lose(peer, request),
+      (error: unknown) => this.#lose(output, error),
     );
   }
 
-  #lose(peer: ProcessIdentifier, request: number): void {
+  #lose({ peer, request, address }: SendRequest, error: unknown): void {
     if (this.#isDisposed) return;
-    this.#induce({ kind: InputKind.PeerRequestLost, peer, request });
+    this.#induce({
+      kind: InputKind.PeerRequestLost,
+      peer,
+      request,
+      error: {
+        tag: ErrorTag.ConnectionLost,
+        step: Step.CallPeer,
+        peer: `${peer} at ${address}`,
+        detail: String(error),
+      },
+    });
   }
 
   #connect(address: string): Peer {
--- a/adapters/platform_log_http/src/http_platform_log.ts
+++ b/adapters/platform_log_http/src/http_platform_log.ts
@@ -4,11 +4,14 @@
  */
 import {
   type AppendRecord,
+  ErrorTag,
   InputKind,
   type LogOffset,
   type LogRecord,
   type Milliseconds,
   type PlatformLogInput,
+  type ProcessError,
+  Step,
 } from "@eelgrassfront/model";
 import type { PlatformLogPort } from "@eelgrassfront/ports";
 import { createAdapter } from "@most/adapter";
@@ -96,9 +99,10 @@
       this.#nextOffset = read.nextOffset;
       this.#induce({ kind: InputKind.LogRecordsRead, readStartedAt, ...read });
       return true;
-    } catch {
+    } catch (cause) {
       if (this.#stop.signal.aborted) return false;
-      this.#induce({ kind: InputKind.LogUnavailable });
+      const error = this.#errorAt(Step.ReadLog, cause);
+      this.#induce({ kind: InputKind.LogUnavailable, error });
       return false;
     }
   }
@@ -114,12 +118,23 @@
       });
       const { offset } = appendSchema.parse(await response.body.json());
       this.#induce({ kind: InputKind.AppendSettled, append, offset });
-    } catch {
+    } catch (cause) {
       if (this.#stop.signal.aborted) return;
-      this.#induce({ kind: InputKind.AppendInDoubt, append });
+      const error = this.#errorAt(Step.AppendLog, cause);
+      this.#induce({ kind: InputKind.AppendInDoubt, append, error });
     }
   }
 
+  #errorAt(step: Step, cause: unknown): ProcessError {
+    const isTimeout = cause instanceof Error && cause.name === "TimeoutError";
+    return {
+      tag: isTimeout ? ErrorTag.TimedOut : ErrorTag.ConnectionLost,
+      step,
+      peer: this.#options.origin,
+      detail: String(cause),
+    };
+  }
+
   #signal(waitMilliseconds: Milliseconds): AbortSignal {
     const timeout = waitMilliseconds + REQUEST_TIMEOUT_MILLISECONDS;
     return AbortSignal.any([this.#stop.signal, AbortSignal.timeout(timeout)]);
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -43,6 +43,7 @@
   type ShardEpoch,
   type ShardNumber,
   type StandingAsked,
+  Step,
   type SubmissionArrived,
   type SubmissionIdentifier,
   UnknownReason,
@@ -145,6 +146,7 @@
         this.#takeReply(input);
         return;
       case InputKind.PeerRequestLost:
+        this.#follower.noteLoss(input);
         this.#loseRequest(input.request);
         return;
       case InputKind.LogRecordsRead:
@@ -251,7 +253,7 @@
     const { message, request } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#noteGrants(message.granted);
-      this.#changeFleet(this.#follower.handleAnswer(request, message));
+      this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
     const pending = this.#byRequest.get(request);
@@ -328,6 +330,7 @@
     const outcome: JobOutcome = {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.OwnerUnreachable,
+      step: Step.RelayJob,
     };
     this.#collector.count(Counter.JobsUnknown, outcome.reason);
     this.#answerOutcome(
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -14,10 +14,12 @@
   type Milliseconds,
   type OutputCollector,
   OutputKind,
+  type PeerReplyArrived,
+  type PeerRequestLost,
   type PlatformLogInput,
+  type ProcessError,
   type ProcessIdentifier,
   RemovalReason,
-  type RequestIdentifier,
   Role,
   Severity,
 } from "@eelgrassfront/model";
@@ -44,6 +46,7 @@
   #announcement: MemberJoined | undefined;
   #announcedAt: Milliseconds | undefined;
   #isLogAvailable = true;
+  readonly #lostPeers = new Set<ProcessIdentifier>();
   #removalsAskedAt = new Map<ProcessIdentifier, Milliseconds>();
 
   constructor(options: FleetFollowerOptions) {
@@ -97,7 +100,7 @@
       case InputKind.LogRecordsRead:
         return this.#read(input);
       case InputKind.LogUnavailable:
-        this.#noteAvailability(false);
+        this.#noteUnavailable(input.error);
         return [];
       case InputKind.AppendSettled:
       case InputKind.AppendInDoubt:
@@ -108,11 +111,22 @@
     }
   }
 
+  /** Notes a lost request: one event for each peer, until the peer answers again. */
+  noteLoss(input: PeerRequestLost): void {
+    if (this.#lostPeers.has(input.peer)) return;
+    this.#lostPeers.add(input.peer);
+    this.#options.collector.recordError(
+      EventNumber.PeerRequestLost,
+      input.error,
+    );
+  }
+
   /** Takes the answer to a heartbeat; the changes that follow from it. */
   handleAnswer(
-    request: RequestIdentifier,
+    { from, request }: PeerReplyArrived,
     answer: HeartbeatAnswered,
   ): readonly FleetChange[] {
+    this.#lostPeers.delete(from);
     this.heartbeats.take(request, answer);
     const version = answer.newerConfiguration;
     if (version === undefined) return [];
@@ -129,7 +143,7 @@
   }
 
   #read(input: LogRecordsRead): readonly FleetChange[] {
-    this.#noteAvailability(true);
+    this.#noteAvailable();
     const changes = this.view.read(input);
     for (const change of changes) this.#recordChange(change);
     return changes;
@@ -184,17 +198,19 @@
     });
   }
 
-  #noteAvailability(isAvailable: boolean): void {
-    if (isAvailable === this.#isLogAvailable) return;
-    this.#isLogAvailable = isAvailable;
-    const { collector } = this.#options;
-    if (isAvailable) {
-      collector.record(EventNumber.LogAvailable, "the log answers again");
-      return;
-    }
-    collector.record(EventNumber.LogUnavailable, "the log does not answer", {
-      severity: Severity.Warning,
-    });
+  #noteAvailable(): void {
+    if (this.#isLogAvailable) return;
+    this.#isLogAvailable = true;
+    this.#options.collector.record(
+      EventNumber.LogAvailable,
+      "the log answers again",
+    );
+  }
+
+  #noteUnavailable(error: ProcessError): void {
+    if (!this.#isLogAvailable) return;
+    this.#isLogAvailable = false;
+    this.#options.collector.recordError(EventNumber.LogUnavailable, error);
   }
 
   #announceIfDue(): void {
--- a/domain/model/src/outcome.ts
+++ b/domain/model/src/outcome.ts
@@ -3,6 +3,7 @@
  * result, failed, not run, or unknown. There is no partial outcome.
  */
 import type { Milliseconds, ProcessIdentifier } from "./identifiers.ts";
+import type { Step } from "./process_error.ts";
 
 /** The four ways in which a job ends. */
 export enum JobOutcomeKind {
@@ -60,6 +61,8 @@
 export interface FailedOutcome {
   readonly kind: JobOutcomeKind.Failed;
   readonly reason: FailureReason;
+  /** The step at which the job failed. */
+  readonly step: Step;
   readonly detail: string;
   readonly taskIndex?: number;
   readonly peer?: ProcessIdentifier;
@@ -77,6 +80,8 @@
 export interface UnknownOutcome {
   readonly kind: JobOutcomeKind.Unknown;
   readonly reason: UnknownReason;
+  /** The step at which the proof was lost. */
+  readonly step: Step;
   readonly peer?: ProcessIdentifier;
 }
 
--- a/domain/model/src/output_collector.ts
+++ b/domain/model/src/output_collector.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "./identifiers.ts";
 import { type EventNumber, type ProcessEvent, Severity } from "./event.ts";
 import type { CountedReason, Counter } from "./metric.ts";
+import { hintFor, type ProcessError } from "./process_error.ts";
 import { OutputKind, type ProcessOutput } from "./process_output.ts";
 
 /** Outputs of the step in progress, the time of the step, and the request counter. */
@@ -68,4 +69,13 @@
       },
     });
   }
+
+  /** Writes the event of an error, with its step, its peer and what can be done. */
+  recordError(number: EventNumber, error: ProcessError): void {
+    const { tag, step, peer, detail } = error;
+    this.record(number, `${step}: ${peer}: ${detail}`, {
+      severity: Severity.Warning,
+      context: { tag, step, peer, hint: hintFor(error) },
+    });
+  }
 }
--- a/domain/model/src/process_error.ts
+++ b/domain/model/src/process_error.ts
@@ -19,23 +19,65 @@
   DescribeBackendServer = "describe-backend-server",
 }
 
-/** Tags of errors. */
+/** Tags of errors. They are stable: tools and operators may rely on them. */
 export enum ErrorTag {
-  InvalidSettings = "invalid-settings",
-  InvalidMessage = "invalid-message",
+  /** No connection could be made, so that nothing was sent. */
   Unreachable = "unreachable",
+  /** The connection ended before the answer; the request may have had an effect. */
+  ConnectionLost = "connection-lost",
+  /** No answer came in time; the request may have had an effect. */
   TimedOut = "timed-out",
-  Unauthorized = "unauthorized",
-  InvariantBroken = "invariant-broken",
+  /** The answer does not keep to the protocol. */
+  InvalidAnswer = "invalid-answer",
 }
 
-/** An error with the step and the peer at which it arose, and how to go on. */
-export interface ProcessError {
-  readonly tag: ErrorTag;
+interface ErrorOrigin {
+  /** The step at which the error arose. */
   readonly step: Step;
-  readonly peer?: string;
-  readonly message: string;
-  readonly hint: string;
+  /** The process, server or address that was asked. */
+  readonly peer: string;
+  readonly detail: string;
+}
+
+/** No connection could be made. */
+export interface UnreachableError extends ErrorOrigin {
+  readonly tag: ErrorTag.Unreachable;
+}
+
+/** The connection ended before the answer. */
+export interface ConnectionLostError extends ErrorOrigin {
+  readonly tag: ErrorTag.ConnectionLost;
+}
+
+/** No answer came in time. */
+export interface TimedOutError extends ErrorOrigin {
+  readonly tag: ErrorTag.TimedOut;
+}
+
+/** The answer does not keep to the protocol. */
+export interface InvalidAnswerError extends ErrorOrigin {
+  readonly tag: ErrorTag.InvalidAnswer;
+}
+
+/** An error with the step and the peer at which it arose. */
+export type ProcessError =
+  | UnreachableError
+  | ConnectionLostError
+  | TimedOutError
+  | InvalidAnswerError;
+
+/** Returns what an operator can do about an error. */
+export function hintFor(error: ProcessError): string {
+  switch (error.tag) {
+    case ErrorTag.Unreachable:
+      return `check that ${error.peer} runs and listens on that address`;
+    case ErrorTag.ConnectionLost:
+      return `${error.peer} may have been replaced; the request is sent again where that is safe`;
+    case ErrorTag.TimedOut:
+      return `${error.peer} is slow, frozen or cut off; look at its events`;
+    case ErrorTag.InvalidAnswer:
+      return `check that ${error.peer} runs a version that speaks this protocol`;
+  }
 }
 
 /** Thrown when a promise of the system would be broken. The process stops at once. */
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -13,6 +13,7 @@
 import type { BackendServerDescription, PlacedRecord } from "./log_record.ts";
 import type { TaskEnd } from "./outcome.ts";
 import type { PeerReply, PeerRequest } from "./peer_message.ts";
+import type { ProcessError } from "./process_error.ts";
 import type { Submission } from "./submission.ts";
 
 /** Kinds of inputs. */
@@ -84,6 +85,7 @@
   readonly kind: InputKind.PeerRequestLost;
   readonly peer: ProcessIdentifier;
   readonly request: RequestIdentifier;
+  readonly error: ProcessError;
 }
 
 /** The backend server ended a task, or its answer was lost. */
@@ -97,6 +99,7 @@
 export interface TaskNotSent {
   readonly kind: InputKind.TaskNotSent;
   readonly attempt: AttemptIdentifier;
+  readonly error: ProcessError;
 }
 
 /** The backend server told what it is. */
@@ -108,6 +111,7 @@
 /** The backend server does not answer. */
 export interface BackendServerUnreachable {
   readonly kind: InputKind.BackendServerUnreachable;
+  readonly error: ProcessError;
 }
 
 /** Records read from the log, in order. The list may be empty. */
@@ -129,6 +133,7 @@
 /** The log did not answer a read. */
 export interface LogUnavailable {
   readonly kind: InputKind.LogUnavailable;
+  readonly error: ProcessError;
 }
 
 /** An append took effect at this offset. */
@@ -142,6 +147,7 @@
 export interface AppendInDoubt {
   readonly kind: InputKind.AppendInDoubt;
   readonly append: number;
+  readonly error: ProcessError;
 }
 
 /** The time asked for has come. */
--- a/domain/owner/src/answer_book.ts
+++ b/domain/owner/src/answer_book.ts
@@ -10,6 +10,7 @@
   type KeptAnswer,
   type Milliseconds,
   type NotRunOutcome,
+  Step,
   type SubmissionIdentifier,
   UnknownReason,
 } from "@eelgrassfront/model";
@@ -100,6 +101,7 @@
     outcome: {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.AnswerExpired,
+      step: Step.AdmitJob,
     },
   };
 }
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -40,6 +40,7 @@
   Severity,
   type ShardEpoch,
   type ShardNumber,
+  Step,
   type SubmissionIdentifier,
   type SubmitJob,
   TaskEndKind,
@@ -337,10 +338,12 @@
     this.#countOutcome({
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
     this.#replyOutcome(waiter, shard, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
   }
 
@@ -542,6 +545,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case TaskRefusalReason.QueueFull:
@@ -576,6 +580,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.TaskAnswerLost,
+      step: Step.ExecuteTask,
       peer: runner,
     });
     this.#dispatcher.withdraw(job);
@@ -609,6 +614,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Failed,
       reason: failure,
+      step: Step.PlaceTask,
       detail: `the job was ended: ${failure}`,
     });
   }
@@ -626,6 +632,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case JobPhase.Answered:
@@ -806,6 +813,7 @@
       outcome: {
         kind: JobOutcomeKind.Unknown,
         reason: UnknownReason.AnswerExpired,
+        step: Step.AdmitJob,
       },
       isKeyReused: true,
     });
@@ -857,6 +865,7 @@
         return {
           kind: JobOutcomeKind.Failed,
           reason: FailureReason.TaskFailed,
+          step: Step.ExecuteTask,
           detail: task.end.detail,
           taskIndex: index,
         };
@@ -864,6 +873,7 @@
         return {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         };
     }
   }
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -22,8 +22,8 @@
   OutputKind,
   type PeerReply,
   PeerReplyKind,
+  type ProcessError,
   type RunnerLoad,
-  Severity,
   type ShardEpoch,
   type ShardNumber,
   type StartRecord,
@@ -104,13 +104,12 @@
   }
 
   /** Refuses all that waits: the backend server does not answer. */
-  loseBackendServer(): void {
+  loseBackendServer(error: ProcessError): void {
     if (this.#backendServer === undefined) return;
     this.#backendServer = undefined;
-    this.#options.collector.record(
+    this.#options.collector.recordError(
       EventNumber.BackendServerUnreachable,
-      "the backend server does not answer",
-      { severity: Severity.Warning },
+      error,
     );
     this.#refuseQueued(TaskRefusalReason.BackendServerUnavailable, () => true);
   }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -187,9 +187,10 @@
     }
   }
 
-  #takeReply({ request, message }: PeerReplyArrived): void {
+  #takeReply(input: PeerReplyArrived): void {
+    const { request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
-      this.#changeFleet(this.#follower.handleAnswer(request, message));
+      this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
     if (request === this.#recordsRequest) {
@@ -200,7 +201,9 @@
     this.#owner.takeReply(request, message);
   }
 
-  #loseRequest({ request }: PeerRequestLost): void {
+  #loseRequest(input: PeerRequestLost): void {
+    const { request } = input;
+    this.#follower.noteLoss(input);
     if (request === this.#recordsRequest) {
       this.#recordsRequest = undefined;
       return;
@@ -222,7 +225,7 @@
         this.#announce(input.description);
         return;
       case InputKind.BackendServerUnreachable:
-        this.#runner.loseBackendServer();
+        this.#runner.loseBackendServer(input.error);
         return;
       default:
         assertNever(input);
--- a/emulator/src/fake_log.ts
+++ b/emulator/src/fake_log.ts
@@ -3,12 +3,15 @@
  * after the append took effect.
  */
 import {
+  ErrorTag,
   InputKind,
   type LogOffset,
   type LogRecord,
   type Milliseconds,
   type PlacedRecord,
   type PlatformLogInput,
+  type ProcessError,
+  Step,
 } from "@eelgrassfront/model";
 import type { SeededRandom } from "./seeded_random.ts";
 import type { VirtualTime } from "./virtual_time.ts";
@@ -84,7 +87,7 @@
     if (this.isAway) {
       time.after(
         UNAVAILABLE_MILLISECONDS,
-        () => reader({ kind: InputKind.LogUnavailable }),
+        () => reader(this.#unavailable()),
       );
       return;
     }
@@ -118,7 +121,7 @@
   }
 
   #readNow(from: LogOffset, readStartedAt: Milliseconds): PlatformLogInput {
-    if (this.isAway) return { kind: InputKind.LogUnavailable };
+    if (this.isAway) return this.#unavailable();
     const first = Math.max(from, this.#firstRetained);
     return {
       kind: InputKind.LogRecordsRead,
@@ -131,10 +134,24 @@
     };
   }
 
+  #unavailable(): PlatformLogInput {
+    return { kind: InputKind.LogUnavailable, error: logError(Step.ReadLog) };
+  }
+
   #tellInDoubt(append: number, writer: LogReader): void {
     this.#options.time.after(
       UNAVAILABLE_MILLISECONDS,
-      () => writer({ kind: InputKind.AppendInDoubt, append }),
+      () =>
+        writer({
+          kind: InputKind.AppendInDoubt,
+          append,
+          error: logError(Step.AppendLog),
+        }),
     );
   }
 }
+
+function logError(step: Step): ProcessError {
+  const detail = "the log did not answer";
+  return { tag: ErrorTag.ConnectionLost, step, peer: "platform log", detail };
+}
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -10,6 +10,7 @@
   type CallerRequestIdentifier,
   type Configuration,
   type Decisions,
+  ErrorTag,
   InputKind,
   LogRecordKind,
   type Milliseconds,
@@ -20,6 +21,7 @@
   type ProcessOutput,
   type SendReply,
   type SendRequest,
+  Step,
   type Submission,
 } from "@eelgrassfront/model";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
@@ -251,7 +253,17 @@
   #sendRequest(sender: VirtualProcess, output: SendRequest): void {
     const { peer, request, message } = output;
     const lose = () =>
-      sender.take({ kind: InputKind.PeerRequestLost, peer, request });
+      sender.take({
+        kind: InputKind.PeerRequestLost,
+        peer,
+        request,
+        error: {
+          tag: ErrorTag.ConnectionLost,
+          step: Step.CallPeer,
+          peer,
+          detail: "the connection ended",
+        },
+      });
     this.#replies.set(`${sender.identifier} ${request}`, lose);
     this.network.send({
       from: sender.identifier,
