--- a/adapters/message_lines/src/line_front_end_test.ts
+++ b/adapters/message_lines/src/line_front_end_test.ts
@@ -17,6 +17,7 @@
   type ProcessIdentifier,
   type ProcessInput,
   Role,
+  SlotClaim,
   TaskEndKind,
 } from "@eelgrassfront/model";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
@@ -65,6 +66,7 @@
   requirements: REQUIREMENTS,
   remainingMilliseconds: 1_000,
   servedMilliseconds: 0,
+  slotClaim: SlotClaim.Quota,
 } as const;
 
 test("a runner takes a task, runs it and answers", () => {
--- a/domain/fairness/src/fair_queue.ts
+++ b/domain/fairness/src/fair_queue.ts
@@ -1,30 +1,67 @@
 /**
- * A queue that serves the submission that has received least run time. A single task never waits
- * behind the whole of a large job, and a large job still advances whenever others have nothing to run.
+ * The queue where work waits. Kinds of work share by weight and floor, and within them teams by weight;
+ * a team's least-served submission is first. So a flood of one kind or team leaves the others their
+ * share, a single task never waits behind the whole of a large job, and nothing idles while work waits.
  */
-import type { Milliseconds, SubmissionIdentifier } from "@eelgrassfront/model";
+import type { Milliseconds } from "@eelgrassfront/model";
+import {
+  type QueueDiscipline,
+  QueueDisciplineKind,
+} from "./queue_discipline.ts";
+import { EQUAL_SHARES, type Shares } from "./shares.ts";
+import {
+  ServiceCount,
+  SubmissionQueue,
+  type SubmissionTicket,
+} from "./submission_queue.ts";
+import { WeightedFlows } from "./weighted_flows.ts";
 
 /** What the queue knows of a waiting item. */
-export interface QueueTicket {
-  readonly submission: SubmissionIdentifier;
+export interface QueueTicket extends SubmissionTicket {
   readonly team: string;
   readonly kindOfWork: string;
-  /** Run time that the submission has received elsewhere. */
-  readonly servedMilliseconds: Milliseconds;
 }
 
-interface Group<Item> {
-  readonly arrival: number;
-  readonly items: Item[];
-  servedMilliseconds: Milliseconds;
+/** The part of a ticket that says whom service is counted for. */
+export type QueueFlow = Pick<
+  QueueTicket,
+  "submission" | "team" | "kindOfWork"
+>;
+
+/** What waits ahead of a new submission, and what share the submission's team has. */
+export interface QueueStanding {
+  /** Waiting items of the same team and kind of work. */
+  readonly items: number;
+  /** Waiting submissions of the same team and kind of work. */
+  readonly submissions: number;
+  /** Share of the service that the team has in its kind of work now, from 0 to 1. */
+  readonly share: number;
 }
 
-/** Items waiting for service, taken least-served submission first. */
+type TeamQueue<Item> = SubmissionQueue<Item>;
+type TeamFlows<Item> = WeightedFlows<TeamQueue<Item>>;
+
+interface FlowNames {
+  readonly kindOfWork: string;
+  readonly team: string;
+}
+
+const ONE_FLOW: FlowNames = { kindOfWork: "", team: "" };
+
+/** Items waiting for service. */
 export class FairQueue<Item> {
-  readonly #groups = new Map<SubmissionIdentifier, Group<Item>>();
-  #arrivals = 0;
+  readonly #discipline: QueueDiscipline;
+  readonly #kinds: WeightedFlows<TeamFlows<Item>>;
   #size = 0;
 
+  constructor(discipline: QueueDiscipline) {
+    this.#discipline = discipline;
+    this.#kinds = new WeightedFlows({
+      create: () => this.#newTeams(),
+      shareOf: (name) => this.#shares().ofKind(name),
+    });
+  }
+
   /** Number of waiting items. */
   get size(): number {
     return this.#size;
@@ -32,73 +69,130 @@
 
   /** Adds an item behind the others of its submission. */
   add(ticket: QueueTicket, item: Item): void {
-    const group = this.#groupOf(ticket);
-    group.servedMilliseconds = Math.max(
-      group.servedMilliseconds,
-      ticket.servedMilliseconds,
-    );
-    group.items.push(item);
+    this.#activate(ticket).add(ticket, item);
+    this.#size += 1;
+  }
+
+  /** Puts an item back that was taken and could not be served. */
+  putBack(ticket: QueueTicket, item: Item): void {
+    this.#activate(ticket).putBack(ticket, item);
     this.#size += 1;
   }
 
   /** Takes the next item, or undefined when nothing waits. */
   take(): Item | undefined {
-    const next = this.#leastServed();
-    if (next === undefined) return undefined;
-    const [submission, group] = next;
-    const item = group.items.shift();
-    if (group.items.length === 0) this.#groups.delete(submission);
+    const kind = this.#kinds.first();
+    const team = kind?.content.first();
+    if (kind === undefined || team === undefined) return undefined;
+    const item = team.content.take();
+    this.#settle(kind, team);
     this.#size -= 1;
     return item;
   }
 
-  /** Counts run time that a submission has received. */
-  charge(submission: SubmissionIdentifier, served: Milliseconds): void {
-    const group = this.#groups.get(submission);
-    if (group !== undefined) group.servedMilliseconds += served;
+  /** Counts run time for a submission, its team and its kind of work; a correction may be negative. */
+  charge(flow: QueueFlow, served: Milliseconds): void {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    const teams = this.#kinds.find(kindOfWork);
+    if (teams === undefined) return;
+    this.#kinds.charge(kindOfWork, served);
+    teams.charge(team, served);
+    teams.find(team)?.charge(flow.submission, served);
+  }
+
+  /** What stands before a new submission of this flow. */
+  standingOf(flow: Pick<QueueFlow, "team" | "kindOfWork">): QueueStanding {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    const teams = this.#kinds.find(kindOfWork);
+    const queue = teams?.find(team);
+    const teamShare = teams?.fractionOf(team) ?? 1;
+    return {
+      items: queue?.size ?? 0,
+      submissions: queue?.submissions ?? 0,
+      share: this.#kinds.fractionOf(kindOfWork) * teamShare,
+    };
   }
 
   /** Removes and returns every item that matches. */
   removeWhere(matches: (item: Item) => boolean): readonly Item[] {
     const removed: Item[] = [];
-    for (const [submission, group] of this.#groups) {
-      const kept = group.items.filter((item) => !matches(item));
-      if (kept.length === group.items.length) continue;
-      removed.push(...group.items.filter(matches));
-      group.items.splice(0, group.items.length, ...kept);
-      if (kept.length === 0) this.#groups.delete(submission);
+    for (const [kindName, teams] of this.#kinds.contents()) {
+      for (const [teamName, queue] of teams.contents()) {
+        removed.push(...queue.remove(matches));
+        this.#settle(
+          { name: kindName, content: teams },
+          { name: teamName, content: queue },
+        );
+      }
     }
     this.#size -= removed.length;
     return removed;
   }
 
-  #groupOf(ticket: QueueTicket): Group<Item> {
-    const known = this.#groups.get(ticket.submission);
-    if (known !== undefined) return known;
-    this.#arrivals += 1;
-    const group = {
-      arrival: this.#arrivals,
-      items: [],
-      servedMilliseconds: ticket.servedMilliseconds,
-    };
-    this.#groups.set(ticket.submission, group);
-    return group;
+  /** Removes and returns every item of one submission. */
+  removeSubmission(flow: QueueFlow): readonly Item[] {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    const teams = this.#kinds.find(kindOfWork);
+    const queue = teams?.find(team);
+    if (teams === undefined || queue === undefined) return [];
+    const removed = queue.remove(() => true, flow.submission);
+    this.#settle(
+      { name: kindOfWork, content: teams },
+      { name: team, content: queue },
+    );
+    this.#size -= removed.length;
+    return removed;
   }
 
-  #leastServed(): [SubmissionIdentifier, Group<Item>] | undefined {
-    let least: [SubmissionIdentifier, Group<Item>] | undefined;
-    for (const entry of this.#groups) {
-      if (least === undefined || isServedLess(entry[1], least[1])) {
-        least = entry;
-      }
+  #activate(flow: QueueFlow): TeamQueue<Item> {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    return this.#kinds.activate(kindOfWork).activate(team);
+  }
+
+  /** Takes a team, and then its kind of work, out of turn when nothing of theirs waits. */
+  #settle(
+    kind: { readonly name: string; readonly content: TeamFlows<Item> },
+    team: { readonly name: string; readonly content: TeamQueue<Item> },
+  ): void {
+    if (team.content.size > 0) return;
+    kind.content.deactivate(team.name);
+    if (kind.content.first() === undefined) this.#kinds.deactivate(kind.name);
+  }
+
+  #newTeams(): TeamFlows<Item> {
+    return new WeightedFlows({
+      create: () => new SubmissionQueue<Item>(this.#serviceCount()),
+      shareOf: (name) => this.#shares().ofTeam(name),
+    });
+  }
+
+  #namesOf({ kindOfWork, team }: FlowNames): FlowNames {
+    switch (this.#discipline.kind) {
+      case QueueDisciplineKind.WeightedShares:
+        return { kindOfWork, team };
+      case QueueDisciplineKind.LeastServedSubmission:
+      case QueueDisciplineKind.FirstComeFirstServed:
+        return ONE_FLOW;
     }
-    return least;
   }
-}
 
-function isServedLess<Item>(left: Group<Item>, right: Group<Item>): boolean {
-  if (left.servedMilliseconds !== right.servedMilliseconds) {
-    return left.servedMilliseconds < right.servedMilliseconds;
+  #shares(): Shares {
+    switch (this.#discipline.kind) {
+      case QueueDisciplineKind.WeightedShares:
+        return this.#discipline.shares();
+      case QueueDisciplineKind.LeastServedSubmission:
+      case QueueDisciplineKind.FirstComeFirstServed:
+        return EQUAL_SHARES;
+    }
+  }
+
+  #serviceCount(): ServiceCount {
+    switch (this.#discipline.kind) {
+      case QueueDisciplineKind.WeightedShares:
+      case QueueDisciplineKind.LeastServedSubmission:
+        return ServiceCount.Counted;
+      case QueueDisciplineKind.FirstComeFirstServed:
+        return ServiceCount.Ignored;
+    }
   }
-  return left.arrival < right.arrival;
 }
--- a/domain/fairness/src/mod.ts
+++ b/domain/fairness/src/mod.ts
@@ -2,3 +2,6 @@
  * Fair queues for the places where work waits.
  */
 export * from "./fair_queue.ts";
+export * from "./queue_discipline.ts";
+export * from "./shares.ts";
+export type { SubmissionTicket } from "./submission_queue.ts";
--- /dev/null
+++ b/domain/fairness/src/submission_queue.ts
@@ -0,0 +1,136 @@
+/**
+ * Waiting items of one team, grouped by submission, least-served submission first.
+ */
+import type { Milliseconds, SubmissionIdentifier } from "@eelgrassfront/model";
+import { RankedMap } from "./ranked_map.ts";
+
+/** What a queue knows of a submission with waiting items. */
+export interface SubmissionTicket {
+  readonly submission: SubmissionIdentifier;
+  /** Run time that the submission has received, or is about to, wherever its tasks ran. */
+  readonly servedMilliseconds: Milliseconds;
+  /** Moment of arrival, which decides between submissions that received the same. */
+  readonly arrivedAt: Milliseconds;
+}
+
+interface Group<Item> {
+  readonly items: Item[];
+  readonly arrivedAt: Milliseconds;
+  servedMilliseconds: Milliseconds;
+}
+
+/** Whether service changes the order of submissions. */
+export enum ServiceCount {
+  Counted = "counted",
+  Ignored = "ignored",
+}
+
+/** Items by submission. */
+export class SubmissionQueue<Item> {
+  readonly #serviceCount: ServiceCount;
+  readonly #groups = new RankedMap<SubmissionIdentifier, Group<Item>>();
+  #size = 0;
+
+  constructor(serviceCount: ServiceCount) {
+    this.#serviceCount = serviceCount;
+  }
+
+  /** Number of waiting items. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** Number of submissions with waiting items. */
+  get submissions(): number {
+    return this.#groups.size;
+  }
+
+  /** Adds an item behind the others of its submission. */
+  add(ticket: SubmissionTicket, item: Item): void {
+    this.#groupOf(ticket).items.push(item);
+    this.#size += 1;
+  }
+
+  /** Puts an item back before the others of its submission. */
+  putBack(ticket: SubmissionTicket, item: Item): void {
+    this.#groupOf(ticket).items.unshift(item);
+    this.#size += 1;
+  }
+
+  /** Takes the next item. */
+  take(): Item | undefined {
+    const first = this.#groups.first();
+    if (first === undefined) return undefined;
+    const { items } = first.value;
+    const item = items.shift();
+    if (items.length === 0) this.#groups.delete(first.key);
+    this.#size -= 1;
+    return item;
+  }
+
+  /** Counts run time that a submission received; a correction may be negative. */
+  charge(submission: SubmissionIdentifier, served: Milliseconds): void {
+    const group = this.#groups.get(submission);
+    if (group === undefined) return;
+    group.servedMilliseconds += served;
+    this.#rank(submission, group);
+  }
+
+  /** Removes and returns every item that matches, of one submission or of all. */
+  remove(
+    matches: (item: Item) => boolean,
+    submission?: SubmissionIdentifier,
+  ): readonly Item[] {
+    const submissions = submission === undefined
+      ? [...this.#groups.keys()]
+      : [submission];
+    const removed = submissions.flatMap((key) => this.#removeOf(key, matches));
+    this.#size -= removed.length;
+    return removed;
+  }
+
+  #removeOf(
+    submission: SubmissionIdentifier,
+    matches: (item: Item) => boolean,
+  ): readonly Item[] {
+    const group = this.#groups.get(submission);
+    if (group === undefined) return [];
+    const removed = group.items.filter(matches);
+    if (removed.length === 0) return [];
+    const kept = group.items.filter((item) => !matches(item));
+    group.items.splice(0, group.items.length, ...kept);
+    if (kept.length === 0) this.#groups.delete(submission);
+    return removed;
+  }
+
+  #groupOf(ticket: SubmissionTicket): Group<Item> {
+    const { submission, servedMilliseconds, arrivedAt } = ticket;
+    const known = this.#groups.get(submission);
+    if (known !== undefined) {
+      if (servedMilliseconds > known.servedMilliseconds) {
+        known.servedMilliseconds = servedMilliseconds;
+        this.#rank(submission, known);
+      }
+      return known;
+    }
+    const group = { items: [], arrivedAt, servedMilliseconds };
+    this.#rank(submission, group);
+    return group;
+  }
+
+  #rank(submission: SubmissionIdentifier, group: Group<Item>): void {
+    this.#groups.set(submission, group, {
+      rank: this.#rankOf(group),
+      order: group.arrivedAt,
+    });
+  }
+
+  #rankOf(group: Group<Item>): number {
+    switch (this.#serviceCount) {
+      case ServiceCount.Counted:
+        return group.servedMilliseconds;
+      case ServiceCount.Ignored:
+        return 0;
+    }
+  }
+}
--- a/domain/membership/src/heartbeats.ts
+++ b/domain/membership/src/heartbeats.ts
@@ -19,6 +19,7 @@
   PeerRequestKind,
   type ProcessIdentifier,
   type RequestIdentifier,
+  type RunnerLoad,
   type ShardEpoch,
 } from "@eelgrassfront/model";
 import type { FleetView, Member } from "./fleet_view.ts";
@@ -82,6 +83,7 @@
     standing: {
       readonly isLeaving: boolean;
       readonly granted: readonly ShardEpoch[];
+      readonly load?: RunnerLoad;
     },
   ): HeartbeatAnswered {
     const { view } = this.#options;
--- a/domain/model/src/outcome.ts
+++ b/domain/model/src/outcome.ts
@@ -127,6 +127,8 @@
 export enum TaskRefusalReason {
   Fenced = "fenced",
   QueueFull = "queue-full",
+  /** The slot that an owner meant to borrow is not free. */
+  SlotTaken = "slot-taken",
   Leaving = "leaving",
   Isolated = "isolated",
   DeadlinePassed = "deadline-passed",
--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -57,6 +57,14 @@
   readonly submission: SubmissionIdentifier;
 }
 
+/** By what right an owner uses a slot of a runner. */
+export enum SlotClaim {
+  /** The slot belongs to the owner; the task may wait for it. */
+  Quota = "quota",
+  /** The slot belongs to another owner; the task starts now or is refused. */
+  Borrowed = "borrowed",
+}
+
 /** An owner places one attempt of a task at a runner. */
 export interface StartTask {
   readonly kind: PeerRequestKind.StartTask;
@@ -72,8 +80,9 @@
   readonly task: TaskDescription;
   readonly requirements: Requirements;
   readonly remainingMilliseconds: Milliseconds;
-  /** Run time of this submission's tasks that other runners have already served. */
+  /** Run time that this submission's other tasks have received, or are expected to where they run. */
   readonly servedMilliseconds: Milliseconds;
+  readonly slotClaim: SlotClaim;
 }
 
 /** An owner takes back an attempt that has not started. */
@@ -258,6 +267,8 @@
   readonly isLeaving: boolean;
   /** Shards that the answering process owns and has been granted. */
   readonly granted: readonly ShardEpoch[];
+  /** Load of the answering process's runner, so that an owner with nothing in flight hears of it. */
+  readonly load?: RunnerLoad;
   /** Present when the sender's configuration is older than the receiver's. */
   readonly newerConfiguration?: ConfigurationVersion;
 }
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -37,6 +37,7 @@
   type QueryJob,
   type RequestIdentifier,
   RetryReason,
+  type RunnerLoad,
   Severity,
   type ShardEpoch,
   type ShardNumber,
@@ -48,6 +49,8 @@
   UNCLAIMED_EPOCH,
   UnknownReason,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { identifySubmission } from "@eelgrassfront/model";
 import { shardOf } from "@eelgrassfront/ownership";
 import TinyQueue from "tinyqueue";
@@ -71,8 +74,8 @@
   readonly shardCount: number;
   readonly ownerCount: number;
   readonly maximumAnswerBytes: number;
-  /** Tasks beyond its slots that the owner lets wait at a runner. */
-  readonly waitingPerRunner: number;
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 interface HeldSubmission {
@@ -108,7 +111,7 @@
 
   constructor(options: OwnerDecisionsOptions) {
     this.#options = options;
-    const { timing, collector, follower, self } = options;
+    const { timing } = options;
     this.#answers = new AnswerBook({
       horizonMilliseconds: timing.horizonMilliseconds,
       maximumAnswerBytes: options.maximumAnswerBytes,
@@ -120,11 +123,7 @@
       onGranted: (shard) => this.#decideHeld(shard),
     });
     this.#dispatcher = new TaskDispatcher({
-      self,
-      collector,
-      follower,
-      random: options.random,
-      waitingPerRunner: options.waitingPerRunner,
+      ...options,
       mayPlace: (job) => this.#isGranted(job.options.shard),
       onTaskEnded: (job, index) => this.#taskEnded(job, index),
       onTaskRefused: (job, index, reason) =>
@@ -182,19 +181,27 @@
         return;
       case FleetChangeKind.OwnershipChanged: {
         const { shard } = change.ownership;
+        this.#dispatcher.noteFleetChange();
         if (this.#grants.changeOwnership(change.ownership)) {
           this.#loseShard(shard);
         }
         return;
       }
       case FleetChangeKind.ConfigurationJudged:
+        return;
       case FleetChangeKind.ConfigurationInForce:
+        this.#dispatcher.applyConfiguration(change.version.configuration);
         return;
       default:
         assertNever(change);
     }
   }
 
+  /** Takes the load that a runner told beside its heartbeat. */
+  noteLoad(runner: ProcessIdentifier, load: RunnerLoad): void {
+    this.#dispatcher.pool.noteLoad(runner, load);
+  }
+
   /** Takes a submission from an entry. */
   submit(waiter: JobWaiter, message: SubmitJob): void {
     const { collector } = this.#options;
@@ -277,6 +284,7 @@
     const { process, address, backendServer } = member.joined;
     if (backendServer === undefined) return;
     this.#dispatcher.pool.add({ process, address, backendServer });
+    this.#dispatcher.noteFleetChange();
     this.#dispatcher.dispatch();
   }
 
@@ -549,6 +557,7 @@
         });
         return;
       case TaskRefusalReason.QueueFull:
+      case TaskRefusalReason.SlotTaken:
       case TaskRefusalReason.Leaving:
       case TaskRefusalReason.Isolated:
       case TaskRefusalReason.BackendServerUnavailable:
@@ -572,7 +581,7 @@
       RetryReason.RunnerRefused,
     );
     job.put(index, { phase: TaskPhase.Waiting });
-    this.#dispatcher.enqueue(job, index);
+    this.#dispatcher.enqueueRetry(job, index);
   }
 
   #taskLost(job: Job, runner: ProcessIdentifier): void {
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -106,6 +106,8 @@
 }
 
 const SETTLE_MILLISECONDS: Milliseconds = 500;
+/** Time between two looks for shards without an owner. */
+const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
@@ -117,6 +119,7 @@
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
   #membershipChangedAt: Milliseconds = 0;
+  #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
   #isLeaving = false;
   #isGrantingStopped = false;
@@ -371,6 +374,7 @@
 
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
+    this.#claimCheckedAt = this.#options.collector.now;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
@@ -388,7 +392,9 @@
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
     const isAnswerDue =
       collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    return !this.#isLeaving && follower.isMember && hasSettled &&
+    const isCheckDue =
+      collector.now - this.#claimCheckedAt >= CLAIM_CHECK_MILLISECONDS;
+    return isCheckDue && !this.#isLeaving && follower.isMember && hasSettled &&
       !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
       follower.heartbeats.hearsMajority();
   }
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -3,9 +3,20 @@
  * was lost is sent again to the same runner, which recognises it; a task goes to another runner only
  * after proof that the first one never starts it.
  */
-import { FairQueue } from "@eelgrassfront/fairness";
+import { RetryBudget, RunTimeEstimates } from "@eelgrassfront/admission";
+import {
+  disciplineOf,
+  EQUAL_SHARES,
+  FairQueue,
+  QueueDisciplineKind,
+  type QueueStanding,
+  type QueueTicket,
+  type Shares,
+  sharesOf,
+} from "@eelgrassfront/fairness";
 import type { FleetFollower } from "@eelgrassfront/membership";
 import {
+  type Configuration,
   Counter,
   type Milliseconds,
   type OutputCollector,
@@ -17,12 +28,18 @@
   type ProcessIdentifier,
   type RequestIdentifier,
   RetryReason,
-  type RunnerLoad,
+  SlotClaim,
   type TaskEnd,
   TaskEndKind,
-  type TaskRefusalReason,
+  TaskRefusalReason,
 } from "@eelgrassfront/model";
-import { type PlacementNeed, RunnerPool } from "@eelgrassfront/placement";
+import {
+  PlacementEnd,
+  type PlacementNeed,
+  type PlacementPolicy,
+  RunnerPool,
+  SLOT_QUOTA_PLACEMENT,
+} from "@eelgrassfront/placement";
 import { type Job, JobPhase, type PlacedTask, TaskPhase } from "./job.ts";
 
 /** What a dispatcher needs. */
@@ -31,7 +48,8 @@
   readonly collector: OutputCollector;
   readonly follower: FleetFollower;
   readonly random: () => number;
-  readonly waitingPerRunner: number;
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
   /** Whether tasks of this job may be placed now. */
   readonly mayPlace: (job: Job) => boolean;
   readonly onTaskEnded: (job: Job, index: number) => void;
@@ -49,28 +67,53 @@
   readonly index: number;
 }
 
-interface Resend extends TaskReference {
+interface Placement extends TaskReference {
+  /** Run time that was counted as served when the task was placed. */
+  readonly expectedMilliseconds: Milliseconds;
+}
+
+enum DelayedStepKind {
+  /** Send a request again whose connection was lost. */
+  Resend = "resend",
+  /** Let a task wait for a runner again. */
+  Enqueue = "enqueue",
+}
+
+interface DelayedStep {
+  readonly kind: DelayedStepKind;
   readonly at: Milliseconds;
+  readonly placement: Placement;
 }
 
 const RESEND_MILLISECONDS: Milliseconds = 100;
+/** Time after which a retry that the budget did not allow is tried again. */
+const RETRY_PAUSE_MILLISECONDS: Milliseconds = 500;
+/** Tasks with special needs that are passed over while no runner for them has room. */
+const MAXIMUM_PASSED_OVER = 8;
 
 /** Waiting tasks, placements and the runners that they go to. */
 export class TaskDispatcher {
   readonly pool: RunnerPool;
   readonly #options: TaskDispatcherOptions;
-  readonly #queue = new FairQueue<TaskReference>();
-  readonly #placements = new Map<RequestIdentifier, TaskReference>();
-  readonly #cancellations = new Map<RequestIdentifier, TaskReference>();
-  readonly #atRunner = new Map<ProcessIdentifier, Set<TaskReference>>();
-  #resends: Resend[] = [];
+  /** Waiting tasks by service: one service's tasks never wait behind another's. */
+  readonly #queues = new Map<string, FairQueue<TaskReference>>();
+  readonly #placements = new Map<RequestIdentifier, Placement>();
+  readonly #cancellations = new Map<RequestIdentifier, Placement>();
+  readonly #atRunner = new Map<ProcessIdentifier, Map<Job, Set<number>>>();
+  readonly #abandoned = new WeakSet<Job>();
+  readonly #runTimes = new RunTimeEstimates();
+  readonly #retryBudget = new RetryBudget();
+  #delayed: DelayedStep[] = [];
+  #shares: Shares = EQUAL_SHARES;
+  #areQuotasKnown = false;
 
   constructor(options: TaskDispatcherOptions) {
     this.#options = options;
-    const { follower, self, random, waitingPerRunner } = options;
+    const { follower, self, random } = options;
     this.pool = new RunnerPool({
       random,
-      waitingPerRunner,
+      policy: options.placementPolicy ?? SLOT_QUOTA_PLACEMENT,
+      now: () => options.collector.now,
       isAvailable: (process) =>
         process !== self && follower.heartbeats.isReachable(process) &&
         !follower.heartbeats.isLeaving(process),
@@ -79,46 +122,70 @@
 
   /** Number of tasks that wait at this owner. */
   get queuedTasks(): number {
-    return this.#queue.size;
+    let tasks = 0;
+    for (const queue of this.#queues.values()) tasks += queue.size;
+    return tasks;
+  }
+
+  /** Expected run time of a task of this kind of work. */
+  expectedRunMilliseconds(kindOfWork: string): Milliseconds {
+    return this.#runTimes.of(kindOfWork);
+  }
+
+  /** What stands before a new submission. */
+  standingOf(
+    service: string,
+    flow: { readonly team: string; readonly kindOfWork: string },
+  ): QueueStanding {
+    return this.#queueOf(service).standingOf(flow);
+  }
+
+  /** Takes the shares of a configuration. */
+  applyConfiguration(configuration: Configuration): void {
+    this.#shares = sharesOf(configuration);
+  }
+
+  /** Divides the slots anew before the next placement: owners or runners changed. */
+  noteFleetChange(): void {
+    this.#areQuotasKnown = false;
   }
 
   /** When the dispatcher next has something to do. */
   nextAlarm(): Milliseconds | undefined {
-    return this.#resends[0]?.at;
+    return this.#delayed[0]?.at;
   }
 
   /** Lets a task wait for a runner. */
   enqueue(job: Job, index: number): void {
-    const { submission, kindOfWork } = job.options;
-    this.#queue.add({
-      submission: job.identifier,
-      team: submission.team,
-      kindOfWork: kindOfWork.name,
-      servedMilliseconds: job.servedMilliseconds,
-    }, { job, index });
+    this.#queueOf(job.options.kindOfWork.service)
+      .add(ticketOf(job), { job, index });
+  }
+
+  /** Lets a refused task wait for a runner again, as far as the retry budget allows. */
+  enqueueRetry(job: Job, index: number): void {
+    const { collector } = this.#options;
+    if (this.#retryBudget.trySpend(collector.now)) {
+      this.enqueue(job, index);
+      return;
+    }
+    this.#delayed.push({
+      kind: DelayedStepKind.Enqueue,
+      at: collector.now + RETRY_PAUSE_MILLISECONDS,
+      placement: { job, index, expectedMilliseconds: 0 },
+    });
   }
 
   /** Places as many tasks as runners take. */
   dispatch(): void {
-    const blocked: TaskReference[] = [];
-    while (this.#queue.size > 0) {
-      const reference = this.#queue.take();
-      if (reference === undefined) break;
-      if (!this.#isWaiting(reference)) continue;
-      if (!this.#place(reference)) {
-        blocked.push(reference);
-        break;
-      }
+    for (const [service, queue] of this.#queues) {
+      if (queue.size > 0) this.#dispatchService(service, queue);
     }
-    for (const { job, index } of blocked) this.enqueue(job, index);
   }
 
   /** Does what is due. */
   tick(): void {
     const { now } = this.#options.collector;
-    const due = this.#resends.filter(({ at }) => at <= now);
-    this.#resends = this.#resends.filter(({ at }) => at > now);
-    for (const reference of due) this.#resend(reference);
+    if ((this.nextAlarm() ?? Infinity) <= now) this.#doDelayed(now);
     this.dispatch();
   }
 
@@ -127,72 +194,147 @@
     const task = job.taskAt(index);
     if (task.phase !== TaskPhase.Placed) return;
     this.#track(task.runner, { job, index });
-    this.#sendPlacement({ job, index }, task);
+    this.#sendPlacement({ job, index, expectedMilliseconds: 0 }, task);
   }
 
-  /** Takes back every placed task of a job. */
+  /** Takes back every task of a job that has not started. */
   withdraw(job: Job): void {
+    this.#forgetWaiting(job);
     job.tasks.forEach((task, index) => {
-      if (task.phase === TaskPhase.Placed) this.#cancel({ job, index }, task);
+      if (task.phase !== TaskPhase.Placed) return;
+      this.#cancel({ job, index, expectedMilliseconds: 0 }, task);
     });
   }
 
-  /** Forgets every placement of a job that this owner no longer answers for. */
+  /** Forgets a job that this owner no longer answers for; replies still free its slots. */
   abandon(job: Job): void {
-    this.#queue.removeWhere((reference) => reference.job === job);
-    for (const [request, reference] of this.#placements) {
-      if (reference.job !== job) continue;
-      this.#placements.delete(request);
-      this.#releaseReference(reference);
-    }
-    this.#resends = this.#resends.filter((resend) => resend.job !== job);
+    this.#abandoned.add(job);
+    this.#forgetWaiting(job);
+    this.#delayed = this.#delayed.filter(({ placement }) =>
+      placement.job !== job
+    );
   }
 
   /** Takes a runner's reply; false when it answers nothing of this owner. */
   take(request: RequestIdentifier, reply: PeerReply): boolean {
-    const reference = this.#placements.get(request) ??
+    const placement = this.#placements.get(request) ??
       this.#cancellations.get(request);
-    if (reference === undefined) return false;
+    if (placement === undefined) return false;
     const isCancellation = this.#cancellations.delete(request);
     this.#placements.delete(request);
-    this.#settle(reference, reply, isCancellation);
+    this.#settle(placement, reply, isCancellation);
     return true;
   }
 
   /** Sends a lost request again later; false when it was none of this owner. */
   lose(request: RequestIdentifier): boolean {
-    const reference = this.#placements.get(request) ??
+    const placement = this.#placements.get(request) ??
       this.#cancellations.get(request);
-    if (reference === undefined) return false;
+    if (placement === undefined) return false;
     this.#placements.delete(request);
     this.#cancellations.delete(request);
+    if (this.#abandoned.has(placement.job)) {
+      this.#releasePlaced(placement);
+      return true;
+    }
     const at = this.#options.collector.now + RESEND_MILLISECONDS;
-    this.#resends.push({ ...reference, at });
+    this.#delayed.push({ kind: DelayedStepKind.Resend, at, placement });
     return true;
   }
 
   /** Gives up the tasks of a runner that departed. */
   loseRunner(runner: ProcessIdentifier): void {
-    const references = [...this.#atRunner.get(runner) ?? []];
+    const jobs = [...this.#atRunner.get(runner) ?? []];
     this.#atRunner.delete(runner);
     this.pool.remove(runner);
-    for (const { job, index } of references) {
-      const task = job.taskAt(index);
-      const isThere = task.phase === TaskPhase.Placed && task.runner === runner;
-      if (isThere) this.#options.onTaskLost(job, runner);
+    this.noteFleetChange();
+    for (const [job, indexes] of jobs) {
+      if (this.#abandoned.has(job)) continue;
+      for (const index of indexes) this.#loseTask(job, index, runner);
     }
   }
 
+  #loseTask(job: Job, index: number, runner: ProcessIdentifier): void {
+    const task = job.taskAt(index);
+    const isThere = task.phase === TaskPhase.Placed && task.runner === runner;
+    if (isThere) this.#options.onTaskLost(job, runner);
+  }
+
+  #queueOf(service: string): FairQueue<TaskReference> {
+    const known = this.#queues.get(service);
+    if (known !== undefined) return known;
+    const kind = this.#options.queueDiscipline ??
+      QueueDisciplineKind.WeightedShares;
+    const queue = new FairQueue<TaskReference>(
+      disciplineOf(kind, () => this.#shares),
+    );
+    this.#queues.set(service, queue);
+    return queue;
+  }
+
+  #forgetWaiting(job: Job): void {
+    this.#queueOf(job.options.kindOfWork.service)
+      .removeSubmission(ticketOf(job));
+  }
+
+  #doDelayed(now: Milliseconds): void {
+    const due = this.#delayed.filter(({ at }) => at <= now);
+    this.#delayed = this.#delayed.filter(({ at }) => at > now)
+      .sort((left, right) => left.at - right.at);
+    for (const { kind, placement } of due) {
+      switch (kind) {
+        case DelayedStepKind.Resend:
+          this.#resend(placement);
+          break;
+        case DelayedStepKind.Enqueue:
+          if (this.#isWaiting(placement)) {
+            this.enqueueRetry(placement.job, placement.index);
+          }
+          break;
+      }
+    }
+  }
+
+  #dispatchService(
+    service: string,
+    queue: FairQueue<TaskReference>,
+  ): void {
+    this.#divideSlots();
+    const passedOver: TaskReference[] = [];
+    while (
+      passedOver.length < MAXIMUM_PASSED_OVER && this.pool.hasRoom(service)
+    ) {
+      const reference = queue.take();
+      if (reference === undefined) break;
+      if (!this.#isWaiting(reference)) continue;
+      if (!this.#place(reference)) passedOver.push(reference);
+    }
+    for (const reference of passedOver.reverse()) {
+      queue.putBack(ticketOf(reference.job), reference);
+    }
+  }
+
+  #divideSlots(): void {
+    if (this.#areQuotasKnown) return;
+    this.#areQuotasKnown = true;
+    const { follower: { view }, self } = this.#options;
+    const owners = new Set<ProcessIdentifier>();
+    for (const { owner } of view.ownership.all()) {
+      if (view.find(owner) !== undefined) owners.add(owner);
+    }
+    this.pool.divideSlots(self, [...owners].sort());
+  }
+
   #isWaiting({ job, index }: TaskReference): boolean {
     return job.phase === JobPhase.Active &&
       job.taskAt(index).phase === TaskPhase.Waiting;
   }
 
-  #place(reference: TaskReference): boolean {
-    const { job, index } = reference;
+  #place({ job, index }: TaskReference): boolean {
     if (!this.#options.mayPlace(job)) return false;
-    const runner = this.pool.choose(needOf(job));
-    if (runner === undefined) return false;
+    const choice = this.pool.choose(needOf(job));
+    if (choice === undefined) return false;
+    const { runner, claim } = choice;
     const task: PlacedTask = {
       phase: TaskPhase.Placed,
       runner: runner.process,
@@ -200,15 +342,35 @@
       epoch: job.options.epoch,
       isStarted: false,
     };
+    const expectedMilliseconds = this.#runTimes.of(job.options.kindOfWork.name);
+    const placement = { job, index, expectedMilliseconds };
     job.put(index, task);
     this.pool.place(runner.process);
-    this.#track(runner.process, reference);
-    this.#sendPlacement(reference, task);
+    this.#earnRetries();
+    this.#track(runner.process, placement);
+    this.#sendPlacement(placement, task, claim);
+    this.#charge(job, expectedMilliseconds);
     return true;
   }
 
-  #sendPlacement(reference: TaskReference, task: PlacedTask): void {
-    const { job, index } = reference;
+  #earnRetries(): void {
+    const { current } = this.#options.follower.view.configuration;
+    this.#retryBudget.earn(current?.configuration.limits.retryBudget ?? 0);
+  }
+
+  /** Counts run time for a job, its team and its kind of work. */
+  #charge(job: Job, milliseconds: Milliseconds): void {
+    job.servedMilliseconds += milliseconds;
+    this.#queueOf(job.options.kindOfWork.service)
+      .charge(ticketOf(job), milliseconds);
+  }
+
+  #sendPlacement(
+    placement: Placement,
+    task: PlacedTask,
+    slotClaim = SlotClaim.Quota,
+  ): void {
+    const { job, index } = placement;
     const { submission, shard, kindOfWork, deadlineAt } = job.options;
     const description = submission.tasks[index];
     if (description === undefined) return;
@@ -227,12 +389,13 @@
       requirements: submission.requirements,
       remainingMilliseconds: deadlineAt - this.#options.collector.now,
       servedMilliseconds: job.servedMilliseconds,
+      slotClaim,
     });
-    if (request !== undefined) this.#placements.set(request, reference);
+    if (request !== undefined) this.#placements.set(request, placement);
   }
 
-  #cancel(reference: TaskReference, task: PlacedTask): void {
-    const { job, index } = reference;
+  #cancel(placement: Placement, task: PlacedTask): void {
+    const { job, index } = placement;
     const request = this.#send(task.runner, {
       kind: PeerRequestKind.CancelTask,
       shard: job.options.shard,
@@ -241,7 +404,7 @@
       taskIndex: index,
       attempt: task.attempt,
     });
-    if (request !== undefined) this.#cancellations.set(request, reference);
+    if (request !== undefined) this.#cancellations.set(request, placement);
   }
 
   #send(
@@ -264,39 +427,44 @@
     return request;
   }
 
-  #resend(reference: TaskReference): void {
-    const { job, index } = reference;
+  #resend(placement: Placement): void {
+    const { job, index } = placement;
     const task = job.taskAt(index);
     if (task.phase !== TaskPhase.Placed) return;
     const { collector } = this.#options;
     collector.count(Counter.TasksRetried, RetryReason.RunnerConnectionLost);
-    if (job.phase === JobPhase.Active) this.#sendPlacement(reference, task);
-    else this.#cancel(reference, task);
+    if (job.phase === JobPhase.Active) this.#sendPlacement(placement, task);
+    else this.#cancel(placement, task);
   }
 
   #settle(
-    reference: TaskReference,
+    placement: Placement,
     reply: PeerReply,
     isCancellation: boolean,
   ): void {
-    const task = reference.job.taskAt(reference.index);
+    const { job, index } = placement;
+    const task = job.taskAt(index);
     if (task.phase !== TaskPhase.Placed) return;
     switch (reply.kind) {
       case PeerReplyKind.TaskEnded:
-        this.#untrack(task.runner, reference, reply.load);
-        this.#settleEnd(reference, reply.end);
+        this.#release(task.runner, placement, healthOfEnd(reply.end));
+        this.pool.noteLoad(task.runner, reply.load);
+        this.#settleEnd(placement, reply.end);
         return;
       case PeerReplyKind.TaskRefused:
-        this.#untrack(task.runner, reference, reply.load);
-        this.#settleRefusal(reference, reply.reason);
+        this.#release(task.runner, placement, healthOfRefusal(reply.reason));
+        this.pool.noteLoad(task.runner, reply.load);
+        this.#settleRefusal(placement, reply.reason);
         return;
       case PeerReplyKind.TaskStarted:
-        reference.job.put(reference.index, { ...task, isStarted: true });
-        this.#options.onTaskEnded(reference.job, reference.index);
+        if (this.#abandoned.has(job)) return;
+        job.put(index, { ...task, isStarted: true });
+        this.#options.onTaskEnded(job, index);
         return;
       case PeerReplyKind.OtherIncarnation:
-        this.#untrack(task.runner, reference);
-        this.#options.onTaskLost(reference.job, task.runner);
+        this.#release(task.runner, placement, PlacementEnd.Neutral);
+        if (this.#abandoned.has(job)) return;
+        this.#options.onTaskLost(job, task.runner);
         return;
       case PeerReplyKind.JobAnswered:
       case PeerReplyKind.JobStanding:
@@ -305,52 +473,64 @@
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
       case PeerReplyKind.HeartbeatAnswered:
-        if (!isCancellation) this.#resend(reference);
+        if (!isCancellation) this.#resend(placement);
         return;
     }
   }
 
-  #settleEnd({ job, index }: TaskReference, end: TaskEnd): void {
+  #settleEnd(placement: Placement, end: TaskEnd): void {
+    const { job, index, expectedMilliseconds } = placement;
+    if (this.#abandoned.has(job)) return;
     if (end.kind !== TaskEndKind.Lost) {
-      job.servedMilliseconds += end.runMilliseconds;
-      this.#queue.charge(job.identifier, end.runMilliseconds);
+      this.#charge(job, end.runMilliseconds - expectedMilliseconds);
+    }
+    if (end.kind === TaskEndKind.Succeeded) {
+      this.#runTimes.learn(job.options.kindOfWork.name, end.runMilliseconds);
     }
     job.put(index, { phase: TaskPhase.Ended, end });
     this.#options.onTaskEnded(job, index);
   }
 
-  #settleRefusal(
-    { job, index }: TaskReference,
-    reason: TaskRefusalReason,
-  ): void {
+  #settleRefusal(placement: Placement, reason: TaskRefusalReason): void {
+    const { job, index, expectedMilliseconds } = placement;
+    if (this.#abandoned.has(job)) return;
+    this.#charge(job, -expectedMilliseconds);
+    if (
+      reason === TaskRefusalReason.SlotTaken && job.phase === JobPhase.Active
+    ) {
+      // The load that came with the refusal says that nothing is free there, so that it is not repeated.
+      job.put(index, { phase: TaskPhase.Waiting });
+      this.enqueue(job, index);
+      return;
+    }
     job.put(index, { phase: TaskPhase.Withdrawn });
     this.#options.onTaskRefused(job, index, reason);
   }
 
-  #track(runner: ProcessIdentifier, reference: TaskReference): void {
-    const references = this.#atRunner.get(runner) ?? new Set();
-    references.add(reference);
-    this.#atRunner.set(runner, references);
+  #track(runner: ProcessIdentifier, { job, index }: TaskReference): void {
+    const jobs = this.#atRunner.get(runner) ?? new Map<Job, Set<number>>();
+    const indexes = jobs.get(job) ?? new Set();
+    indexes.add(index);
+    jobs.set(job, indexes);
+    this.#atRunner.set(runner, jobs);
   }
 
-  #untrack(
+  #release(
     runner: ProcessIdentifier,
-    reference: TaskReference,
-    load?: RunnerLoad,
+    { job, index }: TaskReference,
+    end: PlacementEnd,
   ): void {
-    this.pool.release(runner, load);
-    const references = this.#atRunner.get(runner);
-    for (const tracked of references ?? []) {
-      const isSame = tracked.job === reference.job &&
-        tracked.index === reference.index;
-      if (isSame) references?.delete(tracked);
-    }
+    this.pool.release(runner, end);
+    const jobs = this.#atRunner.get(runner);
+    const indexes = jobs?.get(job);
+    indexes?.delete(index);
+    if (indexes?.size === 0) jobs?.delete(job);
   }
 
-  #releaseReference({ job, index }: TaskReference): void {
-    const task = job.taskAt(index);
+  #releasePlaced(placement: Placement): void {
+    const task = placement.job.taskAt(placement.index);
     if (task.phase !== TaskPhase.Placed) return;
-    this.#untrack(task.runner, { job, index });
+    this.#release(task.runner, placement, PlacementEnd.Neutral);
   }
 }
 
@@ -358,5 +538,42 @@
   return {
     service: job.options.kindOfWork.service,
     requirements: job.options.submission.requirements,
+    isFirst: job.servedMilliseconds === 0,
+  };
+}
+
+function ticketOf(job: Job): QueueTicket {
+  return {
+    submission: job.identifier,
+    team: job.options.submission.team,
+    kindOfWork: job.options.kindOfWork.name,
+    servedMilliseconds: job.servedMilliseconds,
+    arrivedAt: job.options.arrivedAt,
   };
 }
+
+function healthOfEnd(end: TaskEnd): PlacementEnd {
+  switch (end.kind) {
+    case TaskEndKind.Succeeded:
+      return PlacementEnd.Succeeded;
+    case TaskEndKind.Failed:
+    case TaskEndKind.Lost:
+      return PlacementEnd.Failed;
+  }
+}
+
+function healthOfRefusal(reason: TaskRefusalReason): PlacementEnd {
+  switch (reason) {
+    case TaskRefusalReason.BackendServerUnavailable:
+      return PlacementEnd.Failed;
+    case TaskRefusalReason.Fenced:
+    case TaskRefusalReason.QueueFull:
+    case TaskRefusalReason.SlotTaken:
+    case TaskRefusalReason.Leaving:
+    case TaskRefusalReason.Isolated:
+    case TaskRefusalReason.DeadlinePassed:
+    case TaskRefusalReason.Cancelled:
+    case TaskRefusalReason.TaskAlreadyRecorded:
+      return PlacementEnd.Neutral;
+  }
+}
--- a/domain/placement/src/mod.ts
+++ b/domain/placement/src/mod.ts
@@ -1,4 +1,5 @@
 /**
  * Which runner gets the next task.
  */
+export * from "./placement_policy.ts";
 export * from "./runner_pool.ts";
--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -2,13 +2,20 @@
  * The runners that an owner may place tasks on, with the load that their answers carried. No probe is
  * sent: a runner's own answer says how busy it is, and placements since then are counted here.
  */
-import type {
-  BackendServerDescription,
-  Milliseconds,
-  ProcessIdentifier,
-  Requirements,
-  RunnerLoad,
+import {
+  type BackendServerDescription,
+  type Milliseconds,
+  type ProcessIdentifier,
+  type Requirements,
+  type RunnerLoad,
+  SlotClaim,
 } from "@eelgrassfront/model";
+import { FailureRecord } from "./outlier_detector.ts";
+import {
+  type PlacementPolicy,
+  PlacementPolicyKind,
+} from "./placement_policy.ts";
+import { quotaOf } from "./slot_quota.ts";
 
 /** A runner as the pool knows it. */
 export interface KnownRunner {
@@ -21,32 +28,54 @@
 export interface PlacementNeed {
   readonly service: string;
   readonly requirements: Requirements;
+  /** Whether the submission has received no service yet; such a task may take the last free slot. */
+  readonly isFirst: boolean;
 }
 
 /** Rules of the pool that the owner supplies. */
 export interface RunnerPoolOptions {
+  readonly policy: PlacementPolicy;
   /** Whether a runner may be given work now. */
   readonly isAvailable: (process: ProcessIdentifier) => boolean;
   /** Numbers from 0 up to 1 that break ties. */
   readonly random: () => number;
-  /** Tasks beyond its slots that one owner lets wait at a runner. */
-  readonly waitingPerRunner: number;
+  readonly now: () => Milliseconds;
+}
+
+/** A runner chosen for a task. */
+export interface PlacementChoice {
+  readonly runner: KnownRunner;
+  readonly claim: SlotClaim;
+}
+
+/** How a placement ended, as far as it tells about its runner. */
+export enum PlacementEnd {
+  Succeeded = "succeeded",
+  Failed = "failed",
+  /** Says nothing about the health of the backend server. */
+  Neutral = "neutral",
 }
 
 interface Pooled {
   readonly runner: KnownRunner;
+  readonly failures: FailureRecord;
+  /** Slots that belong to this owner. */
+  quota: number;
   /** Tasks placed by this owner that have not been answered. */
   inFlight: number;
   /** Tasks of others at the runner when it last answered. */
   others: number;
   isLeaving: boolean;
-  expectedWaitMilliseconds: Milliseconds;
 }
 
+/** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
+const RESERVED_SLOTS = 1;
+
 /** Known runners and their load. */
 export class RunnerPool {
   readonly #options: RunnerPoolOptions;
   readonly #pooled = new Map<ProcessIdentifier, Pooled>();
+  #lastTurn = 0;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
@@ -62,10 +91,11 @@
     if (this.#pooled.has(runner.process)) return;
     this.#pooled.set(runner.process, {
       runner,
+      failures: new FailureRecord(),
+      quota: runner.backendServer.slots,
       inFlight: 0,
       others: 0,
       isLeaving: false,
-      expectedWaitMilliseconds: 0,
     });
   }
 
@@ -79,35 +109,66 @@
     return this.#pooled.get(process)?.runner;
   }
 
+  /** Divides the slots of all runners among the owners. */
+  divideSlots(
+    self: ProcessIdentifier,
+    owners: readonly ProcessIdentifier[],
+  ): void {
+    let rank = 0;
+    for (const pooled of this.#pooled.values()) {
+      const { process, backendServer: { slots } } = pooled.runner;
+      pooled.quota = quotaOf(self, { runner: process, rank, slots, owners });
+      rank += 1;
+    }
+  }
+
   /** Whether any known runner could ever run such a task. */
-  isAnyCapable(need: PlacementNeed): boolean {
+  isAnyCapable(need: Omit<PlacementNeed, "isFirst">): boolean {
     for (const { runner } of this.#pooled.values()) {
       if (isCapable(runner, need)) return true;
     }
     return false;
   }
 
-  /** Slots of all runners that may be given work. */
-  availableSlots(): number {
+  /** Slots of a service that belong to this owner at runners that may be given work. */
+  quotaSlots(service: string): number {
     let slots = 0;
     for (const pooled of this.#pooled.values()) {
-      if (this.#isOpen(pooled)) slots += pooled.runner.backendServer.slots;
+      const isCounted = pooled.runner.backendServer.service === service &&
+        this.#isOpen(pooled);
+      if (isCounted) slots += pooled.quota;
     }
     return slots;
   }
 
-  /** Chooses a runner for a task, or undefined when the task should wait at the owner. */
-  choose(need: PlacementNeed): KnownRunner | undefined {
-    let best: Pooled | undefined;
-    let bestScore = Infinity;
+  /** Whether a task of this service without special needs could be placed now. */
+  hasRoom(service: string): boolean {
     for (const pooled of this.#pooled.values()) {
-      if (!this.#hasRoom(pooled) || !isCapable(pooled.runner, need)) continue;
-      const score = occupancyOf(pooled) + this.#options.random() / 1_000;
-      if (score >= bestScore) continue;
-      best = pooled;
-      bestScore = score;
+      const isInService = pooled.runner.backendServer.service === service;
+      if (isInService && this.#hasRoom(pooled, true)) return true;
+    }
+    return false;
+  }
+
+  /** Chooses a runner for a task, or undefined when the task should wait at the owner. */
+  choose(need: PlacementNeed): PlacementChoice | undefined {
+    const candidates = this.#candidates(need);
+    const { policy } = this.#options;
+    switch (policy.kind) {
+      case PlacementPolicyKind.SlotQuota:
+        return this.#chooseByQuota(candidates);
+      case PlacementPolicyKind.LeastLoaded:
+        return claimQuota(
+          this.#best(candidates, (pooled) => -occupancyOf(pooled)),
+        );
+      case PlacementPolicyKind.RoundRobin:
+        this.#lastTurn += 1;
+        return claimQuota(candidates[this.#lastTurn % candidates.length]);
+      case PlacementPolicyKind.Random: {
+        const index = Math.floor(this.#options.random() * candidates.length);
+        return claimQuota(candidates[index]);
+      }
     }
-    return best?.runner;
   }
 
   /** Counts a placement. */
@@ -116,16 +177,71 @@
     if (pooled !== undefined) pooled.inFlight += 1;
   }
 
-  /** Counts the end of a placement, with the load that the answer carried, if one came. */
-  release(process: ProcessIdentifier, load?: RunnerLoad): void {
+  /** Counts the end of a placement. */
+  release(process: ProcessIdentifier, end: PlacementEnd): void {
     const pooled = this.#pooled.get(process);
     if (pooled === undefined) return;
     pooled.inFlight = Math.max(0, pooled.inFlight - 1);
-    if (load === undefined) return;
+    switch (end) {
+      case PlacementEnd.Succeeded:
+        pooled.failures.succeed();
+        return;
+      case PlacementEnd.Failed:
+        pooled.failures.fail(this.#options.now());
+        return;
+      case PlacementEnd.Neutral:
+        return;
+    }
+  }
+
+  /** Takes the load that a runner told. */
+  noteLoad(process: ProcessIdentifier, load: RunnerLoad): void {
+    const pooled = this.#pooled.get(process);
+    if (pooled === undefined) return;
     const present = load.running + load.queued;
     pooled.others = Math.max(0, present - pooled.inFlight);
     pooled.isLeaving = load.isLeaving;
-    pooled.expectedWaitMilliseconds = load.expectedWaitMilliseconds;
+  }
+
+  #candidates(need: PlacementNeed): readonly Pooled[] {
+    const candidates: Pooled[] = [];
+    for (const pooled of this.#pooled.values()) {
+      if (!this.#hasRoom(pooled, need.isFirst)) continue;
+      if (isCapable(pooled.runner, need)) candidates.push(pooled);
+    }
+    return candidates;
+  }
+
+  #chooseByQuota(
+    candidates: readonly Pooled[],
+  ): PlacementChoice | undefined {
+    const isQuotaLeft = ({ inFlight, quota }: Pooled) => inFlight < quota;
+    const ready = candidates.filter((pooled) =>
+      isQuotaLeft(pooled) && freeSlotsOf(pooled) > 0
+    );
+    const own = this.#best(ready, freeSlotsOf);
+    if (own !== undefined) return claimQuota(own);
+    const foreign = candidates.filter((pooled) => !isQuotaLeft(pooled));
+    const borrowed = this.#best(foreign, freeSlotsOf);
+    if (borrowed !== undefined) {
+      return { runner: borrowed.runner, claim: SlotClaim.Borrowed };
+    }
+    return claimQuota(this.#best(candidates, freeSlotsOf));
+  }
+
+  #best(
+    candidates: readonly Pooled[],
+    score: (pooled: Pooled) => number,
+  ): Pooled | undefined {
+    let best: Pooled | undefined;
+    let bestScore = -Infinity;
+    for (const pooled of candidates) {
+      const pooledScore = score(pooled) + this.#options.random() / 1_000;
+      if (pooledScore <= bestScore) continue;
+      best = pooled;
+      bestScore = pooledScore;
+    }
+    return best;
   }
 
   #isOpen(pooled: Pooled): boolean {
@@ -133,18 +249,70 @@
       this.#options.isAvailable(pooled.runner.process);
   }
 
-  #hasRoom(pooled: Pooled): boolean {
-    const room = pooled.runner.backendServer.slots +
-      this.#options.waitingPerRunner;
-    return pooled.inFlight < room && this.#isOpen(pooled);
+  #hasRoom(pooled: Pooled, isFirst: boolean): boolean {
+    return this.#isWithinWindow(pooled, isFirst) && this.#isOpen(pooled) &&
+      this.#isHealthy(pooled);
+  }
+
+  #isWithinWindow(pooled: Pooled, isFirst: boolean): boolean {
+    const { policy } = this.#options;
+    switch (policy.kind) {
+      case PlacementPolicyKind.SlotQuota: {
+        const reserved = isFirst ? 0 : RESERVED_SLOTS;
+        return pooled.inFlight < pooled.quota ||
+          freeSlotsOf(pooled) > reserved;
+      }
+      case PlacementPolicyKind.LeastLoaded:
+        return pooled.inFlight <
+          pooled.runner.backendServer.slots + policy.waitingPerRunner;
+      case PlacementPolicyKind.RoundRobin:
+      case PlacementPolicyKind.Random:
+        return true;
+    }
+  }
+
+  #isHealthy(pooled: Pooled): boolean {
+    const { failures } = pooled;
+    switch (this.#options.policy.kind) {
+      case PlacementPolicyKind.SlotQuota:
+        if (!failures.isOutlier(this.#meanPeerRate(pooled))) return true;
+        return pooled.inFlight === 0 &&
+          failures.isTrialDue(this.#options.now());
+      case PlacementPolicyKind.LeastLoaded:
+      case PlacementPolicyKind.RoundRobin:
+      case PlacementPolicyKind.Random:
+        return true;
+    }
+  }
+
+  #meanPeerRate(pooled: Pooled): number {
+    if (pooled.failures.rate === 0 || this.#pooled.size < 2) return 0;
+    let sum = 0;
+    for (const peer of this.#pooled.values()) {
+      if (peer !== pooled) sum += peer.failures.rate;
+    }
+    return sum / (this.#pooled.size - 1);
   }
 }
 
+function claimQuota(pooled: Pooled | undefined): PlacementChoice | undefined {
+  return pooled === undefined
+    ? undefined
+    : { runner: pooled.runner, claim: SlotClaim.Quota };
+}
+
+function freeSlotsOf({ runner, inFlight, others }: Pooled): number {
+  return runner.backendServer.slots - inFlight - others;
+}
+
 function occupancyOf(pooled: Pooled): number {
   return (pooled.inFlight + pooled.others) / pooled.runner.backendServer.slots;
 }
 
-function isCapable(runner: KnownRunner, need: PlacementNeed): boolean {
+function isCapable(
+  runner: KnownRunner,
+  need: Omit<PlacementNeed, "isFirst">,
+): boolean {
   const offered = runner.backendServer;
   const needed = need.requirements;
   return offered.service === need.service && offered.slots > 0 &&
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -3,7 +3,13 @@
  * request it takes is idempotent: a placement that arrives again attaches to the first, and a refused
  * attempt stays refused, however late its copies come.
  */
-import { FairQueue } from "@eelgrassfront/fairness";
+import {
+  disciplineOf,
+  EQUAL_SHARES,
+  FairQueue,
+  QueueDisciplineKind,
+  type QueueTicket,
+} from "@eelgrassfront/fairness";
 import {
   assertInvariant,
   type AttemptIdentifier,
@@ -26,6 +32,7 @@
   type RunnerLoad,
   type ShardEpoch,
   type ShardNumber,
+  SlotClaim,
   type StartRecord,
   type StartTask,
   type TaskEnd,
@@ -51,16 +58,19 @@
   readonly maximumResultBytes: number;
   /** Tasks that may wait for a slot. */
   readonly maximumQueuedTasks: number;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 const INITIAL_RUN_MILLISECONDS: Milliseconds = 300;
 const RUN_TIME_SMOOTHING = 0.1;
+/** Slots that a borrower leaves free. */
+const RESERVED_SLOTS = 1;
 
 /** The runner of one backend server. */
 export class RunnerDecisions {
   readonly #options: RunnerDecisionsOptions;
   readonly #ledger: StartLedger;
-  readonly #queue = new FairQueue<TaskRecord>();
+  readonly #queue: FairQueue<TaskRecord>;
   readonly #running = new Map<AttemptIdentifier, TaskRecord>();
   readonly #fences = new Map<ShardNumber, Epoch>();
   #backendServer: BackendServerDescription | undefined;
@@ -70,6 +80,8 @@
   constructor(options: RunnerDecisionsOptions) {
     this.#options = options;
     this.#ledger = new StartLedger(options);
+    const kind = options.queueDiscipline ?? QueueDisciplineKind.WeightedShares;
+    this.#queue = new FairQueue(disciplineOf(kind, () => EQUAL_SHARES));
   }
 
   /** Whether nothing runs and nothing waits. */
@@ -276,9 +288,23 @@
     if (this.#queue.size >= this.#options.maximumQueuedTasks) {
       return TaskRefusalReason.QueueFull;
     }
+    if (!this.#isSlotFree(order)) return TaskRefusalReason.SlotTaken;
     return undefined;
   }
 
+  /** A borrower leaves one slot free, unless its submission has received no service yet. */
+  #isSlotFree(order: StartTask): boolean {
+    switch (order.slotClaim) {
+      case SlotClaim.Quota:
+        return true;
+      case SlotClaim.Borrowed: {
+        const slots = this.#backendServer?.slots ?? 0;
+        const free = slots - this.#running.size - this.#queue.size;
+        return free > (order.servedMilliseconds === 0 ? 0 : RESERVED_SLOTS);
+      }
+    }
+  }
+
   #enqueue(
     waiter: Waiter,
     attempt: AttemptIdentifier,
@@ -295,7 +321,7 @@
       waiters: [waiter],
     };
     this.#ledger.open(record);
-    this.#queue.add(order, record);
+    this.#queue.add({ ...ticketOf(order), arrivedAt: now }, record);
   }
 
   #startNext(): void {
@@ -425,7 +451,7 @@
     if (end.kind === TaskEndKind.Lost) return;
     const change = end.runMilliseconds - this.#meanRunMilliseconds;
     this.#meanRunMilliseconds += change * RUN_TIME_SMOOTHING;
-    this.#queue.charge(record.order.submission, end.runMilliseconds);
+    this.#queue.charge(record.order, end.runMilliseconds);
   }
 
   #reportGauges(): void {
@@ -443,3 +469,8 @@
     });
   }
 }
+
+function ticketOf(order: StartTask): Omit<QueueTicket, "arrivedAt"> {
+  const { submission, team, kindOfWork, servedMilliseconds } = order;
+  return { submission, team, kindOfWork, servedMilliseconds };
+}
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -28,7 +28,9 @@
   type ProcessOutput,
   Role,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { OwnerDecisions } from "@eelgrassfront/owner";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { RunnerDecisions } from "@eelgrassfront/runner";
 
 /** What a sidecar needs. */
@@ -45,6 +47,9 @@
   readonly maximumResultBytes: number;
   readonly maximumQueuedTasks: number;
   readonly waitingPerRunner: number;
+  /** Baselines to measure against choose another placement. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 enum LeavingPhase {
@@ -178,6 +183,7 @@
         const answer = this.#follower.heartbeats.answer(message, {
           isLeaving: this.#leaving !== LeavingPhase.No,
           granted: this.#owner.granted(),
+          load: this.#runner.load(),
         });
         this.#reply(input, answer);
         return;
@@ -188,9 +194,10 @@
   }
 
   #takeReply(input: PeerReplyArrived): void {
-    const { request, message } = input;
+    const { from, request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#changeFleet(this.#follower.handleAnswer(input, message));
+      if (message.load !== undefined) this.#owner.noteLoad(from, message.load);
       return;
     }
     if (request === this.#recordsRequest) {
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -3,6 +3,7 @@
  * Faults are injected from outside; runs with the same seed are the same.
  */
 import { EntryDecisions } from "@eelgrassfront/entry";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { DEFAULT_TIMING, type Timing } from "@eelgrassfront/membership";
 import {
   assertNever,
@@ -24,6 +25,7 @@
   Step,
   type Submission,
 } from "@eelgrassfront/model";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeLog } from "./fake_log.ts";
@@ -46,6 +48,9 @@
   readonly delayMilliseconds: Milliseconds;
   readonly timing?: Timing;
   readonly waitingPerRunner?: number;
+  /** Baselines to measure against choose another placement or queue. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
   /** Told of each output of each process, for golden files. */
   readonly onOutput?: (process: string, output: ProcessOutput) => void;
   /** Told of each event. */
@@ -124,6 +129,7 @@
       starts,
     });
     const decisions = new SidecarDecisions({
+      ...policyOf(this.#options),
       self: identifier,
       availabilityZone: zoneOf(index),
       address: identifier,
@@ -305,3 +311,12 @@
 function zoneOf(index: number): string {
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
+
+function policyOf(
+  { placementPolicy, queueDiscipline }: VirtualSystemOptions,
+): Pick<VirtualSystemOptions, "placementPolicy" | "queueDiscipline"> {
+  return {
+    ...(placementPolicy === undefined ? {} : { placementPolicy }),
+    ...(queueDiscipline === undefined ? {} : { queueDiscipline }),
+  };
+}
--- /dev/null
+++ b/measure/src/policy_bound.ts
@@ -0,0 +1,94 @@
+/**
+ * The bound of a policy: an omniscient scheduler with one fair queue over all slots and no delay, which
+ * serves the submission that has received least. It knows every run time when it charges a start.
+ */
+import { VirtualTime } from "@eelgrassfront/emulator";
+import { FairQueue, QueueDisciplineKind } from "@eelgrassfront/fairness";
+import { identifySubmission, type Milliseconds } from "@eelgrassfront/model";
+import type { Arrival } from "./policy_load.ts";
+import {
+  Ending,
+  PolicyStatistics,
+  type RunSummary,
+} from "./policy_statistics.ts";
+import type { PolicyRunOptions } from "./policy_run.ts";
+
+interface BoundJob {
+  readonly arrival: Arrival;
+  left: number;
+}
+
+interface BoundTask {
+  readonly job: BoundJob;
+  readonly runMilliseconds: Milliseconds;
+}
+
+/** Runs the load under the omniscient scheduler. */
+export function runBound(options: PolicyRunOptions): RunSummary {
+  const scheduler = new OmniscientScheduler(options);
+  return scheduler.run();
+}
+
+class OmniscientScheduler {
+  readonly #options: PolicyRunOptions;
+  readonly #time = new VirtualTime();
+  readonly #queue = new FairQueue<BoundTask>({
+    kind: QueueDisciplineKind.LeastServedSubmission,
+  });
+  readonly #statistics: PolicyStatistics;
+  #freeSlots: number;
+
+  constructor(options: PolicyRunOptions) {
+    this.#options = options;
+    this.#freeSlots = options.sidecars * options.slots;
+    this.#statistics = new PolicyStatistics(this.#freeSlots, options.window);
+  }
+
+  run(): RunSummary {
+    for (const arrival of this.#options.arrivals) {
+      this.#time.after(arrival.at, () => this.#submit(arrival));
+    }
+    this.#time.runUntil(this.#options.endsAt);
+    return this.#statistics.summarise("bound", this.#options.load);
+  }
+
+  #submit(arrival: Arrival): void {
+    this.#statistics.submit(arrival);
+    const job = { arrival, left: arrival.runMilliseconds.length };
+    const { submission } = arrival;
+    for (const runMilliseconds of arrival.runMilliseconds) {
+      this.#queue.add({
+        submission: identifySubmission(submission),
+        team: submission.team,
+        kindOfWork: submission.kindOfWork,
+        servedMilliseconds: 0,
+        arrivedAt: arrival.at,
+      }, { job, runMilliseconds });
+    }
+    this.#start();
+  }
+
+  #start(): void {
+    while (this.#freeSlots > 0) {
+      const task = this.#queue.take();
+      if (task === undefined) return;
+      const { submission } = task.job.arrival;
+      this.#freeSlots -= 1;
+      this.#queue.charge({
+        submission: identifySubmission(submission),
+        team: submission.team,
+        kindOfWork: submission.kindOfWork,
+      }, task.runMilliseconds);
+      this.#time.after(task.runMilliseconds, () => this.#end(task));
+    }
+  }
+
+  #end({ job }: BoundTask): void {
+    this.#freeSlots += 1;
+    job.left -= 1;
+    if (job.left === 0) {
+      this.#statistics.end(job.arrival, Ending.Completed, this.#time.now);
+    }
+    this.#start();
+  }
+}
