fix(sidecar): make leaving whole

Cause: a leaving owner offered its shards to a peer that was leaving too, waited for a claim that a log outage or the peer's own end kept from the log, and its last append was cut off by the exit. A local system ends entries, sidecars, backend servers and log in this order. Ruled out: granting again after an unanswered offer, since the claim may still take effect without the lease term that protects a takeover.

--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -37,6 +37,7 @@
   type ProcessInput,
   type ProcessOutput,
   RejectionReason,
+  RemovalReason,
   type RequestIdentifier,
   RetryReason,
   Role,
@@ -91,6 +92,7 @@
   readonly #byRequest = new Map<RequestIdentifier, Pending>();
   readonly #grantedEpochs = new Map<ShardNumber, Epoch>();
   #isLeaving = false;
+  #isDeparting = false;
   #isStopped = false;
   #isReady = false;
   #nextScanAt: Milliseconds | undefined;
@@ -285,6 +287,7 @@
       case PeerReplyKind.EvidenceGiven:
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
+      case PeerReplyKind.HandOverRefused:
       case PeerReplyKind.HeartbeatAnswered:
         this.#relayLater(pending, RetryReason.OwnerLost);
         return;
@@ -410,8 +413,10 @@
 
   #stopIfDone(): void {
     if (!this.#isLeaving || this.#isStopped || this.#pending.size > 0) return;
+    if (!this.#isDeparting) this.#follower.leave(RemovalReason.Left);
+    this.#isDeparting = true;
+    if (!this.#follower.hasLeft) return;
     this.#isStopped = true;
-    this.#follower.leave();
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -35,6 +35,14 @@
 
 /** Time after which an append that did not show in the log is made again. */
 const APPEND_RETRY_MILLISECONDS: Milliseconds = 1_000;
+/** Time in which the log must show that this process left. */
+const DEPARTURE_PATIENCE_MILLISECONDS: Milliseconds = 2_000;
+
+interface Departure {
+  readonly reason: RemovalReason;
+  readonly startedAt: Milliseconds;
+  appendedAt: Milliseconds;
+}
 
 /** The fleet as one process follows it. */
 export class FleetFollower {
@@ -43,6 +51,7 @@
   readonly #options: FleetFollowerOptions;
   #announcement: MemberJoined | undefined;
   #announcedAt: Milliseconds | undefined;
+  #departure: Departure | undefined;
   #isLogAvailable = true;
   #removalsAskedAt = new Map<ProcessIdentifier, Milliseconds>();
 
@@ -73,10 +82,25 @@
     this.#announcedAt = undefined;
   }
 
-  /** Takes the process out of the fleet. */
-  leave(): void {
+  /** Whether the log answered when it was last asked. */
+  get isLogAvailable(): boolean {
+    return this.#isLogAvailable;
+  }
+
+  /** Takes the process out of the fleet; the log shows it a little later. */
+  leave(reason: RemovalReason): void {
     this.#announcement = undefined;
-    this.#appendRemoval(this.#options.self, RemovalReason.Left);
+    const { now } = this.#options.collector;
+    this.#departure = { reason, startedAt: now, appendedAt: -Infinity };
+    this.#removeSelf();
+  }
+
+  /** Whether the log shows that this process left, or cannot show it in time. */
+  get hasLeft(): boolean {
+    if (this.#departure === undefined) return false;
+    const elapsed = this.#options.collector.now - this.#departure.startedAt;
+    return !this.isMember || !this.#isLogAvailable ||
+      elapsed >= DEPARTURE_PATIENCE_MILLISECONDS;
   }
 
   /** When the follower next has something to do. */
@@ -88,6 +112,7 @@
   tick(): void {
     this.heartbeats.tick();
     this.#announceIfDue();
+    this.#removeSelf();
     this.#removeSilentMembers();
   }
 
@@ -211,6 +236,15 @@
     });
   }
 
+  #removeSelf(): void {
+    const departure = this.#departure;
+    if (departure === undefined || !this.isMember) return;
+    const { now } = this.#options.collector;
+    if (now - departure.appendedAt < APPEND_RETRY_MILLISECONDS) return;
+    departure.appendedAt = now;
+    this.#appendRemoval(this.#options.self, departure.reason);
+  }
+
   #removeSilentMembers(): void {
     if (!this.#isRemover()) return;
     const { timing } = this.#options;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -18,6 +18,7 @@
   ShardsLost = 2103,
   EvidenceMissing = 2104,
   ProcessIsolated = 2105,
+  HandOverGivenUp = 2106,
   ConfigurationAccepted = 2201,
   ConfigurationRejected = 2202,
   ConfigurationLearntFromPeer = 2203,
--- a/domain/model/src/log_record.ts
+++ b/domain/model/src/log_record.ts
@@ -47,7 +47,10 @@
 
 /** Why a member was removed. */
 export enum RemovalReason {
+  /** The process left, and another runner keeps its start records. */
   Left = "left",
+  /** The process left, and nobody keeps its start records. */
+  LeftWithoutRecords = "left-without-records",
   Unreachable = "unreachable",
   Replaced = "replaced",
 }
--- a/domain/model/src/outcome.ts
+++ b/domain/model/src/outcome.ts
@@ -22,6 +22,7 @@
   DeadlineExceeded = "deadline-exceeded",
   Cancelled = "cancelled",
   RetriesExhausted = "retries-exhausted",
+  OwnerLeaving = "owner-leaving",
 }
 
 /** Why a job was refused without starting any task. */
--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -172,6 +172,7 @@
   EvidenceGiven = "evidence-given",
   ShardsTaken = "shards-taken",
   RecordsTaken = "records-taken",
+  HandOverRefused = "hand-over-refused",
   HeartbeatAnswered = "heartbeat-answered",
   /** The request was meant for an earlier or later run of this process. */
   OtherIncarnation = "other-incarnation",
@@ -250,6 +251,11 @@
   readonly kind: PeerReplyKind.RecordsTaken;
 }
 
+/** The receiver is leaving too, or cannot claim; it took nothing. */
+export interface HandOverRefused {
+  readonly kind: PeerReplyKind.HandOverRefused;
+}
+
 /** Answer to a heartbeat. */
 export interface HeartbeatAnswered {
   readonly kind: PeerReplyKind.HeartbeatAnswered;
@@ -279,5 +285,6 @@
   | EvidenceGiven
   | ShardsTaken
   | RecordsTaken
+  | HandOverRefused
   | HeartbeatAnswered
   | OtherIncarnation;
--- a/domain/owner/src/job.ts
+++ b/domain/owner/src/job.ts
@@ -103,6 +103,8 @@
     failure: FailureReason.Cancelled,
     notRun: NotRunReason.Cancelled,
   };
+  /** Outcome that is decided and waits until the owner may answer. */
+  heldOutcome: JobOutcome | undefined;
   /** Run time that the tasks have received. */
   servedMilliseconds: Milliseconds = 0;
   readonly #tasks: TaskState[];
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -32,7 +32,6 @@
   OutputKind,
   type PeerReply,
   PeerReplyKind,
-  PeerRequestKind,
   type ProcessIdentifier,
   type QueryJob,
   type RequestIdentifier,
@@ -58,6 +57,7 @@
 } from "./evidence_book.ts";
 import { Job, JobPhase, type JobWaiter, TaskPhase } from "./job.ts";
 import { ShardGrants, ShardStanding } from "./shard_grants.ts";
+import { ShardHandOver } from "./shard_hand_over.ts";
 import { TaskDispatcher } from "./task_dispatcher.ts";
 
 /** What an owner needs. */
@@ -102,7 +102,7 @@
     [],
     (left, right) => left.at - right.at,
   );
-  readonly #handOvers = new Set<RequestIdentifier>();
+  readonly #handOver: ShardHandOver;
   #isLeaving = false;
 
   constructor(options: OwnerDecisionsOptions) {
@@ -118,6 +118,18 @@
       evidence: this.#evidence,
       onGranted: (shard) => this.#decideHeld(shard),
     });
+    this.#handOver = new ShardHandOver({
+      ...options,
+      grants: this.#grants,
+      answersOf: (shards) =>
+        this.#answers.answersWhere((submission) =>
+          shards.has(shardOf(submission, options.shardCount))
+        ),
+      onGivenUp: (shard) => {
+        this.#grants.giveUp(shard);
+        this.#loseShard(shard);
+      },
+    });
     this.#dispatcher = new TaskDispatcher({
       self,
       collector,
@@ -137,12 +149,12 @@
     return this.#grants.granted();
   }
 
-  /** Whether this owner owns nothing and answers for no job. */
+  /** Whether this owner answers for no job and hands nothing over any more. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
       phase !== JobPhase.Answered
     );
-    return this.#grants.size === 0 && !isAnyActive && this.#held.size === 0;
+    return this.#handOver.isSettled && !isAnyActive && this.#held.size === 0;
   }
 
   /** When the owner next has something to do. */
@@ -158,6 +170,9 @@
   tick(): void {
     const { now } = this.#options.collector;
     this.#grants.tick();
+    this.#handOver.tick();
+    this.#answerHeldOutcomes();
+    if (this.#isLeaving) this.#refuseUnplaceable();
     while ((this.#timers.peek()?.at ?? Infinity) <= now) {
       const timer = this.#timers.pop();
       if (timer !== undefined) this.#expire(timer.job);
@@ -176,7 +191,7 @@
         this.#addRunner(change.member);
         return;
       case FleetChangeKind.MemberDeparted:
-        this.#grants.noteMembershipChange();
+        this.#grants.noteDeparture(change.departed);
         this.#dispatcher.loseRunner(change.departed.member.joined.process);
         return;
       case FleetChangeKind.OwnershipChanged: {
@@ -238,22 +253,26 @@
 
   /** Takes the shards of a leaving owner. */
   takeOver(waiter: RequestFrom, message: HandOverShards): void {
-    const { now } = this.#options.collector;
+    const { collector: { now }, follower } = this.#options;
+    if (this.#isLeaving || !follower.isLogAvailable) {
+      this.#reply(waiter, { kind: PeerReplyKind.HandOverRefused });
+      return;
+    }
     for (const answer of message.answers) this.#answers.keep(now, answer);
     this.#grants.claimHandedOver(message.shards);
     this.#reply(waiter, { kind: PeerReplyKind.ShardsTaken });
   }
 
-  /** Stops claiming and hands the shards to a successor. */
+  /** Stops claiming and hands the shards to successors. */
   leave(): void {
     this.#isLeaving = true;
     this.#grants.leave();
-    this.#handOver();
+    this.#handOver.begin();
   }
 
   /** Takes a reply; false when it answers no request of this owner. */
   takeReply(request: RequestIdentifier, reply: PeerReply): boolean {
-    if (this.#handOvers.delete(request)) return true;
+    if (this.#handOver.takeReply(request, reply)) return true;
     if (reply.kind === PeerReplyKind.EvidenceGiven) {
       return this.#grants.takeEvidence(request, reply);
     }
@@ -264,11 +283,8 @@
 
   /** Takes the loss of a request; false when it was none of this owner. */
   loseRequest(request: RequestIdentifier): boolean {
-    if (this.#handOvers.delete(request)) {
-      this.#handOver();
-      return true;
-    }
-    return this.#grants.loseQuestion(request) ||
+    return this.#handOver.loseRequest(request) ||
+      this.#grants.loseQuestion(request) ||
       this.#dispatcher.lose(request);
   }
 
@@ -279,6 +295,21 @@
     this.#dispatcher.dispatch();
   }
 
+  /** Ends the jobs that no runner can take any more while this owner leaves. */
+  #refuseUnplaceable(): void {
+    if (this.#dispatcher.pool.availableSlots() > 0) return;
+    for (const job of [...this.#jobs.values()]) {
+      const isWaiting = job.phase === JobPhase.Active &&
+        job.tasks.some((task) => task.phase === TaskPhase.Waiting);
+      if (!isWaiting || !this.#isGranted(job.options.shard)) continue;
+      this.#withdraw(
+        job,
+        FailureReason.OwnerLeaving,
+        NotRunReason.OwnerLeaving,
+      );
+    }
+  }
+
   #isGranted(shard: ShardNumber): boolean {
     return this.#grants.standingOf(shard) === ShardStanding.Granted;
   }
@@ -639,6 +670,11 @@
       Invariant.AnswerReachesItsRequest,
       () => `${job.identifier} was answered before`,
     );
+    if (this.#grants.isStopped(job.options.shard)) {
+      // A successor may own the shard by now; it answers, or this owner does once it grants again.
+      job.heldOutcome ??= outcome;
+      return;
+    }
     assertNotRunIsTrue(job, outcome);
     job.phase = JobPhase.Answered;
     this.#jobs.delete(job.identifier);
@@ -650,6 +686,16 @@
     }
   }
 
+  #answerHeldOutcomes(): void {
+    for (const job of [...this.#jobs.values()]) {
+      const outcome = job.heldOutcome;
+      if (outcome === undefined) continue;
+      if (this.#grants.isStopped(job.options.shard)) continue;
+      job.heldOutcome = undefined;
+      this.#answer(job, outcome);
+    }
+  }
+
   #keepAnswer(job: Job, outcome: JobOutcome): void {
     const { now } = this.#options.collector;
     if (outcome.kind === JobOutcomeKind.NotRun) {
@@ -721,31 +767,6 @@
     }
   }
 
-  #handOver(): void {
-    const { follower, self, collector } = this.#options;
-    const shards = this.#grants.owned();
-    const successor = follower.view.sidecars().find(({ joined }) =>
-      joined.process !== self &&
-      follower.heartbeats.isReachable(joined.process) &&
-      !follower.heartbeats.isLeaving(joined.process)
-    );
-    if (shards.length === 0 || successor === undefined) return;
-    this.#grants.stopGranting();
-    const request = collector.nextRequest();
-    this.#handOvers.add(request);
-    collector.add({
-      kind: OutputKind.SendRequest,
-      request,
-      peer: successor.joined.process,
-      address: successor.joined.address,
-      message: {
-        kind: PeerRequestKind.HandOverShards,
-        shards,
-        answers: this.#answers.answersWhere(() => true),
-      },
-    });
-  }
-
   #standingOf(submission: SubmissionIdentifier): PeerReply {
     const job = this.#jobs.get(submission);
     if (job !== undefined) {
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -22,7 +22,11 @@
   type ShardEpoch,
   type ShardNumber,
 } from "@eelgrassfront/model";
-import type { FleetFollower, Timing } from "@eelgrassfront/membership";
+import type {
+  DepartedMember,
+  FleetFollower,
+  Timing,
+} from "@eelgrassfront/membership";
 import {
   ownerCandidates,
   type Ownership,
@@ -119,7 +123,7 @@
   #membershipChangedAt: Milliseconds = 0;
   #claimedAt: Milliseconds = -Infinity;
   #isLeaving = false;
-  #isGrantingStopped = false;
+  readonly #stopped = new Set<ShardNumber>();
 
   constructor(options: ShardGrantsOptions) {
     this.#options = options;
@@ -135,7 +139,7 @@
     const grant = this.#byShard.get(shard);
     if (grant === undefined) return ShardStanding.NotOwned;
     const isGranted = grant.state.phase === GrantPhase.Granted &&
-      !this.#isGrantingStopped;
+      !this.#stopped.has(shard);
     return isGranted && this.#options.follower.heartbeats.isFresh()
       ? ShardStanding.Granted
       : ShardStanding.Pending;
@@ -178,9 +182,37 @@
     this.#isLeaving = true;
   }
 
-  /** Grants nothing any more: a successor is asked to claim the shards. */
-  stopGranting(): void {
-    this.#isGrantingStopped = true;
+  /** Grants a shard no more: a successor is asked to claim it. */
+  stopGranting(shard: ShardNumber): void {
+    this.#stopped.add(shard);
+  }
+
+  /** Grants a shard again: no successor can have claimed it. */
+  resumeGranting(shard: ShardNumber): void {
+    this.#stopped.delete(shard);
+  }
+
+  /** Whether the granting of a shard is stopped. */
+  isStopped(shard: ShardNumber): boolean {
+    return this.#stopped.has(shard);
+  }
+
+  /** Leaves a shard to whoever takes it over. */
+  giveUp(shard: ShardNumber): void {
+    this.#drop(shard);
+  }
+
+  /** Asks every runner again when one left that had not answered: another keeps its records now. */
+  noteDeparture({ member, reason }: DepartedMember): void {
+    this.noteMembershipChange();
+    if (reason !== RemovalReason.Left) return;
+    for (const grant of this.#grants.values()) {
+      if (!grant.missing.delete(member.joined.process)) continue;
+      for (const { joined } of this.#options.follower.view.sidecars()) {
+        grant.missing.add(joined.process);
+      }
+      grant.nextAskAt = 0;
+    }
   }
 
   /**
@@ -247,6 +279,7 @@
     const grant = this.#byShard.get(shard);
     if (grant === undefined) return false;
     this.#byShard.delete(shard);
+    this.#stopped.delete(shard);
     grant.shards.delete(shard);
     if (grant.shards.size === 0) this.#grants.delete(grant.epoch);
     this.#options.evidence.forgetShard(shard);
--- /dev/null
+++ b/domain/owner/src/shard_hand_over.ts
@@ -0,0 +1,220 @@
+/**
+ * Hands the shards of a leaving owner to successors that are not leaving. The owner stops granting a
+ * shard before it offers it, and grants it again only when every offer was refused: a successor whose
+ * answer was lost may have claimed. Where the claim does not show in time, as during an outage of the
+ * log, the owner gives the shard up and leaves it to a takeover.
+ */
+import type { FleetFollower } from "@eelgrassfront/membership";
+import {
+  EventNumber,
+  type KeptAnswer,
+  type Milliseconds,
+  type OutputCollector,
+  OutputKind,
+  type PeerReply,
+  PeerReplyKind,
+  PeerRequestKind,
+  type ProcessIdentifier,
+  type RequestIdentifier,
+  Severity,
+  type ShardEpoch,
+  type ShardNumber,
+} from "@eelgrassfront/model";
+import { ownerCandidates, preferredOwner } from "@eelgrassfront/ownership";
+import type { ShardGrants } from "./shard_grants.ts";
+
+/** What a hand-over needs. */
+export interface ShardHandOverOptions {
+  readonly self: ProcessIdentifier;
+  readonly collector: OutputCollector;
+  readonly follower: FleetFollower;
+  readonly ownerCount: number;
+  readonly grants: ShardGrants;
+  /** The kept answers of some shards. */
+  readonly answersOf: (
+    shards: ReadonlySet<ShardNumber>,
+  ) => readonly KeptAnswer[];
+  /** Told when a shard is left to a takeover. */
+  readonly onGivenUp: (shard: ShardNumber) => void;
+}
+
+interface Offer {
+  readonly successor: ProcessIdentifier;
+  readonly shards: readonly ShardNumber[];
+}
+
+interface OfferedShard {
+  readonly startedAt: Milliseconds;
+  offeredAt: Milliseconds;
+  /** Offers that may have led to a claim. */
+  readonly undecided: Set<RequestIdentifier>;
+}
+
+const OFFER_RETRY_MILLISECONDS: Milliseconds = 1_000;
+/** Time in which the claim of a successor must show in the log. */
+const CLAIM_PATIENCE_MILLISECONDS: Milliseconds = 3_000;
+
+/** The shards on their way to successors. */
+export class ShardHandOver {
+  readonly #options: ShardHandOverOptions;
+  readonly #offers = new Map<RequestIdentifier, Offer>();
+  readonly #offered = new Map<ShardNumber, OfferedShard>();
+  readonly #refusedBy = new Set<ProcessIdentifier>();
+  #isBegun = false;
+
+  constructor(options: ShardHandOverOptions) {
+    this.#options = options;
+  }
+
+  /** Whether no shard is on its way. */
+  get isSettled(): boolean {
+    return this.#offered.size === 0;
+  }
+
+  /** Begins to hand over every shard, also those that are yet to come. */
+  begin(): void {
+    this.#isBegun = true;
+  }
+
+  /** Offers what is due and gives up what took too long. */
+  tick(): void {
+    if (!this.#isBegun) return;
+    this.#forgetClaimed();
+    this.#giveUpLate();
+    const due = this.#due();
+    if (due.length === 0) return;
+    const successors = this.#successors();
+    if (successors.length === 0) this.#keep(due);
+    else if (this.#options.follower.isLogAvailable) {
+      this.#offerAll(due, successors);
+    }
+  }
+
+  /** Takes the answer to an offer; false when it answers none. */
+  takeReply(request: RequestIdentifier, reply: PeerReply): boolean {
+    const offer = this.#offers.get(request);
+    if (offer === undefined) return false;
+    this.#offers.delete(request);
+    if (reply.kind === PeerReplyKind.ShardsTaken) return true;
+    this.#refusedBy.add(offer.successor);
+    for (const shard of offer.shards) this.#offerAgain(shard, request);
+    return true;
+  }
+
+  /** Notes that an offer will not be answered; false when it was none. */
+  loseRequest(request: RequestIdentifier): boolean {
+    return this.#offers.delete(request);
+  }
+
+  #offerAgain(shard: ShardNumber, refused: RequestIdentifier): void {
+    const offered = this.#offered.get(shard);
+    if (offered === undefined) return;
+    offered.undecided.delete(refused);
+    offered.offeredAt = -Infinity;
+  }
+
+  #forgetClaimed(): void {
+    for (const shard of this.#offered.keys()) {
+      if (this.#options.grants.epochOf(shard) !== undefined) continue;
+      this.#offered.delete(shard);
+    }
+  }
+
+  #giveUpLate(): void {
+    const { collector, onGivenUp } = this.#options;
+    const late = [...this.#offered].filter(([, { startedAt }]) =>
+      collector.now - startedAt >= CLAIM_PATIENCE_MILLISECONDS
+    );
+    if (late.length === 0) return;
+    collector.record(
+      EventNumber.HandOverGivenUp,
+      "no successor's claim showed in the log; the shards are left to a takeover",
+      { severity: Severity.Warning, context: { shards: late.length } },
+    );
+    for (const [shard] of late) {
+      this.#offered.delete(shard);
+      onGivenUp(shard);
+    }
+  }
+
+  #due(): readonly ShardEpoch[] {
+    const { collector, grants } = this.#options;
+    return grants.owned().filter(({ shard }) => {
+      const offeredAt = this.#offered.get(shard)?.offeredAt ?? -Infinity;
+      return collector.now - offeredAt >= OFFER_RETRY_MILLISECONDS;
+    });
+  }
+
+  #successors(): readonly ProcessIdentifier[] {
+    const { follower, self, ownerCount } = this.#options;
+    const willing = follower.view.sidecars()
+      .map(({ joined }) => joined.process)
+      .filter((process) =>
+        process !== self && !this.#refusedBy.has(process) &&
+        follower.heartbeats.isReachable(process) &&
+        !follower.heartbeats.isLeaving(process)
+      );
+    return ownerCandidates(willing, ownerCount);
+  }
+
+  /** Grants again what nobody can have claimed. */
+  #keep(shards: readonly ShardEpoch[]): void {
+    for (const { shard } of shards) {
+      const offered = this.#offered.get(shard);
+      if (offered === undefined || offered.undecided.size > 0) continue;
+      this.#offered.delete(shard);
+      this.#options.grants.resumeGranting(shard);
+    }
+  }
+
+  #offerAll(
+    shards: readonly ShardEpoch[],
+    successors: readonly ProcessIdentifier[],
+  ): void {
+    const bySuccessor = new Map<ProcessIdentifier, ShardEpoch[]>();
+    for (const shardEpoch of shards) {
+      const successor = preferredOwner(shardEpoch.shard, successors);
+      if (successor === undefined) continue;
+      const group = bySuccessor.get(successor) ?? [];
+      group.push(shardEpoch);
+      bySuccessor.set(successor, group);
+    }
+    for (const [successor, group] of bySuccessor) {
+      this.#offer(successor, group);
+    }
+  }
+
+  #offer(successor: ProcessIdentifier, shards: readonly ShardEpoch[]): void {
+    const { collector, follower, answersOf } = this.#options;
+    const member = follower.view.find(successor);
+    if (member === undefined) return;
+    const request = collector.nextRequest();
+    const numbers = shards.map(({ shard }) => shard);
+    this.#offers.set(request, { successor, shards: numbers });
+    for (const shard of numbers) this.#noteOffer(shard, request);
+    collector.add({
+      kind: OutputKind.SendRequest,
+      request,
+      peer: successor,
+      address: member.joined.address,
+      message: {
+        kind: PeerRequestKind.HandOverShards,
+        shards,
+        answers: answersOf(new Set(numbers)),
+      },
+    });
+  }
+
+  #noteOffer(shard: ShardNumber, request: RequestIdentifier): void {
+    const { collector, grants } = this.#options;
+    grants.stopGranting(shard);
+    const offered = this.#offered.get(shard) ?? {
+      startedAt: collector.now,
+      offeredAt: collector.now,
+      undecided: new Set<RequestIdentifier>(),
+    };
+    offered.offeredAt = collector.now;
+    offered.undecided.add(request);
+    this.#offered.set(shard, offered);
+  }
+}
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -304,6 +304,7 @@
       case PeerReplyKind.EvidenceGiven:
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
+      case PeerReplyKind.HandOverRefused:
       case PeerReplyKind.HeartbeatAnswered:
         if (!isCancellation) this.#resend(reference);
         return;
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -12,6 +12,7 @@
   type BackendServerInput,
   type Decisions,
   EventNumber,
+  type HandOverRecords,
   InputKind,
   LogRecordKind,
   type Milliseconds,
@@ -26,10 +27,12 @@
   type ProcessIdentifier,
   type ProcessInput,
   type ProcessOutput,
+  RemovalReason,
   Role,
 } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 import { RunnerDecisions } from "@eelgrassfront/runner";
+import { RecordHandOver, RecordHandOverPhase } from "./record_hand_over.ts";
 
 /** What a sidecar needs. */
 export interface SidecarDecisionsOptions {
@@ -49,8 +52,12 @@
 
 enum LeavingPhase {
   No = "no",
-  /** Handing over shards and records, and finishing what runs. */
-  HandingOver = "handing-over",
+  /** Handing over shards, and finishing what runs. */
+  Finishing = "finishing",
+  /** Handing over the start records. */
+  HandingOverRecords = "handing-over-records",
+  /** Waiting until the log shows that the process left. */
+  Departing = "departing",
   Stopped = "stopped",
 }
 
@@ -62,14 +69,18 @@
   readonly #owner: OwnerDecisions;
   readonly #runner: RunnerDecisions;
   #leaving: LeavingPhase = LeavingPhase.No;
-  #recordsRequest: number | undefined;
-  #areRecordsTaken = false;
+  readonly #recordHandOver: RecordHandOver;
   #isReady = false;
 
   constructor(options: SidecarDecisionsOptions) {
     this.#options = options;
     const collector = this.#collector;
     this.#follower = new FleetFollower({ ...options, collector });
+    this.#recordHandOver = new RecordHandOver({
+      ...options,
+      collector,
+      follower: this.#follower,
+    });
     this.#owner = new OwnerDecisions({
       ...options,
       collector,
@@ -140,7 +151,7 @@
     this.#owner.tick();
     this.#runner.tick();
     this.#reportReadiness();
-    this.#stopIfDone();
+    this.#leaveFurther();
   }
 
   #takeRequest(input: PeerRequestArrived): void {
@@ -171,8 +182,7 @@
         this.#owner.takeOver(waiter, message);
         return;
       case PeerRequestKind.HandOverRecords:
-        this.#runner.adopt(message);
-        this.#reply(input, { kind: PeerReplyKind.RecordsTaken });
+        this.#reply(input, this.#adopt(message));
         return;
       case PeerRequestKind.Heartbeat: {
         const answer = this.#follower.heartbeats.answer(message, {
@@ -192,19 +202,12 @@
       this.#changeFleet(this.#follower.handleAnswer(request, message));
       return;
     }
-    if (request === this.#recordsRequest) {
-      this.#areRecordsTaken = message.kind === PeerReplyKind.RecordsTaken;
-      this.#recordsRequest = undefined;
-      return;
-    }
+    if (this.#recordHandOver.takeReply(request, message)) return;
     this.#owner.takeReply(request, message);
   }
 
   #loseRequest({ request }: PeerRequestLost): void {
-    if (request === this.#recordsRequest) {
-      this.#recordsRequest = undefined;
-      return;
-    }
+    if (this.#recordHandOver.loseRequest(request)) return;
     if (this.#follower.heartbeats.lose(request)) return;
     this.#owner.loseRequest(request);
   }
@@ -255,42 +258,69 @@
 
   #leave(): void {
     if (this.#leaving !== LeavingPhase.No) return;
-    this.#leaving = LeavingPhase.HandingOver;
+    this.#leaving = LeavingPhase.Finishing;
     this.#collector.record(EventNumber.ProcessLeaving, "leaves the fleet");
     this.#runner.leave();
     this.#owner.leave();
   }
 
-  #stopIfDone(): void {
-    if (this.#leaving !== LeavingPhase.HandingOver) return;
-    if (!this.#runner.isIdle || !this.#owner.isIdle) return;
-    if (!this.#areRecordsTaken && this.#handOverRecords()) return;
-    this.#leaving = LeavingPhase.Stopped;
-    this.#follower.leave();
-    this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
+  #adopt(message: HandOverRecords): PeerReply {
+    if (this.#leaving !== LeavingPhase.No) {
+      return { kind: PeerReplyKind.HandOverRefused };
+    }
+    this.#runner.adopt(message);
+    return { kind: PeerReplyKind.RecordsTaken };
   }
 
-  /** Hands the start records to another runner; false when there is none to take them. */
-  #handOverRecords(): boolean {
-    if (this.#recordsRequest !== undefined) return true;
-    const successor = this.#follower.view.sidecars().find(({ joined }) =>
-      joined.process !== this.#options.self &&
-      this.#follower.heartbeats.isReachable(joined.process) &&
-      !this.#follower.heartbeats.isLeaving(joined.process)
-    );
-    if (successor === undefined) return false;
-    this.#recordsRequest = this.#collector.nextRequest();
-    this.#collector.add({
-      kind: OutputKind.SendRequest,
-      request: this.#recordsRequest,
-      peer: successor.joined.process,
-      address: successor.joined.address,
-      message: {
-        kind: PeerRequestKind.HandOverRecords,
-        records: this.#runner.allStarts(),
-      },
-    });
-    return true;
+  #leaveFurther(): void {
+    switch (this.#leaving) {
+      case LeavingPhase.No:
+      case LeavingPhase.Stopped:
+        return;
+      case LeavingPhase.Finishing:
+        if (!this.#runner.isIdle || !this.#owner.isIdle) return;
+        this.#leaving = LeavingPhase.HandingOverRecords;
+        this.#recordHandOver.begin(this.#runner.allStarts());
+        this.#handOverRecords();
+        return;
+      case LeavingPhase.HandingOverRecords:
+        this.#handOverRecords();
+        return;
+      case LeavingPhase.Departing:
+        this.#stopIfDeparted();
+        return;
+      default:
+        assertNever(this.#leaving);
+    }
+  }
+
+  #handOverRecords(): void {
+    this.#recordHandOver.tick();
+    switch (this.#recordHandOver.phase) {
+      case RecordHandOverPhase.Waiting:
+      case RecordHandOverPhase.Sending:
+        return;
+      case RecordHandOverPhase.Taken:
+        this.#depart(RemovalReason.Left);
+        return;
+      case RecordHandOverPhase.GivenUp:
+        this.#depart(RemovalReason.LeftWithoutRecords);
+        return;
+      default:
+        assertNever(this.#recordHandOver.phase);
+    }
+  }
+
+  #depart(reason: RemovalReason): void {
+    this.#leaving = LeavingPhase.Departing;
+    this.#follower.leave(reason);
+    this.#stopIfDeparted();
+  }
+
+  #stopIfDeparted(): void {
+    if (!this.#follower.hasLeft) return;
+    this.#leaving = LeavingPhase.Stopped;
+    this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
   #reportReadiness(): void {
--- /dev/null
+++ b/emulator/src/drain_test.ts
@@ -0,0 +1,266 @@
+/**
+ * Leaving in virtual time: no new work, nothing cut off, and an end whatever the others and the log do.
+ */
+import { test } from "node:test";
+import {
+  type CallerAnswer,
+  CallerAnswerKind,
+  InputKind,
+  type JobOutcome,
+  JobOutcomeKind,
+  LogRecordKind,
+  type Milliseconds,
+  OutputKind,
+  RemovalReason,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { SAMPLE_CONFIGURATION, sampleSubmission } from "./sample_work.ts";
+import { ProcessState, type VirtualProcess } from "./virtual_process.ts";
+import { VirtualSystem } from "./virtual_system.ts";
+
+const READY_MILLISECONDS: Milliseconds = 3_000;
+const NO_NEW_WORK_MILLISECONDS: Milliseconds = 1_000;
+const RUN_MILLISECONDS: Milliseconds = 400;
+const JOBS = 24;
+
+test("a drained owner hands over and cuts nothing off", () => {
+  const trial = new Trial(1);
+  trial.submitJobs(JOBS);
+  trial.advance(100);
+  const owner = trial.owner();
+  trial.drain([owner]);
+  trial.advance(10_000);
+  expect(owner.state).toEqual(ProcessState.Ended);
+  expect(trial.outcomesOf(JobOutcomeKind.Completed)).toEqual(JOBS);
+  expect(trial.system.starts.repeated()).toEqual([]);
+  expect(trial.removalReasons()).toEqual([RemovalReason.Left]);
+});
+
+test("a drained process starts nothing after one second, whoever it is", () => {
+  const trial = new Trial(2);
+  trial.submitJobs(JOBS);
+  trial.advance(50);
+  const drained = trial.system.sidecars.slice(0, 2).map(({ process }) =>
+    process
+  );
+  const drainedAt = trial.system.time.now;
+  trial.drain(drained);
+  for (let round = 0; round < 10; round += 1) {
+    trial.submitJobs(JOBS);
+    trial.advance(500);
+  }
+  trial.advance(10_000);
+  const late = trial.starts.filter(({ process, at }) =>
+    drained.some(({ identifier }) => identifier === process) &&
+    at > drainedAt + NO_NEW_WORK_MILLISECONDS
+  );
+  expect(late).toEqual([]);
+  expect(trial.answers.length).toEqual(JOBS * 11);
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+test("processes that all leave at once all end, and say truly what ran", () => {
+  const trial = new Trial(3);
+  trial.submitJobs(JOBS);
+  trial.advance(100);
+  const all = trial.system.sidecars.map(({ process }) => process);
+  trial.drain(all);
+  trial.advance(6_000);
+  expect(all.map(({ state }) => state)).toEqual(
+    all.map(() => ProcessState.Ended),
+  );
+  trial.advance(60_000);
+  expect(trial.answers.length).toEqual(JOBS);
+  trial.expectNotRunIsTrue();
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+test("without a successor a process finishes its own jobs and goes", () => {
+  const trial = new Trial(4, 2);
+  trial.submitJobs(4);
+  trial.advance(50);
+  const [first, second] = trial.system.sidecars.map(({ process }) => process);
+  trial.drain([first, second].filter((process) => process !== undefined));
+  trial.advance(6_000);
+  expect(first?.state).toEqual(ProcessState.Ended);
+  expect(second?.state).toEqual(ProcessState.Ended);
+  expect(trial.outcomesOf(JobOutcomeKind.Completed)).toEqual(4);
+});
+
+test("an outage of the log does not keep a process from leaving", () => {
+  const trial = new Trial(5);
+  trial.submitJobs(JOBS);
+  trial.advance(100);
+  trial.system.log.isAway = true;
+  trial.advance(1_000);
+  trial.submitJobs(JOBS);
+  trial.advance(50);
+  const owner = trial.owner();
+  trial.drain([owner]);
+  trial.advance(6_000);
+  expect(owner.state).toEqual(ProcessState.Ended);
+  trial.system.log.isAway = false;
+  trial.advance(60_000);
+  expect(trial.answers.length).toEqual(2 * JOBS);
+  trial.expectNotRunIsTrue();
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+test("a log that goes away during the hand-over leaves the shards to a takeover", () => {
+  const trial = new Trial(6);
+  trial.submitJobs(JOBS);
+  trial.advance(100);
+  const owner = trial.owner();
+  trial.drain([owner]);
+  trial.system.log.isAway = true;
+  trial.advance(8_000);
+  expect(owner.state).toEqual(ProcessState.Ended);
+  trial.system.log.isAway = false;
+  trial.advance(60_000);
+  expect(trial.answers.length).toEqual(JOBS);
+  trial.expectNotRunIsTrue();
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+test("a successor that leaves meanwhile is passed over for another", () => {
+  const trial = new Trial(7);
+  trial.submitJobs(JOBS);
+  trial.advance(100);
+  const [first, second] = trial.owners();
+  if (first === undefined || second === undefined) throw new Error("no owners");
+  trial.drain([second]);
+  trial.drain([first]);
+  trial.advance(15_000);
+  expect(first.state).toEqual(ProcessState.Ended);
+  expect(second.state).toEqual(ProcessState.Ended);
+  expect(trial.outcomesOf(JobOutcomeKind.Completed)).toEqual(JOBS);
+});
+
+test("the start records of a drained runner outlive it and a later owner", () => {
+  const trial = new Trial(8);
+  trial.submitJobs(JOBS);
+  trial.advance(3_000);
+  const runners = trial.system.sidecars.map(({ process }) => process)
+    .filter((process) => !trial.owners().includes(process));
+  trial.drain(runners.slice(0, 1));
+  trial.advance(3_000);
+  for (const owner of trial.owners().slice(0, 1)) owner.kill();
+  trial.advance(10_000);
+  trial.resubmitJobs(JOBS);
+  trial.advance(20_000);
+  expect(trial.answers.length).toEqual(2 * JOBS);
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+interface Start {
+  readonly process: string;
+  readonly at: Milliseconds;
+}
+
+interface Answer {
+  readonly submission: string;
+  readonly outcome: JobOutcome;
+}
+
+class Trial {
+  readonly system: VirtualSystem;
+  readonly starts: Start[] = [];
+  readonly answers: Answer[] = [];
+  #submitted = 0;
+
+  constructor(seed: number, sidecars = 6) {
+    this.system = new VirtualSystem({
+      seed,
+      entries: 2,
+      sidecars,
+      slots: 4,
+      owners: 2,
+      shards: 8,
+      configuration: SAMPLE_CONFIGURATION,
+      delayMilliseconds: 1,
+      onOutput: (process, output) => {
+        if (output.kind !== OutputKind.ExecuteTask) return;
+        this.starts.push({ process, at: this.system.time.now });
+      },
+    });
+    this.system.time.runUntil(READY_MILLISECONDS);
+  }
+
+  advance(milliseconds: Milliseconds): void {
+    this.system.time.runUntil(this.system.time.now + milliseconds);
+  }
+
+  submitJobs(count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.#submit(this.#submitted);
+      this.#submitted += 1;
+    }
+  }
+
+  resubmitJobs(count: number): void {
+    for (let index = 0; index < count; index += 1) this.#submit(index);
+  }
+
+  drain(processes: readonly VirtualProcess[]): void {
+    for (const process of processes) {
+      process.take({ kind: InputKind.DrainAsked });
+    }
+  }
+
+  /** Sidecars that the log last named as owners. */
+  owners(): readonly VirtualProcess[] {
+    const owners = new Map<number, string>();
+    for (const { record } of this.system.log.records) {
+      if (record.kind !== LogRecordKind.ShardsClaimed) continue;
+      for (const { shard } of record.claims) owners.set(shard, record.claimant);
+    }
+    const names = new Set(owners.values());
+    return this.system.sidecars.map(({ process }) => process)
+      .filter(({ identifier }) => names.has(identifier));
+  }
+
+  owner(): VirtualProcess {
+    const [owner] = this.owners();
+    if (owner === undefined) throw new Error("nobody owns a shard");
+    return owner;
+  }
+
+  removalReasons(): readonly RemovalReason[] {
+    return this.system.log.records.flatMap(({ record }) =>
+      record.kind === LogRecordKind.MemberRemoved ? [record.reason] : []
+    );
+  }
+
+  outcomesOf(kind: JobOutcomeKind): number {
+    return this.answers.filter(({ outcome }) => outcome.kind === kind).length;
+  }
+
+  expectNotRunIsTrue(): void {
+    const untrue = this.answers.filter(({ submission, outcome }) =>
+      outcome.kind === JobOutcomeKind.NotRun &&
+      this.system.starts.startedOf(submission) > 0
+    );
+    expect(untrue).toEqual([]);
+  }
+
+  #submit(index: number): void {
+    const key = `job-${index}`;
+    const entry = this.system.entries[index % 2];
+    if (entry === undefined) throw new Error("no entry");
+    const submission = sampleSubmission({
+      key,
+      runMilliseconds: [RUN_MILLISECONDS, RUN_MILLISECONDS / 2],
+      deadlineMilliseconds: 30_000,
+    });
+    this.system.submit(entry, submission, (answer) => {
+      this.#note(`assessors/${key}`, answer);
+    });
+  }
+
+  #note(submission: string, answer: CallerAnswer): void {
+    if (answer.kind !== CallerAnswerKind.Outcome) {
+      throw new Error(`${submission} was answered with ${answer.kind}`);
+    }
+    this.answers.push({ submission, outcome: answer.outcome });
+  }
+}
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -80,7 +80,10 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await endInOrder(this.all().map(({ child }) => child));
+    await endTogether(this.entries);
+    await endTogether(this.sidecars);
+    await endTogether(this.backendServers);
+    if (this.#log !== undefined) await endTogether([this.#log]);
     await rm(this.#folder, { recursive: true, force: true });
   }
 
@@ -264,8 +267,9 @@
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
 
-/** Entries and sidecars are asked to leave; what has not left in time is ended. */
-async function endInOrder(children: readonly Child[]): Promise<void> {
+/** Processes are asked to leave; what has not left in time is ended. */
+async function endTogether(processes: readonly LocalProcess[]): Promise<void> {
+  const children = processes.map(({ child }) => child);
   for (const child of children) child.signal("SIGTERM");
   await Promise.race([
     Promise.all(children.map((child) => child.exited)),
