fix(measure): clear the leave limit of a local system

Cause: the 5 s limit for leaving was a timer that nothing cleared, so it kept the program alive. Change: the limit is aborted when every process has left.

--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
 import { request } from "undici";
@@ -238,7 +239,7 @@
 
 /** Waits for a time. */
 export function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  return setTimeout(milliseconds);
 }
 
 async function isAnswering(url: string): Promise<boolean> {
@@ -271,9 +272,12 @@
 async function endTogether(processes: readonly LocalProcess[]): Promise<void> {
   const children = processes.map(({ child }) => child);
   for (const child of children) child.signal("SIGTERM");
+  const limit = new AbortController();
   await Promise.race([
     Promise.all(children.map((child) => child.exited)),
-    pause(LEAVE_MILLISECONDS),
+    setTimeout(LEAVE_MILLISECONDS, undefined, { signal: limit.signal })
+      .catch(() => undefined),
   ]);
+  limit.abort();
   await Promise.all(children.map((child) => child[Symbol.asyncDispose]()));
 }
