feat(operators-http): give every process probes, a report and a drain by HTTP

Cause: operators could neither ask a process what it knows nor drain it but by a signal, and a sidecar had no probe at all. Change: settings `[operators] listen, token`; GET /alive, /ready, /report and POST /drain. The question is an input and the answer a typed ProcessReport, so the decisions know no HTTP. The local system keeps `operatorsAddress` for each daemon and starts entries by `startEntry`. Signals have a port of their own. Conclusion: ready follows ReportReadiness only: not before configuration and membership, and not from the start of a drain. Ruled out: a list of all members in the report, which would grow with the fleet; it counts them and names the unreachable ones.

--- /dev/null
+++ b/adapters/operators_http/src/http_operators_test.ts
@@ -0,0 +1,114 @@
+import { describe, it } from "node:test";
+import {
+  type AnswerOperator,
+  InputKind,
+  type OperatorInput,
+  OutputKind,
+  processIdentifier,
+  Readiness,
+  Role,
+} from "@eelgrassfront/model";
+import { runEffects, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import { expect } from "earl";
+import { request } from "undici";
+import { HttpOperators } from "./http_operators.ts";
+
+const TOKEN = "a-token";
+const REPORT: AnswerOperator["report"] = {
+  process: processIdentifier("entry-0", "a"),
+  role: Role.Entry,
+  availabilityZone: "zone-1",
+  address: "127.0.0.1:1",
+  readiness: Readiness.Ready,
+  log: { nextOffset: 7, isAvailable: true },
+  fleet: { entries: 1, sidecars: 0, slots: 0, reachable: 1, unreachable: [] },
+  waitingRequests: 0,
+  epochToken: 6,
+};
+
+/** An operators' interface whose questions are answered at once with `REPORT`. */
+async function listen(): Promise<Listening> {
+  const operators = await HttpOperators.listen({
+    host: "127.0.0.1",
+    port: 0,
+    token: TOKEN,
+  });
+  const inputs: OperatorInput[] = [];
+  const effects = tap((input: OperatorInput) => {
+    inputs.push(input);
+    if (input.kind !== InputKind.ReportAsked) return;
+    operators.perform({
+      kind: OutputKind.AnswerOperator,
+      request: input.request,
+      report: REPORT,
+    });
+  }, operators.inputs);
+  void runEffects(effects, newDefaultScheduler());
+  return {
+    operators,
+    inputs,
+    origin: `http://127.0.0.1:${operators.port}`,
+    [Symbol.asyncDispose]: () => operators[Symbol.asyncDispose](),
+  };
+}
+
+interface Listening extends AsyncDisposable {
+  readonly operators: HttpOperators;
+  readonly inputs: readonly OperatorInput[];
+  readonly origin: string;
+}
+
+async function ask(
+  url: string,
+  options: { readonly method?: string; readonly token?: string } = {},
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const { method = "GET", token } = options;
+  const response = await request(url, {
+    method,
+    headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
+  });
+  return { status: response.statusCode, body: await response.body.json() };
+}
+
+describe("HttpOperators", () => {
+  it("is alive from the start, and ready only as the decisions say", async () => {
+    await using listening = await listen();
+    const { operators, origin } = listening;
+    expect((await ask(`${origin}/alive`)).status).toEqual(200);
+    expect((await ask(`${origin}/ready`)).status).toEqual(503);
+    operators.perform({ kind: OutputKind.ReportReadiness, isReady: true });
+    expect((await ask(`${origin}/ready`)).status).toEqual(200);
+    operators.perform({ kind: OutputKind.ReportReadiness, isReady: false });
+    expect((await ask(`${origin}/ready`)).status).toEqual(503);
+  });
+
+  it("gives the report for the right token only", async () => {
+    await using listening = await listen();
+    const url = `${listening.origin}/report`;
+    expect((await ask(url)).status).toEqual(401);
+    expect((await ask(url, { token: "another" })).status).toEqual(401);
+    expect(listening.inputs).toEqual([]);
+    const answer = await ask(url, { token: TOKEN });
+    expect(answer).toEqual({ status: 200, body: REPORT });
+  });
+
+  it("asks the decisions to drain for the right token only", async () => {
+    await using listening = await listen();
+    const url = `${listening.origin}/drain`;
+    const method = "POST";
+    expect((await ask(url, { method })).status).toEqual(401);
+    expect(listening.inputs).toEqual([]);
+    expect((await ask(url, { method, token: TOKEN })).status).toEqual(202);
+    expect(listening.inputs).toEqual([{ kind: InputKind.DrainAsked }]);
+  });
+
+  it("tells an unknown path from a method that is not allowed", async () => {
+    await using listening = await listen();
+    const { origin } = listening;
+    expect((await ask(`${origin}/nowhere`)).status).toEqual(404);
+    const drain = await ask(`${origin}/drain`, { token: TOKEN });
+    expect(drain.status).toEqual(405);
+    expect(listening.inputs).toEqual([]);
+  });
+});
--- /dev/null
+++ b/adapters/operators_http/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Operators' HTTP interface of every process.
+ */
+export * from "./http_operators.ts";
--- a/adapters/signals/src/process_signals.ts
+++ b/adapters/signals/src/process_signals.ts
@@ -3,14 +3,14 @@
  * leaving cuts off no request in flight.
  */
 import { type DrainAsked, InputKind } from "@eelgrassfront/model";
-import type { OperatorsPort } from "@eelgrassfront/ports";
+import type { SignalsPort } from "@eelgrassfront/ports";
 import { createAdapter } from "@most/adapter";
 import type { Stream } from "@most/types";
 
 const SIGNALS = ["SIGTERM", "SIGINT"] as const;
 
 /** Signals as inputs. */
-export class ProcessSignals implements OperatorsPort {
+export class ProcessSignals implements SignalsPort {
   readonly inputs: Stream<DrainAsked>;
   readonly #listener: () => void;
 
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -13,6 +13,7 @@
 
 const common = {
   peers: z.strictObject({ listen: address, shared_key: text }),
+  operators: z.strictObject({ listen: address, token: text }),
   platform_log: z.strictObject({ origin: text, read_wait: duration }),
   ownership: z.strictObject({ shards: count, owners: count }),
   timing: z.strictObject({
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -18,6 +18,7 @@
   Role,
   Severity,
 } from "@eelgrassfront/model";
+import { HttpOperators } from "@eelgrassfront/operators-http";
 import { TrpcPeers } from "@eelgrassfront/peers-trpc";
 import { HttpPlatformLog } from "@eelgrassfront/platform-log-http";
 import { formatAddress } from "@eelgrassfront/settings-ini";
@@ -126,12 +127,13 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    const { clock, operators, peers, platformLog, metrics } = this.ports;
+    const { clock, operators, peers, platformLog, signals } = this.ports;
+    await signals[Symbol.asyncDispose]();
     await operators[Symbol.asyncDispose]();
     await clock[Symbol.asyncDispose]();
     await platformLog[Symbol.asyncDispose]();
     await peers[Symbol.asyncDispose]();
-    await metrics?.[Symbol.asyncDispose]();
+    await this.ports.metrics?.[Symbol.asyncDispose]();
   }
 }
 
@@ -139,7 +141,8 @@
   readonly clock: MonotonicClock;
   readonly peers: TrpcPeers;
   readonly platformLog: HttpPlatformLog;
-  readonly operators: ProcessSignals;
+  readonly operators: HttpOperators;
+  readonly signals: ProcessSignals;
   readonly journal: RoarrJournal;
   readonly metrics?: HotShotsMetrics;
 }
@@ -148,7 +151,7 @@
   self: ProcessIdentifier,
   settings: DaemonSettings,
 ): Promise<SharedPorts> {
-  const { peers, platform_log: log, metrics } = settings;
+  const { operators, peers, platform_log: log, metrics } = settings;
   const opened = {
     clock: new MonotonicClock(),
     peers: await TrpcPeers.listen({
@@ -160,7 +163,11 @@
       origin: log.origin,
       waitMilliseconds: log.read_wait,
     }),
-    operators: new ProcessSignals(),
+    operators: await HttpOperators.listen({
+      ...operators.listen,
+      token: operators.token,
+    }),
+    signals: new ProcessSignals(),
     journal: new RoarrJournal(self),
   };
   if (metrics === undefined) return new SharedPorts(opened);
--- a/daemon/src/process_loop.ts
+++ b/daemon/src/process_loop.ts
@@ -22,6 +22,7 @@
   OperatorsPort,
   PeersPort,
   PlatformLogPort,
+  SignalsPort,
 } from "@eelgrassfront/ports";
 import { mergeArray, runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
@@ -32,6 +33,7 @@
   readonly peers: PeersPort;
   readonly platformLog: PlatformLogPort;
   readonly operators: OperatorsPort;
+  readonly signals: SignalsPort;
   readonly journal: JournalPort;
   readonly metrics?: MetricsPort;
   readonly callers?: CallersPort;
@@ -67,9 +69,10 @@
   }
 
   #inputPorts(): readonly InputPort<ProcessInput>[] {
-    const { clock, peers, platformLog, operators } = this.#ports;
+    const { clock, peers, platformLog, operators, signals } = this.#ports;
     const { callers, backendServer } = this.#ports;
-    return [clock, peers, platformLog, operators, callers, backendServer]
+    const shared = [clock, peers, platformLog, operators, signals];
+    return [...shared, callers, backendServer]
       .filter((port) => port !== undefined);
   }
 
@@ -91,8 +94,14 @@
   #perform(output: ProcessOutput): void {
     switch (output.kind) {
       case OutputKind.AnswerCaller:
+        this.#ports.callers?.perform(output);
+        return;
+      case OutputKind.AnswerOperator:
+        this.#ports.operators.perform(output);
+        return;
       case OutputKind.ReportReadiness:
         this.#ports.callers?.perform(output);
+        this.#ports.operators.perform(output);
         return;
       case OutputKind.SendRequest:
       case OutputKind.SendReply:
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -7,6 +7,7 @@
   type FleetChange,
   FleetChangeKind,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -158,6 +159,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.TaskExecutionEnded:
       case InputKind.TaskNotSent:
       case InputKind.BackendServerDescribed:
@@ -415,6 +419,25 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#isLeaving,
+    });
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: {
+        ...common,
+        role: Role.Entry,
+        waitingRequests: this.#pending.size,
+        epochToken: this.#epochToken(),
+      },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = !this.#isLeaving &&
       this.#follower.view.configuration.current !== undefined &&
--- /dev/null
+++ b/domain/entry/src/entry_report_test.ts
@@ -0,0 +1,129 @@
+import { describe, it } from "node:test";
+import { DEFAULT_TIMING } from "@eelgrassfront/membership";
+import {
+  InputKind,
+  type LogRecord,
+  LogRecordKind,
+  type LogRecordsRead,
+  OutputKind,
+  type ProcessOutput,
+  type ProcessReport,
+  Readiness,
+  Role,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { EntryDecisions } from "./entry_decisions.ts";
+
+const SIDECAR: LogRecord = {
+  kind: LogRecordKind.MemberJoined,
+  process: "sidecar-0~a",
+  role: Role.Sidecar,
+  availabilityZone: "zone-1",
+  address: "127.0.0.1:2",
+  backendServer: {
+    service: "dossier",
+    slots: 8,
+    processorCores: 32,
+    memoryMegabytes: 131_072,
+    accelerators: 0,
+  },
+};
+const CONFIGURATION: LogRecord = {
+  kind: LogRecordKind.ConfigurationPublished,
+  publication: "first",
+  replaces: 0,
+  publishedBy: "operator",
+  configuration: {
+    kindsOfWork: [],
+    teams: [],
+    limits: { maximumTasksPerJob: 220, retryBudget: 0, maximumQueuedTasks: 1 },
+  },
+};
+
+function entry(): EntryDecisions {
+  return new EntryDecisions({
+    self: "entry-0~a",
+    availabilityZone: "zone-1",
+    address: "127.0.0.1:1",
+    timing: DEFAULT_TIMING,
+    shardCount: 4,
+    maximumPending: 1,
+  });
+}
+
+function read(...records: readonly LogRecord[]): LogRecordsRead {
+  return {
+    kind: InputKind.LogRecordsRead,
+    records: records.map((record, index) => ({
+      offset: index + 1,
+      appendedAt: 0,
+      record,
+    })),
+    firstRetained: 1,
+    nextOffset: records.length + 1,
+    isAtEnd: true,
+    readStartedAt: 0,
+    logClock: 0,
+  };
+}
+
+function reportOf(decisions: EntryDecisions): ProcessReport | undefined {
+  const outputs = decisions.step(10, {
+    kind: InputKind.ReportAsked,
+    request: 1,
+  });
+  return outputs.find((output) => output.kind === OutputKind.AnswerOperator)
+    ?.report;
+}
+
+function readinessIn(outputs: readonly ProcessOutput[]): readonly boolean[] {
+  return outputs.filter((output) => output.kind === OutputKind.ReportReadiness)
+    .map(({ isReady }) => isReady);
+}
+
+describe("the report of an entry", () => {
+  it("says starting until configuration and membership are known", () => {
+    const decisions = entry();
+    expect(reportOf(decisions)?.readiness).toEqual(Readiness.Starting);
+    expect(readinessIn(decisions.step(1, read(SIDECAR)))).toEqual([]);
+    expect(reportOf(decisions)?.readiness).toEqual(Readiness.Starting);
+    const outputs = decisions.step(2, read(SIDECAR, CONFIGURATION));
+    expect(readinessIn(outputs)).toEqual([true]);
+    expect(reportOf(decisions)?.readiness).toEqual(Readiness.Ready);
+  });
+
+  it("is not ready from the start of a drain", () => {
+    const decisions = entry();
+    decisions.step(1, read(SIDECAR, CONFIGURATION));
+    const outputs = decisions.step(2, { kind: InputKind.DrainAsked });
+    expect(readinessIn(outputs)).toEqual([false]);
+    expect(reportOf(decisions)?.readiness).toEqual(Readiness.Leaving);
+  });
+
+  it("tells the fleet, the log and the configuration", () => {
+    const decisions = entry();
+    decisions.step(1, read(SIDECAR, CONFIGURATION));
+    expect(reportOf(decisions)).toEqual({
+      process: "entry-0~a",
+      role: Role.Entry,
+      availabilityZone: "zone-1",
+      address: "127.0.0.1:1",
+      readiness: Readiness.Ready,
+      log: { nextOffset: 3, isAvailable: true, lagMilliseconds: 10 },
+      configuration: {
+        version: 2,
+        publication: "first",
+        publishedBy: "operator",
+      },
+      fleet: {
+        entries: 0,
+        sidecars: 1,
+        slots: 8,
+        reachable: 1,
+        unreachable: [],
+      },
+      waitingRequests: 0,
+      epochToken: 2,
+    });
+  });
+});
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -67,6 +67,11 @@
     return this.view.find(this.#options.self) !== undefined;
   }
 
+  /** Whether the log answered the last read. */
+  get isLogAvailable(): boolean {
+    return this.#isLogAvailable;
+  }
+
   /** Announces the process, now and again until the log shows it. */
   announce(announcement: MemberJoined): void {
     this.#announcement = announcement;
--- /dev/null
+++ b/domain/membership/src/fleet_report.ts
@@ -0,0 +1,79 @@
+/**
+ * The part of a process report that every role has: membership, log and configuration as followed.
+ */
+import {
+  type CommonReport,
+  type ConfigurationReport,
+  type FleetReport,
+  type LogReport,
+  type Milliseconds,
+  type ProcessIdentifier,
+  Readiness,
+  Role,
+} from "@eelgrassfront/model";
+import type { FleetFollower } from "./fleet_follower.ts";
+
+/** Who reports, and how it stands. */
+export interface FleetReportOptions {
+  readonly self: ProcessIdentifier;
+  readonly availabilityZone: string;
+  readonly address: string;
+  readonly now: Milliseconds;
+  readonly isReady: boolean;
+  readonly isLeaving: boolean;
+}
+
+/** Reports what a follower knows. */
+export function reportFleet(
+  follower: FleetFollower,
+  options: FleetReportOptions,
+): CommonReport {
+  const { self, availabilityZone, address, now } = options;
+  const report = {
+    process: self,
+    availabilityZone,
+    address,
+    readiness: readinessOf(options),
+    log: reportLog(follower, now),
+    fleet: reportMembers(follower),
+  };
+  const configuration = reportConfiguration(follower);
+  return configuration === undefined ? report : { ...report, configuration };
+}
+
+function readinessOf({ isReady, isLeaving }: FleetReportOptions): Readiness {
+  if (isLeaving) return Readiness.Leaving;
+  return isReady ? Readiness.Ready : Readiness.Starting;
+}
+
+function reportLog(follower: FleetFollower, now: Milliseconds): LogReport {
+  const { nextOffset, lastReadToEndAt } = follower.view;
+  const report = { nextOffset, isAvailable: follower.isLogAvailable };
+  return lastReadToEndAt === undefined
+    ? report
+    : { ...report, lagMilliseconds: Math.round(now - lastReadToEndAt) };
+}
+
+function reportConfiguration(
+  follower: FleetFollower,
+): ConfigurationReport | undefined {
+  const version = follower.view.configuration.current;
+  if (version === undefined) return undefined;
+  const { offset, publication, publishedBy } = version;
+  return { version: offset, publication, publishedBy };
+}
+
+function reportMembers(follower: FleetFollower): FleetReport {
+  const members = follower.view.members().map(({ joined }) => joined);
+  const unreachable = members.map(({ process }) => process)
+    .filter((process) => !follower.heartbeats.isReachable(process));
+  const sidecars = members.filter(({ role }) => role === Role.Sidecar);
+  const slots = sidecars.map(({ backendServer }) => backendServer?.slots ?? 0);
+  return {
+    entries: members.length - sidecars.length,
+    sidecars: sidecars.length,
+    slots: slots.reduce((total, count) => total + count, 0),
+    reachable: members.length - unreachable.length,
+    unreachable,
+  };
+}
--- a/domain/model/src/mod.ts
+++ b/domain/model/src/mod.ts
@@ -13,4 +13,5 @@
 export * from "./process_error.ts";
 export * from "./process_input.ts";
 export * from "./process_output.ts";
+export * from "./process_report.ts";
 export * from "./submission.ts";
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -34,6 +34,7 @@
   AppendInDoubt = "append-in-doubt",
   AlarmRang = "alarm-rang",
   DrainAsked = "drain-asked",
+  ReportAsked = "report-asked",
 }
 
 /** A caller submitted a job and waits for its outcome. */
@@ -154,6 +155,12 @@
   readonly kind: InputKind.DrainAsked;
 }
 
+/** An operator asks what the process knows. */
+export interface ReportAsked {
+  readonly kind: InputKind.ReportAsked;
+  readonly request: RequestIdentifier;
+}
+
 /** Inputs from callers. */
 export type CallerInput =
   | SubmissionArrived
@@ -178,11 +185,14 @@
   | AppendSettled
   | AppendInDoubt;
 
+/** Inputs from operators. */
+export type OperatorInput = DrainAsked | ReportAsked;
+
 /** Any input. */
 export type ProcessInput =
   | CallerInput
   | PeerInput
   | BackendServerInput
   | PlatformLogInput
-  | AlarmRang
-  | DrainAsked;
+  | OperatorInput
+  | AlarmRang;
--- a/domain/model/src/process_output.ts
+++ b/domain/model/src/process_output.ts
@@ -19,11 +19,13 @@
 } from "./metric.ts";
 import type { JobOutcome } from "./outcome.ts";
 import type { JobStanding, PeerReply, PeerRequest } from "./peer_message.ts";
+import type { ProcessReport } from "./process_report.ts";
 import type { TaskDescription } from "./submission.ts";
 
 /** Kinds of outputs. */
 export enum OutputKind {
   AnswerCaller = "answer-caller",
+  AnswerOperator = "answer-operator",
   SendRequest = "send-request",
   SendReply = "send-reply",
   ExecuteTask = "execute-task",
@@ -74,6 +76,13 @@
   readonly epochToken: Epoch;
 }
 
+/** Answer an operator's question, once. */
+export interface AnswerOperator {
+  readonly kind: OutputKind.AnswerOperator;
+  readonly request: RequestIdentifier;
+  readonly report: ProcessReport;
+}
+
 /** Send a request to another process. */
 export interface SendRequest {
   readonly kind: OutputKind.SendRequest;
@@ -148,6 +157,7 @@
 /** Any output. */
 export type ProcessOutput =
   | AnswerCaller
+  | AnswerOperator
   | SendRequest
   | SendReply
   | ExecuteTask
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -137,6 +137,16 @@
     return this.#grants.granted();
   }
 
+  /** Shards owned, granted or not. */
+  owned(): readonly ShardEpoch[] {
+    return this.#grants.owned();
+  }
+
+  /** Tasks that wait for a runner. */
+  get waitingTasks(): number {
+    return this.#dispatcher.queuedTasks;
+  }
+
   /** Whether this owner owns nothing and answers for no job. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -77,6 +77,11 @@
     return this.#running.size === 0 && this.#queue.size === 0;
   }
 
+  /** The backend server; undefined while it does not answer. */
+  get backendServer(): BackendServerDescription | undefined {
+    return this.#backendServer;
+  }
+
   /** Load as it is told to owners. */
   load(): RunnerLoad {
     const slots = this.#backendServer?.slots ?? 0;
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -4,6 +4,7 @@
 import {
   type FleetChange,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -26,7 +27,9 @@
   type ProcessIdentifier,
   type ProcessInput,
   type ProcessOutput,
+  type RequestIdentifier,
   Role,
+  type SidecarReport,
 } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 import { RunnerDecisions } from "@eelgrassfront/runner";
@@ -124,6 +127,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.SubmissionArrived:
       case InputKind.StandingAsked:
       case InputKind.CancellationAsked:
@@ -293,6 +299,31 @@
     return true;
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#leaving !== LeavingPhase.No,
+    });
+    const { backendServer } = this.#runner;
+    const report: SidecarReport = {
+      ...common,
+      role: Role.Sidecar,
+      load: this.#runner.load(),
+      ownedShards: this.#owner.owned(),
+      grantedShards: this.#owner.granted(),
+      waitingTasks: this.#owner.waitingTasks,
+    };
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: backendServer === undefined
+        ? report
+        : { ...report, backendServer },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = this.#leaving === LeavingPhase.No &&
       this.#follower.isMember &&
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -238,6 +238,7 @@
       case OutputKind.Stop:
         process.kill();
         return;
+      case OutputKind.AnswerOperator:
       case OutputKind.CountOccurrence:
       case OutputKind.SetGauge:
       case OutputKind.ReportReadiness:
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -9,6 +9,7 @@
   readonly availabilityZone: string;
   readonly peers: number;
   readonly callers: number;
+  readonly operators: number;
   readonly logOrigin: string;
 }
 
@@ -17,10 +18,14 @@
   readonly name: string;
   readonly availabilityZone: string;
   readonly peers: number;
+  readonly operators: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
 }
 
+/** Operators' token of every process of a local system. */
+export const LOCAL_OPERATORS_TOKEN = "local-operators-token";
+
 const SHARDS = 64;
 const OWNERS = 3;
 
@@ -69,6 +74,10 @@
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
     },
+    operators: {
+      listen: `127.0.0.1:${process.operators}`,
+      token: LOCAL_OPERATORS_TOKEN,
+    },
     platform_log: { origin: process.logOrigin, read_wait: "500ms" },
     ownership: { shards: SHARDS, owners: OWNERS },
     timing: {
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -31,6 +31,12 @@
   readonly address: string;
 }
 
+/** A daemon of the system: its address is for callers of an entry, and for peers of a sidecar. */
+export interface LocalDaemon extends LocalProcess {
+  /** Address of the operators' interface. */
+  readonly operatorsAddress: string;
+}
+
 const READY_MILLISECONDS = 30_000;
 const READY_AGAIN_MILLISECONDS = 50;
 const LEAVE_MILLISECONDS = 5_000;
@@ -38,8 +44,8 @@
 
 /** A system of separate processes on loopback. */
 export class LocalSystem implements AsyncDisposable {
-  readonly entries: LocalProcess[] = [];
-  readonly sidecars: LocalProcess[] = [];
+  readonly entries: LocalDaemon[] = [];
+  readonly sidecars: LocalDaemon[] = [];
   readonly backendServers: LocalProcess[] = [];
   readonly #options: LocalSystemOptions;
   readonly #folder: string;
@@ -99,25 +105,34 @@
       name,
       availabilityZone: zoneOf(index),
       peers: ports.peers,
+      operators: ports.operators,
       backendServerOrigin: origin,
       logOrigin: `http://${this.log.address}`,
     });
-    this.sidecars[index] = await this.#startDaemon(name, settings, ports.peers);
+    this.sidecars[index] = await this.#startDaemon(name, settings, {
+      address: ports.peers,
+      operators: ports.operators,
+    });
   }
 
   async #startAll(): Promise<void> {
     const { entries, sidecars } = this.#options;
-    const ports = await freePorts(1 + entries * 2 + sidecars * 2);
+    const ports = await freePorts(1 + entries * 3 + sidecars * 3);
     const nextPort = () => ports.pop() ?? 0;
     await this.#startLog(nextPort());
     for (let index = 0; index < sidecars; index += 1) {
       await this.startSidecar(index, {
         peers: nextPort(),
+        operators: nextPort(),
         backendServer: nextPort(),
       });
     }
     for (let index = 0; index < entries; index += 1) {
-      await this.#startEntry(index, nextPort(), nextPort());
+      await this.startEntry(index, {
+        peers: nextPort(),
+        operators: nextPort(),
+        callers: nextPort(),
+      });
     }
     await this.#waitUntilReady();
   }
@@ -149,31 +164,32 @@
     await response.body.dump();
   }
 
-  async #startEntry(
-    index: number,
-    peers: number,
-    callers: number,
-  ): Promise<void> {
+  /** Starts an entry. */
+  async startEntry(index: number, ports: EntryPorts): Promise<void> {
     const name = `entry-${index}`;
     const settings = entrySettings({
       name,
       availabilityZone: zoneOf(index),
-      peers,
-      callers,
+      ...ports,
       logOrigin: `http://${this.log.address}`,
     });
-    this.entries[index] = await this.#startDaemon(name, settings, callers);
+    this.entries[index] = await this.#startDaemon(name, settings, {
+      address: ports.callers,
+      operators: ports.operators,
+    });
   }
 
   async #startDaemon(
     name: string,
     settings: string,
-    port: number,
-  ): Promise<LocalProcess> {
+    ports: { readonly address: number; readonly operators: number },
+  ): Promise<LocalDaemon> {
     const file = join(this.#folder, `${name}.ini`);
     await writeFile(file, settings);
     const script = scriptOf(`@eelgrassfront/daemon`);
-    return this.#startScript(name, script, ["--settings", file], port);
+    const args = ["--settings", file];
+    const started = this.#startScript(name, script, args, ports.address);
+    return { ...started, operatorsAddress: `127.0.0.1:${ports.operators}` };
   }
 
   #startScript(
@@ -198,9 +214,17 @@
   }
 }
 
+/** Ports of an entry. */
+export interface EntryPorts {
+  readonly peers: number;
+  readonly operators: number;
+  readonly callers: number;
+}
+
 /** Ports of a sidecar and its backend server. */
 export interface SidecarPorts {
   readonly peers: number;
+  readonly operators: number;
   readonly backendServer: number;
 }
 
--- a/ports/src/port.ts
+++ b/ports/src/port.ts
@@ -5,6 +5,7 @@
 import type {
   AlarmRang,
   AnswerCaller,
+  AnswerOperator,
   AppendRecord,
   BackendServerInput,
   CallerInput,
@@ -12,6 +13,7 @@
   DrainAsked,
   ExecuteTask,
   Milliseconds,
+  OperatorInput,
   PeerInput,
   PlatformLogInput,
   ProcessEvent,
@@ -44,8 +46,14 @@
 /** The platform's log. */
 export type PlatformLogPort = Port<PlatformLogInput, AppendRecord>;
 
-/** Signals and commands of operators. */
-export type OperatorsPort = InputPort<DrainAsked>;
+/** Operators of a process. */
+export type OperatorsPort = Port<
+  OperatorInput,
+  AnswerOperator | ReportReadiness
+>;
+
+/** Signals of the operating system. */
+export type SignalsPort = InputPort<DrainAsked>;
 
 /** Time. */
 export interface ClockPort extends InputPort<AlarmRang> {
