--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -44,6 +44,7 @@
   type ShardEpoch,
   type ShardNumber,
   type StandingAsked,
+  Step,
   type SubmissionArrived,
   type SubmissionIdentifier,
   UnknownReason,
@@ -146,6 +147,7 @@
         this.#takeReply(input);
         return;
       case InputKind.PeerRequestLost:
+        this.#follower.noteLoss(input);
         this.#loseRequest(input.request);
         return;
       case InputKind.LogRecordsRead:
@@ -255,7 +257,7 @@
     const { message, request } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#noteGrants(message.granted);
-      this.#changeFleet(this.#follower.handleAnswer(request, message));
+      this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
     const pending = this.#byRequest.get(request);
@@ -332,6 +334,7 @@
     const outcome: JobOutcome = {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.OwnerUnreachable,
+      step: Step.RelayJob,
     };
     this.#collector.count(Counter.JobsUnknown, outcome.reason);
     this.#answerOutcome(
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -40,6 +40,7 @@
   Severity,
   type ShardEpoch,
   type ShardNumber,
+  Step,
   type SubmissionIdentifier,
   type SubmitJob,
   TaskEndKind,
@@ -347,10 +348,12 @@
     this.#countOutcome({
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
     this.#replyOutcome(waiter, shard, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
   }
 
@@ -552,6 +555,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case TaskRefusalReason.QueueFull:
@@ -586,6 +590,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.TaskAnswerLost,
+      step: Step.ExecuteTask,
       peer: runner,
     });
     this.#dispatcher.withdraw(job);
@@ -619,6 +624,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Failed,
       reason: failure,
+      step: Step.PlaceTask,
       detail: `the job was ended: ${failure}`,
     });
   }
@@ -636,6 +642,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case JobPhase.Answered:
@@ -816,6 +823,7 @@
       outcome: {
         kind: JobOutcomeKind.Unknown,
         reason: UnknownReason.AnswerExpired,
+        step: Step.AdmitJob,
       },
       isKeyReused: true,
     });
@@ -867,6 +875,7 @@
         return {
           kind: JobOutcomeKind.Failed,
           reason: FailureReason.TaskFailed,
+          step: Step.ExecuteTask,
           detail: task.end.detail,
           taskIndex: index,
         };
@@ -874,6 +883,7 @@
         return {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         };
     }
   }
