feat(callers-http): answer every faulty request with a reason from the closed list

Cause: JSON.parse kept the last of two equal keys in silence, slow or broken headers got a bare status, a body that was too large often reset the connection before the answer, and anybody could submit in any team's name. Change: a scanner for duplicate keys, integers that would lose digits and deep nesting; limits on headers, header time and connections from settings, each with a reason; UTF-8 and content type are checked; a header that must stand once may not stand twice; `[teams]` binds callers to their team by token. The digest no longer depends on the order of keys. Conclusion: a refused connection is never served, even if it goes on sending. Ruled out: keeping the payload as raw text, which would make the digest depend on white space; numbers that parsing would change are rejected instead.

--- a/adapters/callers_http/src/answer_encoding.ts
+++ b/adapters/callers_http/src/answer_encoding.ts
@@ -2,6 +2,7 @@
  * Answers to callers as HTTP statuses and JSON bodies. Refused, failed and unknown are different
  * statuses and say so in the body.
  */
+import { type EncodedAnswer, encodeJson } from "@eelgrassfront/http-server";
 import {
   assertNever,
   type CallerAnswer,
@@ -12,13 +13,6 @@
   RejectionReason,
 } from "@eelgrassfront/model";
 
-/** An answer ready to be written. */
-export interface EncodedAnswer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: string;
-}
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Encodes an answer. */
@@ -45,11 +39,11 @@
   reason: RejectionReason,
   detail: string,
 ): EncodedAnswer {
-  return {
-    status: REJECTION_STATUSES[reason],
-    headers: {},
-    body: JSON.stringify({ outcome: "rejected", reason, detail }),
-  };
+  const status = REJECTION_STATUSES[reason];
+  const encoded = encodeJson(status, { outcome: "rejected", reason, detail });
+  return reason === RejectionReason.BodyTooSlow
+    ? { ...encoded, headers: { connection: "close" } }
+    : encoded;
 }
 
 function encodeOutcome(outcome: JobOutcome): EncodedAnswer {
@@ -58,13 +52,13 @@
       return { status: 200, headers: {}, body: encodeResults(outcome.results) };
     case JobOutcomeKind.Failed: {
       const { kind, ...content } = outcome;
-      return encodeContent(422, { outcome: kind, ...content });
+      return encodeJson(422, { outcome: kind, ...content });
     }
     case JobOutcomeKind.NotRun:
       return encodeNotRun(outcome);
     case JobOutcomeKind.Unknown: {
       const { kind, ...content } = outcome;
-      return encodeContent(504, { outcome: kind, ...content });
+      return encodeJson(504, { outcome: kind, ...content });
     }
     default:
       return assertNever(outcome);
@@ -73,7 +67,7 @@
 
 function encodeNotRun(outcome: NotRunOutcome): EncodedAnswer {
   const { kind, ...content } = outcome;
-  const encoded = encodeContent(503, { outcome: kind, ...content });
+  const encoded = encodeJson(503, { outcome: kind, ...content });
   const { retryAfterMilliseconds } = outcome;
   if (retryAfterMilliseconds === undefined) return encoded;
   const seconds = Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
@@ -99,12 +93,14 @@
   }
 }
 
-function encodeContent(status: number, content: object): EncodedAnswer {
-  return { status, headers: {}, body: JSON.stringify(content) };
-}
-
 const REJECTION_STATUSES: Readonly<Record<RejectionReason, number>> = {
+  [RejectionReason.TooManyConnections]: 429,
+  [RejectionReason.MalformedRequest]: 400,
+  [RejectionReason.HeadersTooLarge]: 431,
+  [RejectionReason.HeadersTooSlow]: 408,
+  [RejectionReason.UnsupportedContentType]: 415,
   [RejectionReason.MalformedBody]: 400,
+  [RejectionReason.DuplicateField]: 400,
   [RejectionReason.BodyTooLarge]: 413,
   [RejectionReason.BodyTooSlow]: 408,
   [RejectionReason.MissingIdempotencyKey]: 400,
@@ -112,6 +108,7 @@
   [RejectionReason.InvalidField]: 422,
   [RejectionReason.TooManyTasks]: 413,
   [RejectionReason.Unauthorized]: 401,
+  [RejectionReason.TeamNotAllowed]: 403,
   [RejectionReason.KeyReused]: 409,
   [RejectionReason.NotFound]: 404,
   [RejectionReason.MethodNotAllowed]: 405,
--- a/adapters/callers_http/src/body_reader.ts
+++ b/adapters/callers_http/src/body_reader.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { type Milliseconds, RejectionReason } from "@eelgrassfront/model";
-import { RequestError } from "./job_request.ts";
+import { RequestError } from "./request_error.ts";
 
 /** Limits on a body. */
 export interface BodyLimits {
@@ -12,45 +12,74 @@
 }
 
 /**
- * Reads a whole body as text.
+ * Reads a whole body as UTF-8 text. The rest of a body that is too large is read and dropped, so that
+ * the caller gets to read the answer.
  *
- * @throws {RequestError} when the body is too large, too slow or cut short
+ * @throws {RequestError} when the body is too large, too slow, cut short or no UTF-8
  */
-export function readBody(
+export async function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
 ): Promise<string> {
+  const announced = Number(request.headers["content-length"] ?? 0);
+  if (announced > limits.maximumBodyBytes) throw tooLarge(limits);
+  return decode(await readBytes(request, limits));
+}
+
+function readBytes(
+  request: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    const fail = (reason: RejectionReason, message: string) => {
-      clearTimeout(timer);
-      request.pause();
-      reject(new RequestError(reason, message));
-    };
     const timer = setTimeout(
-      () => fail(RejectionReason.BodyTooSlow, describeTime(limits)),
+      () => reject(tooSlow(limits)),
       limits.bodyMilliseconds,
     );
     request.on("data", (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes <= limits.maximumBodyBytes) chunks.push(chunk);
-      else fail(RejectionReason.BodyTooLarge, describeSize(limits));
-    });
-    request.on("end", () => {
-      clearTimeout(timer);
-      resolve(Buffer.concat(chunks).toString("utf8"));
-    });
-    request.on("error", () => {
-      fail(RejectionReason.MalformedBody, "the body was cut short");
+      if (bytes <= limits.maximumBodyBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      reject(tooLarge(limits));
     });
+    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("error", () => reject(cutShort()));
+    request.on("close", () => clearTimeout(timer));
   });
 }
 
-function describeTime({ bodyMilliseconds }: BodyLimits): string {
-  return `the body must arrive within ${bodyMilliseconds} ms`;
+function decode(bytes: Buffer): string {
+  try {
+    return new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+  } catch {
+    throw new RequestError(
+      RejectionReason.MalformedBody,
+      "the body is not UTF-8",
+    );
+  }
+}
+
+function cutShort(): RequestError {
+  return new RequestError(
+    RejectionReason.MalformedBody,
+    "the body was cut short",
+  );
+}
+
+function tooSlow({ bodyMilliseconds }: BodyLimits): RequestError {
+  return new RequestError(
+    RejectionReason.BodyTooSlow,
+    `the body must arrive within ${bodyMilliseconds} ms`,
+  );
 }
 
-function describeSize({ maximumBodyBytes }: BodyLimits): string {
-  return `the body may have at most ${maximumBodyBytes} bytes`;
+function tooLarge({ maximumBodyBytes }: BodyLimits): RequestError {
+  return new RequestError(
+    RejectionReason.BodyTooLarge,
+    `the body may have at most ${maximumBodyBytes} bytes`,
+  );
 }
--- a/adapters/callers_http/src/http_callers.ts
+++ b/adapters/callers_http/src/http_callers.ts
@@ -1,12 +1,14 @@
 /**
  * Callers' HTTP interface of an entry, as `docs/API.md` describes it.
  */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+  ConnectionFault,
+  type EncodedAnswer,
+  encodeJson,
+  HttpListener,
+  writeAnswer,
+} from "@eelgrassfront/http-server";
 import {
   type AnswerCaller,
   assertNever,
@@ -24,13 +26,17 @@
 import type { CallersPort } from "@eelgrassfront/ports";
 import { createAdapter } from "@most/adapter";
 import type { Stream } from "@most/types";
-import {
-  encodeAnswer,
-  type EncodedAnswer,
-  encodeRejection,
-} from "./answer_encoding.ts";
+import { encodeAnswer, encodeRejection } from "./answer_encoding.ts";
 import { readBody } from "./body_reader.ts";
-import { isIdentifier, readSubmission, RequestError } from "./job_request.ts";
+import { isIdentifier, readSubmission } from "./job_request.ts";
+import { RequestError } from "./request_error.ts";
+import {
+  readEpochToken,
+  readIdempotencyKey,
+  requireFewHeaders,
+  requireJson,
+} from "./request_headers.ts";
+import { TeamTokens } from "./team_tokens.ts";
 
 /** Address and limits. */
 export interface HttpCallersOptions {
@@ -40,8 +46,14 @@
   readonly maximumBodyBytes: number;
   readonly maximumTasks: number;
   readonly maximumConnections: number;
-  /** Time in which a request must have arrived whole. */
+  readonly maximumHeaders: number;
+  readonly maximumHeaderBytes: number;
+  /** Time in which the headers of a request must have arrived. */
+  readonly headersMilliseconds: Milliseconds;
+  /** Time in which the body of a request must have arrived after its headers. */
   readonly bodyMilliseconds: Milliseconds;
+  /** The token of each team; callers are not bound to a team when left out. */
+  readonly teamTokens?: Readonly<Record<string, string>>;
 }
 
 /** Paths that callers and balancers use. */
@@ -55,30 +67,35 @@
 
 interface RoutedRequest {
   readonly route: Route;
-  readonly submission?: SubmissionIdentifier;
+  readonly job?: NamedJob;
+}
+
+interface NamedJob {
+  readonly team: string;
+  readonly submission: SubmissionIdentifier;
 }
 
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)\/([^/]+)$/;
-const CLOSE_MILLISECONDS = 500;
+/** Time beyond the limits of headers and body after which a request is cut off. */
+const CUT_OFF_MILLISECONDS: Milliseconds = 1_000;
 
 /** Callers by HTTP. */
 export class HttpCallers implements CallersPort {
   readonly inputs: Stream<CallerInput>;
   readonly #induce: (input: CallerInput) => void;
   readonly #options: HttpCallersOptions;
-  readonly #server: Server;
+  readonly #teamTokens: TeamTokens | undefined;
   readonly #responses = new Map<CallerRequestIdentifier, ServerResponse>();
+  #listener: HttpListener | undefined;
   #lastRequest = 0;
   #isReady = false;
 
   private constructor(options: HttpCallersOptions) {
     [this.#induce, this.inputs] = createAdapter<CallerInput>();
     this.#options = options;
-    this.#server = createServer(
-      { requestTimeout: options.bodyMilliseconds },
-      (request, response) => void this.#serve(request, response),
-    );
-    this.#server.maxConnections = options.maximumConnections;
+    this.#teamTokens = options.teamTokens === undefined
+      ? undefined
+      : new TeamTokens(options.teamTokens);
   }
 
   /**
@@ -88,13 +105,22 @@
    */
   static async listen(options: HttpCallersOptions): Promise<HttpCallers> {
     const callers = new HttpCallers(options);
-    await new Promise<void>((resolve, reject) => {
-      callers.#server.once("error", reject);
-      callers.#server.listen(options.port, options.host, resolve);
+    const { headersMilliseconds, bodyMilliseconds } = options;
+    callers.#listener = await HttpListener.listen({
+      ...options,
+      requestMilliseconds: headersMilliseconds + bodyMilliseconds +
+        CUT_OFF_MILLISECONDS,
+      serve: (request, response) => void callers.#serve(request, response),
+      answerFault: (fault) => callers.#answerFault(fault),
     });
     return callers;
   }
 
+  /** Port on which callers are listened for. */
+  get port(): number {
+    return this.#listener?.port ?? 0;
+  }
+
   perform(output: AnswerCaller | ReportReadiness): void {
     switch (output.kind) {
       case OutputKind.AnswerCaller:
@@ -109,14 +135,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    const closed = new Promise((resolve) => this.#server.close(resolve));
-    this.#server.closeIdleConnections();
-    const limit = setTimeout(
-      () => this.#server.closeAllConnections(),
-      CLOSE_MILLISECONDS,
-    );
-    await closed;
-    clearTimeout(limit);
+    await this.#listener?.[Symbol.asyncDispose]();
   }
 
   async #serve(
@@ -124,25 +143,37 @@
     response: ServerResponse,
   ): Promise<void> {
     try {
+      requireFewHeaders(request, this.#options.maximumHeaders);
       await this.#route(request, response);
     } catch (error) {
-      write(response, encodeError(error));
+      writeAnswer(response, this.#reject(error));
     }
   }
 
+  #reject(error: unknown): EncodedAnswer {
+    const { reason, message } = error instanceof RequestError
+      ? error
+      : new RequestError(RejectionReason.MalformedRequest, String(error));
+    this.#induce({ kind: InputKind.RequestRejected, reason });
+    return encodeRejection(reason, message);
+  }
+
+  #answerFault(fault: ConnectionFault): EncodedAnswer {
+    return this.#reject(rejectionOf(fault, this.#options));
+  }
+
   async #route(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { route, submission } = routeOf(request);
+    const { route, job } = routeOf(request);
     switch (route) {
       case Route.Alive:
-        write(response, { status: 200, headers: {}, body: "{}" });
+        writeAnswer(response, encodeJson(200, { alive: true }));
         return;
       case Route.Ready: {
         const status = this.#isReady ? 200 : 503;
-        const body = JSON.stringify({ ready: this.#isReady });
-        write(response, { status, headers: {}, body });
+        writeAnswer(response, encodeJson(status, { ready: this.#isReady }));
         return;
       }
       case Route.Jobs:
@@ -151,9 +182,7 @@
         return;
       case Route.Job:
         requireMethod(request, ["GET", "DELETE"]);
-        if (submission !== undefined) {
-          this.#ask(request, response, submission);
-        }
+        if (job !== undefined) this.#ask(request, response, job);
         return;
       case Route.Unknown:
         throw new RequestError(
@@ -169,13 +198,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const team = this.#authenticate(request);
     const idempotencyKey = readIdempotencyKey(request);
+    const firstMadeAtEpoch = readEpochToken(request);
+    requireJson(request);
     const body = await readBody(request, this.#options);
-    const submission = readSubmission({
-      body,
-      idempotencyKey,
-      epochToken: headerOf(request, "eelgrassfront-epoch"),
-    }, this.#options);
+    const content = { body, idempotencyKey, firstMadeAtEpoch };
+    const submission = readSubmission(content, this.#options);
+    requireTeam(team, submission.team);
     this.#induce({
       kind: InputKind.SubmissionArrived,
       request: this.#await(response),
@@ -186,14 +216,26 @@
   #ask(
     request: IncomingMessage,
     response: ServerResponse,
-    submission: SubmissionIdentifier,
+    { team, submission }: NamedJob,
   ): void {
+    requireTeam(this.#authenticate(request), team);
     const kind = request.method === "DELETE"
       ? InputKind.CancellationAsked as const
       : InputKind.StandingAsked as const;
     this.#induce({ kind, request: this.#await(response), submission });
   }
 
+  /** The team to which the caller is bound; undefined when callers are not bound. */
+  #authenticate(request: IncomingMessage): string | undefined {
+    if (this.#teamTokens === undefined) return undefined;
+    const team = this.#teamTokens.teamOf(request.headers.authorization);
+    if (team !== undefined) return team;
+    throw new RequestError(
+      RejectionReason.Unauthorized,
+      "Authorization: give the token of your team as bearer token",
+    );
+  }
+
   #await(response: ServerResponse): CallerRequestIdentifier {
     this.#lastRequest += 1;
     const request: CallerRequestIdentifier =
@@ -211,7 +253,7 @@
     if (response === undefined) return;
     this.#responses.delete(request);
     const encoded = encodeAnswer(answer);
-    write(response, {
+    writeAnswer(response, {
       ...encoded,
       headers: {
         ...encoded.headers,
@@ -240,7 +282,8 @@
   const isNamed = team !== undefined && key !== undefined &&
     isIdentifier(team) && isIdentifier(key);
   if (!isNamed) return { route: Route.Unknown };
-  return { route: Route.Job, submission: submissionIdentifier(team, key) };
+  const submission = submissionIdentifier(team, key);
+  return { route: Route.Job, job: { team, submission } };
 }
 
 function requireMethod(
@@ -254,41 +297,40 @@
   );
 }
 
-function readIdempotencyKey(request: IncomingMessage): string {
-  const key = headerOf(request, "idempotency-key");
-  if (key === undefined) {
-    throw new RequestError(
-      RejectionReason.MissingIdempotencyKey,
-      "Idempotency-Key: give a key that names this submission",
-    );
-  }
-  if (isIdentifier(key)) return key;
+function requireTeam(bound: string | undefined, named: string): void {
+  if (bound === undefined || bound === named) return;
   throw new RequestError(
-    RejectionReason.InvalidIdempotencyKey,
-    "Idempotency-Key: 1 to 128 letters, digits, dots, underscores or dashes",
+    RejectionReason.TeamNotAllowed,
+    `team: the token given is not that of ${named}`,
   );
 }
 
-function headerOf(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return Array.isArray(value) ? value.join() : value;
-}
-
-function encodeError(error: unknown): EncodedAnswer {
-  if (error instanceof RequestError) {
-    return encodeRejection(error.reason, error.message);
+function rejectionOf(
+  fault: ConnectionFault,
+  options: HttpCallersOptions,
+): RequestError {
+  switch (fault) {
+    case ConnectionFault.TooManyConnections:
+      return new RequestError(
+        RejectionReason.TooManyConnections,
+        `at most ${options.maximumConnections} connections; use fewer, or another entry`,
+      );
+    case ConnectionFault.HeadersTooLarge:
+      return new RequestError(
+        RejectionReason.HeadersTooLarge,
+        `the headers may have at most ${options.maximumHeaderBytes} bytes`,
+      );
+    case ConnectionFault.TooSlow:
+      return new RequestError(
+        RejectionReason.HeadersTooSlow,
+        `the headers must arrive within ${options.headersMilliseconds} ms`,
+      );
+    case ConnectionFault.Malformed:
+      return new RequestError(
+        RejectionReason.MalformedRequest,
+        "this is no whole HTTP request",
+      );
+    default:
+      return assertNever(fault);
   }
-  return encodeRejection(RejectionReason.MalformedBody, String(error));
-}
-
-function write(response: ServerResponse, encoded: EncodedAnswer): void {
-  if (response.headersSent || response.destroyed) return;
-  const isCutShort = !response.req.complete;
-  response.writeHead(encoded.status, {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(encoded.body),
-    ...(isCutShort ? { connection: "close" } : {}),
-    ...encoded.headers,
-  });
-  response.end(encoded.body);
 }
--- a/adapters/callers_http/src/job_request.ts
+++ b/adapters/callers_http/src/job_request.ts
@@ -3,11 +3,20 @@
  */
 import { createHash } from "node:crypto";
 import {
+  type Epoch,
   Idempotence,
   RejectionReason,
   type Submission,
 } from "@eelgrassfront/model";
 import { z } from "zod";
+import { canonicalJson } from "./canonical_json.ts";
+import {
+  findJsonFault,
+  type JsonFault,
+  JsonFaultKind,
+  MAXIMUM_DEPTH,
+} from "./json_scanner.ts";
+import { RequestError } from "./request_error.ts";
 
 /** Limits on a submission. */
 export interface JobRequestLimits {
@@ -18,18 +27,7 @@
 export interface JobRequest {
   readonly body: string;
   readonly idempotencyKey: string;
-  readonly epochToken: string | undefined;
-}
-
-/** Thrown for a request that is no submission. */
-export class RequestError extends Error {
-  readonly reason: RejectionReason;
-
-  constructor(reason: RejectionReason, message: string) {
-    super(message);
-    this.name = "RequestError";
-    this.reason = reason;
-  }
+  readonly firstMadeAtEpoch: Epoch | undefined;
 }
 
 const MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000;
@@ -79,8 +77,11 @@
       `tasks: ${tasks.length} given, at most ${limits.maximumTasks} allowed`,
     );
   }
+  const { idempotencyKey, firstMadeAtEpoch } = request;
   const submission = {
     ...content,
+    idempotencyKey,
+    digest: digestOf(parsed.data),
     idempotence: idempotent
       ? Idempotence.Idempotent
       : Idempotence.NonIdempotent,
@@ -89,12 +90,9 @@
       declaredMilliseconds,
     })),
   };
-  const digest = digestOf(submission);
-  const { idempotencyKey } = request;
-  const firstMadeAtEpoch = readEpochToken(request.epochToken);
   return firstMadeAtEpoch === undefined
-    ? { ...submission, idempotencyKey, digest }
-    : { ...submission, idempotencyKey, digest, firstMadeAtEpoch };
+    ? submission
+    : { ...submission, firstMadeAtEpoch };
 }
 
 /** Whether a text may stand as a team or an idempotency key. */
@@ -103,6 +101,13 @@
 }
 
 function parseJson(body: string): unknown {
+  const value = parseOrReject(body);
+  const fault = findJsonFault(body);
+  if (fault !== undefined) throw rejectFault(fault);
+  return value;
+}
+
+function parseOrReject(body: string): unknown {
   try {
     return JSON.parse(body);
   } catch (error) {
@@ -113,6 +118,26 @@
   }
 }
 
+function rejectFault({ kind, found }: JsonFault): RequestError {
+  switch (kind) {
+    case JsonFaultKind.DuplicateKey:
+      return new RequestError(
+        RejectionReason.DuplicateField,
+        `${JSON.stringify(found)} stands twice in one object`,
+      );
+    case JsonFaultKind.InexactNumber:
+      return new RequestError(
+        RejectionReason.MalformedBody,
+        `${found} would lose digits; write it as a string`,
+      );
+    case JsonFaultKind.NestedTooDeep:
+      return new RequestError(
+        RejectionReason.MalformedBody,
+        `the body nests deeper than ${MAXIMUM_DEPTH} levels`,
+      );
+  }
+}
+
 function describeIssue(issue: {
   readonly path: readonly PropertyKey[];
   readonly message: string;
@@ -120,16 +145,7 @@
   return `${issue.path.map(String).join(".") || "body"}: ${issue.message}`;
 }
 
+/** Covers the checked content with its defaults, but neither the order of keys nor any header. */
 function digestOf(content: object): string {
-  return createHash("sha256").update(JSON.stringify(content)).digest("hex");
-}
-
-function readEpochToken(token: string | undefined): number | undefined {
-  if (token === undefined) return undefined;
-  const epoch = Number(token);
-  if (Number.isSafeInteger(epoch) && epoch >= 0) return epoch;
-  throw new RequestError(
-    RejectionReason.InvalidField,
-    "Eelgrassfront-Epoch: send back the value of an earlier answer, or leave the header out",
-  );
+  return createHash("sha256").update(canonicalJson(content)).digest("hex");
 }
--- a/adapters/http_server/src/json_answer.ts
+++ b/adapters/http_server/src/json_answer.ts
@@ -1,7 +1,8 @@
 /**
  * Answers with a JSON body.
  */
-import type { ServerResponse } from "node:http";
+import { type ServerResponse, STATUS_CODES } from "node:http";
+import type { Duplex } from "node:stream";
 
 /** An answer ready to be written. */
 export interface EncodedAnswer {
@@ -28,3 +29,16 @@
   });
   response.end(encoded.body);
 }
+
+/** Writes an answer to a connection that has no request, and ends it. */
+export function writeRawAnswer(socket: Duplex, encoded: EncodedAnswer): void {
+  const { status, headers, body } = encoded;
+  const lines = Object.entries({
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+    connection: "close",
+    ...headers,
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  const statusLine = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}\r\n`;
+  socket.end(`${statusLine}${lines.join("")}\r\n${body}`);
+}
--- a/adapters/operators_http/src/http_operators.ts
+++ b/adapters/operators_http/src/http_operators.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+  ConnectionFault,
   type EncodedAnswer,
   encodeJson,
   HttpListener,
@@ -40,6 +41,7 @@
 }
 
 const MAXIMUM_CONNECTIONS = 64;
+const MAXIMUM_HEADER_BYTES = 16 * 1_024;
 const REQUEST_MILLISECONDS: Milliseconds = 5_000;
 const ROUTES: readonly Route[] = Object.values(Route);
 
@@ -69,8 +71,11 @@
       host: options.host,
       port: options.port,
       maximumConnections: MAXIMUM_CONNECTIONS,
+      maximumHeaderBytes: MAXIMUM_HEADER_BYTES,
+      headersMilliseconds: REQUEST_MILLISECONDS,
       requestMilliseconds: REQUEST_MILLISECONDS,
       serve: (request, response) => operators.#serve(request, response),
+      answerFault: refuseConnection,
     });
     return operators;
   }
@@ -159,6 +164,21 @@
     : refuse(404, "not-found", detail);
 }
 
+function refuseConnection(fault: ConnectionFault): EncodedAnswer {
+  switch (fault) {
+    case ConnectionFault.TooManyConnections:
+      return refuse(429, fault, "close connections that are not needed");
+    case ConnectionFault.HeadersTooLarge:
+      return refuse(431, fault, `at most ${MAXIMUM_HEADER_BYTES} bytes`);
+    case ConnectionFault.TooSlow:
+      return refuse(408, fault, `allowed: ${REQUEST_MILLISECONDS} ms`);
+    case ConnectionFault.Malformed:
+      return refuse(400, fault, "this is no HTTP request");
+    default:
+      return assertNever(fault);
+  }
+}
+
 function refuse(
   status: number,
   reason: string,
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -37,8 +37,12 @@
     maximum_tasks: count,
     maximum_connections: count,
     maximum_pending: count,
+    maximum_headers: count,
+    maximum_header_size: size,
+    header_time: duration,
     body_time: duration,
   }),
+  teams: z.record(z.string(), text).optional(),
 });
 
 const sidecarSchema = z.strictObject({
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -51,7 +51,7 @@
   self: ProcessIdentifier,
   settings: EntrySettings,
 ): Promise<number> {
-  const { callers: limits } = settings;
+  const { callers: limits, teams: teamTokens } = settings;
   await using shared = await openShared(self, settings);
   await using callers = await HttpCallers.listen({
     self,
@@ -59,7 +59,11 @@
     maximumBodyBytes: limits.maximum_body,
     maximumTasks: limits.maximum_tasks,
     maximumConnections: limits.maximum_connections,
+    maximumHeaders: limits.maximum_headers,
+    maximumHeaderBytes: limits.maximum_header_size,
+    headersMilliseconds: limits.header_time,
     bodyMilliseconds: limits.body_time,
+    ...(teamTokens === undefined ? {} : { teamTokens }),
   });
   const decisions = new EntryDecisions({
     self,
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -140,6 +140,9 @@
       case InputKind.CallerGone:
         this.#forget(input.request);
         return;
+      case InputKind.RequestRejected:
+        this.#collector.count(Counter.RequestsRejected, input.reason);
+        return;
       case InputKind.PeerRequestArrived:
         this.#takeRequest(input);
         return;
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -45,7 +45,13 @@
 
 /** Why a request was rejected before it became a submission. */
 export enum RejectionReason {
+  TooManyConnections = "too-many-connections",
+  MalformedRequest = "malformed-request",
+  HeadersTooLarge = "headers-too-large",
+  HeadersTooSlow = "headers-too-slow",
+  UnsupportedContentType = "unsupported-content-type",
   MalformedBody = "malformed-body",
+  DuplicateField = "duplicate-field",
   BodyTooLarge = "body-too-large",
   BodyTooSlow = "body-too-slow",
   MissingIdempotencyKey = "missing-idempotency-key",
@@ -53,6 +59,7 @@
   InvalidField = "invalid-field",
   TooManyTasks = "too-many-tasks",
   Unauthorized = "unauthorized",
+  TeamNotAllowed = "team-not-allowed",
   KeyReused = "key-reused",
   NotFound = "not-found",
   MethodNotAllowed = "method-not-allowed",
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -11,6 +11,7 @@
   SubmissionIdentifier,
 } from "./identifiers.ts";
 import type { BackendServerDescription, PlacedRecord } from "./log_record.ts";
+import type { RejectionReason } from "./metric.ts";
 import type { TaskEnd } from "./outcome.ts";
 import type { PeerReply, PeerRequest } from "./peer_message.ts";
 import type { ProcessError } from "./process_error.ts";
@@ -22,6 +23,7 @@
   StandingAsked = "standing-asked",
   CancellationAsked = "cancellation-asked",
   CallerGone = "caller-gone",
+  RequestRejected = "request-rejected",
   PeerRequestArrived = "peer-request-arrived",
   PeerReplyArrived = "peer-reply-arrived",
   PeerRequestLost = "peer-request-lost",
@@ -65,6 +67,12 @@
   readonly request: CallerRequestIdentifier;
 }
 
+/** A request was rejected before it became an input; it was answered already. */
+export interface RequestRejected {
+  readonly kind: InputKind.RequestRejected;
+  readonly reason: RejectionReason;
+}
+
 /** Another process sent a request. */
 export interface PeerRequestArrived {
   readonly kind: InputKind.PeerRequestArrived;
@@ -172,7 +180,8 @@
   | SubmissionArrived
   | StandingAsked
   | CancellationAsked
-  | CallerGone;
+  | CallerGone
+  | RequestRejected;
 
 /** Inputs from other processes. */
 export type PeerInput = PeerRequestArrived | PeerReplyArrived | PeerRequestLost;
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -134,6 +134,7 @@
       case InputKind.StandingAsked:
       case InputKind.CancellationAsked:
       case InputKind.CallerGone:
+      case InputKind.RequestRejected:
         // Callers reach entries only; a sidecar opens no port for them.
         return;
       default:
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -44,6 +44,9 @@
       maximum_tasks: 220,
       maximum_connections: 10_000,
       maximum_pending: 10_000,
+      maximum_headers: 64,
+      maximum_header_size: "16KiB",
+      header_time: "5s",
       body_time: "10s",
     },
   });
