--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -13,6 +13,7 @@
 
 const common = {
   peers: z.strictObject({ listen: address, shared_key: text }),
+  operators: z.strictObject({ listen: address, token: text }),
   platform_log: z.strictObject({ origin: text, read_wait: duration }),
   ownership: z.strictObject({ shards: count, owners: count }),
   timing: z.strictObject({
@@ -36,8 +37,12 @@
     maximum_tasks: count,
     maximum_connections: count,
     maximum_pending: count,
+    maximum_headers: count,
+    maximum_header_size: size,
+    header_time: duration,
     body_time: duration,
   }),
+  teams: z.record(z.string(), text).optional(),
 });
 
 const sidecarSchema = z.strictObject({
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -7,6 +7,7 @@
   type FleetChange,
   FleetChangeKind,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -141,6 +142,9 @@
       case InputKind.CallerGone:
         this.#forget(input.request);
         return;
+      case InputKind.RequestRejected:
+        this.#collector.count(Counter.RequestsRejected, input.reason);
+        return;
       case InputKind.PeerRequestArrived:
         this.#takeRequest(input);
         return;
@@ -162,6 +166,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.TaskExecutionEnded:
       case InputKind.TaskNotSent:
       case InputKind.BackendServerDescribed:
@@ -423,6 +430,25 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#isLeaving,
+    });
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: {
+        ...common,
+        role: Role.Entry,
+        waitingRequests: this.#pending.size,
+        epochToken: this.#epochToken(),
+      },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = !this.#isLeaving &&
       this.#follower.view.configuration.current !== undefined &&
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -79,17 +79,17 @@
     return this.view.find(this.#options.self) !== undefined;
   }
 
+  /** Whether the log answered the last read. */
+  get isLogAvailable(): boolean {
+    return this.#isLogAvailable;
+  }
+
   /** Announces the process, now and again until the log shows it. */
   announce(announcement: MemberJoined): void {
     this.#announcement = announcement;
     this.#announcedAt = undefined;
   }
 
-  /** Whether the log answered when it was last asked. */
-  get isLogAvailable(): boolean {
-    return this.#isLogAvailable;
-  }
-
   /** Takes the process out of the fleet; the log shows it a little later. */
   leave(reason: RemovalReason): void {
     this.#announcement = undefined;
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -150,6 +150,16 @@
     return this.#grants.granted();
   }
 
+  /** Shards owned, granted or not. */
+  owned(): readonly ShardEpoch[] {
+    return this.#grants.owned();
+  }
+
+  /** Tasks that wait for a runner. */
+  get waitingTasks(): number {
+    return this.#dispatcher.queuedTasks;
+  }
+
   /** Whether this owner answers for no job and hands nothing over any more. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -4,6 +4,7 @@
 import {
   type FleetChange,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -28,7 +29,9 @@
   type ProcessInput,
   type ProcessOutput,
   RemovalReason,
+  type RequestIdentifier,
   Role,
+  type SidecarReport,
 } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 import { RunnerDecisions } from "@eelgrassfront/runner";
@@ -135,10 +138,14 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.SubmissionArrived:
       case InputKind.StandingAsked:
       case InputKind.CancellationAsked:
       case InputKind.CallerGone:
+      case InputKind.RequestRejected:
         // Callers reach entries only; a sidecar opens no port for them.
         return;
       default:
@@ -326,6 +333,31 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#leaving !== LeavingPhase.No,
+    });
+    const { backendServer } = this.#runner;
+    const report: SidecarReport = {
+      ...common,
+      role: Role.Sidecar,
+      load: this.#runner.load(),
+      ownedShards: this.#owner.owned(),
+      grantedShards: this.#owner.granted(),
+      waitingTasks: this.#owner.waitingTasks,
+    };
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: backendServer === undefined
+        ? report
+        : { ...report, backendServer },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = this.#leaving === LeavingPhase.No &&
       this.#follower.isMember &&
