feat(measure): add the runner of measures and the response measure

Cause: nothing measured response time against the ideal, messages and processor time a task. Change: npm run measure -- response; the loop counts each message by kind, so that requests and replies are both counted, in place of the two counts that the decisions made of requests alone.

--- a/daemon/src/process_loop.ts
+++ b/daemon/src/process_loop.ts
@@ -4,12 +4,15 @@
  */
 import {
   assertNever,
+  Counter,
   type Decisions,
   EventNumber,
   InvariantError,
   OutputKind,
   type ProcessInput,
   type ProcessOutput,
+  type SendReply,
+  type SendRequest,
   Severity,
 } from "@eelgrassfront/model";
 import type {
@@ -96,6 +99,7 @@
         return;
       case OutputKind.SendRequest:
       case OutputKind.SendReply:
+        this.#countMessage(output);
         this.#ports.peers.perform(output);
         return;
       case OutputKind.ExecuteTask:
@@ -122,6 +126,14 @@
     }
   }
 
+  #countMessage({ message }: SendRequest | SendReply): void {
+    this.#ports.metrics?.measure({
+      kind: OutputKind.CountOccurrence,
+      counter: Counter.MessagesSent,
+      reason: message.kind,
+    });
+  }
+
   #stop(exitCode: number): void {
     this.#isStopped = true;
     this.#finish(exitCode);
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -217,7 +217,6 @@
     pending.relayAt = now + RELAY_CHECK_MILLISECONDS;
     this.#byRequest.set(request, pending);
     this.#wakeAt(Math.min(pending.relayAt, pending.giveUpAt));
-    this.#collector.count(Counter.MessagesSent);
     this.#collector.add({
       kind: OutputKind.SendRequest,
       request,
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -7,6 +7,7 @@
   TaskRefusalReason,
   UnknownReason,
 } from "./outcome.ts";
+import type { PeerReplyKind, PeerRequestKind } from "./peer_message.ts";
 
 /** Names of counters. */
 export enum Counter {
@@ -34,14 +35,16 @@
   Members = "members",
 }
 
-/** Reason attached to a counter. */
+/** Reason attached to a counter; for messages it is their kind. */
 export type CountedReason =
   | FailureReason
   | NotRunReason
   | TaskRefusalReason
   | UnknownReason
   | RejectionReason
-  | RetryReason;
+  | RetryReason
+  | PeerRequestKind
+  | PeerReplyKind;
 
 /** Why a request was rejected before it became a submission. */
 export enum RejectionReason {
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -253,7 +253,6 @@
     if (member === undefined) return undefined;
     const request = collector.nextRequest();
     const { address } = member.joined;
-    collector.count(Counter.MessagesSent);
     collector.add({
       kind: OutputKind.SendRequest,
       request,
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -10,6 +10,7 @@
   readonly peers: number;
   readonly callers: number;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
 /** What differs between the sidecars of a local system. */
@@ -19,6 +20,7 @@
   readonly peers: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
 const SHARDS = 64;
@@ -64,7 +66,11 @@
 }
 
 function shared(process: LocalEntry | LocalSidecar): object {
+  const { metricsReceiver } = process;
   return {
+    ...(metricsReceiver === undefined
+      ? {}
+      : { metrics: { receiver: metricsReceiver } }),
     peers: {
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -21,6 +21,8 @@
   readonly configuration?: Configuration;
   /** Time of a synced append, in milliseconds. */
   readonly appendMilliseconds?: number;
+  /** Where the processes send metrics, as `host:port`. */
+  readonly metricsReceiver?: string;
   /** Told of each event that a process writes. */
   readonly onLine?: (name: string, line: string) => void;
 }
@@ -101,6 +103,7 @@
       peers: ports.peers,
       backendServerOrigin: origin,
       logOrigin: `http://${this.log.address}`,
+      metricsReceiver: this.#options.metricsReceiver,
     });
     this.sidecars[index] = await this.#startDaemon(name, settings, ports.peers);
   }
@@ -161,6 +164,7 @@
       peers,
       callers,
       logOrigin: `http://${this.log.address}`,
+      metricsReceiver: this.#options.metricsReceiver,
     });
     this.entries[index] = await this.#startDaemon(name, settings, callers);
   }
--- /dev/null
+++ b/measure/src/main.ts
@@ -0,0 +1,38 @@
+/**
+ * `npm run measure -- NAME`: runs one measure, which prints its figures as one JSON object on the last
+ * line. Exit codes: 0 after a measure, 2 when the name is not known.
+ */
+import { assertNever } from "@eelgrassfront/model";
+import { measureResponse } from "./response_measure.ts";
+
+/** Measures that can be run by name. */
+enum Measure {
+  Response = "response",
+}
+
+const UNKNOWN_MEASURE_EXIT_CODE = 2;
+
+process.exitCode = await run(process.argv[2]);
+
+async function run(name: string | undefined): Promise<number> {
+  const known = Object.values(Measure);
+  const measure = known.find((candidate) => candidate === name);
+  if (measure === undefined) {
+    process.stderr.write(
+      `${name ?? "no name"}: not a measure; known: ${known.join(", ")}\n`,
+    );
+    return UNKNOWN_MEASURE_EXIT_CODE;
+  }
+  const figures = await figuresOf(measure);
+  process.stdout.write(`${JSON.stringify(figures)}\n`);
+  return 0;
+}
+
+function figuresOf(measure: Measure): Promise<object> {
+  switch (measure) {
+    case Measure.Response:
+      return measureResponse();
+    default:
+      return assertNever(measure);
+  }
+}
