--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -11,6 +11,7 @@
   readonly callers: number;
   readonly operators: number;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
 /** What differs between the sidecars of a local system. */
@@ -21,6 +22,7 @@
   readonly operators: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
 /** Operators' token of every process of a local system. */
@@ -72,7 +74,11 @@
 }
 
 function shared(process: LocalEntry | LocalSidecar): object {
+  const { metricsReceiver } = process;
   return {
+    ...(metricsReceiver === undefined
+      ? {}
+      : { metrics: { receiver: metricsReceiver } }),
     peers: {
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
