--- a/adapters/message_lines/src/line_front_end_test.ts
+++ b/adapters/message_lines/src/line_front_end_test.ts
@@ -66,7 +66,7 @@
   requirements: REQUIREMENTS,
   remainingMilliseconds: 1_000,
   servedMilliseconds: 0,
-  slotClaim: SlotClaim.Quota,
+  slotClaim: SlotClaim.MayWait,
 } as const;
 
 test("a runner takes a task, runs it and answers", () => {
--- a/domain/fairness/src/fair_queue.ts
+++ b/domain/fairness/src/fair_queue.ts
@@ -46,6 +46,9 @@
   readonly team: string;
 }
 
+/** How far a team may run ahead of the others for submissions that have received nothing yet. */
+const UNSERVED_WARP_MILLISECONDS: Milliseconds = 2_000;
+
 const ONE_FLOW: FlowNames = { kindOfWork: "", team: "" };
 
 /** Items waiting for service. */
@@ -59,6 +62,7 @@
     this.#kinds = new WeightedFlows({
       create: () => this.#newTeams(),
       shareOf: (name) => this.#shares().ofKind(name),
+      warpOf: () => 0,
     });
   }
 
@@ -70,12 +74,14 @@
   /** Adds an item behind the others of its submission. */
   add(ticket: QueueTicket, item: Item): void {
     this.#activate(ticket).add(ticket, item);
+    this.#refresh(ticket);
     this.#size += 1;
   }
 
   /** Puts an item back that was taken and could not be served. */
   putBack(ticket: QueueTicket, item: Item): void {
     this.#activate(ticket).putBack(ticket, item);
+    this.#refresh(ticket);
     this.#size += 1;
   }
 
@@ -90,14 +96,25 @@
     return item;
   }
 
-  /** Counts run time for a submission, its team and its kind of work; a correction may be negative. */
-  charge(flow: QueueFlow, served: Milliseconds): void {
+  /** Counts run time that a submission, its team and its kind of work are expected to receive. */
+  charge(flow: QueueFlow, expected: Milliseconds): void {
     const { kindOfWork, team } = this.#namesOf(flow);
     const teams = this.#kinds.find(kindOfWork);
     if (teams === undefined) return;
-    this.#kinds.charge(kindOfWork, served);
-    teams.charge(team, served);
-    teams.find(team)?.charge(flow.submission, served);
+    this.#kinds.charge(kindOfWork, expected);
+    teams.find(team)?.charge(flow.submission, expected);
+    teams.charge(team, expected);
+  }
+
+  /**
+   * Corrects what a submission was charged when its task has ended. Its team and kind are not corrected:
+   * one long task would cost them many turns, and their expected run times follow the measured ones.
+   */
+  correct(flow: QueueFlow, difference: Milliseconds): void {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    this.#kinds.find(kindOfWork)?.find(team)
+      ?.charge(flow.submission, difference);
+    this.#refresh(flow);
   }
 
   /** What stands before a new submission of this flow. */
@@ -149,12 +166,20 @@
     return this.#kinds.activate(kindOfWork).activate(team);
   }
 
+  #refresh(flow: FlowNames): void {
+    const { kindOfWork, team } = this.#namesOf(flow);
+    this.#kinds.find(kindOfWork)?.refresh(team);
+  }
+
   /** Takes a team, and then its kind of work, out of turn when nothing of theirs waits. */
   #settle(
     kind: { readonly name: string; readonly content: TeamFlows<Item> },
     team: { readonly name: string; readonly content: TeamQueue<Item> },
   ): void {
-    if (team.content.size > 0) return;
+    if (team.content.size > 0) {
+      kind.content.refresh(team.name);
+      return;
+    }
     kind.content.deactivate(team.name);
     if (kind.content.first() === undefined) this.#kinds.deactivate(kind.name);
   }
@@ -163,6 +188,7 @@
     return new WeightedFlows({
       create: () => new SubmissionQueue<Item>(this.#serviceCount()),
       shareOf: (name) => this.#shares().ofTeam(name),
+      warpOf: ({ hasUnserved }) => hasUnserved ? UNSERVED_WARP_MILLISECONDS : 0,
     });
   }
 
--- a/domain/fairness/src/ranked_map.ts
+++ b/domain/fairness/src/ranked_map.ts
@@ -33,9 +33,9 @@
     return this.#entries.get(key)?.value;
   }
 
-  /** All values, in no order. */
-  *values(): Iterable<Value> {
-    for (const { value } of this.#entries.values()) yield value;
+  /** The position of a key. */
+  positionOf(key: Key): Position | undefined {
+    return this.#entries.get(key);
   }
 
   /** All keys, in no order. */
--- a/domain/fairness/src/submission_queue.ts
+++ b/domain/fairness/src/submission_queue.ts
@@ -45,6 +45,11 @@
     return this.#groups.size;
   }
 
+  /** Whether a submission waits that has received no service. */
+  get hasUnserved(): boolean {
+    return this.#groups.first()?.value.servedMilliseconds === 0;
+  }
+
   /** Adds an item behind the others of its submission. */
   add(ticket: SubmissionTicket, item: Item): void {
     this.#groupOf(ticket).items.push(item);
--- a/domain/fairness/src/weighted_flows.ts
+++ b/domain/fairness/src/weighted_flows.ts
@@ -1,7 +1,8 @@
 /**
  * Start-time fair queueing between named flows: each flow advances by the service it receives divided by
  * its share, and the flow that is furthest behind is first. A flow that was idle starts level with the
- * others, so that idleness earns no credit.
+ * others, so that idleness earns no credit. A flow may be warped: it is ranked as if it had received less,
+ * so that what is urgent in it is served at once and paid for by what follows (borrowed virtual time).
  */
 import type { Milliseconds } from "@eelgrassfront/model";
 import { RankedMap } from "./ranked_map.ts";
@@ -18,6 +19,8 @@
   readonly create: () => Content;
   /** Share of a flow relative to the others. */
   readonly shareOf: (name: string) => number;
+  /** Virtual time by which a flow with this content is moved forward now. */
+  readonly warpOf: (content: Content) => Milliseconds;
 }
 
 /** Flows that share a resource by weight. */
@@ -58,17 +61,23 @@
 
   /** The active flow that is furthest behind. */
   first(): { readonly name: string; readonly content: Content } | undefined {
-    const flow = this.#active.first()?.value;
-    if (flow === undefined) return undefined;
-    this.#virtualTime = Math.max(this.#virtualTime, flow.virtualTime);
-    return flow;
+    const entry = this.#active.first();
+    if (entry === undefined) return undefined;
+    this.#virtualTime = Math.max(this.#virtualTime, entry.rank);
+    return entry.value;
   }
 
   /** Counts service that a flow received; a correction may be negative. */
   charge(name: string, served: Milliseconds): void {
     const flow = this.#flowOf(name);
     flow.virtualTime += served / this.#options.shareOf(name);
-    if (this.#active.get(name) !== undefined) this.#rank(flow);
+    this.refresh(name);
+  }
+
+  /** Ranks a flow anew after a change of its content. */
+  refresh(name: string): void {
+    const flow = this.#active.get(name);
+    if (flow !== undefined) this.#rank(flow);
   }
 
   /** Share of a flow among itself and the active flows, from 0 to 1. */
@@ -83,8 +92,10 @@
   }
 
   #rank(flow: Flow<Content>): void {
-    const { name, virtualTime, order } = flow;
-    this.#active.set(name, flow, { rank: virtualTime, order });
+    const { name, content, order } = flow;
+    const rank = flow.virtualTime - this.#options.warpOf(content);
+    if (this.#active.positionOf(name)?.rank === rank) return;
+    this.#active.set(name, flow, { rank, order });
   }
 
   #flowOf(name: string): Flow<Content> {
--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -57,12 +57,14 @@
   readonly submission: SubmissionIdentifier;
 }
 
-/** By what right an owner uses a slot of a runner. */
+/** What a runner does with a task that finds no free slot. */
 export enum SlotClaim {
-  /** The slot belongs to the owner; the task may wait for it. */
-  Quota = "quota",
-  /** The slot belongs to another owner; the task starts now or is refused. */
-  Borrowed = "borrowed",
+  /** The task waits: the slot belongs to the owner. */
+  MayWait = "may-wait",
+  /** The task is refused, so that the owner places it elsewhere. */
+  FreeSlot = "free-slot",
+  /** The task is refused unless a slot more is free: it would borrow another owner's slot. */
+  SpareSlot = "spare-slot",
 }
 
 /** An owner places one attempt of a task at a runner. */
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -3,7 +3,11 @@
  * was lost is sent again to the same runner, which recognises it; a task goes to another runner only
  * after proof that the first one never starts it.
  */
-import { RetryBudget, RunTimeEstimates } from "@eelgrassfront/admission";
+import {
+  RetryBudget,
+  RunTimeEstimates,
+  type RunTimeFlow,
+} from "@eelgrassfront/admission";
 import {
   disciplineOf,
   EQUAL_SHARES,
@@ -127,9 +131,9 @@
     return tasks;
   }
 
-  /** Expected run time of a task of this kind of work. */
-  expectedRunMilliseconds(kindOfWork: string): Milliseconds {
-    return this.#runTimes.of(kindOfWork);
+  /** Expected run time of a task of this team and kind of work. */
+  expectedRunMilliseconds(flow: RunTimeFlow): Milliseconds {
+    return this.#runTimes.of(flow);
   }
 
   /** What stands before a new submission. */
@@ -318,11 +322,16 @@
     if (this.#areQuotasKnown) return;
     this.#areQuotasKnown = true;
     const { follower: { view }, self } = this.#options;
-    const owners = new Set<ProcessIdentifier>();
+    const shards = new Map<ProcessIdentifier, number>();
     for (const { owner } of view.ownership.all()) {
-      if (view.find(owner) !== undefined) owners.add(owner);
+      if (view.find(owner) === undefined) continue;
+      shards.set(owner, (shards.get(owner) ?? 0) + 1);
     }
-    this.pool.divideSlots(self, [...owners].sort());
+    const owners = [...shards.keys()].sort();
+    this.pool.divideSlots(
+      self,
+      owners.map((owner) => ({ owner, shards: shards.get(owner) ?? 0 })),
+    );
   }
 
   #isWaiting({ job, index }: TaskReference): boolean {
@@ -342,7 +351,7 @@
       epoch: job.options.epoch,
       isStarted: false,
     };
-    const expectedMilliseconds = this.#runTimes.of(job.options.kindOfWork.name);
+    const expectedMilliseconds = this.#runTimes.of(ticketOf(job));
     const placement = { job, index, expectedMilliseconds };
     job.put(index, task);
     this.pool.place(runner.process);
@@ -358,17 +367,24 @@
     this.#retryBudget.earn(current?.configuration.limits.retryBudget ?? 0);
   }
 
-  /** Counts run time for a job, its team and its kind of work. */
-  #charge(job: Job, milliseconds: Milliseconds): void {
-    job.servedMilliseconds += milliseconds;
+  /** Counts expected run time for a job, its team and its kind of work. */
+  #charge(job: Job, expected: Milliseconds): void {
+    job.servedMilliseconds += expected;
+    this.#queueOf(job.options.kindOfWork.service)
+      .charge(ticketOf(job), expected);
+  }
+
+  /** Replaces the expected run time of a job's task by the measured one. */
+  #correct(job: Job, difference: Milliseconds): void {
+    job.servedMilliseconds += difference;
     this.#queueOf(job.options.kindOfWork.service)
-      .charge(ticketOf(job), milliseconds);
+      .correct(ticketOf(job), difference);
   }
 
   #sendPlacement(
     placement: Placement,
     task: PlacedTask,
-    slotClaim = SlotClaim.Quota,
+    slotClaim = SlotClaim.MayWait,
   ): void {
     const { job, index } = placement;
     const { submission, shard, kindOfWork, deadlineAt } = job.options;
@@ -482,10 +498,10 @@
     const { job, index, expectedMilliseconds } = placement;
     if (this.#abandoned.has(job)) return;
     if (end.kind !== TaskEndKind.Lost) {
-      this.#charge(job, end.runMilliseconds - expectedMilliseconds);
+      this.#correct(job, end.runMilliseconds - expectedMilliseconds);
     }
     if (end.kind === TaskEndKind.Succeeded) {
-      this.#runTimes.learn(job.options.kindOfWork.name, end.runMilliseconds);
+      this.#runTimes.learn(ticketOf(job), end.runMilliseconds);
     }
     job.put(index, { phase: TaskPhase.Ended, end });
     this.#options.onTaskEnded(job, index);
--- a/domain/placement/src/mod.ts
+++ b/domain/placement/src/mod.ts
@@ -3,3 +3,4 @@
  */
 export * from "./placement_policy.ts";
 export * from "./runner_pool.ts";
+export type { OwnerWeight } from "./slot_quota.ts";
--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -15,7 +15,7 @@
   type PlacementPolicy,
   PlacementPolicyKind,
 } from "./placement_policy.ts";
-import { quotaOf } from "./slot_quota.ts";
+import { type OwnerWeight, quotaOf } from "./slot_quota.ts";
 
 /** A runner as the pool knows it. */
 export interface KnownRunner {
@@ -65,11 +65,15 @@
   inFlight: number;
   /** Tasks of others at the runner when it last answered. */
   others: number;
+  /** When the runner last told its load. */
+  loadNotedAt: Milliseconds;
   isLeaving: boolean;
 }
 
 /** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
 const RESERVED_SLOTS = 1;
+/** Age of a load by which one more slot is left. */
+const LOAD_AGE_PER_SLOT_MILLISECONDS: Milliseconds = 100;
 
 /** Known runners and their load. */
 export class RunnerPool {
@@ -95,6 +99,7 @@
       quota: runner.backendServer.slots,
       inFlight: 0,
       others: 0,
+      loadNotedAt: 0,
       isLeaving: false,
     });
   }
@@ -112,7 +117,7 @@
   /** Divides the slots of all runners among the owners. */
   divideSlots(
     self: ProcessIdentifier,
-    owners: readonly ProcessIdentifier[],
+    owners: readonly OwnerWeight[],
   ): void {
     let rank = 0;
     for (const pooled of this.#pooled.values()) {
@@ -156,17 +161,17 @@
     const { policy } = this.#options;
     switch (policy.kind) {
       case PlacementPolicyKind.SlotQuota:
-        return this.#chooseByQuota(candidates);
+        return this.#chooseByQuota(candidates, need.isFirst);
       case PlacementPolicyKind.LeastLoaded:
-        return claimQuota(
+        return mayWait(
           this.#best(candidates, (pooled) => -occupancyOf(pooled)),
         );
       case PlacementPolicyKind.RoundRobin:
         this.#lastTurn += 1;
-        return claimQuota(candidates[this.#lastTurn % candidates.length]);
+        return mayWait(candidates[this.#lastTurn % candidates.length]);
       case PlacementPolicyKind.Random: {
         const index = Math.floor(this.#options.random() * candidates.length);
-        return claimQuota(candidates[index]);
+        return mayWait(candidates[index]);
       }
     }
   }
@@ -201,6 +206,7 @@
     const present = load.running + load.queued;
     pooled.others = Math.max(0, present - pooled.inFlight);
     pooled.isLeaving = load.isLeaving;
+    pooled.loadNotedAt = this.#options.now();
   }
 
   #candidates(need: PlacementNeed): readonly Pooled[] {
@@ -214,19 +220,27 @@
 
   #chooseByQuota(
     candidates: readonly Pooled[],
+    isFirst: boolean,
   ): PlacementChoice | undefined {
-    const isQuotaLeft = ({ inFlight, quota }: Pooled) => inFlight < quota;
-    const ready = candidates.filter((pooled) =>
-      isQuotaLeft(pooled) && freeSlotsOf(pooled) > 0
+    const own = this.#best(
+      candidates.filter((pooled) =>
+        hasQuotaLeft(pooled) && freeSlotsOf(pooled) > 0
+      ),
+      freeSlotsOf,
     );
-    const own = this.#best(ready, freeSlotsOf);
-    if (own !== undefined) return claimQuota(own);
-    const foreign = candidates.filter((pooled) => !isQuotaLeft(pooled));
-    const borrowed = this.#best(foreign, freeSlotsOf);
-    if (borrowed !== undefined) {
-      return { runner: borrowed.runner, claim: SlotClaim.Borrowed };
+    if (own !== undefined) {
+      const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.MayWait;
+      return { runner: own.runner, claim };
     }
-    return claimQuota(this.#best(candidates, freeSlotsOf));
+    const foreign = this.#best(
+      candidates.filter((pooled) => !hasQuotaLeft(pooled)),
+      freeSlotsOf,
+    );
+    if (foreign !== undefined) {
+      const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.SpareSlot;
+      return { runner: foreign.runner, claim };
+    }
+    return mayWait(this.#best(candidates, freeSlotsOf));
   }
 
   #best(
@@ -258,9 +272,9 @@
     const { policy } = this.#options;
     switch (policy.kind) {
       case PlacementPolicyKind.SlotQuota: {
-        const reserved = isFirst ? 0 : RESERVED_SLOTS;
-        return pooled.inFlight < pooled.quota ||
-          freeSlotsOf(pooled) > reserved;
+        if (pooled.inFlight < pooled.quota) return true;
+        const reserved = isFirst ? 0 : this.#reservedSlots(pooled);
+        return freeSlotsOf(pooled) > reserved;
       }
       case PlacementPolicyKind.LeastLoaded:
         return pooled.inFlight <
@@ -271,6 +285,12 @@
     }
   }
 
+  /** The older the load that a runner told, the more of its free slots may be taken by now. */
+  #reservedSlots({ loadNotedAt }: Pooled): number {
+    const age = this.#options.now() - loadNotedAt;
+    return RESERVED_SLOTS + Math.floor(age / LOAD_AGE_PER_SLOT_MILLISECONDS);
+  }
+
   #isHealthy(pooled: Pooled): boolean {
     const { failures } = pooled;
     switch (this.#options.policy.kind) {
@@ -295,10 +315,14 @@
   }
 }
 
-function claimQuota(pooled: Pooled | undefined): PlacementChoice | undefined {
+function hasQuotaLeft({ inFlight, quota }: Pooled): boolean {
+  return inFlight < quota;
+}
+
+function mayWait(pooled: Pooled | undefined): PlacementChoice | undefined {
   return pooled === undefined
     ? undefined
-    : { runner: pooled.runner, claim: SlotClaim.Quota };
+    : { runner: pooled.runner, claim: SlotClaim.MayWait };
 }
 
 function freeSlotsOf({ runner, inFlight, others }: Pooled): number {
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -292,16 +292,16 @@
     return undefined;
   }
 
-  /** A borrower leaves one slot free, unless its submission has received no service yet. */
   #isSlotFree(order: StartTask): boolean {
+    const slots = this.#backendServer?.slots ?? 0;
+    const free = slots - this.#running.size - this.#queue.size;
     switch (order.slotClaim) {
-      case SlotClaim.Quota:
+      case SlotClaim.MayWait:
         return true;
-      case SlotClaim.Borrowed: {
-        const slots = this.#backendServer?.slots ?? 0;
-        const free = slots - this.#running.size - this.#queue.size;
-        return free > (order.servedMilliseconds === 0 ? 0 : RESERVED_SLOTS);
-      }
+      case SlotClaim.FreeSlot:
+        return free > 0;
+      case SlotClaim.SpareSlot:
+        return free > RESERVED_SLOTS;
     }
   }
 
--- a/measure/src/policies_measure.ts
+++ b/measure/src/policies_measure.ts
@@ -21,6 +21,8 @@
 }
 
 const LOAD_MILLISECONDS: Milliseconds = 120_000;
+/** Deadline that none misses below full load, so that the policies end the same work. */
+const PATIENT_MILLISECONDS: Milliseconds = 120_000;
 const JOB_SHARE = 0.05;
 const LOADS = [0.3, 0.7, 0.95, 3];
 
@@ -60,6 +62,12 @@
     loadMilliseconds: LOAD_MILLISECONDS,
     ...options,
     load: `${Math.round(load * 100)}% single tasks beside jobs`,
-    streams: [{ name: "all", load, jobShare: JOB_SHARE }],
+    drainMilliseconds: PATIENT_MILLISECONDS,
+    streams: [{
+      name: "all",
+      load,
+      jobShare: JOB_SHARE,
+      deadlineMilliseconds: PATIENT_MILLISECONDS,
+    }],
   };
 }
--- a/measure/src/policy_scenarios.ts
+++ b/measure/src/policy_scenarios.ts
@@ -99,6 +99,8 @@
 export interface ScenarioOptions
   extends Partial<Omit<PolicyRunOptions, "arrivals" | "window" | "endsAt">> {
   readonly loadMilliseconds: Milliseconds;
+  /** Time in which what was submitted may end. */
+  readonly drainMilliseconds?: Milliseconds;
   readonly streams: readonly StreamDescription[];
 }
 
@@ -109,7 +111,7 @@
 
 /** Builds a run at the sizes of today. */
 export function scenario(options: ScenarioOptions): PolicyRunOptions {
-  const { streams, loadMilliseconds, ...others } = options;
+  const { streams, loadMilliseconds, drainMilliseconds, ...others } = options;
   const seed = options.seed ?? 1;
   const window = {
     from: START_MILLISECONDS,
@@ -135,7 +137,7 @@
     ...others,
     seed,
     window,
-    endsAt: window.to + DRAIN_MILLISECONDS,
+    endsAt: window.to + (drainMilliseconds ?? DRAIN_MILLISECONDS),
     arrivals: generateLoad(
       streams.map((stream) => ({ ...usual, ...stream })),
       { seed, slots: SIDECARS * SLOTS },
