--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -110,6 +110,8 @@
 }
 
 const SETTLE_MILLISECONDS: Milliseconds = 500;
+/** Time between two looks for shards without an owner. */
+const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
@@ -121,6 +123,7 @@
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
   #membershipChangedAt: Milliseconds = 0;
+  #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
   #isLeaving = false;
   readonly #stopped = new Set<ShardNumber>();
@@ -404,6 +407,7 @@
 
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
+    this.#claimCheckedAt = this.#options.collector.now;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
@@ -421,7 +425,9 @@
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
     const isAnswerDue =
       collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    return !this.#isLeaving && follower.isMember && hasSettled &&
+    const isCheckDue =
+      collector.now - this.#claimCheckedAt >= CLAIM_CHECK_MILLISECONDS;
+    return isCheckDue && !this.#isLeaving && follower.isMember && hasSettled &&
       !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
       follower.heartbeats.hearsMajority();
   }
