--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -432,7 +432,6 @@
     if (member === undefined) return undefined;
     const request = collector.nextRequest();
     const { address } = member.joined;
-    collector.count(Counter.MessagesSent);
     collector.add({
       kind: OutputKind.SendRequest,
       request,
@@ -488,6 +487,7 @@
       case PeerReplyKind.EvidenceGiven:
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
+      case PeerReplyKind.HandOverRefused:
       case PeerReplyKind.HeartbeatAnswered:
         if (!isCancellation) this.#resend(placement);
         return;
--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -127,6 +127,14 @@
     }
   }
 
+  /** Whether any runner may be given work now. */
+  isAnyOpen(): boolean {
+    for (const pooled of this.#pooled.values()) {
+      if (this.#isOpen(pooled)) return true;
+    }
+    return false;
+  }
+
   /** Whether any known runner could ever run such a task. */
   isAnyCapable(need: Omit<PlacementNeed, "isFirst">): boolean {
     for (const { runner } of this.#pooled.values()) {
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -9,7 +9,9 @@
   readonly availabilityZone: string;
   readonly peers: number;
   readonly callers: number;
+  readonly operators: number;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
 /** What differs between the sidecars of a local system. */
@@ -17,10 +19,15 @@
   readonly name: string;
   readonly availabilityZone: string;
   readonly peers: number;
+  readonly operators: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
+  readonly metricsReceiver: string | undefined;
 }
 
+/** Operators' token of every process of a local system. */
+export const LOCAL_OPERATORS_TOKEN = "local-operators-token";
+
 const SHARDS = 64;
 const OWNERS = 3;
 
@@ -39,6 +46,9 @@
       maximum_tasks: 220,
       maximum_connections: 10_000,
       maximum_pending: 10_000,
+      maximum_headers: 64,
+      maximum_header_size: "16KiB",
+      header_time: "5s",
       body_time: "10s",
     },
   });
@@ -64,11 +74,19 @@
 }
 
 function shared(process: LocalEntry | LocalSidecar): object {
+  const { metricsReceiver } = process;
   return {
+    ...(metricsReceiver === undefined
+      ? {}
+      : { metrics: { receiver: metricsReceiver } }),
     peers: {
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
     },
+    operators: {
+      listen: `127.0.0.1:${process.operators}`,
+      token: LOCAL_OPERATORS_TOKEN,
+    },
     platform_log: { origin: process.logOrigin, read_wait: "500ms" },
     ownership: { shards: SHARDS, owners: OWNERS },
     timing: {
