feat(admission): refuse what cannot end in time, and let bursts within a share through

Cause: in a flood of ten times the capacity every job was admitted, started and failed at its deadline (482 of 502), since new single tasks always went before it. A kind of work within its share queued behind its own guaranteed rate: its single tasks had a p99 of 4.7 times the ideal.

Change: admission expects a submission to start its tasks within a quarter of its deadline, by learnt run times, the owner's slots, and the share of its team and kind among those that wait; of every submission ahead it counts no more tasks than its own, since those go first. A refusal names the time until there is room. A submission that has used 0.4 of its deadline goes before those that received less. A flow that was idle may catch up 3 s of service.

--- /dev/null
+++ b/domain/admission/src/admission_test.ts
@@ -0,0 +1,141 @@
+/**
+ * Admission refuses what cannot run, what exceeds a quota and what cannot end in time, and nothing else.
+ */
+import { describe, test } from "node:test";
+import {
+  type Configuration,
+  Idempotence,
+  NotRunReason,
+  type Submission,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { assert, integer, property } from "fast-check";
+import {
+  AdmissionKind,
+  type AdmissionSituation,
+  type DrainEstimate,
+  judgeSubmission,
+} from "./admission.ts";
+
+const CONFIGURATION: Configuration = {
+  kindsOfWork: [{
+    name: "check",
+    service: "service",
+    weight: 1,
+    floor: 0,
+    maximumAttempts: 3,
+    defaultDeadlineMilliseconds: 1_000,
+    pricePerSecond: 1,
+  }],
+  teams: [{ name: "team", weight: 1, maximumTasksInFlight: 300 }],
+  limits: {
+    maximumTasksPerJob: 220,
+    retryBudget: 0.1,
+    maximumQueuedTasks: 1_000,
+  },
+};
+
+const IDLE: DrainEstimate = {
+  waitingTasks: 0,
+  waitingSubmissions: 0,
+  slots: 8,
+  runMilliseconds: 300,
+};
+
+function submissionOf(
+  tasks: number,
+  changes: Partial<Submission> = {},
+): Submission {
+  return {
+    team: "team",
+    idempotencyKey: "key",
+    digest: "digest",
+    kindOfWork: "check",
+    idempotence: Idempotence.Idempotent,
+    deadlineMilliseconds: 10_000,
+    requirements: { processorCores: 0, memoryMegabytes: 0, accelerators: 0 },
+    tasks: Array.from(
+      { length: tasks },
+      () => ({ payload: "", declaredMilliseconds: 1 }),
+    ),
+    ...changes,
+  };
+}
+
+function judge(
+  submission: Submission,
+  changes: Partial<AdmissionSituation> = {},
+) {
+  return judgeSubmission(submission, {
+    configuration: CONFIGURATION,
+    queuedTasks: 0,
+    teamTasksInFlight: 0,
+    remainingMilliseconds: 10_000,
+    drainOf: () => IDLE,
+    isCapableWorkerKnown: () => true,
+    ...changes,
+  });
+}
+
+function reasonOf(admission: ReturnType<typeof judge>) {
+  return admission.kind === AdmissionKind.Refused
+    ? admission.reason
+    : undefined;
+}
+
+describe("judgeSubmission", () => {
+  test("admits work that nothing stands before, however long it is", () => {
+    expect(judge(submissionOf(220)).kind).toEqual(AdmissionKind.Admitted);
+  });
+
+  test("refuses at once what no worker could ever run", () => {
+    const admission = judge(submissionOf(1), {
+      isCapableWorkerKnown: () => false,
+    });
+    expect(reasonOf(admission)).toEqual(NotRunReason.NoCapableWorker);
+  });
+
+  test("refuses unknown teams and kinds of work", () => {
+    expect(reasonOf(judge(submissionOf(1, { team: "nobody" }))))
+      .toEqual(NotRunReason.UnknownTeam);
+    expect(reasonOf(judge(submissionOf(1, { kindOfWork: "none" }))))
+      .toEqual(NotRunReason.UnknownKindOfWork);
+  });
+
+  test("holds a team to its quota and the owner to its queue", () => {
+    expect(reasonOf(judge(submissionOf(1), { teamTasksInFlight: 300 })))
+      .toEqual(NotRunReason.QuotaExceeded);
+    expect(reasonOf(judge(submissionOf(1), { queuedTasks: 1_000 })))
+      .toEqual(NotRunReason.QueueFull);
+  });
+
+  test("lets a single task in beside a large job, but no second large job", () => {
+    const drain = { ...IDLE, waitingTasks: 200, waitingSubmissions: 1 };
+    const situation = { drainOf: () => drain };
+    expect(judge(submissionOf(1), situation).kind)
+      .toEqual(AdmissionKind.Admitted);
+    expect(reasonOf(judge(submissionOf(200), situation)))
+      .toEqual(NotRunReason.DeadlineUnreachable);
+  });
+
+  test("names a time after which the same submission would be admitted", () => {
+    const counts = integer({ min: 1, max: 5_000 });
+    assert(
+      property(counts, (waiting) => {
+        const drainAfter = (elapsed: number): DrainEstimate => {
+          const drained = elapsed * IDLE.slots / IDLE.runMilliseconds;
+          const left = Math.max(0, Math.floor(waiting - drained));
+          return { ...IDLE, waitingTasks: left, waitingSubmissions: left };
+        };
+        const first = judge(submissionOf(1), { drainOf: () => drainAfter(0) });
+        if (first.kind === AdmissionKind.Admitted) return;
+        const elapsed = first.retryAfterMilliseconds ?? 0;
+        const second = judge(submissionOf(1), {
+          drainOf: () => drainAfter(elapsed),
+        });
+        expect(second.kind).toEqual(AdmissionKind.Admitted);
+      }),
+      { seed: 5 },
+    );
+  });
+});
--- a/domain/fairness/src/fair_queue.ts
+++ b/domain/fairness/src/fair_queue.ts
@@ -86,11 +86,11 @@
   }
 
   /** Takes the next item, or undefined when nothing waits. */
-  take(): Item | undefined {
+  take(now: Milliseconds): Item | undefined {
     const kind = this.#kinds.first();
     const team = kind?.content.first();
     if (kind === undefined || team === undefined) return undefined;
-    const item = team.content.take();
+    const item = team.content.take(now);
     this.#settle(kind, team);
     this.#size -= 1;
     return item;
--- /dev/null
+++ b/domain/fairness/src/shares_test.ts
@@ -0,0 +1,64 @@
+/**
+ * Shares follow weights, and no kind of work has less than its floor.
+ */
+import { test } from "node:test";
+import type { KindOfWork } from "@eelgrassfront/model";
+import { expect } from "earl";
+import { array, assert, double, property, record } from "fast-check";
+import { sharesOf } from "./shares.ts";
+
+function sharesOfKinds(
+  kinds: readonly Pick<KindOfWork, "weight" | "floor">[],
+): readonly number[] {
+  const shares = sharesOf({
+    kindsOfWork: kinds.map((kind, index) => ({
+      ...kind,
+      name: String(index),
+      service: "service",
+      maximumAttempts: 1,
+      defaultDeadlineMilliseconds: 1,
+      pricePerSecond: 1,
+    })),
+    teams: [],
+    limits: {
+      maximumTasksPerJob: 1,
+      retryBudget: 0,
+      maximumQueuedTasks: 1,
+    },
+  });
+  return kinds.map((_, index) => shares.ofKind(String(index)));
+}
+
+test("shares follow the weights where no floor is touched", () => {
+  expect(sharesOfKinds([{ weight: 3, floor: 0.1 }, { weight: 1, floor: 0.1 }]))
+    .toEqual([0.75, 0.25]);
+});
+
+test("a floor is kept and the others share the rest", () => {
+  const shares = sharesOfKinds([
+    { weight: 98, floor: 0 },
+    { weight: 2, floor: 0.2 },
+  ]);
+  expect(shares.map((share) => Math.round(share * 100))).toEqual([80, 20]);
+});
+
+test("no share is below its floor and together they are the whole", () => {
+  const kinds = array(
+    record({
+      weight: double({ min: 0.1, max: 100, noNaN: true }),
+      floor: double({ min: 0, max: 0.2, noNaN: true }),
+    }),
+    { minLength: 1, maxLength: 5 },
+  );
+  assert(
+    property(kinds, (described) => {
+      const shares = sharesOfKinds(described);
+      const sum = shares.reduce((total, share) => total + share, 0);
+      expect(Math.abs(sum - 1)).toBeLessThan(0.01);
+      described.forEach(({ floor }, index) => {
+        expect((shares[index] ?? 0) + 1e-9).toBeGreaterThanOrEqual(floor);
+      });
+    }),
+    { seed: 5 },
+  );
+});
--- a/domain/fairness/src/submission_queue.ts
+++ b/domain/fairness/src/submission_queue.ts
@@ -1,5 +1,6 @@
 /**
- * Waiting items of one team, grouped by submission, least-served submission first.
+ * Waiting items of one team, grouped by submission, least-served submission first. A submission that has
+ * waited for long becomes urgent and goes first, so that new ones cannot starve a large job.
  */
 import type { Milliseconds, SubmissionIdentifier } from "@eelgrassfront/model";
 import { RankedMap } from "./ranked_map.ts";
@@ -11,6 +12,8 @@
   readonly servedMilliseconds: Milliseconds;
   /** Moment of arrival, which decides between submissions that received the same. */
   readonly arrivedAt: Milliseconds;
+  /** Moment from which the submission goes before those that received less; never when absent. */
+  readonly urgentAt?: Milliseconds;
 }
 
 interface Group<Item> {
@@ -29,6 +32,7 @@
 export class SubmissionQueue<Item> {
   readonly #serviceCount: ServiceCount;
   readonly #groups = new RankedMap<SubmissionIdentifier, Group<Item>>();
+  readonly #byUrgency = new RankedMap<SubmissionIdentifier, Group<Item>>();
   #size = 0;
 
   constructor(serviceCount: ServiceCount) {
@@ -63,12 +67,12 @@
   }
 
   /** Takes the next item. */
-  take(): Item | undefined {
-    const first = this.#groups.first();
+  take(now: Milliseconds): Item | undefined {
+    const first = this.#firstAt(now);
     if (first === undefined) return undefined;
     const { items } = first.value;
     const item = items.shift();
-    if (items.length === 0) this.#groups.delete(first.key);
+    if (items.length === 0) this.#forget(first.key);
     this.#size -= 1;
     return item;
   }
@@ -104,12 +108,12 @@
     if (removed.length === 0) return [];
     const kept = group.items.filter((item) => !matches(item));
     group.items.splice(0, group.items.length, ...kept);
-    if (kept.length === 0) this.#groups.delete(submission);
+    if (kept.length === 0) this.#forget(submission);
     return removed;
   }
 
   #groupOf(ticket: SubmissionTicket): Group<Item> {
-    const { submission, servedMilliseconds, arrivedAt } = ticket;
+    const { submission, servedMilliseconds, arrivedAt, urgentAt } = ticket;
     const known = this.#groups.get(submission);
     if (known !== undefined) {
       if (servedMilliseconds > known.servedMilliseconds) {
@@ -120,9 +124,25 @@
     }
     const group = { items: [], arrivedAt, servedMilliseconds };
     this.#rank(submission, group);
+    if (urgentAt !== undefined) {
+      const position = { rank: urgentAt, order: arrivedAt };
+      this.#byUrgency.set(submission, group, position);
+    }
     return group;
   }
 
+  #firstAt(now: Milliseconds) {
+    const mostUrgent = this.#byUrgency.first();
+    return mostUrgent !== undefined && mostUrgent.rank <= now
+      ? mostUrgent
+      : this.#groups.first();
+  }
+
+  #forget(submission: SubmissionIdentifier): void {
+    this.#groups.delete(submission);
+    this.#byUrgency.delete(submission);
+  }
+
   #rank(submission: SubmissionIdentifier, group: Group<Item>): void {
     this.#groups.set(submission, group, {
       rank: this.#rankOf(group),
--- a/domain/fairness/src/weighted_flows.ts
+++ b/domain/fairness/src/weighted_flows.ts
@@ -1,7 +1,7 @@
 /**
  * Start-time fair queueing between named flows: each flow advances by the service it receives divided by
- * its share, and the flow that is furthest behind is first. A flow that was idle starts level with the
- * others, so that idleness earns no credit. A flow may be warped: it is ranked as if it had received less,
+ * its share, and the flow that is furthest behind is first. A flow that was idle starts a bounded credit
+ * behind the others, so that a burst within its share does not queue behind theirs. A flow may be warped: it is ranked as if it had received less,
  * so that what is urgent in it is served at once and paid for by what follows (borrowed virtual time).
  */
 import type { Milliseconds } from "@eelgrassfront/model";
@@ -19,10 +19,13 @@
   readonly create: () => Content;
   /** Share of a flow relative to the others. */
   readonly shareOf: (name: string) => number;
-  /** Virtual time by which a flow with this content is moved forward now. */
+  /** Service by which a flow with this content is moved forward now. */
   readonly warpOf: (content: Content) => Milliseconds;
 }
 
+/** Service that a flow may catch up on after it was idle. */
+const IDLE_CREDIT_MILLISECONDS: Milliseconds = 3_000;
+
 /** Flows that share a resource by weight. */
 export class WeightedFlows<Content> {
   readonly #options: WeightedFlowsOptions<Content>;
@@ -48,7 +51,11 @@
   activate(name: string): Content {
     const flow = this.#flowOf(name);
     if (this.#active.get(name) === undefined) {
-      flow.virtualTime = Math.max(flow.virtualTime, this.#virtualTime);
+      const credit = IDLE_CREDIT_MILLISECONDS / this.#options.shareOf(name);
+      flow.virtualTime = Math.max(
+        flow.virtualTime,
+        this.#virtualTime - credit,
+      );
       this.#rank(flow);
     }
     return flow.content;
@@ -93,7 +100,8 @@
 
   #rank(flow: Flow<Content>): void {
     const { name, content, order } = flow;
-    const rank = flow.virtualTime - this.#options.warpOf(content);
+    const { warpOf, shareOf } = this.#options;
+    const rank = flow.virtualTime - warpOf(content) / shareOf(name);
     if (this.#active.positionOf(name)?.rank === rank) return;
     this.#active.set(name, flow, { rank, order });
   }
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -434,6 +434,9 @@
       configuration,
       queuedTasks: this.#dispatcher.queuedTasks,
       teamTasksInFlight: this.#teamTasks.get(submission.team) ?? 0,
+      remainingMilliseconds: message.remainingMilliseconds,
+      drainOf: (kindOfWork) =>
+        this.#dispatcher.drainOf(kindOfWork, submission.team),
       isCapableWorkerKnown: ({ service }) =>
         this.#dispatcher.pool.isAnyCapable({
           service,
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -4,16 +4,15 @@
  * after proof that the first one never starts it.
  */
 import {
+  type DrainEstimate,
   RetryBudget,
   RunTimeEstimates,
-  type RunTimeFlow,
 } from "@eelgrassfront/admission";
 import {
   disciplineOf,
   EQUAL_SHARES,
   FairQueue,
   QueueDisciplineKind,
-  type QueueStanding,
   type QueueTicket,
   type Shares,
   sharesOf,
@@ -22,6 +21,7 @@
 import {
   type Configuration,
   Counter,
+  type KindOfWork,
   type Milliseconds,
   type OutputCollector,
   OutputKind,
@@ -90,6 +90,8 @@
 }
 
 const RESEND_MILLISECONDS: Milliseconds = 100;
+/** Share of its deadline after which a submission goes before those that received less. */
+const URGENT_SHARE_OF_DEADLINE = 0.4;
 /** Time after which a retry that the budget did not allow is tried again. */
 const RETRY_PAUSE_MILLISECONDS: Milliseconds = 500;
 /** Tasks with special needs that are passed over while no runner for them has room. */
@@ -131,17 +133,17 @@
     return tasks;
   }
 
-  /** Expected run time of a task of this team and kind of work. */
-  expectedRunMilliseconds(flow: RunTimeFlow): Milliseconds {
-    return this.#runTimes.of(flow);
-  }
-
-  /** What stands before a new submission. */
-  standingOf(
-    service: string,
-    flow: { readonly team: string; readonly kindOfWork: string },
-  ): QueueStanding {
-    return this.#queueOf(service).standingOf(flow);
+  /** How fast the waiting work of a team is expected to drain. */
+  drainOf({ name, service }: KindOfWork, team: string): DrainEstimate {
+    const flow = { team, kindOfWork: name };
+    const standing = this.#queueOf(service).standingOf(flow);
+    this.#divideSlots();
+    return {
+      waitingTasks: standing.items,
+      waitingSubmissions: standing.submissions,
+      slots: this.pool.quotaSlots(service) * standing.share,
+      runMilliseconds: this.#runTimes.of(flow),
+    };
   }
 
   /** Takes the shares of a configuration. */
@@ -308,7 +310,7 @@
     while (
       passedOver.length < MAXIMUM_PASSED_OVER && this.pool.hasRoom(service)
     ) {
-      const reference = queue.take();
+      const reference = queue.take(this.#options.collector.now);
       if (reference === undefined) break;
       if (!this.#isWaiting(reference)) continue;
       if (!this.#place(reference)) passedOver.push(reference);
@@ -559,12 +561,14 @@
 }
 
 function ticketOf(job: Job): QueueTicket {
+  const { arrivedAt, deadlineAt } = job.options;
   return {
     submission: job.identifier,
     team: job.options.submission.team,
     kindOfWork: job.options.kindOfWork.name,
     servedMilliseconds: job.servedMilliseconds,
-    arrivedAt: job.options.arrivedAt,
+    arrivedAt,
+    urgentAt: arrivedAt + (deadlineAt - arrivedAt) * URGENT_SHARE_OF_DEADLINE,
   };
 }
 
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -335,7 +335,7 @@
       this.#running.size < slots && this.#queue.size > 0 &&
       this.#options.isFresh()
     ) {
-      const record = this.#queue.take();
+      const record = this.#queue.take(this.#options.collector.now);
       if (record === undefined) break;
       this.#startOrExpire(record);
     }
--- a/measure/src/policies_measure.ts
+++ b/measure/src/policies_measure.ts
@@ -11,7 +11,7 @@
   SYSTEM_POLICY,
 } from "./policy_scenarios.ts";
 import type { RunSummary } from "./policy_statistics.ts";
-import { printRuns } from "./policy_table.ts";
+import { type PolicyFigures, printRuns } from "./policy_table.ts";
 
 /** Length and seed of a measurement, from the command line. */
 export interface MeasureOptions {
@@ -27,13 +27,14 @@
 const LOADS = [0.3, 0.7, 0.95, 3];
 
 /** Measures single tasks alone, and beside jobs. */
-export function measurePolicies(options: MeasureOptions = {}): Promise<void> {
+export function measurePolicies(
+  options: MeasureOptions = {},
+): Promise<PolicyFigures> {
   const runs = [
     ...LOADS.slice(0, 3).map((load) => single(load, options)),
     ...LOADS.map((load) => mixed(load, options)),
   ];
-  printRuns("policies", runs.flatMap(comparePolicies));
-  return Promise.resolve();
+  return Promise.resolve(printRuns(runs.flatMap(comparePolicies)));
 }
 
 /** Runs one load under the bound, the policy of the system and the baselines. */
--- a/measure/src/policy_bound.ts
+++ b/measure/src/policy_bound.ts
@@ -70,7 +70,7 @@
 
   #start(): void {
     while (this.#freeSlots > 0) {
-      const task = this.#queue.take();
+      const task = this.#queue.take(this.#time.now);
       if (task === undefined) return;
       const { submission } = task.job.arrival;
       this.#freeSlots -= 1;
--- a/measure/src/policy_table.ts
+++ b/measure/src/policy_table.ts
@@ -1,8 +1,13 @@
 /**
- * Prints the measures of policy runs as a table, and as JSON on the last line.
+ * Prints the measures of policy runs as a table.
  */
 import { Ending, type RunSummary } from "./policy_statistics.ts";
 
+/** Figures of a policy measure. */
+export interface PolicyFigures {
+  readonly runs: readonly RunSummary[];
+}
+
 const COLUMNS = [
   "load",
   "policy",
@@ -22,14 +27,18 @@
   "false refusals",
 ];
 
-/** Prints the runs. */
-export function printRuns(measure: string, runs: readonly RunSummary[]): void {
+/**
+ * Prints the runs.
+ *
+ * @returns the figures for the last line of a measure
+ */
+export function printRuns(runs: readonly RunSummary[]): PolicyFigures {
   console.log(`| ${COLUMNS.join(" | ")} |`);
   console.log(`|${COLUMNS.map(() => " --- ").join("|")}|`);
   for (const run of runs) {
     for (const row of rowsOf(run)) console.log(`| ${row.join(" | ")} |`);
   }
-  console.log(JSON.stringify({ measure, runs }));
+  return { runs };
 }
 
 function rowsOf(run: RunSummary): readonly (readonly string[])[] {
