feat(configuration): hold the version in force through races, outages and retention

Cause: a reader that began after retention dropped older records could not judge a publication, and took an owned shard for unclaimed and its own claim for valid; nothing was ever refreshed, and a process that started while the log was away learnt no configuration. Ruled out: taking a refresh at its word (a process that lags would bring back an older version), and reading ownership from heartbeats (a member that no record names is not asked).

--- a/adapters/settings_ini/src/setting_types.ts
+++ b/adapters/settings_ini/src/setting_types.ts
@@ -4,7 +4,7 @@
  */
 import { z } from "zod";
 
-const DURATION_PATTERN = /^(\d+)(ms|s|min)$/;
+const DURATION_PATTERN = /^(\d+)(ms|s|min|h)$/;
 const SIZE_PATTERN = /^(\d+)(B|KiB|MiB)$/;
 const ADDRESS_PATTERN = /^([0-9.]+|\[[0-9a-f:]+\]):(\d{1,5})$/;
 const HIGHEST_PORT = 65_535;
@@ -13,6 +13,7 @@
   ["ms", 1],
   ["s", 1_000],
   ["min", 60_000],
+  ["h", 3_600_000],
 ]);
 const BYTES_OF_UNIT: ReadonlyMap<string, number> = new Map([
   ["B", 1],
@@ -44,6 +45,14 @@
 }).refine(isAddress, "an IP number and a port, such as 127.0.0.1:7000")
   .transform(splitAddress);
 
+/** Addresses with spaces between them. */
+export const addresses: z.ZodType<readonly Address[]> = z.string({
+  error: "addresses such as 127.0.0.1:7000 127.0.0.1:7001",
+}).refine(
+  (value) => value.split(" ").every(isAddress),
+  "IP numbers and ports with a space between them",
+).transform((value) => value.split(" ").map(splitAddress));
+
 /** A whole number from 1. */
 export const count: z.ZodType<number> = z.string({
   error: "a whole number from 1",
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -3,6 +3,7 @@
  */
 import {
   address,
+  addresses,
   count,
   duration,
   size,
@@ -12,8 +13,16 @@
 import { z } from "zod";
 
 const common = {
-  peers: z.strictObject({ listen: address, shared_key: text }),
-  platform_log: z.strictObject({ origin: text, read_wait: duration }),
+  peers: z.strictObject({
+    listen: address,
+    shared_key: text,
+    seeds: addresses.optional(),
+  }),
+  platform_log: z.strictObject({
+    origin: text,
+    read_wait: duration,
+    retention: duration,
+  }),
   ownership: z.strictObject({ shards: count, owners: count }),
   timing: z.strictObject({
     heartbeat: duration,
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -65,6 +65,7 @@
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     shardCount: settings.ownership.shards,
     maximumPending: limits.maximum_pending,
   });
@@ -89,6 +90,7 @@
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     random: Math.random,
     shardCount: settings.ownership.shards,
     ownerCount: settings.ownership.owners,
@@ -169,12 +171,15 @@
   return new SharedPorts({ ...opened, metrics: sender });
 }
 
-function timingOf({ timing }: DaemonSettings): Timing {
+function timingOf(
+  { timing, platform_log: log }: DaemonSettings,
+): Timing {
   return {
     heartbeatMilliseconds: timing.heartbeat,
     unreachableMilliseconds: timing.unreachable,
     leaseMilliseconds: timing.lease,
     removalMilliseconds: timing.removal,
     horizonMilliseconds: timing.horizon,
+    retentionMilliseconds: log.retention,
   };
 }
--- a/domain/configuration/src/configuration_history.ts
+++ b/domain/configuration/src/configuration_history.ts
@@ -3,9 +3,9 @@
  * version in force, so that of two racing operators the first in the log wins everywhere. A repeated
  * publication (the publisher never saw the answer to its append) changes nothing.
  *
- * A reader that begins after retention has dropped older records cannot judge a publication that
- * replaces a version it never saw. It waits for a refresh, which carries the first offset of the
- * version in force, or for a peer.
+ * A reader that begins after retention has dropped older records cannot judge every publication by
+ * itself. It keeps what it reads until a refresh, a peer or a publisher tells which version was in force
+ * at a point of the log from which on this reader has read everything, and then judges what followed.
  */
 import {
   assertInvariant,
@@ -21,6 +21,8 @@
   Repeated = "repeated",
   Refreshed = "refreshed",
   Rejected = "rejected",
+  /** Older than the version in force, which this reader learnt elsewhere. */
+  Superseded = "superseded",
   /** This reader lacks the records needed to judge. */
   Undecided = "undecided",
 }
@@ -34,73 +36,129 @@
   readonly rejectedBy?: LogOffset;
 }
 
+interface PlacedPublication {
+  readonly offset: LogOffset;
+  readonly record: ConfigurationPublished;
+}
+
+const FIRST_OFFSET: LogOffset = 1;
 const FIRST_VERSION_REPLACES: LogOffset = 0;
 
 /** The version in force and the rule by which it changes. */
 export class ConfigurationHistory {
   #current: ConfigurationVersion | undefined;
-  #isWholeLogRead = true;
-  #lastRefreshOffset: LogOffset = 0;
+  #knownFrom: LogOffset = FIRST_OFFSET;
+  #isDecided = true;
+  #undecided: PlacedPublication[] = [];
+  #lastRecordOffset: LogOffset = 0;
 
   /** The version in force, if any is known. */
   get current(): ConfigurationVersion | undefined {
     return this.#current;
   }
 
-  /** Offset of the newest record that carries the version in force. */
-  get lastRefreshOffset(): LogOffset {
-    return this.#lastRefreshOffset;
+  /** Offset of the newest record that carries the version in force; 0 when none was read. */
+  get lastRecordOffset(): LogOffset {
+    return this.#lastRecordOffset;
+  }
+
+  /** Whether this reader can judge the next publication. */
+  get isDecided(): boolean {
+    return this.#isDecided;
   }
 
-  /** Notes that older records are no longer in the log. */
-  missOlderRecords(): void {
-    if (this.#current === undefined) this.#isWholeLogRead = false;
+  /** Notes that records below an offset are no longer in the log and were not read. */
+  missRecordsBefore(offset: LogOffset): void {
+    this.#knownFrom = offset;
+    this.#isDecided = false;
+    this.#undecided = [];
   }
 
   /** Judges one publication; call in log order. */
   apply(offset: LogOffset, record: ConfigurationPublished): Judgement {
-    const judged = { publication: record.publication, offset };
-    if (record.firstOffset !== undefined) {
-      return { ...judged, verdict: this.#refresh(offset, record) };
-    }
-    if (this.#current?.publication === record.publication) {
-      return { ...judged, verdict: Verdict.Repeated };
-    }
-    if (this.#current === undefined && !this.#isWholeLogRead) {
-      return { ...judged, verdict: Verdict.Undecided };
+    if (record.firstOffset !== undefined) return this.#refresh(offset, record);
+    if (this.#isDecided) return this.#judge({ offset, record });
+    this.#undecided.push({ offset, record });
+    const { publication, readTo, replaces } = record;
+    const isBaseKnown = readTo !== undefined && readTo >= this.#knownFrom;
+    if (!isBaseKnown) {
+      return { verdict: Verdict.Undecided, publication, offset };
     }
-    const inForce = this.#current?.offset ?? FIRST_VERSION_REPLACES;
-    if (this.#current !== undefined && offset <= inForce) {
-      return { ...judged, verdict: Verdict.Repeated };
-    }
-    if (record.replaces !== inForce) {
-      return { ...judged, verdict: Verdict.Rejected, rejectedBy: inForce };
-    }
-    this.#put(versionOf(offset, record));
-    this.#lastRefreshOffset = offset;
-    return { ...judged, verdict: Verdict.Accepted };
+    this.#decide(replaces, readTo);
+    return this.#judgementOf({ offset, record });
   }
 
   /**
-   * Takes a version learnt from a peer.
+   * Takes a version that was in force when every record below an offset had been read.
    *
-   * @returns true when it is newer than the version in force
+   * @returns true when another version is in force here from now on
    */
-  learn(version: ConfigurationVersion): boolean {
-    if (this.#current !== undefined && version.offset <= this.#current.offset) {
-      return false;
+  learn(version: ConfigurationVersion, readTo: LogOffset): boolean {
+    const before = this.#current;
+    if (before === undefined || version.offset > before.offset) {
+      this.#put(version);
+      this.#lastRecordOffset = 0;
     }
-    this.#put(version);
-    return true;
+    const isCurrent = version.offset === this.#current?.offset;
+    if (!this.#isDecided && isCurrent && readTo >= this.#knownFrom) {
+      this.#decide(version.offset, readTo);
+    }
+    return this.#current !== before;
   }
 
-  #refresh(offset: LogOffset, record: ConfigurationPublished): Verdict {
+  #refresh(offset: LogOffset, record: ConfigurationPublished): Judgement {
     const version = versionOf(record.firstOffset ?? offset, record);
-    const isNewer = this.learn(version);
+    const isChanged = this.learn(version, record.readTo ?? 0);
     if (version.offset === this.#current?.offset) {
-      this.#lastRefreshOffset = Math.max(this.#lastRefreshOffset, offset);
+      this.#lastRecordOffset = offset;
+    }
+    return {
+      verdict: isChanged ? Verdict.Accepted : Verdict.Refreshed,
+      publication: record.publication,
+      offset,
+    };
+  }
+
+  /** Judges what was kept, from the version that was in force at a point of the log. */
+  #decide(base: LogOffset, readTo: LogOffset): void {
+    const kept = this.#undecided.filter(({ offset }) => offset >= readTo);
+    this.#isDecided = true;
+    this.#undecided = [];
+    let inForce = base;
+    for (const placed of kept) {
+      if (placed.record.replaces !== inForce) continue;
+      inForce = placed.offset;
+      this.#acceptIfNewer(placed);
+    }
+  }
+
+  #acceptIfNewer({ offset, record }: PlacedPublication): void {
+    if (offset <= (this.#current?.offset ?? 0)) return;
+    this.#put(versionOf(offset, record));
+    this.#lastRecordOffset = offset;
+  }
+
+  #judgementOf({ offset, record }: PlacedPublication): Judgement {
+    const { publication } = record;
+    const inForce = this.#current?.offset ?? FIRST_VERSION_REPLACES;
+    return offset === inForce
+      ? { verdict: Verdict.Accepted, publication, offset }
+      : { verdict: Verdict.Rejected, publication, offset, rejectedBy: inForce };
+  }
+
+  #judge({ offset, record }: PlacedPublication): Judgement {
+    const judged = { publication: record.publication, offset };
+    const inForce = this.#current?.offset ?? FIRST_VERSION_REPLACES;
+    if (this.#current?.publication === record.publication) {
+      return { ...judged, verdict: Verdict.Repeated };
     }
-    return isNewer ? Verdict.Accepted : Verdict.Refreshed;
+    if (offset <= inForce) return { ...judged, verdict: Verdict.Superseded };
+    if (record.replaces !== inForce) {
+      return { ...judged, verdict: Verdict.Rejected, rejectedBy: inForce };
+    }
+    this.#put(versionOf(offset, record));
+    this.#lastRecordOffset = offset;
+    return { ...judged, verdict: Verdict.Accepted };
   }
 
   #put(version: ConfigurationVersion): void {
--- /dev/null
+++ b/domain/configuration/src/configuration_history_test.ts
@@ -0,0 +1,289 @@
+/**
+ * Races, retries, retention and peers: every reader ends on the version that the whole log gives.
+ */
+import { test } from "node:test";
+import {
+  type Configuration,
+  type ConfigurationPublished,
+  type ConfigurationVersion,
+  type LogOffset,
+  LogRecordKind,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import * as fastCheck from "fast-check";
+import { ConfigurationHistory, Verdict } from "./configuration_history.ts";
+
+const SEED = 4;
+const RUNS = 2_000;
+const FIRST_OFFSET = 1;
+
+test("of two racing operators the first in the log wins", () => {
+  const history = new ConfigurationHistory();
+  history.apply(1, publication("first", 0));
+  expect(history.apply(2, publication("left", 1)).verdict).toEqual(
+    Verdict.Accepted,
+  );
+  expect(history.apply(3, publication("right", 1))).toEqual({
+    verdict: Verdict.Rejected,
+    publication: "right",
+    offset: 3,
+    rejectedBy: 2,
+  });
+  expect(history.current?.publication).toEqual("left");
+});
+
+test("a retry after a lost answer changes nothing, also after a later version", () => {
+  const history = new ConfigurationHistory();
+  history.apply(1, publication("first", 0));
+  expect(history.apply(2, publication("first", 0)).verdict).toEqual(
+    Verdict.Repeated,
+  );
+  history.apply(3, publication("second", 1));
+  expect(history.apply(4, publication("first", 0)).verdict).toEqual(
+    Verdict.Rejected,
+  );
+  expect(history.current?.offset).toEqual(3);
+});
+
+test("a reader without older records waits for a refresh and judges what followed", () => {
+  const history = new ConfigurationHistory();
+  history.missRecordsBefore(5);
+  expect(history.apply(5, publication("third", 4)).verdict).toEqual(
+    Verdict.Undecided,
+  );
+  expect(history.current).toEqual(undefined);
+  const verdict = history.apply(6, refresh(version(4, "second"), 5)).verdict;
+  expect(verdict).toEqual(Verdict.Accepted);
+  expect(history.current?.offset).toEqual(5);
+});
+
+test("a refresh by a process that lagged does not undo a newer version", () => {
+  const history = new ConfigurationHistory();
+  history.missRecordsBefore(5);
+  history.apply(5, refresh(version(2, "first"), 3));
+  expect(history.isDecided).toEqual(false);
+  expect(history.apply(6, publication("third", 4)).verdict).toEqual(
+    Verdict.Undecided,
+  );
+  history.learn(version(4, "second"), 6);
+  expect(history.current?.offset).toEqual(6);
+});
+
+test("a publication tells a late reader what it replaced", () => {
+  const history = new ConfigurationHistory();
+  history.missRecordsBefore(5);
+  const record = { ...publication("third", 2), readTo: 5 };
+  expect(history.apply(5, record).verdict).toEqual(Verdict.Accepted);
+});
+
+test("every reader ends on the same version whatever it missed", () => {
+  fastCheck.assert(
+    fastCheck.property(
+      logOfRacers(),
+      fastCheck.array(readerPlan(), { minLength: 1 }),
+      check,
+    ),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+type Racer =
+  | { readonly kind: "publish"; readonly lag: number; readonly isTold: boolean }
+  | { readonly kind: "retry"; readonly back: number }
+  | { readonly kind: "refresh"; readonly lag: number };
+
+interface ReaderPlan {
+  /** Share of the log that retention dropped before the reader began. */
+  readonly start: number;
+  /** Records that a restart or a gap skips at some point of the reading. */
+  readonly gapAt: number;
+  readonly gap: number;
+  /** Point of the log at which a peer is asked, and how far the peer had read. */
+  readonly askedAt: number;
+  readonly peerReadTo: number;
+}
+
+function logOfRacers(): fastCheck.Arbitrary<readonly Racer[]> {
+  const lag = fastCheck.integer({ min: 0, max: 4 });
+  return fastCheck.array(
+    fastCheck.oneof(
+      fastCheck.record({
+        kind: fastCheck.constant("publish"),
+        lag,
+        isTold: fastCheck.boolean(),
+      }),
+      fastCheck.record({
+        kind: fastCheck.constant("retry"),
+        back: fastCheck.integer({ min: 1, max: 6 }),
+      }),
+      fastCheck.record({ kind: fastCheck.constant("refresh"), lag }),
+    ) as fastCheck.Arbitrary<Racer>,
+    { minLength: 2, maxLength: 25 },
+  );
+}
+
+function readerPlan(): fastCheck.Arbitrary<ReaderPlan> {
+  const point = fastCheck.integer({ min: 0, max: 25 });
+  return fastCheck.record({
+    start: point,
+    gapAt: point,
+    gap: fastCheck.integer({ min: 0, max: 5 }),
+    askedAt: point,
+    peerReadTo: point,
+  });
+}
+
+function check(
+  racers: readonly Racer[],
+  plans: readonly ReaderPlan[],
+): void {
+  const log = writeLog(racers);
+  const last = inForceAt(log, log.length + FIRST_OFFSET);
+  for (const plan of plans) {
+    const reader = new ConfigurationHistory();
+    const seen = read(reader, log, plan);
+    expect(seen).toEqual([...seen].sort((left, right) => left - right));
+    if (last === undefined) continue;
+    reader.learn(last, log.length + FIRST_OFFSET);
+    expect(reader.current?.offset).toEqual(last.offset);
+  }
+}
+
+/** Reads the log as planned; gives the versions that were in force, in the order of reading. */
+function read(
+  reader: ConfigurationHistory,
+  log: readonly ConfigurationPublished[],
+  plan: ReaderPlan,
+): readonly LogOffset[] {
+  const seen: LogOffset[] = [];
+  let offset = FIRST_OFFSET + Math.min(plan.start, log.length);
+  if (offset > FIRST_OFFSET) reader.missRecordsBefore(offset);
+  while (offset <= log.length) {
+    if (offset === plan.gapAt && plan.gap > 0) {
+      offset += plan.gap;
+      reader.missRecordsBefore(offset);
+    }
+    if (offset === plan.askedAt) ask(reader, log, plan.peerReadTo);
+    const record = log[offset - FIRST_OFFSET];
+    if (record === undefined) break;
+    reader.apply(offset, record);
+    offset += 1;
+    if (reader.current !== undefined) seen.push(reader.current.offset);
+    expectAgreement(reader, log, offset);
+  }
+  return seen;
+}
+
+/** A reader that can judge is never behind the whole log, and never on a version that it rejects. */
+function expectAgreement(
+  reader: ConfigurationHistory,
+  log: readonly ConfigurationPublished[],
+  readTo: LogOffset,
+): void {
+  if (!reader.isDecided) return;
+  const expected = inForceAt(log, readTo)?.offset ?? 0;
+  const found = reader.current?.offset ?? 0;
+  if (found === expected) return;
+  const everInForce = log.map((_, index) =>
+    inForceAt(log, index + FIRST_OFFSET + 1)?.offset
+  );
+  expect(found > expected && everInForce.includes(found)).toEqual(true);
+}
+
+function ask(
+  reader: ConfigurationHistory,
+  log: readonly ConfigurationPublished[],
+  peerReadTo: LogOffset,
+): void {
+  const known = inForceAt(log, peerReadTo);
+  if (known !== undefined) reader.learn(known, peerReadTo);
+}
+
+function writeLog(
+  racers: readonly Racer[],
+): readonly ConfigurationPublished[] {
+  const log: ConfigurationPublished[] = [];
+  for (const racer of racers) log.push(recordOf(racer, log));
+  return log;
+}
+
+function recordOf(
+  racer: Racer,
+  log: readonly ConfigurationPublished[],
+): ConfigurationPublished {
+  const end = log.length + FIRST_OFFSET;
+  switch (racer.kind) {
+    case "retry":
+      return log[Math.max(0, log.length - racer.back)] ??
+        publication(`p${end}`, 0);
+    case "refresh": {
+      const readTo = Math.max(FIRST_OFFSET, end - racer.lag);
+      const known = inForceAt(log, readTo);
+      return known === undefined
+        ? publication(`p${end}`, 0)
+        : refresh(known, readTo);
+    }
+    case "publish": {
+      const readTo = Math.max(FIRST_OFFSET, end - racer.lag);
+      const replaces = inForceAt(log, readTo)?.offset ?? 0;
+      const record = publication(`p${end}`, replaces);
+      return racer.isTold ? { ...record, readTo } : record;
+    }
+  }
+}
+
+/** The version in force after the records below an offset, by the plain rule. */
+function inForceAt(
+  log: readonly ConfigurationPublished[],
+  readTo: LogOffset,
+): ConfigurationVersion | undefined {
+  let inForce: ConfigurationVersion | undefined;
+  log.slice(0, Math.max(0, readTo - FIRST_OFFSET)).forEach((record, index) => {
+    const isAccepted = record.firstOffset === undefined &&
+      record.replaces === (inForce?.offset ?? 0) &&
+      record.publication !== inForce?.publication;
+    if (isAccepted) {
+      inForce = version(index + FIRST_OFFSET, record.publication);
+    }
+  });
+  return inForce;
+}
+
+function publication(
+  name: string,
+  replaces: LogOffset,
+): ConfigurationPublished {
+  return {
+    kind: LogRecordKind.ConfigurationPublished,
+    publication: name,
+    replaces,
+    publishedBy: "operator",
+    configuration: CONFIGURATION,
+  };
+}
+
+function refresh(
+  current: ConfigurationVersion,
+  readTo: LogOffset,
+): ConfigurationPublished {
+  return {
+    ...publication(current.publication, 0),
+    firstOffset: current.offset,
+    readTo,
+  };
+}
+
+function version(offset: LogOffset, name: string): ConfigurationVersion {
+  return {
+    offset,
+    publication: name,
+    publishedBy: "operator",
+    configuration: CONFIGURATION,
+  };
+}
+
+const CONFIGURATION: Configuration = {
+  kindsOfWork: [],
+  teams: [],
+  limits: { maximumTasksPerJob: 1, retryBudget: 0, maximumQueuedTasks: 1 },
+};
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -57,6 +57,8 @@
   /** Address at which peers reach this process, as `host:port`. */
   readonly address: string;
   readonly timing: Timing;
+  /** Addresses of processes that are asked for the configuration while the log is away. */
+  readonly seeds?: readonly string[];
   readonly shardCount: number;
   /** Requests of callers that may wait at once. */
   readonly maximumPending: number;
@@ -256,6 +258,10 @@
       this.#changeFleet(this.#follower.handleAnswer(request, message));
       return;
     }
+    if (
+      message.kind === PeerReplyKind.OtherIncarnation &&
+      this.#follower.redirect(request, message)
+    ) return;
     const pending = this.#byRequest.get(request);
     if (pending === undefined) return;
     this.#byRequest.delete(request);
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -12,6 +12,7 @@
   type LogRecordsRead,
   type MemberJoined,
   type Milliseconds,
+  type OtherIncarnation,
   type OutputCollector,
   OutputKind,
   type PlatformLogInput,
@@ -24,6 +25,8 @@
 import { OwnershipTable } from "@eelgrassfront/ownership";
 import { type FleetChange, FleetChangeKind, FleetView } from "./fleet_view.ts";
 import { Heartbeats } from "./heartbeats.ts";
+import { RecordRefresher } from "./record_refresher.ts";
+import { SeedInquiry } from "./seed_inquiry.ts";
 import type { Timing } from "./timing.ts";
 
 /** What a follower needs. */
@@ -31,6 +34,8 @@
   readonly self: ProcessIdentifier;
   readonly timing: Timing;
   readonly collector: OutputCollector;
+  /** Addresses of processes that a starting process asks while the log is away. */
+  readonly seeds?: readonly string[];
 }
 
 /** Time after which an append that did not show in the log is made again. */
@@ -49,6 +54,8 @@
   readonly view: FleetView;
   readonly heartbeats: Heartbeats;
   readonly #options: FleetFollowerOptions;
+  readonly #refresher: RecordRefresher;
+  readonly #seedInquiry: SeedInquiry;
   #announcement: MemberJoined | undefined;
   #announcedAt: Milliseconds | undefined;
   #departure: Departure | undefined;
@@ -69,6 +76,16 @@
       collector,
       view: this.view,
     });
+    this.#refresher = new RecordRefresher({
+      self,
+      timing,
+      collector,
+      view: this.view,
+    });
+    this.#seedInquiry = new SeedInquiry({
+      collector,
+      seeds: options.seeds ?? [],
+    });
   }
 
   /** Whether the log shows this process as a member. */
@@ -114,6 +131,12 @@
     this.#announceIfDue();
     this.#removeSelf();
     this.#removeSilentMembers();
+    if (this.#announcement !== undefined) {
+      this.#refresher.tick(this.#announcement);
+    }
+    if (this.view.configuration.current === undefined) {
+      this.#seedInquiry.tick();
+    }
   }
 
   /** Takes an input from the log. */
@@ -141,7 +164,7 @@
     this.heartbeats.take(request, answer);
     const version = answer.newerConfiguration;
     if (version === undefined) return [];
-    const changes = this.view.learnConfiguration(version);
+    const changes = this.view.learnConfiguration(version, answer.logOffset);
     if (changes.length > 0) {
       this.#options.collector.record(
         EventNumber.ConfigurationLearntFromPeer,
@@ -153,6 +176,11 @@
     return changes;
   }
 
+  /** Takes the answer of a seed that another run of the process is there; false when it is none. */
+  redirect(request: RequestIdentifier, answer: OtherIncarnation): boolean {
+    return this.#seedInquiry.redirect(request, answer.current);
+  }
+
   #read(input: LogRecordsRead): readonly FleetChange[] {
     this.#noteAvailability(true);
     const changes = this.view.read(input);
--- a/domain/membership/src/fleet_view.ts
+++ b/domain/membership/src/fleet_view.ts
@@ -21,6 +21,8 @@
   processName,
   RemovalReason,
   Role,
+  type ShardNumber,
+  type ShardsClaimed,
 } from "@eelgrassfront/model";
 import type { Ownership, OwnershipTable } from "@eelgrassfront/ownership";
 
@@ -29,6 +31,8 @@
   readonly joined: MemberJoined;
   /** Offset of the record with which it first joined. */
   readonly joinOffset: LogOffset;
+  /** When its newest announcement was stored, on the log's clock. */
+  readonly announcedAt: Milliseconds;
 }
 
 /** A member that is no longer in the fleet. */
@@ -106,6 +110,9 @@
   #nextOffset: LogOffset = FIRST_OFFSET;
   #logClock: Milliseconds = 0;
   #lastReadToEndAt: Milliseconds | undefined;
+  #missedRecordsAt: Milliseconds | undefined;
+  readonly #shardsRecordedAt = new Map<ShardNumber, Milliseconds>();
+  #configurationRecordedAt: Milliseconds | undefined;
 
   constructor(options: FleetViewOptions) {
     this.ownership = options.ownership;
@@ -123,6 +130,26 @@
     return this.#lastReadToEndAt;
   }
 
+  /** The log's clock at the newest read. */
+  get logClock(): Milliseconds {
+    return this.#logClock;
+  }
+
+  /** Local time at which it showed that older records are missing; undefined while none are. */
+  get missedRecordsAt(): Milliseconds | undefined {
+    return this.#missedRecordsAt;
+  }
+
+  /** When the newest record of a shard's ownership was stored, on the log's clock. */
+  shardRecordedAt(shard: ShardNumber): Milliseconds | undefined {
+    return this.#shardsRecordedAt.get(shard);
+  }
+
+  /** When the newest record of the version in force was stored, on the log's clock. */
+  get configurationRecordedAt(): Milliseconds | undefined {
+    return this.#configurationRecordedAt;
+  }
+
   /** Finds a member by its identifier. */
   find(process: ProcessIdentifier): Member | undefined {
     return this.#members.get(process);
@@ -148,7 +175,9 @@
   /** Folds the records of one read. */
   read(input: LogRecordsRead): readonly FleetChange[] {
     if (input.firstRetained > this.#nextOffset) {
-      this.configuration.missOlderRecords();
+      this.configuration.missRecordsBefore(input.firstRetained);
+      this.ownership.missRecordsBefore(input.firstRetained);
+      this.#missedRecordsAt = input.readStartedAt;
     }
     const changes = input.records
       .filter((placed) => placed.offset >= this.#nextOffset)
@@ -161,8 +190,14 @@
   }
 
   /** Takes a configuration learnt from a peer. */
-  learnConfiguration(version: ConfigurationVersion): readonly FleetChange[] {
-    if (!this.configuration.learn(version)) return [];
+  learnConfiguration(
+    learnt: ConfigurationVersion,
+    readTo: LogOffset,
+  ): readonly FleetChange[] {
+    const isChanged = this.configuration.learn(learnt, readTo);
+    const version = this.configuration.current;
+    if (!isChanged || version === undefined) return [];
+    this.#configurationRecordedAt = this.#logClock;
     return [{ kind: FleetChangeKind.ConfigurationInForce, version }];
   }
 
@@ -174,12 +209,12 @@
       case LogRecordKind.MemberRemoved:
         return this.#remove(placed, record);
       case LogRecordKind.ShardsClaimed:
-        return this.ownership.apply(offset, record).map((ownership) => ({
-          kind: FleetChangeKind.OwnershipChanged,
-          ownership,
-        }));
+        return this.#claim(placed, record);
       case LogRecordKind.ConfigurationPublished: {
         const judgement = this.configuration.apply(offset, record);
+        if (this.configuration.lastRecordOffset === offset) {
+          this.#configurationRecordedAt = placed.appendedAt;
+        }
         return this.#configurationChanges(judgement);
       }
       default:
@@ -187,6 +222,19 @@
     }
   }
 
+  #claim(placed: PlacedRecord, record: ShardsClaimed): readonly FleetChange[] {
+    const changed = this.ownership.apply(placed.offset, record);
+    for (const { shard } of record.claims) {
+      const ownership = this.ownership.find(shard);
+      if (ownership?.lastRecordOffset !== placed.offset) continue;
+      this.#shardsRecordedAt.set(shard, placed.appendedAt);
+    }
+    return changed.map((ownership) => ({
+      kind: FleetChangeKind.OwnershipChanged,
+      ownership,
+    }));
+  }
+
   #configurationChanges(judgement: Judgement): readonly FleetChange[] {
     const judged: FleetChange = {
       kind: FleetChangeKind.ConfigurationJudged,
@@ -201,7 +249,11 @@
 
   #join(placed: PlacedRecord, joined: MemberJoined): readonly FleetChange[] {
     const known = this.#members.get(joined.process);
-    const member = { joined, joinOffset: known?.joinOffset ?? placed.offset };
+    const member = {
+      joined,
+      joinOffset: known?.joinOffset ?? joined.firstOffset ?? placed.offset,
+      announcedAt: placed.appendedAt,
+    };
     const replaced = known === undefined
       ? this.#earlierIncarnation(joined.process)
       : undefined;
--- a/domain/membership/src/timing.ts
+++ b/domain/membership/src/timing.ts
@@ -15,6 +15,8 @@
   readonly removalMilliseconds: Milliseconds;
   /** How long runners keep start records, and owners answers. */
   readonly horizonMilliseconds: Milliseconds;
+  /** How long the platform's log keeps a record. */
+  readonly retentionMilliseconds: Milliseconds;
 }
 
 /** Times that meet a takeover within 3 s of a death. */
@@ -24,4 +26,5 @@
   leaseMilliseconds: 1_000,
   removalMilliseconds: 5_000,
   horizonMilliseconds: 600_000,
+  retentionMilliseconds: 86_400_000,
 };
--- a/domain/model/src/log_record.ts
+++ b/domain/model/src/log_record.ts
@@ -34,6 +34,8 @@
   /** Address at which peers reach the process, as `host:port`. */
   readonly address: string;
   readonly backendServer?: BackendServerDescription;
+  /** For a refresh: the offset of the record with which the process first joined. */
+  readonly firstOffset?: LogOffset;
 }
 
 /** A backend server as its sidecar announces it. */
@@ -87,6 +89,13 @@
   readonly claimant: ProcessIdentifier;
   readonly reason: ClaimReason;
   readonly claims: readonly ShardClaim[];
+  /** The claimant had read every record below this offset, and judged the claims by them. */
+  readonly readTo?: LogOffset;
+  /**
+   * For a claim of shards whose ownership is no longer in the log: the claimant saw no record of them
+   * from this offset on. The claim is valid only when there is none.
+   */
+  readonly unseenSince?: LogOffset;
 }
 
 /** Operators publish a whole version of the configuration. */
@@ -98,6 +107,8 @@
   readonly replaces: LogOffset;
   /** For a refresh: the offset under which the version was first accepted. */
   readonly firstOffset?: LogOffset;
+  /** The publisher had read every record below this offset, and judged the version by them. */
+  readonly readTo?: LogOffset;
   readonly publishedBy: string;
   readonly configuration: Configuration;
 }
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -21,6 +21,8 @@
   type ShardClaim,
   type ShardEpoch,
   type ShardNumber,
+  type ShardsClaimed,
+  UNCLAIMED_EPOCH,
 } from "@eelgrassfront/model";
 import type {
   DepartedMember,
@@ -112,6 +114,8 @@
 const SETTLE_MILLISECONDS: Milliseconds = 500;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
+/** Time in which the owner of a shard refreshes its claim after an outage of the log. */
+const REFRESH_PATIENCE_MILLISECONDS: Milliseconds = 10_000;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
 
 /** Claims and grants of one owner. */
@@ -408,11 +412,13 @@
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
     const ownerless: ShardClaim[] = [];
+    const unseen: ShardClaim[] = [];
     for (let shard = 0; shard < this.#options.shardCount; shard += 1) {
-      this.#sortClaim(shard, candidates, { unowned, ownerless });
+      this.#sortClaim(shard, candidates, { unowned, ownerless, unseen });
     }
     this.#appendClaim(ClaimReason.Unowned, unowned);
     this.#appendClaim(ClaimReason.Takeover, ownerless);
+    this.#appendUnseenClaim(unseen);
   }
 
   #mayClaim(): boolean {
@@ -443,12 +449,17 @@
     claims: {
       readonly unowned: ShardClaim[];
       readonly ownerless: ShardClaim[];
+      readonly unseen: ShardClaim[];
     },
   ): void {
     const { follower, self } = this.#options;
     const ownership = follower.view.ownership.find(shard);
     if (ownership !== undefined && this.#isOwnerAlive(ownership.owner)) return;
     if (preferredOwner(shard, candidates) !== self) return;
+    if (!follower.view.ownership.isDecided(shard)) {
+      claims.unseen.push({ shard, replaces: UNCLAIMED_EPOCH });
+      return;
+    }
     const replaces = follower.view.ownership.epochOf(shard);
     const list = ownership === undefined ? claims.unowned : claims.ownerless;
     list.push({ shard, replaces });
@@ -458,7 +469,34 @@
     return this.#isAnswerLikely(owner);
   }
 
-  #appendClaim(reason: ClaimReason, claims: readonly ShardClaim[]): void {
+  /** Claims shards of which the log says nothing any more, once nobody refreshed them in time. */
+  #appendUnseenClaim(claims: readonly ShardClaim[]): void {
+    const { collector, follower } = this.#options;
+    const { view } = follower;
+    const missedAt = view.missedRecordsAt ?? collector.now;
+    if (collector.now - missedAt < REFRESH_PATIENCE_MILLISECONDS) return;
+    const unseenSince = Math.max(
+      ...claims.map(({ shard }) => view.ownership.unseenSince(shard)),
+    );
+    this.#appendClaim(ClaimReason.Takeover, claims, { unseenSince });
+  }
+
+  /** How far the log was read, if that is enough to judge the claims. */
+  #judgedTo(claims: readonly ShardClaim[]): Pick<ShardsClaimed, "readTo"> {
+    const { ownership, nextOffset } = this.#options.follower.view;
+    const isJudged = claims.every(({ shard, replaces }) =>
+      ownership.isDecided(shard) && ownership.epochOf(shard) === replaces
+    );
+    return isJudged ? { readTo: nextOffset } : {};
+  }
+
+  #appendClaim(
+    reason: ClaimReason,
+    claims: readonly ShardClaim[],
+    proof: Pick<ShardsClaimed, "readTo" | "unseenSince"> = this.#judgedTo(
+      claims,
+    ),
+  ): void {
     if (claims.length === 0) return;
     const { collector, self } = this.#options;
     this.#claimedAt = collector.now;
@@ -473,6 +511,7 @@
         claimant: self,
         reason,
         claims,
+        ...proof,
       },
     });
   }
--- a/domain/ownership/src/ownership_table.ts
+++ b/domain/ownership/src/ownership_table.ts
@@ -1,6 +1,11 @@
 /**
  * Who owns each shard, folded from claims in log order. A claim is valid only when it names the epoch
  * that it replaces; of two racing claims the first in the log wins, and every reader sees the same.
+ *
+ * A reader that begins after retention has dropped older records cannot judge every claim by itself.
+ * It keeps those of a shard until a record tells the epoch at a point of the log from which on this
+ * reader has read everything: a refresh, or a claim whose claimant had read so far. Where the log carries nothing of a shard any more, a claim says from which offset
+ * on its claimant saw no record of it, and every reader can check that.
  */
 import {
   ClaimReason,
@@ -23,9 +28,26 @@
   readonly lastRecordOffset: LogOffset;
 }
 
+interface PlacedClaim {
+  readonly offset: LogOffset;
+  readonly record: ShardsClaimed;
+  readonly claim: ShardClaim;
+}
+
+interface KnownEpoch {
+  readonly shard: ShardNumber;
+  readonly epoch: Epoch;
+  readonly readTo: LogOffset;
+}
+
+const FIRST_OFFSET: LogOffset = 1;
+
 /** Ownership of all shards as far as the log has been read. */
 export class OwnershipTable {
   readonly #ownerships = new Map<ShardNumber, Ownership>();
+  readonly #undecided = new Map<ShardNumber, PlacedClaim[]>();
+  readonly #decided = new Set<ShardNumber>();
+  #knownFrom: LogOffset = FIRST_OFFSET;
 
   /** The ownership of a shard, or undefined when no claim of it is known. */
   find(shard: ShardNumber): Ownership | undefined {
@@ -42,25 +64,76 @@
     return this.#ownerships.values();
   }
 
+  /** Whether this reader can judge claims of the shard. */
+  isDecided(shard: ShardNumber): boolean {
+    return this.#knownFrom === FIRST_OFFSET || this.#decided.has(shard);
+  }
+
+  /** The offset from which on this reader saw nothing of an undecided shard. */
+  unseenSince(shard: ShardNumber): LogOffset {
+    const last = this.#undecided.get(shard)?.at(-1);
+    return last === undefined ? this.#knownFrom : last.offset + 1;
+  }
+
+  /** Notes that records below an offset are no longer in the log and were not read. */
+  missRecordsBefore(offset: LogOffset): void {
+    this.#knownFrom = offset;
+    this.#decided.clear();
+    this.#undecided.clear();
+  }
+
   /**
    * Applies one record; call in log order.
    *
-   * @returns the ownerships that changed hands, which a refresh never does
+   * @returns the ownerships that changed hands as far as this reader knew them
    */
   apply(offset: LogOffset, record: ShardsClaimed): readonly Ownership[] {
-    if (record.reason === ClaimReason.Refresh) {
-      for (const claim of record.claims) this.#refresh(offset, record, claim);
-      return [];
+    return record.claims.flatMap((claim) =>
+      this.#applyClaim({ offset, record, claim })
+    );
+  }
+
+  #applyClaim(placed: PlacedClaim): readonly Ownership[] {
+    if (placed.record.reason === ClaimReason.Refresh) {
+      return this.#refresh(placed);
     }
-    return record.claims.flatMap((claim) => this.#claim(offset, record, claim));
+    if (this.isDecided(placed.claim.shard)) return this.#judge(placed);
+    if (this.#isProvedUnseen(placed)) return this.#put(placed);
+    const { readTo, unseenSince } = placed.record;
+    this.#keepUndecided(placed);
+    if (readTo === undefined || readTo < this.#knownFrom) return [];
+    if (unseenSince !== undefined) return [];
+    const { shard, replaces: epoch } = placed.claim;
+    return this.#decide({ shard, epoch, readTo });
   }
 
-  #claim(
-    offset: LogOffset,
-    record: ShardsClaimed,
-    claim: ShardClaim,
-  ): readonly Ownership[] {
-    if (claim.replaces !== this.epochOf(claim.shard)) return [];
+  #judge(placed: PlacedClaim): readonly Ownership[] {
+    const { claim, record } = placed;
+    const isValid = record.unseenSince === undefined
+      ? claim.replaces === this.epochOf(claim.shard)
+      : this.#lastRecordOf(claim.shard) < record.unseenSince;
+    return isValid ? this.#put(placed) : [];
+  }
+
+  #isProvedUnseen({ record, claim }: PlacedClaim): boolean {
+    const { unseenSince } = record;
+    return unseenSince !== undefined && unseenSince >= this.#knownFrom &&
+      this.#lastRecordOf(claim.shard) < unseenSince &&
+      this.unseenSince(claim.shard) <= unseenSince;
+  }
+
+  #lastRecordOf(shard: ShardNumber): LogOffset {
+    return this.#ownerships.get(shard)?.lastRecordOffset ?? 0;
+  }
+
+  #keepUndecided(placed: PlacedClaim): void {
+    const { shard } = placed.claim;
+    const claims = this.#undecided.get(shard) ?? [];
+    claims.push(placed);
+    this.#undecided.set(shard, claims);
+  }
+
+  #put({ offset, record, claim }: PlacedClaim): readonly Ownership[] {
     const ownership = {
       shard: claim.shard,
       epoch: offset,
@@ -69,23 +142,51 @@
       lastRecordOffset: offset,
     };
     this.#ownerships.set(claim.shard, ownership);
+    this.#decided.add(claim.shard);
+    this.#undecided.delete(claim.shard);
     return [ownership];
   }
 
-  #refresh(
-    offset: LogOffset,
-    record: ShardsClaimed,
-    claim: ShardClaim,
-  ): void {
-    const known = this.#ownerships.get(claim.shard);
-    const isSame = known?.epoch === claim.replaces;
-    if (known !== undefined && !isSame) return;
-    this.#ownerships.set(claim.shard, {
-      shard: claim.shard,
-      epoch: claim.replaces,
+  #refresh({ offset, record, claim }: PlacedClaim): readonly Ownership[] {
+    const { shard, replaces: epoch } = claim;
+    const known = this.#ownerships.get(shard);
+    const isDecided = this.isDecided(shard);
+    const isStale = isDecided
+      ? known?.epoch !== epoch
+      : known !== undefined && known.epoch > epoch;
+    if (isStale) return [];
+    const ownership = {
+      shard,
+      epoch,
       owner: record.claimant,
-      reason: known?.reason ?? ClaimReason.Refresh,
+      reason: known?.epoch === epoch ? known.reason : ClaimReason.Refresh,
       lastRecordOffset: offset,
-    });
+    };
+    this.#ownerships.set(shard, ownership);
+    const readTo = record.readTo ?? 0;
+    const changed = known?.epoch === epoch ? [] : [ownership];
+    if (isDecided || readTo < this.#knownFrom) return changed;
+    return [...changed, ...this.#decide({ shard, epoch, readTo })];
+  }
+
+  /** Judges the claims that were kept, from the epoch that the shard had at a point of the log. */
+  #decide(base: KnownEpoch): readonly Ownership[] {
+    const claims = (this.#undecided.get(base.shard) ?? [])
+      .filter(({ offset }) => offset >= base.readTo);
+    // Whether a claim as unseen is valid depends on records that this reader missed.
+    const isOpen = claims.some(({ record }) =>
+      record.unseenSince !== undefined
+    );
+    if (isOpen) return [];
+    this.#undecided.delete(base.shard);
+    this.#decided.add(base.shard);
+    let { epoch } = base;
+    const changed: Ownership[] = [];
+    for (const placed of claims) {
+      if (placed.claim.replaces !== epoch) continue;
+      epoch = placed.offset;
+      changed.push(...this.#put(placed));
+    }
+    return changed;
   }
 }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -41,6 +41,8 @@
   /** Address at which peers reach this process, as `host:port`. */
   readonly address: string;
   readonly timing: Timing;
+  /** Addresses of processes that are asked for the configuration while the log is away. */
+  readonly seeds?: readonly string[];
   readonly random: () => number;
   readonly shardCount: number;
   readonly ownerCount: number;
@@ -202,6 +204,10 @@
       this.#changeFleet(this.#follower.handleAnswer(request, message));
       return;
     }
+    if (
+      message.kind === PeerReplyKind.OtherIncarnation &&
+      this.#follower.redirect(request, message)
+    ) return;
     if (this.#recordHandOver.takeReply(request, message)) return;
     this.#owner.takeReply(request, message);
   }
--- a/emulator/src/drain_test.ts
+++ b/emulator/src/drain_test.ts
@@ -11,7 +11,10 @@
   LogRecordKind,
   type Milliseconds,
   OutputKind,
+  PeerReplyKind,
+  PeerRequestKind,
   RemovalReason,
+  type SendReply,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
 import { SAMPLE_CONFIGURATION, sampleSubmission } from "./sample_work.ts";
@@ -22,6 +25,7 @@
 const NO_NEW_WORK_MILLISECONDS: Milliseconds = 1_000;
 const RUN_MILLISECONDS: Milliseconds = 400;
 const JOBS = 24;
+const MANY_JOBS = 120;
 
 test("a drained owner hands over and cuts nothing off", () => {
   const trial = new Trial(1);
@@ -138,20 +142,49 @@
 
 test("the start records of a drained runner outlive it and a later owner", () => {
   const trial = new Trial(8);
-  trial.submitJobs(JOBS);
-  trial.advance(3_000);
-  const runners = trial.system.sidecars.map(({ process }) => process)
-    .filter((process) => !trial.owners().includes(process));
-  trial.drain(runners.slice(0, 1));
+  trial.submitJobs(MANY_JOBS);
+  trial.advance(10_000);
+  const [owner] = trial.owners();
+  const runner = trial.system.sidecars.map(({ process }) => process)
+    .find((process) => !trial.owners().includes(process));
+  if (owner === undefined || runner === undefined) throw new Error("none");
+  expect(trial.startsAt(runner)).toBeGreaterThan(0);
+  trial.drain([runner]);
   trial.advance(3_000);
-  for (const owner of trial.owners().slice(0, 1)) owner.kill();
+  owner.kill();
   trial.advance(10_000);
-  trial.resubmitJobs(JOBS);
+  trial.resubmitJobs(MANY_JOBS);
   trial.advance(20_000);
-  expect(trial.answers.length).toEqual(2 * JOBS);
+  expect(trial.outcomesOf(JobOutcomeKind.Completed)).toEqual(2 * MANY_JOBS);
   expect(trial.system.starts.repeated()).toEqual([]);
 });
 
+test("a leaving process takes neither shards nor records", () => {
+  const trial = new Trial(9);
+  trial.submitJobs(JOBS);
+  const owner = trial.owner();
+  const asker = trial.system.entries[0]?.identifier;
+  if (asker === undefined) throw new Error("no entry");
+  trial.drain([owner]);
+  const kind = InputKind.PeerRequestArrived;
+  owner.take({
+    kind,
+    from: asker,
+    request: 1_000_001,
+    message: { kind: PeerRequestKind.HandOverShards, shards: [], answers: [] },
+  });
+  owner.take({
+    kind,
+    from: asker,
+    request: 1_000_002,
+    message: { kind: PeerRequestKind.HandOverRecords, records: [] },
+  });
+  expect(trial.repliesTo([1_000_001, 1_000_002])).toEqual([
+    PeerReplyKind.HandOverRefused,
+    PeerReplyKind.HandOverRefused,
+  ]);
+});
+
 interface Start {
   readonly process: string;
   readonly at: Milliseconds;
@@ -166,6 +199,7 @@
   readonly system: VirtualSystem;
   readonly starts: Start[] = [];
   readonly answers: Answer[] = [];
+  readonly #replies: SendReply[] = [];
   #submitted = 0;
 
   constructor(seed: number, sidecars = 6) {
@@ -179,6 +213,7 @@
       configuration: SAMPLE_CONFIGURATION,
       delayMilliseconds: 1,
       onOutput: (process, output) => {
+        if (output.kind === OutputKind.SendReply) this.#replies.push(output);
         if (output.kind !== OutputKind.ExecuteTask) return;
         this.starts.push({ process, at: this.system.time.now });
       },
@@ -225,6 +260,16 @@
     return owner;
   }
 
+  startsAt({ identifier }: VirtualProcess): number {
+    return this.starts.filter(({ process }) => process === identifier).length;
+  }
+
+  repliesTo(requests: readonly number[]): readonly PeerReplyKind[] {
+    return this.#replies
+      .filter(({ request }) => requests.includes(request))
+      .map(({ message }) => message.kind);
+  }
+
   removalReasons(): readonly RemovalReason[] {
     return this.system.log.records.flatMap(({ record }) =>
       record.kind === LogRecordKind.MemberRemoved ? [record.reason] : []
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -14,6 +14,7 @@
   LogRecordKind,
   type Milliseconds,
   OutputKind,
+  PeerReplyKind,
   type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
@@ -61,6 +62,7 @@
 const READ_WAIT_MILLISECONDS: Milliseconds = 500;
 const DESCRIPTION_MILLISECONDS: Milliseconds = 1;
 const AVAILABILITY_ZONES = 3;
+const SEEDS = 2;
 
 /** The system. */
 export class VirtualSystem {
@@ -126,6 +128,7 @@
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       random: () => random.next(),
       shardCount: shards,
       ownerCount: owners,
@@ -151,6 +154,7 @@
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: this.#options.timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       shardCount: this.#options.shards,
       maximumPending: 100_000,
     });
@@ -259,17 +263,45 @@
       onLost: lose,
       deliver: () => {
         const receiver = this.#processes.get(peer);
+        const from = sender.identifier;
         if (receiver === undefined || receiver.state === ProcessState.Ended) {
-          lose();
+          if (!this.#redirect(sender, output)) lose();
           return;
         }
-        const from = sender.identifier;
         const kind = InputKind.PeerRequestArrived;
         receiver.take({ kind, from, request, message });
       },
     });
   }
 
+  /** Answers for the run of a process that is at the address now, where there is one. */
+  #redirect(sender: VirtualProcess, output: SendRequest): boolean {
+    const { address, peer, request } = output;
+    const current = this.#processes.get(address as ProcessIdentifier);
+    if (current === undefined || address === peer) return false;
+    if (current.state !== ProcessState.Running) return false;
+    this.#sendReply(current, {
+      kind: OutputKind.SendReply,
+      to: sender.identifier,
+      request,
+      message: {
+        kind: PeerReplyKind.OtherIncarnation,
+        current: current.identifier,
+      },
+    });
+    return true;
+  }
+
+  /** Addresses that a process which starts now asks; those that start first have nobody to ask. */
+  #seeds(): readonly string[] {
+    if (this.time.now === 0) return [];
+    return this.sidecars
+      .map(({ process }) => process)
+      .filter(({ state }) => state === ProcessState.Running)
+      .map(({ identifier }) => identifier)
+      .slice(0, SEEDS);
+  }
+
   #sendReply(sender: VirtualProcess, output: SendReply): void {
     const { to, request, message } = output;
     const key = `${to} ${request}`;
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -69,7 +69,11 @@
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
     },
-    platform_log: { origin: process.logOrigin, read_wait: "500ms" },
+    platform_log: {
+      origin: process.logOrigin,
+      read_wait: "500ms",
+      retention: "24h",
+    },
     ownership: { shards: SHARDS, owners: OWNERS },
     timing: {
       heartbeat: "250ms",
