--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -18,6 +18,7 @@
     shared_key: text,
     seeds: addresses.optional(),
   }),
+  operators: z.strictObject({ listen: address, token: text }),
   platform_log: z.strictObject({
     origin: text,
     read_wait: duration,
@@ -45,8 +46,12 @@
     maximum_tasks: count,
     maximum_connections: count,
     maximum_pending: count,
+    maximum_headers: count,
+    maximum_header_size: size,
+    header_time: duration,
     body_time: duration,
   }),
+  teams: z.record(z.string(), text).optional(),
 });
 
 const sidecarSchema = z.strictObject({
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -7,6 +7,7 @@
   type FleetChange,
   FleetChangeKind,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -44,6 +45,7 @@
   type ShardEpoch,
   type ShardNumber,
   type StandingAsked,
+  Step,
   type SubmissionArrived,
   type SubmissionIdentifier,
   UnknownReason,
@@ -142,6 +144,9 @@
       case InputKind.CallerGone:
         this.#forget(input.request);
         return;
+      case InputKind.RequestRejected:
+        this.#collector.count(Counter.RequestsRejected, input.reason);
+        return;
       case InputKind.PeerRequestArrived:
         this.#takeRequest(input);
         return;
@@ -149,6 +154,7 @@
         this.#takeReply(input);
         return;
       case InputKind.PeerRequestLost:
+        this.#follower.noteLoss(input);
         this.#loseRequest(input.request);
         return;
       case InputKind.LogRecordsRead:
@@ -162,6 +168,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.TaskExecutionEnded:
       case InputKind.TaskNotSent:
       case InputKind.BackendServerDescribed:
@@ -221,7 +230,6 @@
     pending.relayAt = now + RELAY_CHECK_MILLISECONDS;
     this.#byRequest.set(request, pending);
     this.#wakeAt(Math.min(pending.relayAt, pending.giveUpAt));
-    this.#collector.count(Counter.MessagesSent);
     this.#collector.add({
       kind: OutputKind.SendRequest,
       request,
@@ -255,7 +263,7 @@
     const { message, request } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#noteGrants(message.granted);
-      this.#changeFleet(this.#follower.handleAnswer(request, message));
+      this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
     if (
@@ -337,6 +345,7 @@
     const outcome: JobOutcome = {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.OwnerUnreachable,
+      step: Step.RelayJob,
     };
     this.#collector.count(Counter.JobsUnknown, outcome.reason);
     this.#answerOutcome(
@@ -426,6 +435,25 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#isLeaving,
+    });
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: {
+        ...common,
+        role: Role.Entry,
+        waitingRequests: this.#pending.size,
+        epochToken: this.#epochToken(),
+      },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = !this.#isLeaving &&
       this.#follower.view.configuration.current !== undefined &&
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -15,7 +15,10 @@
   type OtherIncarnation,
   type OutputCollector,
   OutputKind,
+  type PeerReplyArrived,
+  type PeerRequestLost,
   type PlatformLogInput,
+  type ProcessError,
   type ProcessIdentifier,
   RemovalReason,
   type RequestIdentifier,
@@ -60,6 +63,7 @@
   #announcedAt: Milliseconds | undefined;
   #departure: Departure | undefined;
   #isLogAvailable = true;
+  readonly #lostPeers = new Set<ProcessIdentifier>();
   #removalsAskedAt = new Map<ProcessIdentifier, Milliseconds>();
 
   constructor(options: FleetFollowerOptions) {
@@ -93,17 +97,17 @@
     return this.view.find(this.#options.self) !== undefined;
   }
 
+  /** Whether the log answered the last read. */
+  get isLogAvailable(): boolean {
+    return this.#isLogAvailable;
+  }
+
   /** Announces the process, now and again until the log shows it. */
   announce(announcement: MemberJoined): void {
     this.#announcement = announcement;
     this.#announcedAt = undefined;
   }
 
-  /** Whether the log answered when it was last asked. */
-  get isLogAvailable(): boolean {
-    return this.#isLogAvailable;
-  }
-
   /** Takes the process out of the fleet; the log shows it a little later. */
   leave(reason: RemovalReason): void {
     this.#announcement = undefined;
@@ -145,7 +149,7 @@
       case InputKind.LogRecordsRead:
         return this.#read(input);
       case InputKind.LogUnavailable:
-        this.#noteAvailability(false);
+        this.#noteUnavailable(input.error);
         return [];
       case InputKind.AppendSettled:
       case InputKind.AppendInDoubt:
@@ -156,11 +160,22 @@
     }
   }
 
+  /** Notes a lost request: one event for each peer, until the peer answers again. */
+  noteLoss(input: PeerRequestLost): void {
+    if (this.#lostPeers.has(input.peer)) return;
+    this.#lostPeers.add(input.peer);
+    this.#options.collector.recordError(
+      EventNumber.PeerRequestLost,
+      input.error,
+    );
+  }
+
   /** Takes the answer to a heartbeat; the changes that follow from it. */
   handleAnswer(
-    request: RequestIdentifier,
+    { from, request }: PeerReplyArrived,
     answer: HeartbeatAnswered,
   ): readonly FleetChange[] {
+    this.#lostPeers.delete(from);
     this.heartbeats.take(request, answer);
     const version = answer.newerConfiguration;
     if (version === undefined) return [];
@@ -182,7 +197,7 @@
   }
 
   #read(input: LogRecordsRead): readonly FleetChange[] {
-    this.#noteAvailability(true);
+    this.#noteAvailable();
     const changes = this.view.read(input);
     for (const change of changes) this.#recordChange(change);
     return changes;
@@ -237,17 +252,19 @@
     });
   }
 
-  #noteAvailability(isAvailable: boolean): void {
-    if (isAvailable === this.#isLogAvailable) return;
-    this.#isLogAvailable = isAvailable;
-    const { collector } = this.#options;
-    if (isAvailable) {
-      collector.record(EventNumber.LogAvailable, "the log answers again");
-      return;
-    }
-    collector.record(EventNumber.LogUnavailable, "the log does not answer", {
-      severity: Severity.Warning,
-    });
+  #noteAvailable(): void {
+    if (this.#isLogAvailable) return;
+    this.#isLogAvailable = true;
+    this.#options.collector.record(
+      EventNumber.LogAvailable,
+      "the log answers again",
+    );
+  }
+
+  #noteUnavailable(error: ProcessError): void {
+    if (!this.#isLogAvailable) return;
+    this.#isLogAvailable = false;
+    this.#options.collector.recordError(EventNumber.LogUnavailable, error);
   }
 
   #announceIfDue(): void {
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -7,6 +7,7 @@
   TaskRefusalReason,
   UnknownReason,
 } from "./outcome.ts";
+import type { PeerReplyKind, PeerRequestKind } from "./peer_message.ts";
 
 /** Names of counters. */
 export enum Counter {
@@ -34,18 +35,26 @@
   Members = "members",
 }
 
-/** Reason attached to a counter. */
+/** Reason attached to a counter; for messages it is their kind. */
 export type CountedReason =
   | FailureReason
   | NotRunReason
   | TaskRefusalReason
   | UnknownReason
   | RejectionReason
-  | RetryReason;
+  | RetryReason
+  | PeerRequestKind
+  | PeerReplyKind;
 
 /** Why a request was rejected before it became a submission. */
 export enum RejectionReason {
+  TooManyConnections = "too-many-connections",
+  MalformedRequest = "malformed-request",
+  HeadersTooLarge = "headers-too-large",
+  HeadersTooSlow = "headers-too-slow",
+  UnsupportedContentType = "unsupported-content-type",
   MalformedBody = "malformed-body",
+  DuplicateField = "duplicate-field",
   BodyTooLarge = "body-too-large",
   BodyTooSlow = "body-too-slow",
   MissingIdempotencyKey = "missing-idempotency-key",
@@ -53,6 +62,7 @@
   InvalidField = "invalid-field",
   TooManyTasks = "too-many-tasks",
   Unauthorized = "unauthorized",
+  TeamNotAllowed = "team-not-allowed",
   KeyReused = "key-reused",
   NotFound = "not-found",
   MethodNotAllowed = "method-not-allowed",
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -11,8 +11,10 @@
   SubmissionIdentifier,
 } from "./identifiers.ts";
 import type { BackendServerDescription, PlacedRecord } from "./log_record.ts";
+import type { RejectionReason } from "./metric.ts";
 import type { TaskEnd } from "./outcome.ts";
 import type { PeerReply, PeerRequest } from "./peer_message.ts";
+import type { ProcessError } from "./process_error.ts";
 import type { Submission } from "./submission.ts";
 
 /** Kinds of inputs. */
@@ -21,6 +23,7 @@
   StandingAsked = "standing-asked",
   CancellationAsked = "cancellation-asked",
   CallerGone = "caller-gone",
+  RequestRejected = "request-rejected",
   PeerRequestArrived = "peer-request-arrived",
   PeerReplyArrived = "peer-reply-arrived",
   PeerRequestLost = "peer-request-lost",
@@ -34,6 +37,7 @@
   AppendInDoubt = "append-in-doubt",
   AlarmRang = "alarm-rang",
   DrainAsked = "drain-asked",
+  ReportAsked = "report-asked",
 }
 
 /** A caller submitted a job and waits for its outcome. */
@@ -63,6 +67,12 @@
   readonly request: CallerRequestIdentifier;
 }
 
+/** A request was rejected before it became an input; it was answered already. */
+export interface RequestRejected {
+  readonly kind: InputKind.RequestRejected;
+  readonly reason: RejectionReason;
+}
+
 /** Another process sent a request. */
 export interface PeerRequestArrived {
   readonly kind: InputKind.PeerRequestArrived;
@@ -84,6 +94,7 @@
   readonly kind: InputKind.PeerRequestLost;
   readonly peer: ProcessIdentifier;
   readonly request: RequestIdentifier;
+  readonly error: ProcessError;
 }
 
 /** The backend server ended a task, or its answer was lost. */
@@ -97,6 +108,7 @@
 export interface TaskNotSent {
   readonly kind: InputKind.TaskNotSent;
   readonly attempt: AttemptIdentifier;
+  readonly error: ProcessError;
 }
 
 /** The backend server told what it is. */
@@ -108,6 +120,7 @@
 /** The backend server does not answer. */
 export interface BackendServerUnreachable {
   readonly kind: InputKind.BackendServerUnreachable;
+  readonly error: ProcessError;
 }
 
 /** Records read from the log, in order. The list may be empty. */
@@ -129,6 +142,7 @@
 /** The log did not answer a read. */
 export interface LogUnavailable {
   readonly kind: InputKind.LogUnavailable;
+  readonly error: ProcessError;
 }
 
 /** An append took effect at this offset. */
@@ -142,6 +156,7 @@
 export interface AppendInDoubt {
   readonly kind: InputKind.AppendInDoubt;
   readonly append: number;
+  readonly error: ProcessError;
 }
 
 /** The time asked for has come. */
@@ -154,12 +169,19 @@
   readonly kind: InputKind.DrainAsked;
 }
 
+/** An operator asks what the process knows. */
+export interface ReportAsked {
+  readonly kind: InputKind.ReportAsked;
+  readonly request: RequestIdentifier;
+}
+
 /** Inputs from callers. */
 export type CallerInput =
   | SubmissionArrived
   | StandingAsked
   | CancellationAsked
-  | CallerGone;
+  | CallerGone
+  | RequestRejected;
 
 /** Inputs from other processes. */
 export type PeerInput = PeerRequestArrived | PeerReplyArrived | PeerRequestLost;
@@ -178,11 +200,14 @@
   | AppendSettled
   | AppendInDoubt;
 
+/** Inputs from operators. */
+export type OperatorInput = DrainAsked | ReportAsked;
+
 /** Any input. */
 export type ProcessInput =
   | CallerInput
   | PeerInput
   | BackendServerInput
   | PlatformLogInput
-  | AlarmRang
-  | DrainAsked;
+  | OperatorInput
+  | AlarmRang;
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -39,6 +39,7 @@
   Severity,
   type ShardEpoch,
   type ShardNumber,
+  Step,
   type SubmissionIdentifier,
   type SubmitJob,
   TaskEndKind,
@@ -149,6 +150,16 @@
     return this.#grants.granted();
   }
 
+  /** Shards owned, granted or not. */
+  owned(): readonly ShardEpoch[] {
+    return this.#grants.owned();
+  }
+
+  /** Tasks that wait for a runner. */
+  get waitingTasks(): number {
+    return this.#dispatcher.queuedTasks;
+  }
+
   /** Whether this owner answers for no job and hands nothing over any more. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
@@ -368,10 +379,12 @@
     this.#countOutcome({
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
     this.#replyOutcome(waiter, shard, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
   }
 
@@ -573,6 +586,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case TaskRefusalReason.QueueFull:
@@ -607,6 +621,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.TaskAnswerLost,
+      step: Step.ExecuteTask,
       peer: runner,
     });
     this.#dispatcher.withdraw(job);
@@ -640,6 +655,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Failed,
       reason: failure,
+      step: Step.PlaceTask,
       detail: `the job was ended: ${failure}`,
     });
   }
@@ -657,6 +673,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case JobPhase.Answered:
@@ -827,6 +844,7 @@
       outcome: {
         kind: JobOutcomeKind.Unknown,
         reason: UnknownReason.AnswerExpired,
+        step: Step.AdmitJob,
       },
       isKeyReused: true,
     });
@@ -878,6 +896,7 @@
         return {
           kind: JobOutcomeKind.Failed,
           reason: FailureReason.TaskFailed,
+          step: Step.ExecuteTask,
           detail: task.end.detail,
           taskIndex: index,
         };
@@ -885,6 +904,7 @@
         return {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         };
     }
   }
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -22,8 +22,8 @@
   OutputKind,
   type PeerReply,
   PeerReplyKind,
+  type ProcessError,
   type RunnerLoad,
-  Severity,
   type ShardEpoch,
   type ShardNumber,
   type StartRecord,
@@ -77,6 +77,11 @@
     return this.#running.size === 0 && this.#queue.size === 0;
   }
 
+  /** The backend server; undefined while it does not answer. */
+  get backendServer(): BackendServerDescription | undefined {
+    return this.#backendServer;
+  }
+
   /** Load as it is told to owners. */
   load(): RunnerLoad {
     const slots = this.#backendServer?.slots ?? 0;
@@ -104,13 +109,12 @@
   }
 
   /** Refuses all that waits: the backend server does not answer. */
-  loseBackendServer(): void {
+  loseBackendServer(error: ProcessError): void {
     if (this.#backendServer === undefined) return;
     this.#backendServer = undefined;
-    this.#options.collector.record(
+    this.#options.collector.recordError(
       EventNumber.BackendServerUnreachable,
-      "the backend server does not answer",
-      { severity: Severity.Warning },
+      error,
     );
     this.#refuseQueued(TaskRefusalReason.BackendServerUnavailable, () => true);
   }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -4,6 +4,7 @@
 import {
   type FleetChange,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -28,7 +29,9 @@
   type ProcessInput,
   type ProcessOutput,
   RemovalReason,
+  type RequestIdentifier,
   Role,
+  type SidecarReport,
 } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 import { RunnerDecisions } from "@eelgrassfront/runner";
@@ -137,10 +140,14 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.SubmissionArrived:
       case InputKind.StandingAsked:
       case InputKind.CancellationAsked:
       case InputKind.CallerGone:
+      case InputKind.RequestRejected:
         // Callers reach entries only; a sidecar opens no port for them.
         return;
       default:
@@ -199,9 +206,10 @@
     }
   }
 
-  #takeReply({ request, message }: PeerReplyArrived): void {
+  #takeReply(input: PeerReplyArrived): void {
+    const { request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
-      this.#changeFleet(this.#follower.handleAnswer(request, message));
+      this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
     if (
@@ -212,7 +220,9 @@
     this.#owner.takeReply(request, message);
   }
 
-  #loseRequest({ request }: PeerRequestLost): void {
+  #loseRequest(input: PeerRequestLost): void {
+    const { request } = input;
+    this.#follower.noteLoss(input);
     if (this.#recordHandOver.loseRequest(request)) return;
     if (this.#follower.heartbeats.lose(request)) return;
     this.#owner.loseRequest(request);
@@ -231,7 +241,7 @@
         this.#announce(input.description);
         return;
       case InputKind.BackendServerUnreachable:
-        this.#runner.loseBackendServer();
+        this.#runner.loseBackendServer(input.error);
         return;
       default:
         assertNever(input);
@@ -329,6 +339,31 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#leaving !== LeavingPhase.No,
+    });
+    const { backendServer } = this.#runner;
+    const report: SidecarReport = {
+      ...common,
+      role: Role.Sidecar,
+      load: this.#runner.load(),
+      ownedShards: this.#owner.owned(),
+      grantedShards: this.#owner.granted(),
+      waitingTasks: this.#owner.waitingTasks,
+    };
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: backendServer === undefined
+        ? report
+        : { ...report, backendServer },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = this.#leaving === LeavingPhase.No &&
       this.#follower.isMember &&
