--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -33,7 +33,9 @@
   Role,
   type SidecarReport,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { OwnerDecisions } from "@eelgrassfront/owner";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { RunnerDecisions } from "@eelgrassfront/runner";
 import { RecordHandOver, RecordHandOverPhase } from "./record_hand_over.ts";
 
@@ -53,6 +55,9 @@
   readonly maximumResultBytes: number;
   readonly maximumQueuedTasks: number;
   readonly waitingPerRunner: number;
+  /** Baselines to measure against choose another placement. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 enum LeavingPhase {
@@ -197,6 +202,7 @@
         const answer = this.#follower.heartbeats.answer(message, {
           isLeaving: this.#leaving !== LeavingPhase.No,
           granted: this.#owner.granted(),
+          load: this.#runner.load(),
         });
         this.#reply(input, answer);
         return;
@@ -207,9 +213,10 @@
   }
 
   #takeReply(input: PeerReplyArrived): void {
-    const { request, message } = input;
+    const { from, request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#changeFleet(this.#follower.handleAnswer(input, message));
+      if (message.load !== undefined) this.#owner.noteLoad(from, message.load);
       return;
     }
     if (
