--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -7,6 +7,7 @@
   type FleetChange,
   FleetChangeKind,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -37,6 +38,7 @@
   type ProcessInput,
   type ProcessOutput,
   RejectionReason,
+  RemovalReason,
   type RequestIdentifier,
   RetryReason,
   Role,
@@ -92,6 +94,7 @@
   readonly #byRequest = new Map<RequestIdentifier, Pending>();
   readonly #grantedEpochs = new Map<ShardNumber, Epoch>();
   #isLeaving = false;
+  #isDeparting = false;
   #isStopped = false;
   #isReady = false;
   #nextScanAt: Milliseconds | undefined;
@@ -139,6 +142,9 @@
       case InputKind.CallerGone:
         this.#forget(input.request);
         return;
+      case InputKind.RequestRejected:
+        this.#collector.count(Counter.RequestsRejected, input.reason);
+        return;
       case InputKind.PeerRequestArrived:
         this.#takeRequest(input);
         return;
@@ -160,6 +166,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.TaskExecutionEnded:
       case InputKind.TaskNotSent:
       case InputKind.BackendServerDescribed:
@@ -286,6 +295,7 @@
       case PeerReplyKind.EvidenceGiven:
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
+      case PeerReplyKind.HandOverRefused:
       case PeerReplyKind.HeartbeatAnswered:
         this.#relayLater(pending, RetryReason.OwnerLost);
         return;
@@ -412,11 +422,32 @@
 
   #stopIfDone(): void {
     if (!this.#isLeaving || this.#isStopped || this.#pending.size > 0) return;
+    if (!this.#isDeparting) this.#follower.leave(RemovalReason.Left);
+    this.#isDeparting = true;
+    if (!this.#follower.hasLeft) return;
     this.#isStopped = true;
-    this.#follower.leave();
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#isLeaving,
+    });
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: {
+        ...common,
+        role: Role.Entry,
+        waitingRequests: this.#pending.size,
+        epochToken: this.#epochToken(),
+      },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = !this.#isLeaving &&
       this.#follower.view.configuration.current !== undefined &&
--- a/domain/model/src/outcome.ts
+++ b/domain/model/src/outcome.ts
@@ -23,6 +23,7 @@
   DeadlineExceeded = "deadline-exceeded",
   Cancelled = "cancelled",
   RetriesExhausted = "retries-exhausted",
+  OwnerLeaving = "owner-leaving",
 }
 
 /** Why a job was refused without starting any task. */
@@ -127,6 +128,8 @@
 export enum TaskRefusalReason {
   Fenced = "fenced",
   QueueFull = "queue-full",
+  /** The slot that an owner meant to borrow is not free. */
+  SlotTaken = "slot-taken",
   Leaving = "leaving",
   Isolated = "isolated",
   DeadlinePassed = "deadline-passed",
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -32,11 +32,11 @@
   OutputKind,
   type PeerReply,
   PeerReplyKind,
-  PeerRequestKind,
   type ProcessIdentifier,
   type QueryJob,
   type RequestIdentifier,
   RetryReason,
+  type RunnerLoad,
   Severity,
   type ShardEpoch,
   type ShardNumber,
@@ -48,6 +48,8 @@
   UNCLAIMED_EPOCH,
   UnknownReason,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { identifySubmission } from "@eelgrassfront/model";
 import { shardOf } from "@eelgrassfront/ownership";
 import TinyQueue from "tinyqueue";
@@ -59,6 +61,7 @@
 } from "./evidence_book.ts";
 import { Job, JobPhase, type JobWaiter, TaskPhase } from "./job.ts";
 import { ShardGrants, ShardStanding } from "./shard_grants.ts";
+import { ShardHandOver } from "./shard_hand_over.ts";
 import { TaskDispatcher } from "./task_dispatcher.ts";
 
 /** What an owner needs. */
@@ -71,8 +74,8 @@
   readonly shardCount: number;
   readonly ownerCount: number;
   readonly maximumAnswerBytes: number;
-  /** Tasks beyond its slots that the owner lets wait at a runner. */
-  readonly waitingPerRunner: number;
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 interface HeldSubmission {
@@ -103,12 +106,12 @@
     [],
     (left, right) => left.at - right.at,
   );
-  readonly #handOvers = new Set<RequestIdentifier>();
+  readonly #handOver: ShardHandOver;
   #isLeaving = false;
 
   constructor(options: OwnerDecisionsOptions) {
     this.#options = options;
-    const { timing, collector, follower, self } = options;
+    const { timing } = options;
     this.#answers = new AnswerBook({
       horizonMilliseconds: timing.horizonMilliseconds,
       maximumAnswerBytes: options.maximumAnswerBytes,
@@ -119,12 +122,20 @@
       evidence: this.#evidence,
       onGranted: (shard) => this.#decideHeld(shard),
     });
+    this.#handOver = new ShardHandOver({
+      ...options,
+      grants: this.#grants,
+      answersOf: (shards) =>
+        this.#answers.answersWhere((submission) =>
+          shards.has(shardOf(submission, options.shardCount))
+        ),
+      onGivenUp: (shard) => {
+        this.#grants.giveUp(shard);
+        this.#loseShard(shard);
+      },
+    });
     this.#dispatcher = new TaskDispatcher({
-      self,
-      collector,
-      follower,
-      random: options.random,
-      waitingPerRunner: options.waitingPerRunner,
+      ...options,
       mayPlace: (job) => this.#isGranted(job.options.shard),
       onTaskEnded: (job, index) => this.#taskEnded(job, index),
       onTaskRefused: (job, index, reason) =>
@@ -138,12 +149,22 @@
     return this.#grants.granted();
   }
 
-  /** Whether this owner owns nothing and answers for no job. */
+  /** Shards owned, granted or not. */
+  owned(): readonly ShardEpoch[] {
+    return this.#grants.owned();
+  }
+
+  /** Tasks that wait for a runner. */
+  get waitingTasks(): number {
+    return this.#dispatcher.queuedTasks;
+  }
+
+  /** Whether this owner answers for no job and hands nothing over any more. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
       phase !== JobPhase.Answered
     );
-    return this.#grants.size === 0 && !isAnyActive && this.#held.size === 0;
+    return this.#handOver.isSettled && !isAnyActive && this.#held.size === 0;
   }
 
   /** When the owner next has something to do. */
@@ -159,6 +180,9 @@
   tick(): void {
     const { now } = this.#options.collector;
     this.#grants.tick();
+    this.#handOver.tick();
+    this.#answerHeldOutcomes();
+    if (this.#isLeaving) this.#refuseUnplaceable();
     while ((this.#timers.peek()?.at ?? Infinity) <= now) {
       const timer = this.#timers.pop();
       if (timer !== undefined) this.#expire(timer.job);
@@ -177,24 +201,32 @@
         this.#addRunner(change.member);
         return;
       case FleetChangeKind.MemberDeparted:
-        this.#grants.noteMembershipChange();
+        this.#grants.noteDeparture(change.departed);
         this.#dispatcher.loseRunner(change.departed.member.joined.process);
         return;
       case FleetChangeKind.OwnershipChanged: {
         const { shard } = change.ownership;
+        this.#dispatcher.noteFleetChange();
         if (this.#grants.changeOwnership(change.ownership)) {
           this.#loseShard(shard);
         }
         return;
       }
       case FleetChangeKind.ConfigurationJudged:
+        return;
       case FleetChangeKind.ConfigurationInForce:
+        this.#dispatcher.applyConfiguration(change.version.configuration);
         return;
       default:
         assertNever(change);
     }
   }
 
+  /** Takes the load that a runner told beside its heartbeat. */
+  noteLoad(runner: ProcessIdentifier, load: RunnerLoad): void {
+    this.#dispatcher.pool.noteLoad(runner, load);
+  }
+
   /** Takes a submission from an entry. */
   submit(waiter: JobWaiter, message: SubmitJob): void {
     const { collector } = this.#options;
@@ -239,22 +271,26 @@
 
   /** Takes the shards of a leaving owner. */
   takeOver(waiter: RequestFrom, message: HandOverShards): void {
-    const { now } = this.#options.collector;
+    const { collector: { now }, follower } = this.#options;
+    if (this.#isLeaving || !follower.isLogAvailable) {
+      this.#reply(waiter, { kind: PeerReplyKind.HandOverRefused });
+      return;
+    }
     for (const answer of message.answers) this.#answers.keep(now, answer);
     this.#grants.claimHandedOver(message.shards);
     this.#reply(waiter, { kind: PeerReplyKind.ShardsTaken });
   }
 
-  /** Stops claiming and hands the shards to a successor. */
+  /** Stops claiming and hands the shards to successors. */
   leave(): void {
     this.#isLeaving = true;
     this.#grants.leave();
-    this.#handOver();
+    this.#handOver.begin();
   }
 
   /** Takes a reply; false when it answers no request of this owner. */
   takeReply(request: RequestIdentifier, reply: PeerReply): boolean {
-    if (this.#handOvers.delete(request)) return true;
+    if (this.#handOver.takeReply(request, reply)) return true;
     if (reply.kind === PeerReplyKind.EvidenceGiven) {
       return this.#grants.takeEvidence(request, reply);
     }
@@ -265,11 +301,8 @@
 
   /** Takes the loss of a request; false when it was none of this owner. */
   loseRequest(request: RequestIdentifier): boolean {
-    if (this.#handOvers.delete(request)) {
-      this.#handOver();
-      return true;
-    }
-    return this.#grants.loseQuestion(request) ||
+    return this.#handOver.loseRequest(request) ||
+      this.#grants.loseQuestion(request) ||
       this.#dispatcher.lose(request);
   }
 
@@ -277,9 +310,25 @@
     const { process, address, backendServer } = member.joined;
     if (backendServer === undefined) return;
     this.#dispatcher.pool.add({ process, address, backendServer });
+    this.#dispatcher.noteFleetChange();
     this.#dispatcher.dispatch();
   }
 
+  /** Ends the jobs that no runner can take any more while this owner leaves. */
+  #refuseUnplaceable(): void {
+    if (this.#dispatcher.pool.isAnyOpen()) return;
+    for (const job of [...this.#jobs.values()]) {
+      const isWaiting = job.phase === JobPhase.Active &&
+        job.tasks.some((task) => task.phase === TaskPhase.Waiting);
+      if (!isWaiting || !this.#isGranted(job.options.shard)) continue;
+      this.#withdraw(
+        job,
+        FailureReason.OwnerLeaving,
+        NotRunReason.OwnerLeaving,
+      );
+    }
+  }
+
   #isGranted(shard: ShardNumber): boolean {
     return this.#grants.standingOf(shard) === ShardStanding.Granted;
   }
@@ -549,6 +598,7 @@
         });
         return;
       case TaskRefusalReason.QueueFull:
+      case TaskRefusalReason.SlotTaken:
       case TaskRefusalReason.Leaving:
       case TaskRefusalReason.Isolated:
       case TaskRefusalReason.BackendServerUnavailable:
@@ -572,7 +622,7 @@
       RetryReason.RunnerRefused,
     );
     job.put(index, { phase: TaskPhase.Waiting });
-    this.#dispatcher.enqueue(job, index);
+    this.#dispatcher.enqueueRetry(job, index);
   }
 
   #taskLost(job: Job, runner: ProcessIdentifier): void {
@@ -646,6 +696,11 @@
       Invariant.AnswerReachesItsRequest,
       () => `${job.identifier} was answered before`,
     );
+    if (this.#grants.isStopped(job.options.shard)) {
+      // A successor may own the shard by now; it answers, or this owner does once it grants again.
+      job.heldOutcome ??= outcome;
+      return;
+    }
     assertNotRunIsTrue(job, outcome);
     job.phase = JobPhase.Answered;
     this.#jobs.delete(job.identifier);
@@ -657,6 +712,16 @@
     }
   }
 
+  #answerHeldOutcomes(): void {
+    for (const job of [...this.#jobs.values()]) {
+      const outcome = job.heldOutcome;
+      if (outcome === undefined) continue;
+      if (this.#grants.isStopped(job.options.shard)) continue;
+      job.heldOutcome = undefined;
+      this.#answer(job, outcome);
+    }
+  }
+
   #keepAnswer(job: Job, outcome: JobOutcome): void {
     const { now } = this.#options.collector;
     if (outcome.kind === JobOutcomeKind.NotRun) {
@@ -728,31 +793,6 @@
     }
   }
 
-  #handOver(): void {
-    const { follower, self, collector } = this.#options;
-    const shards = this.#grants.owned();
-    const successor = follower.view.sidecars().find(({ joined }) =>
-      joined.process !== self &&
-      follower.heartbeats.isReachable(joined.process) &&
-      !follower.heartbeats.isLeaving(joined.process)
-    );
-    if (shards.length === 0 || successor === undefined) return;
-    this.#grants.stopGranting();
-    const request = collector.nextRequest();
-    this.#handOvers.add(request);
-    collector.add({
-      kind: OutputKind.SendRequest,
-      request,
-      peer: successor.joined.process,
-      address: successor.joined.address,
-      message: {
-        kind: PeerRequestKind.HandOverShards,
-        shards,
-        answers: this.#answers.answersWhere(() => true),
-      },
-    });
-  }
-
   #standingOf(submission: SubmissionIdentifier): PeerReply {
     const job = this.#jobs.get(submission);
     if (job !== undefined) {
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -22,7 +22,11 @@
   type ShardEpoch,
   type ShardNumber,
 } from "@eelgrassfront/model";
-import type { FleetFollower, Timing } from "@eelgrassfront/membership";
+import type {
+  DepartedMember,
+  FleetFollower,
+  Timing,
+} from "@eelgrassfront/membership";
 import {
   ownerCandidates,
   type Ownership,
@@ -106,6 +110,8 @@
 }
 
 const SETTLE_MILLISECONDS: Milliseconds = 500;
+/** Time between two looks for shards without an owner. */
+const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 /** Time between two looks for shards to claim, each of which ranks the whole fleet. */
 const CLAIM_CHECK_MILLISECONDS: Milliseconds = 50;
@@ -119,10 +125,11 @@
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
   #membershipChangedAt: Milliseconds = 0;
+  #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
   #nextClaimCheckAt: Milliseconds = 0;
   #isLeaving = false;
-  #isGrantingStopped = false;
+  readonly #stopped = new Set<ShardNumber>();
 
   constructor(options: ShardGrantsOptions) {
     this.#options = options;
@@ -138,7 +145,7 @@
     const grant = this.#byShard.get(shard);
     if (grant === undefined) return ShardStanding.NotOwned;
     const isGranted = grant.state.phase === GrantPhase.Granted &&
-      !this.#isGrantingStopped;
+      !this.#stopped.has(shard);
     return isGranted && this.#options.follower.heartbeats.isFresh()
       ? ShardStanding.Granted
       : ShardStanding.Pending;
@@ -181,9 +188,37 @@
     this.#isLeaving = true;
   }
 
-  /** Grants nothing any more: a successor is asked to claim the shards. */
-  stopGranting(): void {
-    this.#isGrantingStopped = true;
+  /** Grants a shard no more: a successor is asked to claim it. */
+  stopGranting(shard: ShardNumber): void {
+    this.#stopped.add(shard);
+  }
+
+  /** Grants a shard again: no successor can have claimed it. */
+  resumeGranting(shard: ShardNumber): void {
+    this.#stopped.delete(shard);
+  }
+
+  /** Whether the granting of a shard is stopped. */
+  isStopped(shard: ShardNumber): boolean {
+    return this.#stopped.has(shard);
+  }
+
+  /** Leaves a shard to whoever takes it over. */
+  giveUp(shard: ShardNumber): void {
+    this.#drop(shard);
+  }
+
+  /** Asks every runner again when one left that had not answered: another keeps its records now. */
+  noteDeparture({ member, reason }: DepartedMember): void {
+    this.noteMembershipChange();
+    if (reason !== RemovalReason.Left) return;
+    for (const grant of this.#grants.values()) {
+      if (!grant.missing.delete(member.joined.process)) continue;
+      for (const { joined } of this.#options.follower.view.sidecars()) {
+        grant.missing.add(joined.process);
+      }
+      grant.nextAskAt = 0;
+    }
   }
 
   /**
@@ -250,6 +285,7 @@
     const grant = this.#byShard.get(shard);
     if (grant === undefined) return false;
     this.#byShard.delete(shard);
+    this.#stopped.delete(shard);
     grant.shards.delete(shard);
     if (grant.shards.size === 0) this.#grants.delete(grant.epoch);
     this.#options.evidence.forgetShard(shard);
@@ -377,6 +413,7 @@
     if (now < this.#nextClaimCheckAt) return;
     this.#nextClaimCheckAt = now + CLAIM_CHECK_MILLISECONDS;
     if (!this.#mayClaim()) return;
+    this.#claimCheckedAt = this.#options.collector.now;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
@@ -394,7 +431,9 @@
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
     const isAnswerDue =
       collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    return !this.#isLeaving && follower.isMember && hasSettled &&
+    const isCheckDue =
+      collector.now - this.#claimCheckedAt >= CLAIM_CHECK_MILLISECONDS;
+    return isCheckDue && !this.#isLeaving && follower.isMember && hasSettled &&
       !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
       follower.heartbeats.hearsMajority();
   }
--- a/domain/placement/src/mod.ts
+++ b/domain/placement/src/mod.ts
@@ -1,4 +1,6 @@
 /**
  * Which runner gets the next task.
  */
+export * from "./placement_policy.ts";
 export * from "./runner_pool.ts";
+export type { OwnerWeight } from "./slot_quota.ts";
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -9,6 +9,7 @@
   readonly availabilityZone: string;
   readonly peers: number;
   readonly callers: number;
+  readonly operators: number;
   readonly logOrigin: string;
   readonly metricsReceiver: string | undefined;
 }
@@ -18,11 +19,15 @@
   readonly name: string;
   readonly availabilityZone: string;
   readonly peers: number;
+  readonly operators: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
   readonly metricsReceiver: string | undefined;
 }
 
+/** Operators' token of every process of a local system. */
+export const LOCAL_OPERATORS_TOKEN = "local-operators-token";
+
 const SHARDS = 64;
 const OWNERS = 3;
 
@@ -41,6 +46,9 @@
       maximum_tasks: 220,
       maximum_connections: 10_000,
       maximum_pending: 10_000,
+      maximum_headers: 64,
+      maximum_header_size: "16KiB",
+      header_time: "5s",
       body_time: "10s",
     },
   });
@@ -75,6 +83,10 @@
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
     },
+    operators: {
+      listen: `127.0.0.1:${process.operators}`,
+      token: LOCAL_OPERATORS_TOKEN,
+    },
     platform_log: { origin: process.logOrigin, read_wait: "500ms" },
     ownership: { shards: SHARDS, owners: OWNERS },
     timing: {
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
 import { request } from "undici";
@@ -33,6 +34,12 @@
   readonly address: string;
 }
 
+/** A daemon of the system: its address is for callers of an entry, and for peers of a sidecar. */
+export interface LocalDaemon extends LocalProcess {
+  /** Address of the operators' interface. */
+  readonly operatorsAddress: string;
+}
+
 const READY_MILLISECONDS = 30_000;
 const READY_AGAIN_MILLISECONDS = 50;
 const LEAVE_MILLISECONDS = 5_000;
@@ -40,8 +47,8 @@
 
 /** A system of separate processes on loopback. */
 export class LocalSystem implements AsyncDisposable {
-  readonly entries: LocalProcess[] = [];
-  readonly sidecars: LocalProcess[] = [];
+  readonly entries: LocalDaemon[] = [];
+  readonly sidecars: LocalDaemon[] = [];
   readonly backendServers: LocalProcess[] = [];
   readonly #options: LocalSystemOptions;
   readonly #folder: string;
@@ -82,7 +89,10 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await endInOrder(this.all().map(({ child }) => child));
+    await endTogether(this.entries);
+    await endTogether(this.sidecars);
+    await endTogether(this.backendServers);
+    if (this.#log !== undefined) await endTogether([this.#log]);
     await rm(this.#folder, { recursive: true, force: true });
   }
 
@@ -101,26 +111,35 @@
       name,
       availabilityZone: zoneOf(index),
       peers: ports.peers,
+      operators: ports.operators,
       backendServerOrigin: origin,
       logOrigin: `http://${this.log.address}`,
       metricsReceiver: this.#options.metricsReceiver,
     });
-    this.sidecars[index] = await this.#startDaemon(name, settings, ports.peers);
+    this.sidecars[index] = await this.#startDaemon(name, settings, {
+      address: ports.peers,
+      operators: ports.operators,
+    });
   }
 
   async #startAll(): Promise<void> {
     const { entries, sidecars } = this.#options;
-    const ports = await freePorts(1 + entries * 2 + sidecars * 2);
+    const ports = await freePorts(1 + entries * 3 + sidecars * 3);
     const nextPort = () => ports.pop() ?? 0;
     await this.#startLog(nextPort());
     for (let index = 0; index < sidecars; index += 1) {
       await this.startSidecar(index, {
         peers: nextPort(),
+        operators: nextPort(),
         backendServer: nextPort(),
       });
     }
     for (let index = 0; index < entries; index += 1) {
-      await this.#startEntry(index, nextPort(), nextPort());
+      await this.startEntry(index, {
+        peers: nextPort(),
+        operators: nextPort(),
+        callers: nextPort(),
+      });
     }
     await this.#waitUntilReady();
   }
@@ -152,32 +171,33 @@
     await response.body.dump();
   }
 
-  async #startEntry(
-    index: number,
-    peers: number,
-    callers: number,
-  ): Promise<void> {
+  /** Starts an entry. */
+  async startEntry(index: number, ports: EntryPorts): Promise<void> {
     const name = `entry-${index}`;
     const settings = entrySettings({
       name,
       availabilityZone: zoneOf(index),
-      peers,
-      callers,
+      ...ports,
       logOrigin: `http://${this.log.address}`,
       metricsReceiver: this.#options.metricsReceiver,
     });
-    this.entries[index] = await this.#startDaemon(name, settings, callers);
+    this.entries[index] = await this.#startDaemon(name, settings, {
+      address: ports.callers,
+      operators: ports.operators,
+    });
   }
 
   async #startDaemon(
     name: string,
     settings: string,
-    port: number,
-  ): Promise<LocalProcess> {
+    ports: { readonly address: number; readonly operators: number },
+  ): Promise<LocalDaemon> {
     const file = join(this.#folder, `${name}.ini`);
     await writeFile(file, settings);
     const script = scriptOf(`@eelgrassfront/daemon`);
-    return this.#startScript(name, script, ["--settings", file], port);
+    const args = ["--settings", file];
+    const started = this.#startScript(name, script, args, ports.address);
+    return { ...started, operatorsAddress: `127.0.0.1:${ports.operators}` };
   }
 
   #startScript(
@@ -202,9 +222,17 @@
   }
 }
 
+/** Ports of an entry. */
+export interface EntryPorts {
+  readonly peers: number;
+  readonly operators: number;
+  readonly callers: number;
+}
+
 /** Ports of a sidecar and its backend server. */
 export interface SidecarPorts {
   readonly peers: number;
+  readonly operators: number;
   readonly backendServer: number;
 }
 
@@ -239,7 +267,7 @@
 
 /** Waits for a time. */
 export function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  return setTimeout(milliseconds);
 }
 
 async function isAnswering(url: string): Promise<boolean> {
@@ -268,12 +296,16 @@
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
 
-/** Entries and sidecars are asked to leave; what has not left in time is ended. */
-async function endInOrder(children: readonly Child[]): Promise<void> {
+/** Processes are asked to leave; what has not left in time is ended. */
+async function endTogether(processes: readonly LocalProcess[]): Promise<void> {
+  const children = processes.map(({ child }) => child);
   for (const child of children) child.signal("SIGTERM");
+  const limit = new AbortController();
   await Promise.race([
     Promise.all(children.map((child) => child.exited)),
-    pause(LEAVE_MILLISECONDS),
+    setTimeout(LEAVE_MILLISECONDS, undefined, { signal: limit.signal })
+      .catch(() => undefined),
   ]);
+  limit.abort();
   await Promise.all(children.map((child) => child[Symbol.asyncDispose]()));
 }
