--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -113,8 +113,6 @@
 /** Time between two looks for shards without an owner. */
 const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
-/** Time between two looks for shards to claim, each of which ranks the whole fleet. */
-const CLAIM_CHECK_MILLISECONDS: Milliseconds = 50;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
 
@@ -127,7 +125,6 @@
   #membershipChangedAt: Milliseconds = 0;
   #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
-  #nextClaimCheckAt: Milliseconds = 0;
   #isLeaving = false;
   readonly #stopped = new Set<ShardNumber>();
 
@@ -409,9 +406,6 @@
   }
 
   #claimIfDue(): void {
-    const { now } = this.#options.collector;
-    if (now < this.#nextClaimCheckAt) return;
-    this.#nextClaimCheckAt = now + CLAIM_CHECK_MILLISECONDS;
     if (!this.#mayClaim()) return;
     this.#claimCheckedAt = this.#options.collector.now;
     const candidates = this.#candidates();
