--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -164,6 +164,7 @@
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
+      silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
       origin: log.origin,
