fix(build): run only the compiled tests whose source is there

Change: a compiled test counts while its source file exists. Conclusion: ruled out cleaning dist before each build, which costs the incremental build.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -6,14 +6,19 @@
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 
+/** A compiled test counts while its source is there: an old build may have left others. */
+function isTest(path) {
+  const source = path.replace(/dist([/\\][^/\\]+)\.js$/, "src$1.ts");
+  return path.endsWith("_test.js") && source.endsWith("_test.ts") &&
+    existsSync(source);
+}
+
 function findTests(folder) {
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
     const path = join(folder, entry.name);
     if (entry.name === "node_modules" || entry.name === ".git") return [];
     if (entry.isDirectory()) return findTests(path);
-    return path.includes("dist") && entry.name.endsWith("_test.js")
-      ? [path]
-      : [];
+    return isTest(path) ? [path] : [];
   });
 }
 
