--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -70,6 +70,7 @@
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     shardCount: settings.ownership.shards,
     maximumPending: limits.maximum_pending,
   });
@@ -94,6 +95,7 @@
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     random: Math.random,
     shardCount: settings.ownership.shards,
     ownerCount: settings.ownership.owners,
@@ -162,6 +164,7 @@
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
+      silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
       origin: log.origin,
@@ -180,12 +183,15 @@
   return new SharedPorts({ ...opened, metrics: sender });
 }
 
-function timingOf({ timing }: DaemonSettings): Timing {
+function timingOf(
+  { timing, platform_log: log }: DaemonSettings,
+): Timing {
   return {
     heartbeatMilliseconds: timing.heartbeat,
     unreachableMilliseconds: timing.unreachable,
     leaseMilliseconds: timing.lease,
     removalMilliseconds: timing.removal,
     horizonMilliseconds: timing.horizon,
+    retentionMilliseconds: log.retention,
   };
 }
