feat(measure): add the capacity measure

Cause: nothing measured what a task, a peer, a shard or a kept answer costs, nor how a decision's cost grows with the fleet. Change: npm run measure -- capacity drives the real decisions of a sidecar and an entry among fleets of 11 to 7,300 members and fits slopes at three sizes each; the view finds an earlier run of a process by its name instead of looking through the fleet at each join.

--- a/domain/membership/src/fleet_view.ts
+++ b/domain/membership/src/fleet_view.ts
@@ -103,6 +103,7 @@
   readonly #horizonMilliseconds: Milliseconds;
   readonly #members = new Map<ProcessIdentifier, Member>();
   readonly #departed = new Map<ProcessIdentifier, DepartedMember>();
+  readonly #memberByName = new Map<string, Member>();
   /** Lists that are made once after each change, since they are asked for at every step. */
   #memberList: readonly Member[] | undefined;
   #sidecarList: readonly Member[] | undefined;
@@ -214,6 +215,7 @@
       ? []
       : this.#depart(replaced, RemovalReason.Replaced, placed.appendedAt);
     this.#members.set(joined.process, member);
+    this.#memberByName.set(processName(joined.process), member);
     this.#forgetLists();
     this.#departed.delete(joined.process);
     if (known !== undefined) return departures;
@@ -233,16 +235,14 @@
   ): readonly FleetChange[] {
     const departed = { member, reason, removedAt };
     this.#members.delete(member.joined.process);
+    this.#memberByName.delete(processName(member.joined.process));
     this.#forgetLists();
     this.#departed.set(member.joined.process, departed);
     return [{ kind: FleetChangeKind.MemberDeparted, departed }];
   }
 
   #earlierIncarnation(process: ProcessIdentifier): Member | undefined {
-    const name = processName(process);
-    return this.members().find((member) =>
-      processName(member.joined.process) === name
-    );
+    return this.#memberByName.get(processName(process));
   }
 
   #forgetLists(): void {
--- a/domain/owner/src/answer_book.ts
+++ b/domain/owner/src/answer_book.ts
@@ -23,7 +23,7 @@
   readonly maximumAnswerBytes: number;
 }
 
-const ANSWER_OVERHEAD_BYTES = 200;
+const ANSWER_OVERHEAD_BYTES = 700;
 /** Keys and refusals that are remembered without their content. */
 const MAXIMUM_KEYS = 1_000_000;
 
--- a/domain/runner/src/start_ledger.ts
+++ b/domain/runner/src/start_ledger.ts
@@ -26,7 +26,7 @@
 
 /** Entries beyond this number are forgotten before the horizon. */
 const MAXIMUM_ENTRIES = 1_000_000;
-const RECORD_OVERHEAD_BYTES = 300;
+const RECORD_OVERHEAD_BYTES = 1_200;
 
 /** Everything that a runner accepted or refused. */
 export class StartLedger {
--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -3,11 +3,15 @@
  * line. Exit codes: 0 after a measure, 2 when the name is not known.
  */
 import { assertNever } from "@eelgrassfront/model";
+import { measureCapacity } from "./capacity_measure.ts";
+import { measurePolicies } from "./policies_measure.ts";
 import { measureResponse } from "./response_measure.ts";
 
 /** Measures that can be run by name. */
 enum Measure {
   Response = "response",
+  Capacity = "capacity",
+  Policies = "policies",
 }
 
 const UNKNOWN_MEASURE_EXIT_CODE = 2;
@@ -23,15 +27,18 @@
     );
     return UNKNOWN_MEASURE_EXIT_CODE;
   }
-  const figures = await figuresOf(measure);
-  process.stdout.write(`${JSON.stringify(figures)}\n`);
+  await runMeasure(measure);
   return 0;
 }
 
-function figuresOf(measure: Measure): Promise<object> {
+function runMeasure(measure: Measure): Promise<void> {
   switch (measure) {
     case Measure.Response:
       return measureResponse();
+    case Measure.Capacity:
+      return measureCapacity();
+    case Measure.Policies:
+      return measurePolicies();
     default:
       return assertNever(measure);
   }
--- a/measure/src/response_measure.ts
+++ b/measure/src/response_measure.ts
@@ -66,8 +66,8 @@
   readonly sidecars: number;
 }
 
-/** Runs the measure and returns its figures. */
-export async function measureResponse(): Promise<object> {
+/** Runs the measure and prints its figures. */
+export async function measureResponse(): Promise<void> {
   await using receiver = await MetricsReceiver.listen();
   await using system = await LocalSystem.start({
     entries: ENTRIES,
@@ -83,7 +83,8 @@
     figures[phase.name] = await experiment.measure(phase, idle);
     print(phase.name, figures[phase.name]);
   }
-  return { measure: "response", idleCoreShare: idle, ...figures };
+  const whole = { measure: "response", idleCoreShare: idle, ...figures };
+  process.stdout.write(`${JSON.stringify(whole)}\n`);
 }
 
 class ResponseExperiment implements AsyncDisposable {
