--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -73,7 +73,7 @@
 /** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
 const RESERVED_SLOTS = 1;
 /** Age of a load by which one more slot is left. */
-const LOAD_AGE_PER_SLOT_MILLISECONDS: Milliseconds = 100;
+const LOAD_AGE_PER_SLOT_MILLISECONDS: Milliseconds = 50;
 
 /** Known runners and their load. */
 export class RunnerPool {
@@ -230,11 +230,12 @@
     candidates: readonly Pooled[],
     isFirst: boolean,
   ): PlacementChoice | undefined {
+    const likelyFree = (pooled: Pooled) => this.#likelyFreeSlots(pooled);
     const own = this.#best(
       candidates.filter((pooled) =>
         hasQuotaLeft(pooled) && freeSlotsOf(pooled) > 0
       ),
-      freeSlotsOf,
+      likelyFree,
     );
     if (own !== undefined) {
       const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.MayWait;
@@ -242,13 +243,13 @@
     }
     const foreign = this.#best(
       candidates.filter((pooled) => !hasQuotaLeft(pooled)),
-      freeSlotsOf,
+      likelyFree,
     );
     if (foreign !== undefined) {
       const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.SpareSlot;
       return { runner: foreign.runner, claim };
     }
-    return mayWait(this.#best(candidates, freeSlotsOf));
+    return mayWait(this.#best(candidates, likelyFree));
   }
 
   #best(
@@ -281,8 +282,8 @@
     switch (policy.kind) {
       case PlacementPolicyKind.SlotQuota: {
         if (pooled.inFlight < pooled.quota) return true;
-        const reserved = isFirst ? 0 : this.#reservedSlots(pooled);
-        return freeSlotsOf(pooled) > reserved;
+        const reserved = isFirst ? 0 : RESERVED_SLOTS;
+        return this.#likelyFreeSlots(pooled) > reserved;
       }
       case PlacementPolicyKind.LeastLoaded:
         return pooled.inFlight <
@@ -294,9 +295,9 @@
   }
 
   /** The older the load that a runner told, the more of its free slots may be taken by now. */
-  #reservedSlots({ loadNotedAt }: Pooled): number {
-    const age = this.#options.now() - loadNotedAt;
-    return RESERVED_SLOTS + Math.floor(age / LOAD_AGE_PER_SLOT_MILLISECONDS);
+  #likelyFreeSlots(pooled: Pooled): number {
+    const age = this.#options.now() - pooled.loadNotedAt;
+    return freeSlotsOf(pooled) - age / LOAD_AGE_PER_SLOT_MILLISECONDS;
   }
 
   #isHealthy(pooled: Pooled): boolean {
