--- a/measure/src/response_measure.ts
+++ b/measure/src/response_measure.ts
@@ -66,7 +66,7 @@
   readonly sidecars: number;
 }
 
-/** Runs the measure and returns its figures. */
+/** Runs the measure and prints its figures. */
 export async function measureResponse(): Promise<object> {
   await using receiver = await MetricsReceiver.listen();
   await using system = await LocalSystem.start({
@@ -83,7 +83,8 @@
     figures[phase.name] = await experiment.measure(phase, idle);
     print(phase.name, figures[phase.name]);
   }
-  return { measure: "response", idleCoreShare: idle, ...figures };
+  const whole = { measure: "response", idleCoreShare: idle, ...figures };
+  return whole;
 }
 
 class ResponseExperiment implements AsyncDisposable {
