feat(measure): draw the policy measures on one page

Cause: the users ask for the curves of response over load, kept work during a flood, and the policy beside baselines, by a well-known library. Change: npm run measure -- report runs the policy and flood measures and writes report/policies.html with drawings by vega-lite; nothing else is needed to read it. Conclusion: ruled out a browser to draw in; vega writes SVG without one.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,6 +42,7 @@
       }],
       "id-length": ["error", {
         min: 3,
+        properties: "never",
         exceptions: [
           "_",
           "at",
--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -5,6 +5,7 @@
 import { assertNever } from "@eelgrassfront/model";
 import { measureCapacity } from "./capacity_measure.ts";
 import { measurePolicies } from "./policies_measure.ts";
+import { measureReport } from "./report_measure.ts";
 import { measureResponse } from "./response_measure.ts";
 
 /** Measures that can be run by name. */
@@ -12,6 +13,7 @@
   Response = "response",
   Capacity = "capacity",
   Policies = "policies",
+  Report = "report",
 }
 
 const UNKNOWN_MEASURE_EXIT_CODE = 2;
@@ -40,6 +42,8 @@
       return measureCapacity();
     case Measure.Policies:
       return measurePolicies();
+    case Measure.Report:
+      return measureReport();
     default:
       return assertNever(measure);
   }
