feat(measure): measure floods, stragglers, broken workers and cancellations

Change: the measures, with stragglers and cancellations in the emulator; an outlier is tried with tasks of single-task submissions, and with those of jobs only when none came for 10 s.

Ruled out: trying a failed idempotent task again (a second start of the same task).

--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -557,6 +557,7 @@
     service: job.options.kindOfWork.service,
     requirements: job.options.submission.requirements,
     isFirst: job.servedMilliseconds === 0,
+    submissionTasks: job.size,
   };
 }
 
--- a/domain/placement/src/outlier_detector.ts
+++ b/domain/placement/src/outlier_detector.ts
@@ -11,6 +11,7 @@
 const PEER_FACTOR = 3;
 const FIRST_PAUSE_MILLISECONDS: Milliseconds = 1_000;
 const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 10_000;
+const JOB_TRIAL_DELAY_MILLISECONDS: Milliseconds = 10_000;
 
 /** Recent failures of one runner. */
 export class FailureRecord {
@@ -44,8 +45,12 @@
       this.#rate > PEER_FACTOR * meanPeerRate;
   }
 
-  /** Whether an outlier may be tried with another task. */
-  isTrialDue(now: Milliseconds): boolean {
-    return now >= this.#nextTrialAt;
+  /**
+   * Whether an outlier may be tried with another task. A large job would be lost with its task, and is
+   * tried only when no single task came for a while.
+   */
+  isTrialDue(now: Milliseconds, submissionTasks: number): boolean {
+    const patience = submissionTasks === 1 ? 0 : JOB_TRIAL_DELAY_MILLISECONDS;
+    return now >= this.#nextTrialAt + patience;
   }
 }
--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -24,10 +24,16 @@
   readonly backendServer: BackendServerDescription;
 }
 
-/** What a task needs of a runner. */
-export interface PlacementNeed {
+/** What a task can run on. */
+export interface CapabilityNeed {
   readonly service: string;
   readonly requirements: Requirements;
+}
+
+/** What a task needs of a runner. */
+export interface PlacementNeed extends CapabilityNeed {
+  /** Tasks of the submission, all of which are lost with this one. */
+  readonly submissionTasks: number;
   /** Whether the submission has received no service yet; such a task may take the last free slot. */
   readonly isFirst: boolean;
 }
@@ -70,6 +76,10 @@
   isLeaving: boolean;
 }
 
+type TaskStanding = Pick<PlacementNeed, "isFirst" | "submissionTasks">;
+
+/** The task that finds room wherever any task does. */
+const EASIEST_TASK: TaskStanding = { isFirst: true, submissionTasks: 1 };
 /** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
 const RESERVED_SLOTS = 1;
 /** Age of a load by which one more slot is left. */
@@ -136,7 +146,7 @@
   }
 
   /** Whether any known runner could ever run such a task. */
-  isAnyCapable(need: Omit<PlacementNeed, "isFirst">): boolean {
+  isAnyCapable(need: CapabilityNeed): boolean {
     for (const { runner } of this.#pooled.values()) {
       if (isCapable(runner, need)) return true;
     }
@@ -158,7 +168,7 @@
   hasRoom(service: string): boolean {
     for (const pooled of this.#pooled.values()) {
       const isInService = pooled.runner.backendServer.service === service;
-      if (isInService && this.#hasRoom(pooled, true)) return true;
+      if (isInService && this.#hasRoom(pooled, EASIEST_TASK)) return true;
     }
     return false;
   }
@@ -220,7 +230,7 @@
   #candidates(need: PlacementNeed): readonly Pooled[] {
     const candidates: Pooled[] = [];
     for (const pooled of this.#pooled.values()) {
-      if (!this.#hasRoom(pooled, need.isFirst)) continue;
+      if (!this.#hasRoom(pooled, need)) continue;
       if (isCapable(pooled.runner, need)) candidates.push(pooled);
     }
     return candidates;
@@ -272,9 +282,9 @@
       this.#options.isAvailable(pooled.runner.process);
   }
 
-  #hasRoom(pooled: Pooled, isFirst: boolean): boolean {
-    return this.#isWithinWindow(pooled, isFirst) && this.#isOpen(pooled) &&
-      this.#isHealthy(pooled);
+  #hasRoom(pooled: Pooled, task: TaskStanding): boolean {
+    return this.#isWithinWindow(pooled, task.isFirst) &&
+      this.#isOpen(pooled) && this.#isHealthy(pooled, task);
   }
 
   #isWithinWindow(pooled: Pooled, isFirst: boolean): boolean {
@@ -300,13 +310,13 @@
     return freeSlotsOf(pooled) - age / LOAD_AGE_PER_SLOT_MILLISECONDS;
   }
 
-  #isHealthy(pooled: Pooled): boolean {
+  #isHealthy(pooled: Pooled, task: TaskStanding): boolean {
     const { failures } = pooled;
     switch (this.#options.policy.kind) {
       case PlacementPolicyKind.SlotQuota:
         if (!failures.isOutlier(this.#meanPeerRate(pooled))) return true;
         return pooled.inFlight === 0 &&
-          failures.isTrialDue(this.#options.now());
+          failures.isTrialDue(this.#options.now(), task.submissionTasks);
       case PlacementPolicyKind.LeastLoaded:
       case PlacementPolicyKind.RoundRobin:
       case PlacementPolicyKind.Random:
@@ -344,7 +354,7 @@
 
 function isCapable(
   runner: KnownRunner,
-  need: Omit<PlacementNeed, "isFirst">,
+  need: CapabilityNeed,
 ): boolean {
   const offered = runner.backendServer;
   const needed = need.requirements;
--- a/domain/placement/src/runner_pool_test.ts
+++ b/domain/placement/src/runner_pool_test.ts
@@ -47,6 +47,7 @@
       service: "service",
       requirements: { processorCores: 1, memoryMegabytes: 1, accelerators: 0 },
       isFirst: false,
+      submissionTasks: 1,
       ...changes,
     });
   }
--- a/emulator/src/fake_backend_server.ts
+++ b/emulator/src/fake_backend_server.ts
@@ -32,6 +32,8 @@
   answerLossProbability = 0;
   /** Fails every task at once. */
   isFailing = false;
+  /** Factor by which every task runs longer than its payload says. */
+  slowdown = 1;
   readonly #options: FakeBackendServerOptions;
 
   constructor(options: FakeBackendServerOptions) {
@@ -60,7 +62,7 @@
     const isFailing = this.isFailing || task.payload === FAILING_PAYLOAD;
     const runMilliseconds = isFailing
       ? FAILURE_MILLISECONDS
-      : Number(task.payload);
+      : Number(task.payload) * this.slowdown;
     time.after(runMilliseconds, () => {
       tell({
         kind: InputKind.TaskExecutionEnded,
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -25,6 +25,7 @@
   type SendRequest,
   Step,
   type Submission,
+  type SubmissionIdentifier,
 } from "@eelgrassfront/model";
 import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
@@ -183,6 +184,14 @@
     return request;
   }
 
+  /** Cancels a submission through an entry. */
+  cancel(entry: VirtualProcess, submission: SubmissionIdentifier): void {
+    this.#callerRequests += 1;
+    const request: CallerRequestIdentifier =
+      `${entry.identifier}:${this.#callerRequests}`;
+    entry.take({ kind: InputKind.CancellationAsked, request, submission });
+  }
+
   #identifier(name: string): ProcessIdentifier {
     this.#incarnations += 1;
     return processIdentifier(name, String(this.#incarnations));
--- a/measure/src/policy_run.ts
+++ b/measure/src/policy_run.ts
@@ -14,6 +14,7 @@
   PeerReplyKind,
   PeerRequestKind,
   type ProcessOutput,
+  TaskEndKind,
 } from "@eelgrassfront/model";
 import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import type { PlacementPolicy } from "@eelgrassfront/placement";
@@ -71,13 +72,16 @@
     this.#options = options;
     const { sidecars, slots, window } = options;
     this.#statistics = new PolicyStatistics(sidecars * slots, window);
-    const { messages } = this.#statistics;
+    const { messages, taskEnds } = this.#statistics;
     this.#system = new VirtualSystem({
       ...options,
       shards: SHARDS,
       placementPolicy: policy.placementPolicy,
       queueDiscipline: policy.queueDiscipline,
-      onOutput: (_process, output) => countMessage(messages, output),
+      onOutput: (_process, output) => {
+        countMessage(messages, output);
+        countTaskEnd(taskEnds, output);
+      },
     });
   }
 
@@ -142,6 +146,16 @@
   }
 }
 
+function countTaskEnd(
+  count: PolicyStatistics["taskEnds"],
+  output: ProcessOutput,
+): void {
+  if (output.kind !== OutputKind.SendReply) return;
+  if (output.message.kind !== PeerReplyKind.TaskEnded) return;
+  count.all += 1;
+  if (output.message.end.kind === TaskEndKind.Failed) count.failed += 1;
+}
+
 function countMessage(count: MessageCount, output: ProcessOutput): void {
   if (output.kind === OutputKind.SendRequest) {
     if (output.message.kind === PeerRequestKind.Heartbeat) return;
--- a/measure/src/policy_statistics.ts
+++ b/measure/src/policy_statistics.ts
@@ -45,6 +45,8 @@
   readonly goodput: number;
   readonly endings: Readonly<Record<Ending, number>>;
   readonly falseRefusals: number;
+  /** Tasks that a backend server failed, as a share of those that it ended. */
+  readonly failedTaskShare: number;
 }
 
 /** Path of a caller to an entry and back. */
@@ -56,6 +58,7 @@
 export class PolicyStatistics {
   readonly messages: MessageCount = { total: 0, wasted: 0 };
   falseRefusals = 0;
+  readonly taskEnds = { all: 0, failed: 0 };
   readonly #slots: number;
   readonly #from: Milliseconds;
   readonly #to: Milliseconds;
@@ -110,6 +113,7 @@
       goodput: this.#completedWork / (this.#slots * (this.#to - this.#from)),
       endings: this.#endings,
       falseRefusals: this.falseRefusals,
+      failedTaskShare: this.taskEnds.failed / Math.max(1, this.taskEnds.all),
     };
   }
 
--- a/measure/src/policy_table.ts
+++ b/measure/src/policy_table.ts
@@ -25,6 +25,7 @@
   "failed",
   "unknown",
   "false refusals",
+  "failed tasks",
 ];
 
 /**
@@ -59,5 +60,6 @@
     String(run.endings[Ending.Failed]),
     String(run.endings[Ending.Unknown] + run.endings[Ending.Unanswered]),
     String(run.falseRefusals),
+    `${(run.failedTaskShare * 100).toFixed(2)}%`,
   ]);
 }
