perf(placement): consider the runners with quota and a few others

Change: an owner considers the runners where it has quota, and 16 of the others in turn.

The measures have names in `npm run measure`.

--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -80,6 +80,8 @@
 
 /** The task that finds room wherever any task does. */
 const EASIEST_TASK: TaskStanding = { isFirst: true, submissionTasks: 1 };
+/** Runners without quota that are considered for one task. */
+const MAXIMUM_FOREIGN = 16;
 /** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
 const RESERVED_SLOTS = 1;
 /** Age of a load by which one more slot is left. */
@@ -89,7 +91,11 @@
 export class RunnerPool {
   readonly #options: RunnerPoolOptions;
   readonly #pooled = new Map<ProcessIdentifier, Pooled>();
+  /** Runners with slots of this owner's quota, and the others, from which it may borrow. */
+  #own: readonly Pooled[] = [];
+  #foreign: readonly Pooled[] = [];
   #lastTurn = 0;
+  #lastForeign = 0;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
@@ -112,11 +118,13 @@
       loadNotedAt: 0,
       isLeaving: false,
     });
+    this.#sortByQuota();
   }
 
   /** Removes a runner that departed. */
   remove(process: ProcessIdentifier): void {
     this.#pooled.delete(process);
+    this.#sortByQuota();
   }
 
   /** Finds a runner. */
@@ -135,6 +143,7 @@
       pooled.quota = quotaOf(self, { runner: process, rank, slots, owners });
       rank += 1;
     }
+    this.#sortByQuota();
   }
 
   /** Whether any runner may be given work now. */
@@ -166,7 +175,7 @@
 
   /** Whether a task of this service without special needs could be placed now. */
   hasRoom(service: string): boolean {
-    for (const pooled of this.#pooled.values()) {
+    for (const pooled of this.#considered()) {
       const isInService = pooled.runner.backendServer.service === service;
       if (isInService && this.#hasRoom(pooled, EASIEST_TASK)) return true;
     }
@@ -227,9 +236,26 @@
     pooled.loadNotedAt = this.#options.now();
   }
 
+  #sortByQuota(): void {
+    const all = [...this.#pooled.values()];
+    this.#own = all.filter(({ quota }) => quota > 0);
+    this.#foreign = all.filter(({ quota }) => quota === 0);
+  }
+
+  /** The runners with quota, and a few of the others in turn, so that the cost does not grow with the fleet. */
+  #considered(): readonly Pooled[] {
+    const foreign = this.#foreign;
+    if (foreign.length <= MAXIMUM_FOREIGN) return [...this.#own, ...foreign];
+    const start = this.#lastForeign % foreign.length;
+    return [
+      ...this.#own,
+      ...foreign.slice(start, start + MAXIMUM_FOREIGN),
+    ];
+  }
+
   #candidates(need: PlacementNeed): readonly Pooled[] {
     const candidates: Pooled[] = [];
-    for (const pooled of this.#pooled.values()) {
+    for (const pooled of this.#considered()) {
       if (!this.#hasRoom(pooled, need)) continue;
       if (isCapable(pooled.runner, need)) candidates.push(pooled);
     }
@@ -251,6 +277,7 @@
       const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.MayWait;
       return { runner: own.runner, claim };
     }
+    this.#lastForeign += 1;
     const foreign = this.#best(
       candidates.filter((pooled) => !hasQuotaLeft(pooled)),
       likelyFree,
--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -3,15 +3,25 @@
  * line. Exit codes: 0 after a measure, 2 when the name is not known.
  */
 import { assertNever } from "@eelgrassfront/model";
+import { measureBrokenWorkers } from "./broken_workers_measure.ts";
+import { measureCancellations } from "./cancellations_measure.ts";
 import { measureCapacity } from "./capacity_measure.ts";
+import { measureFlood } from "./flood_measure.ts";
+import { measurePlacementCost } from "./placement_cost_measure.ts";
 import { measurePolicies } from "./policies_measure.ts";
 import { measureResponse } from "./response_measure.ts";
+import { measureStragglers } from "./stragglers_measure.ts";
 
 /** Measures that can be run by name. */
 enum Measure {
   Response = "response",
   Capacity = "capacity",
   Policies = "policies",
+  Flood = "flood",
+  Stragglers = "stragglers",
+  BrokenWorkers = "broken-workers",
+  Cancellations = "cancellations",
+  PlacementCost = "placement-cost",
 }
 
 const UNKNOWN_MEASURE_EXIT_CODE = 2;
@@ -40,6 +50,16 @@
       return measureCapacity();
     case Measure.Policies:
       return measurePolicies();
+    case Measure.Flood:
+      return measureFlood();
+    case Measure.Stragglers:
+      return measureStragglers();
+    case Measure.BrokenWorkers:
+      return measureBrokenWorkers();
+    case Measure.Cancellations:
+      return measureCancellations();
+    case Measure.PlacementCost:
+      return measurePlacementCost();
     default:
       return assertNever(measure);
   }
