feat(settings): check settings against one another and name the line of each fault

Cause: the parser kept the last of two equal keys in silence, a missing section gave a message about objects, a faulty token was printed, and a deadline of up to an hour outlived the horizon of 10 minutes after which records are dropped, so that a resubmission could have started twice. Change: line numbers, repeated keys, allowed keys of each section, secrets that faults never show, origins and names checked; rules between settings (lease and unreachable against heartbeat, horizon against `maximum_deadline`, a new key of callers, addresses against each other, owners against shards). Conclusion: rules between settings run once each setting is right by itself. Ruled out: a default for any key; a process learns all from its file.

--- a/adapters/callers_http/src/http_callers.ts
+++ b/adapters/callers_http/src/http_callers.ts
@@ -45,6 +45,7 @@
   readonly port: number;
   readonly maximumBodyBytes: number;
   readonly maximumTasks: number;
+  readonly maximumDeadlineMilliseconds: Milliseconds;
   readonly maximumConnections: number;
   readonly maximumHeaders: number;
   readonly maximumHeaderBytes: number;
--- a/adapters/callers_http/src/http_callers_test.ts
+++ b/adapters/callers_http/src/http_callers_test.ts
@@ -45,6 +45,7 @@
         port: 0,
         maximumBodyBytes: 4_096,
         maximumTasks: 2,
+        maximumDeadlineMilliseconds: 60_000,
         maximumConnections: 8,
         maximumHeaders: 8,
         maximumHeaderBytes: 1_024,
@@ -241,6 +242,12 @@
     status: 422,
     reason: RejectionReason.InvalidField,
   },
+  {
+    title: "a deadline beyond the limit",
+    text: message({ body: withBody({ deadlineMilliseconds: 60_001 }) }),
+    status: 422,
+    reason: RejectionReason.InvalidField,
+  },
   {
     title: "no tasks",
     text: message({ body: withBody({ tasks: [] }) }),
--- a/adapters/callers_http/src/job_request.ts
+++ b/adapters/callers_http/src/job_request.ts
@@ -5,6 +5,7 @@
 import {
   type Epoch,
   Idempotence,
+  type Milliseconds,
   RejectionReason,
   type Submission,
 } from "@eelgrassfront/model";
@@ -21,6 +22,7 @@
 /** Limits on a submission. */
 export interface JobRequestLimits {
   readonly maximumTasks: number;
+  readonly maximumDeadlineMilliseconds: Milliseconds;
 }
 
 /** What a caller's body and headers say. */
@@ -30,7 +32,6 @@
   readonly firstMadeAtEpoch: Epoch | undefined;
 }
 
-const MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000;
 const IDENTIFIER_PATTERN = /^[A-Za-z0-9._-]{1,128}$/;
 const DEFAULT_DECLARED_MILLISECONDS = 300;
 
@@ -38,9 +39,7 @@
   team: z.string().regex(IDENTIFIER_PATTERN),
   kindOfWork: z.string().regex(IDENTIFIER_PATTERN),
   idempotent: z.boolean(),
-  deadlineMilliseconds: z.number().int().positive().max(
-    MAXIMUM_DEADLINE_MILLISECONDS,
-  ),
+  deadlineMilliseconds: z.number().int().positive(),
   requirements: z.strictObject({
     processorCores: z.number().nonnegative().default(0),
     memoryMegabytes: z.number().nonnegative().default(0),
@@ -71,6 +70,7 @@
     );
   }
   const { tasks, idempotent, ...content } = parsed.data;
+  requireDeadline(content.deadlineMilliseconds, limits);
   if (tasks.length > limits.maximumTasks) {
     throw new RequestError(
       RejectionReason.TooManyTasks,
@@ -100,6 +100,17 @@
   return IDENTIFIER_PATTERN.test(text);
 }
 
+function requireDeadline(
+  deadline: Milliseconds,
+  { maximumDeadlineMilliseconds: maximum }: JobRequestLimits,
+): void {
+  if (deadline <= maximum) return;
+  throw new RequestError(
+    RejectionReason.InvalidField,
+    `deadlineMilliseconds: ${deadline} given, at most ${maximum} allowed`,
+  );
+}
+
 function parseJson(body: string): unknown {
   const value = parseOrReject(body);
   const fault = findJsonFault(body);
--- a/adapters/settings_ini/src/mod.ts
+++ b/adapters/settings_ini/src/mod.ts
@@ -1,5 +1,7 @@
 /**
- * Settings read from INI files and checked against a schema.
+ * Settings in INI, checked against a schema.
  */
+export * from "./ini_lines.ts";
 export * from "./setting_types.ts";
 export * from "./settings_reader.ts";
+export * from "./settings_section.ts";
--- a/adapters/settings_ini/src/setting_types.ts
+++ b/adapters/settings_ini/src/setting_types.ts
@@ -7,6 +7,8 @@
 const DURATION_PATTERN = /^(\d+)(ms|s|min)$/;
 const SIZE_PATTERN = /^(\d+)(B|KiB|MiB)$/;
 const ADDRESS_PATTERN = /^([0-9.]+|\[[0-9a-f:]+\]):(\d{1,5})$/;
+const IDENTIFIER_PATTERN = /^[A-Za-z0-9._-]{1,64}$/;
+const SHORTEST_SECRET = 8;
 const HIGHEST_PORT = 65_535;
 
 const MILLISECONDS_OF_UNIT: ReadonlyMap<string, number> = new Map([
@@ -55,6 +57,24 @@
   "a text that is not empty",
 );
 
+/** A name, such as that of a process or of an availability zone. */
+export const identifier: z.ZodType<string> = z.string({
+  error: "1 to 64 letters, digits, dots, underscores or dashes",
+}).regex(
+  IDENTIFIER_PATTERN,
+  "1 to 64 letters, digits, dots, underscores or dashes",
+);
+
+/** A key or token. Faults never show its value. */
+export const secret: z.ZodType<string> = z.string({
+  error: `a text of at least ${SHORTEST_SECRET} characters`,
+}).min(SHORTEST_SECRET, `a text of at least ${SHORTEST_SECRET} characters`);
+
+/** Where a service answers by HTTP. */
+export const origin: z.ZodType<string> = z.string({
+  error: "an origin such as http://127.0.0.1:7000",
+}).refine(isOrigin, "an origin such as http://127.0.0.1:7000, without a path");
+
 /** Writes an address as `host:port`. */
 export function formatAddress({ host, port }: Address): string {
   return `${host}:${port}`;
@@ -78,3 +98,9 @@
   const [, host, port] = ADDRESS_PATTERN.exec(value) ?? [];
   return { host: host ?? "", port: Number(port) };
 }
+
+function isOrigin(value: string): boolean {
+  if (!URL.canParse(value)) return false;
+  const { origin, protocol } = new URL(value);
+  return origin === value && ["http:", "https:"].includes(protocol);
+}
--- a/adapters/settings_ini/src/settings_reader.ts
+++ b/adapters/settings_ini/src/settings_reader.ts
@@ -1,9 +1,11 @@
 /**
  * Reads settings from INI text and checks them against a schema. Every fault is found at once; each
- * names the file, the key, what was found and what is allowed.
+ * names the file, the line, the key, what was found and what is allowed.
  */
 import { parse } from "ini";
 import type { z } from "zod";
+import { type IniLine, locateKeys } from "./ini_lines.ts";
+import { allowedKeys, isSecretAt } from "./settings_section.ts";
 
 /** One fault in a settings file. */
 export interface SettingsFault {
@@ -11,6 +13,8 @@
   readonly key: string;
   readonly found: string;
   readonly allowed: string;
+  /** Number of the line, from 1; missing for what is not in the file. */
+  readonly line?: number;
 }
 
 /** Kinds of results. */
@@ -46,49 +50,84 @@
   source: SettingsSource<Settings>,
 ): SettingsResult<Settings> {
   const values: unknown = parse(source.text);
+  const lines = locateKeys(source.text);
   const parsed = source.schema.safeParse(values);
-  if (parsed.success) {
+  const issues = parsed.error?.issues ?? [];
+  const faults = [
+    ...repeatedKeys(source.file, lines),
+    ...issues.flatMap((issue) => faultsOf(source, values, issue)),
+  ];
+  if (parsed.success && faults.length === 0) {
     return { kind: SettingsResultKind.Read, settings: parsed.data };
   }
-  const faults = parsed.error.issues.flatMap((issue) =>
-    faultsOf(source.file, values, issue)
-  );
-  return { kind: SettingsResultKind.Faulty, faults };
+  return {
+    kind: SettingsResultKind.Faulty,
+    faults: faults.map((fault) => withLine(fault, lines)),
+  };
 }
 
 /** Describes a fault in one line. */
 export function describeFault(fault: SettingsFault): string {
-  return `${fault.file}: ${fault.key}: found ${fault.found}; allowed: ${fault.allowed}`;
+  const { file, line, key, found, allowed } = fault;
+  const place = line === undefined ? file : `${file}:${line}`;
+  return `${place}: ${key}: found ${found}; allowed: ${allowed}`;
 }
 
 type Issue = z.core.$ZodIssue;
 
-function faultsOf(
-  file: string,
+function faultsOf<Settings>(
+  { file, schema }: SettingsSource<Settings>,
   values: unknown,
   issue: Issue,
 ): readonly SettingsFault[] {
   if (issue.code === "unrecognized_keys") {
+    const keys = allowedKeys(schema, issue.path).join(", ");
     return issue.keys.map((key) => ({
       file,
       key: [...issue.path.map(String), key].join("."),
       found: "an unknown key",
-      allowed: "see docs/OPERATIONS.md for the keys",
+      allowed: keys,
     }));
   }
-  const found = issue.path.reduce<unknown>(
-    (value, key) => valueAt(value, key),
-    values,
-  );
-  return [{
-    file,
-    key: issue.path.map(String).join("."),
-    found: found === undefined ? "nothing" : JSON.stringify(found),
-    allowed: issue.message,
-  }];
+  const found = isSecretAt(schema, issue.path)
+    ? "a value that is not shown"
+    : describeValue(values, issue.path);
+  const key = issue.path.map(String).join(".");
+  return [{ file, key, found, allowed: issue.message }];
+}
+
+function describeValue(
+  values: unknown,
+  path: readonly PropertyKey[],
+): string {
+  const found = path.reduce<unknown>(valueAt, values);
+  return found === undefined ? "nothing" : JSON.stringify(found);
 }
 
 function valueAt(value: unknown, key: PropertyKey): unknown {
   if (typeof value !== "object" || value === null) return undefined;
   return new Map<PropertyKey, unknown>(Object.entries(value)).get(key);
 }
+
+function repeatedKeys(
+  file: string,
+  lines: readonly IniLine[],
+): readonly SettingsFault[] {
+  const isRepeated = ({ key }: IniLine, index: number) =>
+    lines.findIndex((other) => other.key === key) !== index;
+  return lines.filter(isRepeated).map(({ key, line }) => ({
+    file,
+    key,
+    line,
+    found: "the key again",
+    allowed: "each key once",
+  }));
+}
+
+function withLine(
+  fault: SettingsFault,
+  lines: readonly IniLine[],
+): SettingsFault {
+  const line = fault.line ?? lines.find(({ key }) => key === fault.key)?.line;
+  return line === undefined ? fault : { ...fault, line };
+}
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -1,40 +1,53 @@
 /**
- * Schema of the daemon's settings.
+ * Schema of the daemon's settings, one for each role.
  */
+import { assertNever, Role } from "@eelgrassfront/model";
 import {
   address,
   count,
   duration,
+  identifier,
+  origin,
+  readSettings,
+  secret,
+  section,
+  type SettingsResult,
+  SettingsResultKind,
   size,
-  text,
 } from "@eelgrassfront/settings-ini";
-import { Role } from "@eelgrassfront/model";
 import { z } from "zod";
+import { checkSettings } from "./settings_checks.ts";
 
 const common = {
-  peers: z.strictObject({ listen: address, shared_key: text }),
-  operators: z.strictObject({ listen: address, token: text }),
-  platform_log: z.strictObject({ origin: text, read_wait: duration }),
-  ownership: z.strictObject({ shards: count, owners: count }),
-  timing: z.strictObject({
+  peers: section({ listen: address, shared_key: secret }),
+  operators: section({ listen: address, token: secret }),
+  platform_log: section({ origin, read_wait: duration }),
+  ownership: section({ shards: count, owners: count }),
+  timing: section({
     heartbeat: duration,
     unreachable: duration,
     lease: duration,
     removal: duration,
     horizon: duration,
   }),
-  metrics: z.strictObject({ receiver: address }).optional(),
+  metrics: section({ receiver: address }).optional(),
 };
 
-const identity = { name: text, availability_zone: text };
+const roles = Object.values(Role).join(", ");
+const roleSchema = z.looseObject({
+  process: z.looseObject({ role: z.enum(Role, roles) }, "a section"),
+});
+
+const identity = { name: identifier, availability_zone: identifier };
 
-const entrySchema = z.strictObject({
-  process: z.strictObject({ role: z.literal(Role.Entry), ...identity }),
+const entryObject = section({
+  process: section({ role: z.literal(Role.Entry), ...identity }),
   ...common,
-  callers: z.strictObject({
+  callers: section({
     listen: address,
     maximum_body: size,
     maximum_tasks: count,
+    maximum_deadline: duration,
     maximum_connections: count,
     maximum_pending: count,
     maximum_headers: count,
@@ -42,27 +55,30 @@
     header_time: duration,
     body_time: duration,
   }),
-  teams: z.record(z.string(), text).optional(),
+  teams: z.record(z.string(), secret).optional(),
 });
 
-const sidecarSchema = z.strictObject({
-  process: z.strictObject({ role: z.literal(Role.Sidecar), ...identity }),
+const sidecarObject = section({
+  process: section({ role: z.literal(Role.Sidecar), ...identity }),
   ...common,
-  backend_server: z.strictObject({
-    origin: text,
+  backend_server: section({
+    origin,
     connections: count,
     description_interval: duration,
   }),
-  runner: z.strictObject({
+  runner: section({
     kept_results: size,
     queued_tasks: count,
   }),
-  owner: z.strictObject({
+  owner: section({
     kept_answers: size,
     waiting_per_runner: count,
   }),
 });
 
+const entrySchema = entryObject.check(checkSettings);
+const sidecarSchema = sidecarObject.check(checkSettings);
+
 /** Settings of an entry. */
 export type EntrySettings = z.infer<typeof entrySchema>;
 
@@ -72,12 +88,35 @@
 /** Settings of a daemon, by role. */
 export type DaemonSettings = EntrySettings | SidecarSettings;
 
-/** Schema that the settings file of a role must keep. */
-export function schemaFor(role: Role): z.ZodType<DaemonSettings> {
+/** Reads the settings of a daemon in the role that they name. */
+export function readDaemonSettings(
+  file: string,
+  text: string,
+): SettingsResult<DaemonSettings> {
+  const named = readSettings({ file, text, schema: roleSchema });
+  if (named.kind === SettingsResultKind.Faulty) return named;
+  const { role } = named.settings.process;
   switch (role) {
     case Role.Entry:
-      return entrySchema;
+      return readSettings({ file, text, schema: entrySchema });
     case Role.Sidecar:
-      return sidecarSchema;
+      return readSettings({ file, text, schema: sidecarSchema });
+    default:
+      return assertNever(role);
   }
 }
+
+/** Every section of a role's settings with its keys; a section with free keys has none. */
+export function settingsKeys(
+  role: Role,
+): ReadonlyMap<string, readonly string[]> {
+  const { shape } = role === Role.Entry ? entryObject : sidecarObject;
+  return new Map(
+    Object.entries(shape).map(([name, schema]) => [name, keysOf(schema)]),
+  );
+}
+
+function keysOf(schema: unknown): readonly string[] {
+  const inner = schema instanceof z.ZodOptional ? schema.unwrap() : schema;
+  return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
+}
--- a/daemon/src/main.ts
+++ b/daemon/src/main.ts
@@ -6,15 +6,9 @@
  * invariant.
  */
 import { readFileSync } from "node:fs";
-import { Role } from "@eelgrassfront/model";
-import {
-  describeFault,
-  readSettings,
-  SettingsResultKind,
-} from "@eelgrassfront/settings-ini";
+import { describeFault, SettingsResultKind } from "@eelgrassfront/settings-ini";
 import { defineCommand, runMain } from "citty";
-import { parse } from "ini";
-import { schemaFor } from "./daemon_settings.ts";
+import { readDaemonSettings } from "./daemon_settings.ts";
 import { runProcess } from "./process_factory.ts";
 
 const FAULTY_SETTINGS_EXIT_CODE = 2;
@@ -40,12 +34,7 @@
 async function runFromFile(file: string): Promise<number> {
   const text = readText(file);
   if (text === undefined) return FAULTY_SETTINGS_EXIT_CODE;
-  const role = roleOf(text);
-  if (role === undefined) {
-    complain(`${file}: process.role: allowed: entry, sidecar`);
-    return FAULTY_SETTINGS_EXIT_CODE;
-  }
-  const result = readSettings({ file, text, schema: schemaFor(role) });
+  const result = readDaemonSettings(file, text);
   switch (result.kind) {
     case SettingsResultKind.Faulty:
       for (const fault of result.faults) complain(describeFault(fault));
@@ -75,11 +64,6 @@
   }
 }
 
-function roleOf(text: string): Role | undefined {
-  const named: unknown = parse(text)["process"]?.role;
-  return Object.values(Role).find((role) => role === named);
-}
-
 function complain(line: string): void {
   process.stderr.write(`${line}\n`);
 }
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -59,6 +59,7 @@
     maximumBodyBytes: limits.maximum_body,
     maximumTasks: limits.maximum_tasks,
     maximumConnections: limits.maximum_connections,
+    maximumDeadlineMilliseconds: limits.maximum_deadline,
     maximumHeaders: limits.maximum_headers,
     maximumHeaderBytes: limits.maximum_header_size,
     headersMilliseconds: limits.header_time,
--- /dev/null
+++ b/daemon/src/settings_checks.ts
@@ -0,0 +1,100 @@
+/**
+ * Checks that look at several settings at once.
+ */
+import type { Milliseconds } from "@eelgrassfront/model";
+import { type Address, formatAddress } from "@eelgrassfront/settings-ini";
+import type { z } from "zod";
+
+/** The settings that are checked against one another. */
+export interface CheckedSettings {
+  readonly peers: { readonly listen: Address };
+  readonly operators: { readonly listen: Address };
+  readonly ownership: { readonly shards: number; readonly owners: number };
+  readonly timing: {
+    readonly heartbeat: Milliseconds;
+    readonly unreachable: Milliseconds;
+    readonly lease: Milliseconds;
+    readonly removal: Milliseconds;
+    readonly horizon: Milliseconds;
+  };
+  readonly callers?: {
+    readonly listen: Address;
+    readonly maximum_deadline: Milliseconds;
+  };
+}
+
+interface Check {
+  readonly path: readonly [string, string];
+  readonly isKept: boolean;
+  readonly allowed: string;
+}
+
+/** Adds a fault for each rule between settings that is not kept, once each setting is right by itself. */
+export function checkSettings(
+  payload: z.core.ParsePayload<CheckedSettings>,
+): void {
+  if (payload.issues.length > 0) return;
+  const settings = payload.value;
+  for (const check of [...timingChecks(settings), ...otherChecks(settings)]) {
+    if (check.isKept) continue;
+    payload.issues.push({
+      code: "custom",
+      input: settings,
+      path: [...check.path],
+      message: check.allowed,
+    });
+  }
+}
+
+function timingChecks({ timing, callers }: CheckedSettings): readonly Check[] {
+  const { heartbeat, unreachable, lease, removal, horizon } = timing;
+  return [
+    {
+      path: ["timing", "unreachable"],
+      isKept: unreachable >= 2 * heartbeat,
+      allowed: "at least twice timing.heartbeat, so that one may be lost",
+    },
+    {
+      path: ["timing", "lease"],
+      isKept: lease >= 2 * heartbeat,
+      allowed: "at least twice timing.heartbeat, so that one may be lost",
+    },
+    {
+      path: ["timing", "removal"],
+      isKept: removal > unreachable && removal > lease,
+      allowed: "more than timing.unreachable and timing.lease",
+    },
+    {
+      path: ["timing", "horizon"],
+      isKept: horizon > removal &&
+        horizon >= 2 * (callers?.maximum_deadline ?? 0),
+      allowed:
+        "more than timing.removal and at least twice callers.maximum_deadline, so that records outlive resubmissions",
+    },
+  ];
+}
+
+function otherChecks(settings: CheckedSettings): readonly Check[] {
+  const { ownership, peers, operators, callers } = settings;
+  const operatorsAddress = formatAddress(operators.listen);
+  const callersAddress = callers && formatAddress(callers.listen);
+  const peersAddress = formatAddress(peers.listen);
+  return [
+    {
+      path: ["ownership", "owners"],
+      isKept: ownership.owners <= ownership.shards,
+      allowed: "at most ownership.shards",
+    },
+    {
+      path: ["operators", "listen"],
+      isKept: operatorsAddress !== peersAddress,
+      allowed: "another address than peers.listen",
+    },
+    {
+      path: ["callers", "listen"],
+      isKept: callersAddress !== peersAddress &&
+        callersAddress !== operatorsAddress,
+      allowed: "another address than peers.listen and operators.listen",
+    },
+  ];
+}
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -42,6 +42,7 @@
       listen: `127.0.0.1:${entry.callers}`,
       maximum_body: "8MiB",
       maximum_tasks: 220,
+      maximum_deadline: "5min",
       maximum_connections: 10_000,
       maximum_pending: 10_000,
       maximum_headers: 64,
