--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -38,6 +38,7 @@
   type ProcessInput,
   type ProcessOutput,
   RejectionReason,
+  RemovalReason,
   type RequestIdentifier,
   RetryReason,
   Role,
@@ -93,6 +94,7 @@
   readonly #byRequest = new Map<RequestIdentifier, Pending>();
   readonly #grantedEpochs = new Map<ShardNumber, Epoch>();
   #isLeaving = false;
+  #isDeparting = false;
   #isStopped = false;
   #isReady = false;
   #nextScanAt: Milliseconds | undefined;
@@ -294,6 +296,7 @@
       case PeerReplyKind.EvidenceGiven:
       case PeerReplyKind.ShardsTaken:
       case PeerReplyKind.RecordsTaken:
+      case PeerReplyKind.HandOverRefused:
       case PeerReplyKind.HeartbeatAnswered:
         this.#relayLater(pending, RetryReason.OwnerLost);
         return;
@@ -420,8 +423,10 @@
 
   #stopIfDone(): void {
     if (!this.#isLeaving || this.#isStopped || this.#pending.size > 0) return;
+    if (!this.#isDeparting) this.#follower.leave(RemovalReason.Left);
+    this.#isDeparting = true;
+    if (!this.#follower.hasLeft) return;
     this.#isStopped = true;
-    this.#follower.leave();
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
