--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -228,7 +228,6 @@
     pending.relayAt = now + RELAY_CHECK_MILLISECONDS;
     this.#byRequest.set(request, pending);
     this.#wakeAt(Math.min(pending.relayAt, pending.giveUpAt));
-    this.#collector.count(Counter.MessagesSent);
     this.#collector.add({
       kind: OutputKind.SendRequest,
       request,
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -85,11 +85,6 @@
     this.#announcedAt = undefined;
   }
 
-  /** Whether the log answered when it was last asked. */
-  get isLogAvailable(): boolean {
-    return this.#isLogAvailable;
-  }
-
   /** Takes the process out of the fleet; the log shows it a little later. */
   leave(reason: RemovalReason): void {
     this.#announcement = undefined;
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -22,6 +22,8 @@
   readonly configuration?: Configuration;
   /** Time of a synced append, in milliseconds. */
   readonly appendMilliseconds?: number;
+  /** Where the processes send metrics, as `host:port`. */
+  readonly metricsReceiver?: string;
   /** Told of each event that a process writes. */
   readonly onLine?: (name: string, line: string) => void;
 }
@@ -112,6 +114,7 @@
       operators: ports.operators,
       backendServerOrigin: origin,
       logOrigin: `http://${this.log.address}`,
+      metricsReceiver: this.#options.metricsReceiver,
     });
     this.sidecars[index] = await this.#startDaemon(name, settings, {
       address: ports.peers,
@@ -176,6 +179,7 @@
       availabilityZone: zoneOf(index),
       ...ports,
       logOrigin: `http://${this.log.address}`,
+      metricsReceiver: this.#options.metricsReceiver,
     });
     this.entries[index] = await this.#startDaemon(name, settings, {
       address: ports.callers,
