feat(cli): add status, cancel, drain, fleet and explain, and pages held against the code

Cause: the tool could only submit; `npx eelgrassfront` did not work on a fresh clone, since the built file is not executable; unknown options were passed over in silence; event numbers were declared that nothing wrote; and one record on the log that could not be read stopped every process. Change: the commands, with examples in each help, tables or JSON, documented exit codes and errors that say step, peer and how to go on. Reasons and events are explained by typed data; docs/EVENTS.md, docs/METRICS.md and the tables of docs/OPERATIONS.md are held against it and the enums in both directions, and each event, counter and gauge must be used by the code. New events on ready, stopped, isolated, unknown outcomes and invalid records; three numbers that nothing wrote are gone. Records that do not keep the protocol are passed over. Gauges of log, members and configuration. Conclusion: the start scripts stand in `bin`, committed as executable. Ruled out: an event for each job that was not run; the counter tells it, and a flood of refusals must not become a flood of lines.

--- a/adapters/platform_log_http/src/http_platform_log.ts
+++ b/adapters/platform_log_http/src/http_platform_log.ts
@@ -7,8 +7,8 @@
   ErrorTag,
   InputKind,
   type LogOffset,
-  type LogRecord,
   type Milliseconds,
+  type PlacedRecord,
   type PlatformLogInput,
   type ProcessError,
   Step,
@@ -18,6 +18,7 @@
 import type { Stream } from "@most/types";
 import { Pool } from "undici";
 import { z } from "zod";
+import { isLogRecord } from "./log_record_schema.ts";
 
 /** Where the log is and how it is read. */
 export interface HttpPlatformLogOptions {
@@ -40,9 +41,7 @@
   records: z.array(z.object({
     offset: z.number().int(),
     appendedAt: z.number(),
-    record: z.custom<LogRecord>((value) =>
-      typeof value === "object" && value !== null && "kind" in value
-    ),
+    record: z.unknown(),
   })),
 });
 const appendSchema = z.object({ offset: z.number().int().positive() });
@@ -97,7 +96,12 @@
       });
       const read = readSchema.parse(await response.body.json());
       this.#nextOffset = read.nextOffset;
-      this.#induce({ kind: InputKind.LogRecordsRead, readStartedAt, ...read });
+      this.#induce({
+        ...read,
+        ...sortRecords(read.records),
+        kind: InputKind.LogRecordsRead,
+        readStartedAt,
+      });
       return true;
     } catch (cause) {
       if (this.#stop.signal.aborted) return false;
@@ -146,3 +150,23 @@
     });
   }
 }
+
+interface ReadRecord {
+  readonly offset: LogOffset;
+  readonly appendedAt: Milliseconds;
+  readonly record?: unknown;
+}
+
+/** Parts records from what does not keep the protocol. */
+function sortRecords(read: readonly ReadRecord[]): {
+  readonly records: readonly PlacedRecord[];
+  readonly invalidOffsets: readonly LogOffset[];
+} {
+  const records: PlacedRecord[] = [];
+  const invalidOffsets: LogOffset[] = [];
+  for (const { offset, appendedAt, record } of read) {
+    if (isLogRecord(record)) records.push({ offset, appendedAt, record });
+    else invalidOffsets.push(offset);
+  }
+  return { records, invalidOffsets };
+}
--- /dev/null
+++ b/adapters/platform_log_http/src/log_record_schema_test.ts
@@ -0,0 +1,50 @@
+import { describe, it } from "node:test";
+import { ClaimReason, LogRecordKind, Role } from "@eelgrassfront/model";
+import { expect } from "earl";
+import { isLogRecord } from "./log_record_schema.ts";
+
+const JOINED = {
+  kind: LogRecordKind.MemberJoined,
+  process: "entry-0~a",
+  role: Role.Entry,
+  availabilityZone: "zone-1",
+  address: "127.0.0.1:1",
+};
+const CLAIMED = {
+  kind: LogRecordKind.ShardsClaimed,
+  claimant: "sidecar-0~a",
+  reason: ClaimReason.Unowned,
+  claims: [{ shard: 0, replaces: 0 }],
+};
+const PUBLISHED = {
+  kind: LogRecordKind.ConfigurationPublished,
+  publication: "first",
+  replaces: 0,
+  publishedBy: "operator",
+  configuration: { kindsOfWork: [{ name: "check" }], teams: [], limits: {} },
+};
+
+describe("isLogRecord", () => {
+  it("accepts records, also with fields of a newer version", () => {
+    for (const record of [JOINED, CLAIMED, PUBLISHED]) {
+      expect(isLogRecord(record)).toEqual(true);
+      expect(isLogRecord({ ...record, added: 1 })).toEqual(true);
+    }
+  });
+
+  it("refuses what would stop the decisions", () => {
+    const faulty: readonly unknown[] = [
+      undefined,
+      "text",
+      {},
+      { ...JOINED, kind: "another-kind" },
+      { ...JOINED, role: "leader" },
+      { ...JOINED, process: "entry-0" },
+      { ...CLAIMED, claims: [{ shard: "0", replaces: 0 }] },
+      { ...CLAIMED, claims: undefined },
+      { ...PUBLISHED, configuration: { kindsOfWork: {} } },
+      { ...PUBLISHED, configuration: undefined },
+    ];
+    for (const value of faulty) expect(isLogRecord(value)).toEqual(false);
+  });
+});
--- /dev/null
+++ b/cli/bin/eelgrassfront.mjs
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/**
+ * Starts the built tool.
+ */
+import "../dist/main.js";
--- /dev/null
+++ b/cli/src/command_examples.ts
@@ -0,0 +1,37 @@
+/**
+ * Examples that the help of each command shows.
+ */
+
+const EXAMPLES: ReadonlyMap<string, readonly string[]> = new Map([
+  ["", [
+    "npx eelgrassfront submit --entry 10.0.1.10:8080 --file check.json",
+    "npx eelgrassfront explain queue-full",
+  ]],
+  ["submit", [
+    "npx eelgrassfront submit --entry 10.0.1.10:8080 --file check.json",
+    "npx eelgrassfront submit --entry 10.0.1.11:8080 --file check.json --key dossier-4711 --epoch 812 --json",
+  ]],
+  ["status", [
+    "npx eelgrassfront status --entry 10.0.1.10:8080 --team assessors --key dossier-4711",
+  ]],
+  ["cancel", [
+    "npx eelgrassfront cancel --entry 10.0.1.10:8080 --team assessors --key dossier-4711",
+  ]],
+  ["drain", [
+    "npx eelgrassfront drain --operators 10.0.2.10:7200",
+    "npx eelgrassfront drain --operators 10.0.2.10:7200 --wait 60",
+  ]],
+  ["fleet", [
+    "npx eelgrassfront fleet --operators 10.0.1.10:7200,10.0.2.10:7200",
+    "npx eelgrassfront fleet --operators 10.0.1.10:7200 --json",
+  ]],
+  ["explain", [
+    "npx eelgrassfront explain deadline-unreachable",
+    "npx eelgrassfront explain 2104",
+  ]],
+]);
+
+/** Examples of a command, named by its path such as `configuration check`. */
+export function examplesOf(path: string): readonly string[] {
+  return EXAMPLES.get(path) ?? [];
+}
--- a/cli/src/main.ts
+++ b/cli/src/main.ts
@@ -2,15 +2,9 @@
 /**
  * The command-line tool `eelgrassfront`.
  */
-import { defineCommand, runMain } from "citty";
-import { submitCommand } from "./submit_command.ts";
+import process from "node:process";
+import { runTool } from "./tool_runner.ts";
+import { tool } from "./tool.ts";
 
-const command = defineCommand({
-  meta: {
-    name: "eelgrassfront",
-    description: "Submits jobs to eelgrassfront and operates it",
-  },
-  subCommands: { submit: submitCommand },
-});
-
-await runMain(command);
+const exitCode = await runTool(tool, process.argv.slice(2));
+if (exitCode !== undefined) process.exitCode = exitCode;
--- a/cli/src/submit_command.ts
+++ b/cli/src/submit_command.ts
@@ -3,30 +3,30 @@
  */
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
+import process from "node:process";
+import { Step } from "@eelgrassfront/model";
 import { defineCommand } from "citty";
-import { request } from "undici";
+import {
+  entryArgument,
+  jsonArgument,
+  tokenArgument,
+  tokenOf,
+} from "./common_arguments.ts";
+import { printJson, printLine, tell } from "./console_output.ts";
 import { ExitCode } from "./exit_code.ts";
-
-const EXIT_CODES: ReadonlyMap<string, ExitCode> = new Map([
-  ["completed", ExitCode.Success],
-  ["failed", ExitCode.Failed],
-  ["not-run", ExitCode.NotRun],
-  ["unknown", ExitCode.Unknown],
-  ["rejected", ExitCode.Rejected],
-]);
+import { call, type HttpAnswer, tokenHeaders } from "./http_call.ts";
+import { describeOutcome, exitCodeOf } from "./job_outcome.ts";
+import { JobProgress } from "./job_progress.ts";
+import { CallError, ToolError, usageError } from "./tool_error.ts";
 
 /** The command. */
 export const submitCommand = defineCommand({
   meta: {
     name: "submit",
-    description: "Submits a job and waits for its answer",
+    description: "Submits a job and waits for its whole answer",
   },
   args: {
-    entry: {
-      type: "string",
-      required: true,
-      description: "Address of an entry, as host:port",
-    },
+    entry: entryArgument,
     file: {
       type: "string",
       required: true,
@@ -36,46 +36,91 @@
       type: "string",
       description: "Idempotency key; a new one when left out",
     },
+    epoch: {
+      type: "string",
+      description: "Epoch that an earlier answer gave",
+    },
+    token: tokenArgument,
+    json: jsonArgument,
   },
   run: async ({ args }) => {
-    const key = args.key ?? randomUUID();
-    process.exitCode = await submit({ ...args, key });
+    const submission: SubmitOptions = {
+      entry: args.entry,
+      job: readJob(args.file),
+      key: args.key ?? randomUUID(),
+      epoch: args.epoch,
+      token: tokenOf(args),
+    };
+    process.exitCode = await submit(submission, args.json);
   },
 });
 
 interface SubmitOptions {
   readonly entry: string;
-  readonly file: string;
+  readonly job: string;
   readonly key: string;
+  readonly epoch: string | undefined;
+  readonly token: string | undefined;
 }
 
-async function submit({ entry, file, key }: SubmitOptions): Promise<ExitCode> {
+async function submit(
+  options: SubmitOptions,
+  isJson: boolean,
+): Promise<ExitCode> {
+  const { key } = options;
   const startedAt = performance.now();
+  const { body, epoch } = await send(options);
+  const elapsedMilliseconds = Math.round(performance.now() - startedAt);
+  if (isJson) printJson({ key, epoch, elapsedMilliseconds, answer: body });
+  else {
+    for (const line of describeOutcome(body)) printLine(line);
+    printLine(`key ${key}: answered after ${elapsedMilliseconds} ms`);
+    if (epoch !== undefined) printLine(`epoch ${epoch}`);
+  }
+  return exitCodeOf(body);
+}
+
+async function send(options: SubmitOptions): Promise<HttpAnswer> {
+  const { entry, job, key, epoch, token } = options;
+  using _progress = new JobProgress({ entry, team: teamOf(job), key, token });
   try {
-    const response = await request(`http://${entry}/v1/jobs`, {
+    return await call({
+      step: Step.SubmitJob,
+      peer: entry,
       method: "POST",
-      headers: { "content-type": "application/json", "idempotency-key": key },
-      body: readFileSync(file, "utf8"),
+      path: "/v1/jobs",
+      headers: {
+        "content-type": "application/json",
+        "idempotency-key": key,
+        ...(epoch === undefined ? {} : { "eelgrassfront-epoch": epoch }),
+        ...tokenHeaders(token),
+      },
+      body: job,
     });
-    const text = await response.body.text();
-    const elapsed = Math.round(performance.now() - startedAt);
-    process.stdout.write(`${text}\n`);
-    process.stdout.write(`key ${key}: answered after ${elapsed} ms\n`);
-    return exitCodeOf(text);
   } catch (error) {
-    process.stderr.write(
-      `submit: ${entry}: ${String(error)}; is the entry running? ` +
-        `Submit again with --key ${key}\n`,
+    if (!(error instanceof CallError)) throw error;
+    tell(
+      `the job may run; submit it again with --key ${key}, through any entry`,
     );
-    return ExitCode.Unreachable;
+    throw error;
+  }
+}
+
+function readJob(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    throw usageError(`read the job: ${file}: ${String(error)}`);
   }
 }
 
-function exitCodeOf(text: string): ExitCode {
-  const answer: unknown = JSON.parse(text);
-  const outcome = typeof answer === "object" && answer !== null &&
-      "outcome" in answer
-    ? String(answer.outcome)
-    : "";
-  return EXIT_CODES.get(outcome) ?? ExitCode.Unknown;
+function teamOf(job: string): string | undefined {
+  try {
+    const content: unknown = JSON.parse(job);
+    const isNamed = typeof content === "object" && content !== null &&
+      "team" in content;
+    return isNamed ? String(content.team) : undefined;
+  } catch {
+    throw new ToolError(ExitCode.Usage, "read the job: the file is not JSON");
+  }
 }
--- /dev/null
+++ b/daemon/bin/eelgrassfrontd.mjs
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/**
+ * Starts the built daemon.
+ */
+import "../dist/main.js";
--- a/daemon/src/daemon_settings_test.ts
+++ b/daemon/src/daemon_settings_test.ts
@@ -142,6 +142,7 @@
     replacement: "lease = 300ms",
     faults: [
       'entry.ini:26: timing.lease: found "300ms"; allowed: at least twice timing.heartbeat, so that one may be lost',
+      'entry.ini:17: platform_log.read_wait: found "500ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
     ],
   },
   {
@@ -152,6 +153,14 @@
       'entry.ini:28: timing.horizon: found "10min"; allowed: more than timing.removal and at least twice callers.maximum_deadline, so that records outlive resubmissions',
     ],
   },
+  {
+    title: "a read that outlasts the lease",
+    found: "read_wait = 500ms",
+    replacement: "read_wait = 501ms",
+    faults: [
+      'entry.ini:17: platform_log.read_wait: found "501ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
+    ],
+  },
   {
     title: "two interfaces at one address",
     found: "10.0.1.10:8080",
@@ -209,4 +218,20 @@
       }
     });
   }
+
+  it("has every key in the reference of docs/OPERATIONS.md, and no other", () => {
+    const rows = readDocument("OPERATIONS.md")
+      .matchAll(/^\| `([a-z_]+)` +\| `([a-z_]+)` +\| (entry|sidecar|both) /gm);
+    const documented = [...rows].flatMap(([, section, key, roles]) => {
+      const isOf = (role: Role) => roles === "both" || roles === role;
+      return Object.values(Role).filter(isOf)
+        .map((role) => `${role}: ${section}.${key}`);
+    });
+    const allowed = Object.values(Role).flatMap((role) =>
+      [...settingsKeys(role)].flatMap(([section, keys]) =>
+        keys.map((key) => `${role}: ${section}.${key}`)
+      )
+    );
+    expect(documented.sort()).toEqual(allowed.sort());
+  });
 });
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -77,7 +77,7 @@
   const running = new ProcessLoop(decisions, { ...shared.ports, callers })
     .run();
   shared.start(self);
-  return await running;
+  return shared.stop(self, await running);
 }
 
 async function runSidecar(
@@ -107,7 +107,7 @@
   const running = new ProcessLoop(decisions, ports).run();
   shared.start(self);
   backendServer.start();
-  return await running;
+  return shared.stop(self, await running);
 }
 
 /** Ports that both roles have. */
@@ -131,6 +131,17 @@
     this.#platformLog.start();
   }
 
+  /** Writes that the process stopped; returns its exit code. */
+  stop(self: ProcessIdentifier, exitCode: number): number {
+    this.ports.journal.record({
+      number: EventNumber.ProcessStopped,
+      severity: Severity.Information,
+      message: "the process stopped",
+      context: { process: self, exitCode },
+    });
+    return exitCode;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const { clock, operators, peers, platformLog, signals } = this.ports;
     await signals[Symbol.asyncDispose]();
--- a/daemon/src/process_loop.ts
+++ b/daemon/src/process_loop.ts
@@ -11,6 +11,7 @@
   OutputKind,
   type ProcessInput,
   type ProcessOutput,
+  type ReportReadiness,
   type SendReply,
   type SendRequest,
   Severity,
@@ -103,8 +104,7 @@
         this.#ports.operators.perform(output);
         return;
       case OutputKind.ReportReadiness:
-        this.#ports.callers?.perform(output);
-        this.#ports.operators.perform(output);
+        this.#reportReadiness(output);
         return;
       case OutputKind.SendRequest:
       case OutputKind.SendReply:
@@ -143,6 +143,18 @@
     });
   }
 
+  #reportReadiness(output: ReportReadiness): void {
+    this.#ports.callers?.perform(output);
+    this.#ports.operators.perform(output);
+    if (!output.isReady) return;
+    this.#ports.journal.record({
+      number: EventNumber.ProcessReady,
+      severity: Severity.Information,
+      message: "the process takes work",
+      context: {},
+    });
+  }
+
   #stop(exitCode: number): void {
     this.#isStopped = true;
     this.#finish(exitCode);
--- a/daemon/src/settings_checks.ts
+++ b/daemon/src/settings_checks.ts
@@ -9,6 +9,7 @@
 export interface CheckedSettings {
   readonly peers: { readonly listen: Address };
   readonly operators: { readonly listen: Address };
+  readonly platform_log: { readonly read_wait: Milliseconds };
   readonly ownership: { readonly shards: number; readonly owners: number };
   readonly timing: {
     readonly heartbeat: Milliseconds;
@@ -76,10 +77,17 @@
 
 function otherChecks(settings: CheckedSettings): readonly Check[] {
   const { ownership, peers, operators, callers } = settings;
+  const { platform_log: log, timing } = settings;
   const operatorsAddress = formatAddress(operators.listen);
   const callersAddress = callers && formatAddress(callers.listen);
   const peersAddress = formatAddress(peers.listen);
   return [
+    {
+      path: ["platform_log", "read_wait"],
+      isKept: 2 * log.read_wait <= timing.lease,
+      allowed:
+        "at most half of timing.lease, so that one read confirms the view until the next",
+    },
     {
       path: ["ownership", "owners"],
       isKept: ownership.owners <= ownership.shards,
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -42,6 +42,7 @@
   type RequestIdentifier,
   RetryReason,
   Role,
+  Severity,
   type ShardEpoch,
   type ShardNumber,
   type StandingAsked,
@@ -382,6 +383,19 @@
   }
 
   #answerOutcome(pending: Pending, outcome: JobOutcome): void {
+    if (outcome.kind === JobOutcomeKind.Unknown) {
+      this.#collector.record(
+        EventNumber.JobUnknown,
+        "the outcome of a job is unknown",
+        {
+          severity: Severity.Warning,
+          context: {
+            submission: submissionOf(pending.input),
+            reason: outcome.reason,
+          },
+        },
+      );
+    }
     this.#answer(pending.input.request, {
       kind: CallerAnswerKind.Outcome,
       outcome,
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -8,6 +8,7 @@
   EventNumber,
   type HeartbeatAnswered,
   InputKind,
+  type LogOffset,
   LogRecordKind,
   type LogRecordsRead,
   type MemberJoined,
@@ -25,7 +26,9 @@
 } from "@eelgrassfront/model";
 import { OwnershipTable } from "@eelgrassfront/ownership";
 import { type FleetChange, FleetChangeKind, FleetView } from "./fleet_view.ts";
+import { setFleetGauges } from "./fleet_gauges.ts";
 import { Heartbeats } from "./heartbeats.ts";
+import { IsolationWatch } from "./isolation_watch.ts";
 import type { Timing } from "./timing.ts";
 
 /** What a follower needs. */
@@ -51,6 +54,7 @@
   readonly view: FleetView;
   readonly heartbeats: Heartbeats;
   readonly #options: FleetFollowerOptions;
+  readonly #isolation: IsolationWatch;
   #announcement: MemberJoined | undefined;
   #announcedAt: Milliseconds | undefined;
   #departure: Departure | undefined;
@@ -61,6 +65,7 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     const { self, timing, collector } = options;
+    this.#isolation = new IsolationWatch(collector);
     this.view = new FleetView({
       ownership: new OwnershipTable(),
       configuration: new ConfigurationHistory(),
@@ -79,6 +84,11 @@
     return this.view.find(this.#options.self) !== undefined;
   }
 
+  /** Whether the log answered when it was last asked. */
+  get isLogAvailable(): boolean {
+    return this.#isLogAvailable;
+  }
+
   /** Announces the process, now and again until the log shows it. */
   announce(announcement: MemberJoined): void {
     this.#announcement = announcement;
@@ -109,6 +119,7 @@
   /** Does what is due. */
   tick(): void {
     this.heartbeats.tick();
+    this.#isolation.note(this.heartbeats.isFresh());
     this.#announceIfDue();
     this.#removeSelf();
     this.#removeSilentMembers();
@@ -166,9 +177,21 @@
     this.#noteAvailable();
     const changes = this.view.read(input);
     for (const change of changes) this.#recordChange(change);
+    this.#recordInvalid(input.invalidOffsets ?? []);
+    setFleetGauges(this.view, this.#options.collector);
     return changes;
   }
 
+  #recordInvalid(offsets: readonly LogOffset[]): void {
+    for (const offset of offsets) {
+      this.#options.collector.record(
+        EventNumber.LogRecordInvalid,
+        "a record does not keep the protocol and is passed over",
+        { severity: Severity.Warning, context: { offset } },
+      );
+    }
+  }
+
   #recordChange(change: FleetChange): void {
     const { collector } = this.#options;
     switch (change.kind) {
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -9,7 +9,6 @@
   ProcessLeaving = 1003,
   ProcessStopped = 1004,
   InvariantBroken = 1005,
-  SettingsRejected = 1006,
   MemberJoined = 2001,
   MemberRemoved = 2002,
   MemberUnreachable = 2003,
@@ -25,12 +24,10 @@
   LogUnavailable = 2301,
   LogAvailable = 2302,
   LogRecordInvalid = 2303,
-  JobRefused = 3001,
   JobUnknown = 3002,
   BackendServerAnnounced = 4001,
   BackendServerUnreachable = 4002,
   PeerRequestLost = 5001,
-  PeerRejected = 5002,
 }
 
 /** Severity of an event. */
--- a/domain/model/src/process_error.ts
+++ b/domain/model/src/process_error.ts
@@ -17,6 +17,11 @@
   PublishConfiguration = "publish-configuration",
   CallPeer = "call-peer",
   DescribeBackendServer = "describe-backend-server",
+  SubmitJob = "submit-job",
+  AskJob = "ask-job",
+  CancelJob = "cancel-job",
+  ReadReport = "read-report",
+  AskDrain = "ask-drain",
 }
 
 /** Tags of errors. They are stable: tools and operators may rely on them. */
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -127,6 +127,8 @@
 export interface LogRecordsRead {
   readonly kind: InputKind.LogRecordsRead;
   readonly records: readonly PlacedRecord[];
+  /** Offsets of records that do not keep the protocol and are passed over. */
+  readonly invalidOffsets?: readonly LogOffset[];
   /** Offset of the oldest record that the log still keeps. */
   readonly firstRetained: LogOffset;
   /** Offset at which the next record will be read. */
