--- a/adapters/settings_ini/src/settings_reader.ts
+++ b/adapters/settings_ini/src/settings_reader.ts
@@ -4,7 +4,7 @@
  */
 import { parse } from "ini";
 import type { z } from "zod";
-import { type IniLine, locateKeys } from "./ini_lines.ts";
+import { IniLines } from "./ini_lines.ts";
 import { allowedKeys, isSecretAt } from "./settings_section.ts";
 
 /** One fault in a settings file. */
@@ -13,7 +13,7 @@
   readonly key: string;
   readonly found: string;
   readonly allowed: string;
-  /** Number of the line, from 1; missing for what is not in the file. */
+  /** Line of the key, or of its section, from 1; missing where neither stands. */
   readonly line?: number;
 }
 
@@ -50,7 +50,7 @@
   source: SettingsSource<Settings>,
 ): SettingsResult<Settings> {
   const values: unknown = parse(source.text);
-  const lines = locateKeys(source.text);
+  const lines = new IniLines(source.text);
   const parsed = source.schema.safeParse(values);
   const issues = parsed.error?.issues ?? [];
   const faults = [
@@ -62,7 +62,7 @@
   }
   return {
     kind: SettingsResultKind.Faulty,
-    faults: faults.map((fault) => withLine(fault, lines)),
+    faults: faults.map((fault) => place(fault, lines)),
   };
 }
 
@@ -109,25 +109,17 @@
   return new Map<PropertyKey, unknown>(Object.entries(value)).get(key);
 }
 
-function repeatedKeys(
-  file: string,
-  lines: readonly IniLine[],
-): readonly SettingsFault[] {
-  const isRepeated = ({ key }: IniLine, index: number) =>
-    lines.findIndex((other) => other.key === key) !== index;
-  return lines.filter(isRepeated).map(({ key, line }) => ({
+function repeatedKeys(file: string, lines: IniLines): readonly SettingsFault[] {
+  return lines.repeated.map(({ key, line, firstLine }) => ({
     file,
     key,
     line,
     found: "the key again",
-    allowed: "each key once",
+    allowed: `once; it stands in line ${firstLine} too`,
   }));
 }
 
-function withLine(
-  fault: SettingsFault,
-  lines: readonly IniLine[],
-): SettingsFault {
-  const line = fault.line ?? lines.find(({ key }) => key === fault.key)?.line;
+function place(fault: SettingsFault, lines: IniLines): SettingsFault {
+  const line = fault.line ?? lines.lineOf(fault.key);
   return line === undefined ? fault : { ...fault, line };
 }
--- a/cli/src/command_examples.ts
+++ b/cli/src/command_examples.ts
@@ -25,6 +25,21 @@
     "npx eelgrassfront fleet --operators 10.0.1.10:7200,10.0.2.10:7200",
     "npx eelgrassfront fleet --operators 10.0.1.10:7200 --json",
   ]],
+  ["configuration", [
+    "npx eelgrassfront configuration check --file terms.ini --log http://10.0.0.5:9000",
+  ]],
+  ["configuration check", [
+    "npx eelgrassfront configuration check --file terms.ini --log http://10.0.0.5:9000",
+  ]],
+  ["configuration publish", [
+    "npx eelgrassfront configuration publish --file terms.ini --log http://10.0.0.5:9000 --wait 10.0.1.10:7200",
+  ]],
+  ["configuration show", [
+    "npx eelgrassfront configuration show --log http://10.0.0.5:9000",
+  ]],
+  ["configuration history", [
+    "npx eelgrassfront configuration history --log http://10.0.0.5:9000 --json",
+  ]],
   ["explain", [
     "npx eelgrassfront explain deadline-unreachable",
     "npx eelgrassfront explain 2104",
--- a/cli/src/common_arguments.ts
+++ b/cli/src/common_arguments.ts
@@ -3,8 +3,11 @@
  */
 import process from "node:process";
 
-/** Environment variable that is read when no token is given as argument. */
-export const TOKEN_VARIABLE = "EELGRASSFRONT_TOKEN";
+/** Environment variables that are read when no token is given as argument. */
+export enum TokenVariable {
+  Team = "EELGRASSFRONT_TEAM_TOKEN",
+  Operators = "EELGRASSFRONT_OPERATORS_TOKEN",
+}
 
 /** The entry that is asked. */
 export const entryArgument = {
@@ -20,10 +23,17 @@
   description: "Write one JSON object in place of text",
 } as const;
 
-/** Token of a team or of operators. */
-export const tokenArgument = {
+/** Token of a team. */
+export const teamTokenArgument = {
+  type: "string",
+  description: `Token of the team; from ${TokenVariable.Team} when left out`,
+} as const;
+
+/** Token of operators. */
+export const operatorsTokenArgument = {
   type: "string",
-  description: `Bearer token; from ${TOKEN_VARIABLE} when left out`,
+  description:
+    `Token of operators; from ${TokenVariable.Operators} when left out`,
 } as const;
 
 /** Team of a job. */
@@ -43,8 +53,9 @@
 /** The token that is given, or that of the environment. */
 export function tokenOf(
   args: { readonly token?: string | undefined },
+  variable: TokenVariable,
 ): string | undefined {
-  return args.token ?? process.env[TOKEN_VARIABLE];
+  return args.token ?? process.env[variable];
 }
 
 /** Splits addresses that are separated by commas. */
--- a/cli/src/drain_command.ts
+++ b/cli/src/drain_command.ts
@@ -4,7 +4,12 @@
 import process from "node:process";
 import { Step } from "@eelgrassfront/model";
 import { defineCommand } from "citty";
-import { jsonArgument, tokenArgument, tokenOf } from "./common_arguments.ts";
+import {
+  jsonArgument,
+  operatorsTokenArgument,
+  tokenOf,
+  TokenVariable,
+} from "./common_arguments.ts";
 import { printJson, printLine, tell } from "./console_output.ts";
 import { ExitCode } from "./exit_code.ts";
 import { call, tokenHeaders } from "./http_call.ts";
@@ -30,11 +35,11 @@
       type: "string",
       description: "Seconds to wait until the process is gone",
     },
-    token: tokenArgument,
+    token: operatorsTokenArgument,
     json: jsonArgument,
   },
   run: async ({ args }) => {
-    const token = tokenOf(args);
+    const token = tokenOf(args, TokenVariable.Operators);
     const { status, body } = await call({
       step: Step.AskDrain,
       peer: args.operators,
--- a/cli/src/fleet_command.ts
+++ b/cli/src/fleet_command.ts
@@ -11,9 +11,10 @@
 import { defineCommand } from "citty";
 import {
   jsonArgument,
+  operatorsTokenArgument,
   splitAddresses,
-  tokenArgument,
   tokenOf,
+  TokenVariable,
 } from "./common_arguments.ts";
 import { printJson, printLine, tell } from "./console_output.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -30,11 +31,11 @@
       required: true,
       description: "Operators' addresses, as host:port, separated by commas",
     },
-    token: tokenArgument,
+    token: operatorsTokenArgument,
     json: jsonArgument,
   },
   run: async ({ args }) => {
-    const token = tokenOf(args);
+    const token = tokenOf(args, TokenVariable.Operators);
     const addresses = splitAddresses(args.operators);
     const answers = await Promise.all(
       addresses.map((peer) => readReport(peer, token)),
@@ -73,53 +74,57 @@
   }
 }
 
-const HEAD = [
-  "process",
-  "zone",
-  "state",
-  "configuration",
-  "log",
-  "lag ms",
-  "reachable",
-  "slots",
-  "running",
-  "queued",
-  "waiting",
-  "owned",
-  "granted",
-  "newest epoch",
-] as const;
-
 /** Lays reports out as a table, one line a process. */
 export function formatReports(reports: readonly ProcessReport[]): string {
-  const lines = reports.map((report) => [
-    report.process,
-    report.availabilityZone,
-    report.readiness,
-    String(report.configuration?.version ?? "-"),
-    String(report.log.nextOffset),
-    report.log.isAvailable ? String(report.log.lagMilliseconds ?? "-") : "away",
-    `${report.fleet.reachable}/${report.fleet.entries + report.fleet.sidecars}`,
+  return formatTable(reports.map((report) => ({
+    process: report.process,
+    zone: report.availabilityZone,
+    state: report.readiness,
+    configuration: report.configuration?.version ?? "-",
+    log: report.log.nextOffset,
+    "lag ms": report.log.isAvailable
+      ? report.log.lagMilliseconds ?? "-"
+      : "away",
+    reachable: `${report.fleet.reachable}/${
+      report.fleet.entries + report.fleet.sidecars
+    }`,
     ...roleCells(report),
-  ]);
-  return formatTable([HEAD, ...lines]);
+  })));
+}
+
+interface RoleCells {
+  readonly slots: number | string;
+  readonly running: number | string;
+  readonly queued: number | string;
+  readonly waiting: number;
+  readonly owned: number | string;
+  readonly granted: number | string;
+  readonly "newest epoch": number | string;
 }
 
-function roleCells(report: ProcessReport): readonly string[] {
+function roleCells(report: ProcessReport): RoleCells {
   switch (report.role) {
     case Role.Entry:
-      return ["-", "-", "-", String(report.waitingRequests), "-", "-", "-"];
+      return {
+        slots: "-",
+        running: "-",
+        queued: "-",
+        waiting: report.waitingRequests,
+        owned: "-",
+        granted: "-",
+        "newest epoch": "-",
+      };
     case Role.Sidecar: {
       const epochs = report.grantedShards.map(({ epoch }) => epoch);
-      return [
-        report.backendServer === undefined ? "away" : String(report.load.slots),
-        String(report.load.running),
-        String(report.load.queued),
-        String(report.waitingTasks),
-        String(report.ownedShards.length),
-        String(report.grantedShards.length),
-        epochs.length === 0 ? "-" : String(Math.max(...epochs)),
-      ];
+      return {
+        slots: report.backendServer === undefined ? "away" : report.load.slots,
+        running: report.load.running,
+        queued: report.load.queued,
+        waiting: report.waitingTasks,
+        owned: report.ownedShards.length,
+        granted: report.grantedShards.length,
+        "newest epoch": epochs.length === 0 ? "-" : Math.max(...epochs),
+      };
     }
     default:
       return assertNever(report);
--- a/cli/src/job_commands.ts
+++ b/cli/src/job_commands.ts
@@ -9,8 +9,9 @@
   jsonArgument,
   keyArgument,
   teamArgument,
-  tokenArgument,
+  teamTokenArgument,
   tokenOf,
+  TokenVariable,
 } from "./common_arguments.ts";
 import { printJson, printLine } from "./console_output.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -22,7 +23,7 @@
   entry: entryArgument,
   team: teamArgument,
   key: keyArgument,
-  token: tokenArgument,
+  token: teamTokenArgument,
   json: jsonArgument,
 };
 
@@ -33,7 +34,7 @@
   run: async ({ args }) => {
     process.exitCode = await askJob(
       { step: Step.AskJob, method: "GET" },
-      { ...args, token: tokenOf(args) },
+      { ...args, token: tokenOf(args, TokenVariable.Team) },
     );
   },
 });
@@ -48,7 +49,7 @@
   run: async ({ args }) => {
     process.exitCode = await askJob(
       { step: Step.CancelJob, method: "DELETE" },
-      { ...args, token: tokenOf(args) },
+      { ...args, token: tokenOf(args, TokenVariable.Team) },
     );
   },
 });
@@ -85,9 +86,11 @@
 }
 
 function describeStanding(body: Readonly<Record<string, unknown>>): string {
-  const columns = ["state", "tasks", "tasksStarted", "tasksEnded", "outcome"];
-  return formatTable([
-    ["state", "tasks", "started", "ended", "outcome"],
-    columns.map((column) => String(body[column] ?? "-")),
-  ]);
+  return formatTable([{
+    state: body["state"],
+    tasks: body["tasks"],
+    started: body["tasksStarted"],
+    ended: body["tasksEnded"],
+    outcome: body["outcome"] ?? "-",
+  }]);
 }
--- a/cli/src/retry_explanations.ts
+++ b/cli/src/retry_explanations.ts
@@ -16,6 +16,11 @@
     meaning: "The runner's queue is full.",
     action: "Add backend servers, or raise queued_tasks under [runner].",
   },
+  [TaskRefusalReason.SlotTaken]: {
+    meaning:
+      "The slot that an owner meant to borrow was taken in the meantime.",
+    action: "Nothing; the task stays in the owner's queue.",
+  },
   [TaskRefusalReason.Leaving]: {
     meaning: "The sidecar is being drained.",
     action: "Nothing; the owner places the task elsewhere.",
--- a/cli/src/submit_command.ts
+++ b/cli/src/submit_command.ts
@@ -9,8 +9,9 @@
 import {
   entryArgument,
   jsonArgument,
-  tokenArgument,
+  teamTokenArgument,
   tokenOf,
+  TokenVariable,
 } from "./common_arguments.ts";
 import { printJson, printLine, tell } from "./console_output.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -40,7 +41,7 @@
       type: "string",
       description: "Epoch that an earlier answer gave",
     },
-    token: tokenArgument,
+    token: teamTokenArgument,
     json: jsonArgument,
   },
   run: async ({ args }) => {
@@ -49,7 +50,7 @@
       job: readJob(args.file),
       key: args.key ?? randomUUID(),
       epoch: args.epoch,
-      token: tokenOf(args),
+      token: tokenOf(args, TokenVariable.Team),
     };
     process.exitCode = await submit(submission, args.json);
   },
--- a/cli/src/text_table.ts
+++ b/cli/src/text_table.ts
@@ -1,19 +1,20 @@
 /**
- * Tables for people.
+ * Tables for people: one row a line, columns aligned.
  */
 
-/** Lays rows out in columns, the first row as the head. */
-export function formatTable(rows: readonly (readonly string[])[]): string {
-  const widths = (rows[0] ?? []).map((_, column) =>
-    Math.max(...rows.map((row) => row[column]?.length ?? 0))
-  );
-  return rows.map((row) => formatRow(row, widths)).join("\n");
-}
+const GAP = "  ";
 
-function formatRow(
-  row: readonly string[],
-  widths: readonly number[],
-): string {
-  return row.map((cell, column) => cell.padEnd(widths[column] ?? 0))
-    .join("  ").trimEnd();
+/** Formats rows that have the same fields; the first row gives the headings. */
+export function formatTable(rows: readonly object[]): string {
+  const [first] = rows;
+  if (first === undefined) return "none";
+  const headings = Object.keys(first);
+  const cells = rows.map((row) => Object.values(row).map(String));
+  const widths = headings.map((heading, column) =>
+    Math.max(heading.length, ...cells.map((row) => row[column]?.length ?? 0))
+  );
+  const formatRow = (row: readonly string[]) =>
+    row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join(GAP)
+      .trimEnd();
+  return [headings, ...cells].map(formatRow).join("\n");
 }
--- a/cli/src/tool.ts
+++ b/cli/src/tool.ts
@@ -2,6 +2,7 @@
  * The commands of the tool.
  */
 import { defineCommand } from "citty";
+import { configurationCommand } from "./configuration_command.ts";
 import { drainCommand } from "./drain_command.ts";
 import { explainCommand } from "./explain_command.ts";
 import { fleetCommand } from "./fleet_command.ts";
@@ -15,6 +16,7 @@
   cancel: cancelCommand,
   drain: drainCommand,
   fleet: fleetCommand,
+  configuration: configurationCommand,
   explain: explainCommand,
 };
 
--- a/cli/src/tool_test.ts
+++ b/cli/src/tool_test.ts
@@ -27,9 +27,14 @@
 }
 
 describe("the tool", () => {
-  for (const name of Object.keys(commands)) {
+  const inner = ["check", "publish", "show", "history"];
+  const paths = [
+    ...Object.keys(commands),
+    ...inner.map((name) => `configuration ${name}`),
+  ];
+  for (const name of paths) {
     it(`shows help with examples for ${name}`, () => {
-      const { exitCode, output } = run(name, "--help");
+      const { exitCode, output } = run(...name.split(" "), "--help");
       expect(exitCode).toEqual(ExitCode.Success);
       expect(examplesOf(name).length).toBeGreaterThan(0);
       for (const example of examplesOf(name)) {
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -4,6 +4,7 @@
 import { assertNever, Role } from "@eelgrassfront/model";
 import {
   address,
+  addresses,
   count,
   duration,
   identifier,
@@ -19,9 +20,13 @@
 import { checkSettings } from "./settings_checks.ts";
 
 const common = {
-  peers: section({ listen: address, shared_key: secret }),
+  peers: section({
+    listen: address,
+    shared_key: secret,
+    seeds: addresses.optional(),
+  }),
   operators: section({ listen: address, token: secret }),
-  platform_log: section({ origin, read_wait: duration }),
+  platform_log: section({ origin, read_wait: duration, retention: duration }),
   ownership: section({ shards: count, owners: count }),
   timing: section({
     heartbeat: duration,
--- a/daemon/src/daemon_settings_test.ts
+++ b/daemon/src/daemon_settings_test.ts
@@ -7,7 +7,8 @@
 import { Role } from "@eelgrassfront/model";
 import {
   describeFault,
-  locateKeys,
+  IniLines,
+  type SettingsFault,
   SettingsResultKind,
 } from "@eelgrassfront/settings-ini";
 import { expect } from "earl";
@@ -27,9 +28,29 @@
 function faultsOf(found: string, replacement: string): readonly string[] {
   const text = EXAMPLES[Role.Entry].replace(found, replacement);
   const result = readDaemonSettings("entry.ini", text);
-  return result.kind === SettingsResultKind.Faulty
-    ? result.faults.map(describeFault)
-    : [];
+  if (result.kind === SettingsResultKind.Read) return [];
+  return result.faults.map((fault) => {
+    expectPlace(text, fault);
+    const { line: _line, ...described } = fault;
+    return describeFault(described);
+  });
+}
+
+/** Checks that a fault names the line of its key, or of its section where the key is missing. */
+function expectPlace(text: string, { key, line }: SettingsFault): void {
+  const [section = "", name = ""] = key.split(".");
+  if (line === undefined) {
+    expect(text).not.toInclude(`[${section}]`);
+    return;
+  }
+  const lines = text.split("\n");
+  const heading = lines.slice(0, line).findLast((content) =>
+    content.startsWith("[")
+  );
+  expect(heading).toEqual(`[${section}]`);
+  const found = lines[line - 1] ?? "";
+  const isMissing = !text.includes(`${name} =`) || found === heading;
+  expect(isMissing || found.startsWith(`${name} =`)).toEqual(true);
 }
 
 interface Case {
@@ -45,7 +66,7 @@
     found: "role = entry",
     replacement: "role = leader",
     faults: [
-      'entry.ini:3: process.role: found "leader"; allowed: entry, sidecar',
+      'entry.ini: process.role: found "leader"; allowed: entry, sidecar',
     ],
   },
   {
@@ -53,7 +74,7 @@
     found: "read_wait = 500ms",
     replacement: "read_wait = 500ms\nretries = 3",
     faults: [
-      "entry.ini:18: platform_log.retries: found an unknown key; allowed: origin, read_wait",
+      "entry.ini: platform_log.retries: found an unknown key; allowed: origin, read_wait, retention",
     ],
   },
   {
@@ -69,7 +90,7 @@
     found: "heartbeat = 250ms",
     replacement: "heartbeat = 250m",
     faults: [
-      'entry.ini:24: timing.heartbeat: found "250m"; allowed: a duration such as 250ms, 5s or 10min',
+      'entry.ini: timing.heartbeat: found "250m"; allowed: a duration such as 250ms, 5s or 10min',
     ],
   },
   {
@@ -77,7 +98,7 @@
     found: "maximum_body = 8MiB",
     replacement: "maximum_body = 8",
     faults: [
-      'entry.ini:32: callers.maximum_body: found "8"; allowed: a size such as 512B, 64KiB or 8MiB',
+      'entry.ini: callers.maximum_body: found "8"; allowed: a size such as 512B, 64KiB or 8MiB',
     ],
   },
   {
@@ -93,7 +114,7 @@
     found: "10.0.1.10:8080",
     replacement: "localhost:8080",
     faults: [
-      'entry.ini:31: callers.listen: found "localhost:8080"; allowed: an IP number and a port, such as 127.0.0.1:7000',
+      'entry.ini: callers.listen: found "localhost:8080"; allowed: an IP number and a port, such as 127.0.0.1:7000',
     ],
   },
   {
@@ -109,7 +130,7 @@
     found: "http://10.0.0.5:9000",
     replacement: "http://10.0.0.5:9000/log",
     faults: [
-      'entry.ini:16: platform_log.origin: found "http://10.0.0.5:9000/log"; allowed: an origin such as http://127.0.0.1:7000, without a path',
+      'entry.ini: platform_log.origin: found "http://10.0.0.5:9000/log"; allowed: an origin such as http://127.0.0.1:7000, without a path',
     ],
   },
   {
@@ -117,7 +138,7 @@
     found: "owners = 3",
     replacement: "owners = 3\nowners = 4",
     faults: [
-      "entry.ini:22: ownership.owners: found the key again; allowed: each key once",
+      "entry.ini: ownership.owners: found the key again; allowed: once; it stands in line 23 too",
     ],
   },
   {
@@ -125,7 +146,7 @@
     found: "token = replace-this-token\n",
     replacement: "token = hush\n",
     faults: [
-      "entry.ini:13: operators.token: found a value that is not shown; allowed: a text of at least 8 characters",
+      "entry.ini: operators.token: found a value that is not shown; allowed: a text of at least 8 characters",
     ],
   },
   {
@@ -133,7 +154,7 @@
     found: "replace-this-token-b",
     replacement: "hush",
     faults: [
-      "entry.ini:45: teams.handlers: found a value that is not shown; allowed: a text of at least 8 characters",
+      "entry.ini: teams.handlers: found a value that is not shown; allowed: a text of at least 8 characters",
     ],
   },
   {
@@ -141,8 +162,8 @@
     found: "lease = 1s",
     replacement: "lease = 300ms",
     faults: [
-      'entry.ini:26: timing.lease: found "300ms"; allowed: at least twice timing.heartbeat, so that one may be lost',
-      'entry.ini:17: platform_log.read_wait: found "500ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
+      'entry.ini: timing.lease: found "300ms"; allowed: at least twice timing.heartbeat, so that one may be lost',
+      'entry.ini: platform_log.read_wait: found "500ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
     ],
   },
   {
@@ -150,7 +171,7 @@
     found: "maximum_deadline = 5min",
     replacement: "maximum_deadline = 6min",
     faults: [
-      'entry.ini:28: timing.horizon: found "10min"; allowed: more than timing.removal and at least twice callers.maximum_deadline, so that records outlive resubmissions',
+      'entry.ini: timing.horizon: found "10min"; allowed: more than timing.removal and at least twice callers.maximum_deadline, so that records outlive resubmissions',
     ],
   },
   {
@@ -158,7 +179,7 @@
     found: "read_wait = 500ms",
     replacement: "read_wait = 501ms",
     faults: [
-      'entry.ini:17: platform_log.read_wait: found "501ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
+      'entry.ini: platform_log.read_wait: found "501ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
     ],
   },
   {
@@ -166,7 +187,7 @@
     found: "10.0.1.10:8080",
     replacement: "10.0.1.10:7200",
     faults: [
-      'entry.ini:31: callers.listen: found "10.0.1.10:7200"; allowed: another address than peers.listen and operators.listen',
+      'entry.ini: callers.listen: found "10.0.1.10:7200"; allowed: another address than peers.listen and operators.listen',
     ],
   },
   {
@@ -174,7 +195,7 @@
     found: "owners = 3",
     replacement: "owners = 65",
     faults: [
-      'entry.ini:21: ownership.owners: found "65"; allowed: at most ownership.shards',
+      'entry.ini: ownership.owners: found "65"; allowed: at most ownership.shards',
     ],
   },
 ];
@@ -212,7 +233,7 @@
       const text = EXAMPLES[role];
       const result = readDaemonSettings(`${role}.ini`, text);
       expect(result.kind).toEqual(SettingsResultKind.Read);
-      const found = locateKeys(text).map(({ key }) => key);
+      const found = new IniLines(text).keys();
       for (const [section, keys] of settingsKeys(role)) {
         for (const key of keys) expect(found).toInclude(`${section}.${key}`);
       }
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -13,6 +13,7 @@
   type LogRecordsRead,
   type MemberJoined,
   type Milliseconds,
+  type OtherIncarnation,
   type OutputCollector,
   OutputKind,
   type PeerReplyArrived,
@@ -21,6 +22,7 @@
   type ProcessError,
   type ProcessIdentifier,
   RemovalReason,
+  type RequestIdentifier,
   Role,
   Severity,
 } from "@eelgrassfront/model";
@@ -29,6 +31,8 @@
 import { setFleetGauges } from "./fleet_gauges.ts";
 import { Heartbeats } from "./heartbeats.ts";
 import { IsolationWatch } from "./isolation_watch.ts";
+import { RecordRefresher } from "./record_refresher.ts";
+import { SeedInquiry } from "./seed_inquiry.ts";
 import type { Timing } from "./timing.ts";
 
 /** What a follower needs. */
@@ -36,6 +40,8 @@
   readonly self: ProcessIdentifier;
   readonly timing: Timing;
   readonly collector: OutputCollector;
+  /** Addresses of processes that a starting process asks while the log is away. */
+  readonly seeds?: readonly string[];
 }
 
 /** Time after which an append that did not show in the log is made again. */
@@ -55,6 +61,8 @@
   readonly heartbeats: Heartbeats;
   readonly #options: FleetFollowerOptions;
   readonly #isolation: IsolationWatch;
+  readonly #refresher: RecordRefresher;
+  readonly #seedInquiry: SeedInquiry;
   #announcement: MemberJoined | undefined;
   #announcedAt: Milliseconds | undefined;
   #departure: Departure | undefined;
@@ -77,6 +85,16 @@
       collector,
       view: this.view,
     });
+    this.#refresher = new RecordRefresher({
+      self,
+      timing,
+      collector,
+      view: this.view,
+    });
+    this.#seedInquiry = new SeedInquiry({
+      collector,
+      seeds: options.seeds ?? [],
+    });
   }
 
   /** Whether the log shows this process as a member. */
@@ -123,6 +141,12 @@
     this.#announceIfDue();
     this.#removeSelf();
     this.#removeSilentMembers();
+    if (this.#announcement !== undefined) {
+      this.#refresher.tick(this.#announcement);
+    }
+    if (this.view.configuration.current === undefined) {
+      this.#seedInquiry.tick();
+    }
   }
 
   /** Takes an input from the log. */
@@ -161,7 +185,7 @@
     this.heartbeats.take(request, answer);
     const version = answer.newerConfiguration;
     if (version === undefined) return [];
-    const changes = this.view.learnConfiguration(version);
+    const changes = this.view.learnConfiguration(version, answer.logOffset);
     if (changes.length > 0) {
       this.#options.collector.record(
         EventNumber.ConfigurationLearntFromPeer,
@@ -173,6 +197,11 @@
     return changes;
   }
 
+  /** Takes the answer of a seed that another run of the process is there; false when it is none. */
+  redirect(request: RequestIdentifier, answer: OtherIncarnation): boolean {
+    return this.#seedInquiry.redirect(request, answer.current);
+  }
+
   #read(input: LogRecordsRead): readonly FleetChange[] {
     this.#noteAvailable();
     const changes = this.view.read(input);
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -21,6 +21,8 @@
   type ShardClaim,
   type ShardEpoch,
   type ShardNumber,
+  type ShardsClaimed,
+  UNCLAIMED_EPOCH,
 } from "@eelgrassfront/model";
 import type {
   DepartedMember,
@@ -110,8 +112,12 @@
 }
 
 const SETTLE_MILLISECONDS: Milliseconds = 500;
+/** Time between two looks for shards without an owner. */
+const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
+/** Time in which the owner of a shard refreshes its claim after an outage of the log. */
+const REFRESH_PATIENCE_MILLISECONDS: Milliseconds = 10_000;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
 
 /** Claims and grants of one owner. */
@@ -121,6 +127,7 @@
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
   #membershipChangedAt: Milliseconds = 0;
+  #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
   #isLeaving = false;
   readonly #stopped = new Set<ShardNumber>();
@@ -404,15 +411,18 @@
 
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
+    this.#claimCheckedAt = this.#options.collector.now;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
     const ownerless: ShardClaim[] = [];
+    const unseen: ShardClaim[] = [];
     for (let shard = 0; shard < this.#options.shardCount; shard += 1) {
-      this.#sortClaim(shard, candidates, { unowned, ownerless });
+      this.#sortClaim(shard, candidates, { unowned, ownerless, unseen });
     }
     this.#appendClaim(ClaimReason.Unowned, unowned);
     this.#appendClaim(ClaimReason.Takeover, ownerless);
+    this.#appendUnseenClaim(unseen);
   }
 
   #mayClaim(): boolean {
@@ -421,7 +431,9 @@
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
     const isAnswerDue =
       collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    return !this.#isLeaving && follower.isMember && hasSettled &&
+    const isCheckDue =
+      collector.now - this.#claimCheckedAt >= CLAIM_CHECK_MILLISECONDS;
+    return isCheckDue && !this.#isLeaving && follower.isMember && hasSettled &&
       !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
       follower.heartbeats.hearsMajority();
   }
@@ -443,12 +455,17 @@
     claims: {
       readonly unowned: ShardClaim[];
       readonly ownerless: ShardClaim[];
+      readonly unseen: ShardClaim[];
     },
   ): void {
     const { follower, self } = this.#options;
     const ownership = follower.view.ownership.find(shard);
     if (ownership !== undefined && this.#isOwnerAlive(ownership.owner)) return;
     if (preferredOwner(shard, candidates) !== self) return;
+    if (!follower.view.ownership.isDecided(shard)) {
+      claims.unseen.push({ shard, replaces: UNCLAIMED_EPOCH });
+      return;
+    }
     const replaces = follower.view.ownership.epochOf(shard);
     const list = ownership === undefined ? claims.unowned : claims.ownerless;
     list.push({ shard, replaces });
@@ -458,7 +475,34 @@
     return this.#isAnswerLikely(owner);
   }
 
-  #appendClaim(reason: ClaimReason, claims: readonly ShardClaim[]): void {
+  /** Claims shards of which the log says nothing any more, once nobody refreshed them in time. */
+  #appendUnseenClaim(claims: readonly ShardClaim[]): void {
+    const { collector, follower } = this.#options;
+    const { view } = follower;
+    const missedAt = view.missedRecordsAt ?? collector.now;
+    if (collector.now - missedAt < REFRESH_PATIENCE_MILLISECONDS) return;
+    const unseenSince = Math.max(
+      ...claims.map(({ shard }) => view.ownership.unseenSince(shard)),
+    );
+    this.#appendClaim(ClaimReason.Takeover, claims, { unseenSince });
+  }
+
+  /** How far the log was read, if that is enough to judge the claims. */
+  #judgedTo(claims: readonly ShardClaim[]): Pick<ShardsClaimed, "readTo"> {
+    const { ownership, nextOffset } = this.#options.follower.view;
+    const isJudged = claims.every(({ shard, replaces }) =>
+      ownership.isDecided(shard) && ownership.epochOf(shard) === replaces
+    );
+    return isJudged ? { readTo: nextOffset } : {};
+  }
+
+  #appendClaim(
+    reason: ClaimReason,
+    claims: readonly ShardClaim[],
+    proof: Pick<ShardsClaimed, "readTo" | "unseenSince"> = this.#judgedTo(
+      claims,
+    ),
+  ): void {
     if (claims.length === 0) return;
     const { collector, self } = this.#options;
     this.#claimedAt = collector.now;
@@ -473,6 +517,7 @@
         claimant: self,
         reason,
         claims,
+        ...proof,
       },
     });
   }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -33,7 +33,9 @@
   Role,
   type SidecarReport,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { OwnerDecisions } from "@eelgrassfront/owner";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { RunnerDecisions } from "@eelgrassfront/runner";
 import { RecordHandOver, RecordHandOverPhase } from "./record_hand_over.ts";
 
@@ -44,6 +46,8 @@
   /** Address at which peers reach this process, as `host:port`. */
   readonly address: string;
   readonly timing: Timing;
+  /** Addresses of processes that are asked for the configuration while the log is away. */
+  readonly seeds?: readonly string[];
   readonly random: () => number;
   readonly shardCount: number;
   readonly ownerCount: number;
@@ -51,6 +55,9 @@
   readonly maximumResultBytes: number;
   readonly maximumQueuedTasks: number;
   readonly waitingPerRunner: number;
+  /** Baselines to measure against choose another placement. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 enum LeavingPhase {
@@ -195,6 +202,7 @@
         const answer = this.#follower.heartbeats.answer(message, {
           isLeaving: this.#leaving !== LeavingPhase.No,
           granted: this.#owner.granted(),
+          load: this.#runner.load(),
         });
         this.#reply(input, answer);
         return;
@@ -205,11 +213,16 @@
   }
 
   #takeReply(input: PeerReplyArrived): void {
-    const { request, message } = input;
+    const { from, request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#changeFleet(this.#follower.handleAnswer(input, message));
+      if (message.load !== undefined) this.#owner.noteLoad(from, message.load);
       return;
     }
+    if (
+      message.kind === PeerReplyKind.OtherIncarnation &&
+      this.#follower.redirect(request, message)
+    ) return;
     if (this.#recordHandOver.takeReply(request, message)) return;
     this.#owner.takeReply(request, message);
   }
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -3,6 +3,7 @@
  * Faults are injected from outside; runs with the same seed are the same.
  */
 import { EntryDecisions } from "@eelgrassfront/entry";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { DEFAULT_TIMING, type Timing } from "@eelgrassfront/membership";
 import {
   assertNever,
@@ -15,6 +16,7 @@
   LogRecordKind,
   type Milliseconds,
   OutputKind,
+  PeerReplyKind,
   type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
@@ -24,6 +26,7 @@
   Step,
   type Submission,
 } from "@eelgrassfront/model";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeLog } from "./fake_log.ts";
@@ -46,6 +49,9 @@
   readonly delayMilliseconds: Milliseconds;
   readonly timing?: Timing;
   readonly waitingPerRunner?: number;
+  /** Baselines to measure against choose another placement or queue. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
   /** Told of each output of each process, for golden files. */
   readonly onOutput?: (process: string, output: ProcessOutput) => void;
   /** Told of each event. */
@@ -63,6 +69,7 @@
 const READ_WAIT_MILLISECONDS: Milliseconds = 500;
 const DESCRIPTION_MILLISECONDS: Milliseconds = 1;
 const AVAILABILITY_ZONES = 3;
+const SEEDS = 2;
 
 /** The system. */
 export class VirtualSystem {
@@ -124,10 +131,12 @@
       starts,
     });
     const decisions = new SidecarDecisions({
+      ...policyOf(this.#options),
       self: identifier,
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       random: () => random.next(),
       shardCount: shards,
       ownerCount: owners,
@@ -153,6 +162,7 @@
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: this.#options.timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       shardCount: this.#options.shards,
       maximumPending: 100_000,
     });
@@ -272,17 +282,45 @@
       onLost: lose,
       deliver: () => {
         const receiver = this.#processes.get(peer);
+        const from = sender.identifier;
         if (receiver === undefined || receiver.state === ProcessState.Ended) {
-          lose();
+          if (!this.#redirect(sender, output)) lose();
           return;
         }
-        const from = sender.identifier;
         const kind = InputKind.PeerRequestArrived;
         receiver.take({ kind, from, request, message });
       },
     });
   }
 
+  /** Answers for the run of a process that is at the address now, where there is one. */
+  #redirect(sender: VirtualProcess, output: SendRequest): boolean {
+    const { address, peer, request } = output;
+    const current = this.#processes.get(address as ProcessIdentifier);
+    if (current === undefined || address === peer) return false;
+    if (current.state !== ProcessState.Running) return false;
+    this.#sendReply(current, {
+      kind: OutputKind.SendReply,
+      to: sender.identifier,
+      request,
+      message: {
+        kind: PeerReplyKind.OtherIncarnation,
+        current: current.identifier,
+      },
+    });
+    return true;
+  }
+
+  /** Addresses that a process which starts now asks; those that start first have nobody to ask. */
+  #seeds(): readonly string[] {
+    if (this.time.now === 0) return [];
+    return this.sidecars
+      .map(({ process }) => process)
+      .filter(({ state }) => state === ProcessState.Running)
+      .map(({ identifier }) => identifier)
+      .slice(0, SEEDS);
+  }
+
   #sendReply(sender: VirtualProcess, output: SendReply): void {
     const { to, request, message } = output;
     const key = `${to} ${request}`;
@@ -306,3 +344,12 @@
 function zoneOf(index: number): string {
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
+
+function policyOf(
+  { placementPolicy, queueDiscipline }: VirtualSystemOptions,
+): Pick<VirtualSystemOptions, "placementPolicy" | "queueDiscipline"> {
+  return {
+    ...(placementPolicy === undefined ? {} : { placementPolicy }),
+    ...(queueDiscipline === undefined ? {} : { queueDiscipline }),
+  };
+}
