--- a/cli/src/manifest_lines.ts
+++ b/adapters/settings_ini/src/ini_lines.ts
@@ -1,6 +1,6 @@
 /**
  * Where the keys of an INI text stand, so that a fault can name its line, and which of them stand
- * twice, which a reader would otherwise pass over.
+ * twice, which the parser itself passes over.
  */
 
 /** A key that stands twice. */
@@ -13,8 +13,8 @@
 const SECTION_PATTERN = /^\[([^\]]+)\]$/;
 const KEY_PATTERN = /^([^=;#]+?)\s*=\s*(.*)$/;
 
-/** Lines of the sections and keys of an INI text. */
-export class ManifestLines {
+/** Lines of the sections and keys of an INI text, counted from 1. */
+export class IniLines {
   readonly repeated: readonly RepeatedKey[];
   readonly #lines = new Map<string, number>();
   readonly #values = new Map<string, string>();
@@ -38,6 +38,11 @@
     this.repeated = repeated;
   }
 
+  /** Every key with a value, with its section before it. */
+  keys(): readonly string[] {
+    return [...this.#values.keys()];
+  }
+
   /** The keys that match, with their values. */
   valuesWhere(pattern: RegExp): readonly (readonly [string, string])[] {
     return [...this.#values].filter(([key]) => pattern.test(key));
