fix(owner): do not call unknown what cannot have started at the previous owner's runner

Cause: after the death of an owner every submission of its shards that was first made before the new grant was answered unknown, since the runner beside the dead owner gave no start records. An owner gives no task to its own runner, so that runner cannot have started anything under that owner. Change: ownership remembers the one that it replaced; when only the previous owner's runner is missing, submissions first made at its epoch or later, and all of them when it was the first owner, count as known. Ruled out: removing the dead owner at once by record, which would also lose the tasks of a process that is only paused.

--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -377,10 +377,8 @@
   }
 
   #mayHaveStartedElsewhere(message: SubmitJob): boolean {
-    if (this.#grants.isEvidenceComplete(message.shard)) return false;
-    const epoch = this.#grants.epochOf(message.shard) ?? Infinity;
     const firstMadeAt = message.submission.firstMadeAtEpoch ?? UNCLAIMED_EPOCH;
-    return firstMadeAt < epoch;
+    return firstMadeAt < this.#grants.knownSince(message.shard);
   }
 
   #replyEvidenceMissing(waiter: JobWaiter, shard: ShardNumber): void {
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -157,14 +157,27 @@
     return this.#byShard.get(shard)?.epoch;
   }
 
-  /** Whether every start of the shard under earlier owners is known. */
-  isEvidenceComplete(shard: ShardNumber): boolean {
+  /**
+   * The epoch from which on every start is known: a submission that was first made at it, or later,
+   * and of which nothing is known, has not started. An owner gives no task to its own runner, so when
+   * only the runner beside the previous owner is missing, what started under that owner is known.
+   */
+  knownSince(shard: ShardNumber): Epoch {
     const grant = this.#byShard.get(shard);
     if (grant === undefined || grant.state.phase !== GrantPhase.Granted) {
-      return false;
+      return Infinity;
     }
-    return grant.missing.size === 0 ||
+    const isWindowOver =
       grant.state.windowEndsAt <= this.#options.collector.now;
+    if (grant.missing.size === 0 || isWindowOver) return UNCLAIMED_EPOCH;
+    const { previous } = this.#options.follower.view.ownership.find(shard) ??
+      {};
+    const isOnlyPrevious = previous !== undefined && grant.missing.size === 1 &&
+      grant.missing.has(previous.owner);
+    if (!isOnlyPrevious) return grant.epoch;
+    return previous.replaces === UNCLAIMED_EPOCH
+      ? UNCLAIMED_EPOCH
+      : previous.epoch;
   }
 
   /** Shards owned, with their epochs. */
--- a/domain/ownership/src/ownership_table.ts
+++ b/domain/ownership/src/ownership_table.ts
@@ -26,6 +26,18 @@
   readonly reason: ClaimReason;
   /** Offset of the newest record that carries this ownership. */
   readonly lastRecordOffset: LogOffset;
+  /** The epoch that this one replaced; missing where the reader did not see the claim. */
+  readonly replaces?: Epoch;
+  /** The ownership before this one; missing where the reader did not see it. */
+  readonly previous?: PreviousOwnership;
+}
+
+/** An ownership that another one replaced. */
+export interface PreviousOwnership {
+  readonly owner: ProcessIdentifier;
+  readonly epoch: Epoch;
+  /** The epoch that it had replaced; missing where the reader did not see the claim. */
+  readonly replaces?: Epoch;
 }
 
 interface PlacedClaim {
@@ -134,12 +146,15 @@
   }
 
   #put({ offset, record, claim }: PlacedClaim): readonly Ownership[] {
-    const ownership = {
+    const previous = this.#previousOf(claim);
+    const ownership: Ownership = {
       shard: claim.shard,
       epoch: offset,
       owner: record.claimant,
       reason: record.reason,
       lastRecordOffset: offset,
+      ...(record.unseenSince === undefined ? { replaces: claim.replaces } : {}),
+      ...(previous === undefined ? {} : { previous }),
     };
     this.#ownerships.set(claim.shard, ownership);
     this.#decided.add(claim.shard);
@@ -147,6 +162,15 @@
     return [ownership];
   }
 
+  #previousOf({ shard, replaces }: ShardClaim): PreviousOwnership | undefined {
+    const known = this.#ownerships.get(shard);
+    if (known?.epoch !== replaces) return undefined;
+    const { owner, epoch } = known;
+    return known.replaces === undefined
+      ? { owner, epoch }
+      : { owner, epoch, replaces: known.replaces };
+  }
+
   #refresh({ offset, record, claim }: PlacedClaim): readonly Ownership[] {
     const { shard, replaces: epoch } = claim;
     const known = this.#ownerships.get(shard);
@@ -155,13 +179,15 @@
       ? known?.epoch !== epoch
       : known !== undefined && known.epoch > epoch;
     if (isStale) return [];
-    const ownership = {
-      shard,
-      epoch,
-      owner: record.claimant,
-      reason: known?.epoch === epoch ? known.reason : ClaimReason.Refresh,
-      lastRecordOffset: offset,
-    };
+    const ownership: Ownership = known?.epoch === epoch
+      ? { ...known, lastRecordOffset: offset }
+      : {
+        shard,
+        epoch,
+        owner: record.claimant,
+        reason: ClaimReason.Refresh,
+        lastRecordOffset: offset,
+      };
     this.#ownerships.set(shard, ownership);
     const readTo = record.readTo ?? 0;
     const changed = known?.epoch === epoch ? [] : [ownership];
--- /dev/null
+++ b/emulator/src/takeover_test.ts
@@ -0,0 +1,127 @@
+/**
+ * One death of an owner: its own runner dies with it, and since an owner gives no task to its own runner,
+ * every start is still known.
+ */
+import { test } from "node:test";
+import {
+  type CallerAnswer,
+  CallerAnswerKind,
+  JobOutcomeKind,
+  LogRecordKind,
+  type Milliseconds,
+  UnknownReason,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { SAMPLE_CONFIGURATION, sampleSubmission } from "./sample_work.ts";
+import { ProcessState } from "./virtual_process.ts";
+import { VirtualSystem } from "./virtual_system.ts";
+
+const READY_MILLISECONDS: Milliseconds = 3_000;
+const JOBS_BEFORE = 40;
+const JOBS_DURING = 80;
+const SUBMIT_EVERY_MILLISECONDS: Milliseconds = 25;
+
+test("the first death of an owner leaves nothing unknown", () => {
+  const trial = new Trial(1);
+  trial.submitJobs(JOBS_BEFORE);
+  trial.killOwner();
+  trial.submitJobs(JOBS_DURING);
+  trial.resubmitAll();
+  trial.expectEvidenceComplete();
+});
+
+test("starts at the runner of an owner that died are never doubled", () => {
+  const trial = new Trial(3);
+  for (let death = 0; death < 3; death += 1) {
+    trial.submitJobs(JOBS_BEFORE);
+    trial.killOwner();
+    trial.submitJobs(JOBS_BEFORE);
+    trial.resubmitAll();
+  }
+  expect(trial.system.starts.repeated()).toEqual([]);
+});
+
+class Trial {
+  readonly system: VirtualSystem;
+  readonly #tokens: number[] = [];
+  readonly #outcomes: string[] = [];
+  #token = 0;
+
+  constructor(seed: number) {
+    this.system = new VirtualSystem({
+      seed,
+      entries: 2,
+      sidecars: 7,
+      slots: 4,
+      owners: 2,
+      shards: 8,
+      configuration: SAMPLE_CONFIGURATION,
+      delayMilliseconds: 1,
+    });
+    this.system.time.runUntil(READY_MILLISECONDS);
+  }
+
+  advance(milliseconds: Milliseconds): void {
+    this.system.time.runUntil(this.system.time.now + milliseconds);
+  }
+
+  submitJobs(count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.#tokens.push(this.#token);
+      this.#submit(this.#tokens.length - 1);
+      this.advance(SUBMIT_EVERY_MILLISECONDS);
+    }
+  }
+
+  resubmitAll(): void {
+    this.advance(10_000);
+    for (let job = 0; job < this.#tokens.length; job += 1) {
+      this.#submit(job);
+    }
+    this.advance(20_000);
+  }
+
+  /** Ends the process that owned a shard last, with its runner. */
+  killOwner(): void {
+    const owners = new Map<number, string>();
+    for (const { record } of this.system.log.records) {
+      if (record.kind !== LogRecordKind.ShardsClaimed) continue;
+      for (const { shard } of record.claims) owners.set(shard, record.claimant);
+    }
+    const owner = this.system.sidecars.map(({ process }) => process).find(
+      ({ identifier, state }) =>
+        state === ProcessState.Running && owners.get(0) === identifier,
+    );
+    if (owner === undefined) throw new Error("nobody owns the shard");
+    owner.kill();
+  }
+
+  /** What ran on the dead runner may be lost; that it ran or not is known of everything else. */
+  expectEvidenceComplete(): void {
+    expect(this.system.starts.repeated()).toEqual([]);
+    expect(this.#outcomes.length).toBeGreaterThan(0);
+    expect(this.#outcomes).not.toInclude(UnknownReason.EvidenceMissing);
+  }
+
+  #submit(job: number): void {
+    const entry = this.system.entries[job % 2];
+    const firstMadeAtEpoch = this.#tokens[job] ?? 0;
+    if (entry === undefined) throw new Error("no entry");
+    const submission = {
+      ...sampleSubmission({ key: `job-${job}`, runMilliseconds: [60, 30] }),
+      firstMadeAtEpoch,
+    };
+    this.system.submit(entry, submission, (answer, token) => {
+      this.#token = Math.max(this.#token, token);
+      this.#outcomes.push(describe(answer));
+    });
+  }
+}
+
+function describe(answer: CallerAnswer): string {
+  if (answer.kind !== CallerAnswerKind.Outcome) return answer.kind;
+  const { outcome } = answer;
+  return outcome.kind === JobOutcomeKind.Unknown
+    ? outcome.reason
+    : outcome.kind;
+}
