feat(measure): measure failures of real processes

Cause: nothing measured the promises on real processes while they die, pause or leave. A local system waits until its sidecars are ready too. Not proved: the time until work flows normally.

--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -223,8 +223,8 @@
   }
 
   async #waitUntilReady(): Promise<void> {
-    for (const { address } of this.entries) {
-      await waitFor(() => isAnswering(`http://${address}/ready`));
+    for (const { operatorsAddress } of [...this.sidecars, ...this.entries]) {
+      await waitFor(() => isAnswering(`http://${operatorsAddress}/ready`));
     }
   }
 }
--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -3,6 +3,7 @@
  * line. Exit codes: 0 after a measure, 2 when the name is not known.
  */
 import { assertNever } from "@eelgrassfront/model";
+import { measureFailures } from "./failures_measure.ts";
 import { measureBrokenWorkers } from "./broken_workers_measure.ts";
 import { measureCancellations } from "./cancellations_measure.ts";
 import { measureCapacity } from "./capacity_measure.ts";
@@ -16,6 +17,7 @@
 /** Measures that can be run by name. */
 enum Measure {
   Response = "response",
+  Failures = "failures",
   Capacity = "capacity",
   Policies = "policies",
   Report = "report",
@@ -48,6 +50,8 @@
   switch (measure) {
     case Measure.Response:
       return measureResponse();
+    case Measure.Failures:
+      return measureFailures();
     case Measure.Capacity:
       return measureCapacity();
     case Measure.Policies:
