feat(measure): weigh the ways to claim a submission

Change: measure claims runs a batched claim append, minted tickets and a witness copy as small models, and ownership with evidence as the real decisions, in virtual time under the same 1,600 submissions and failures, and works out their cost at 170,000 starts a second. Not proved: the models take what was not delivered as proved undelivered, which flatters them in a cut.

--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -3,6 +3,7 @@
  * line. Exit codes: 0 after a measure, 2 when the name is not known.
  */
 import { assertNever } from "@eelgrassfront/model";
+import { measureClaims } from "./claims_measure.ts";
 import { measureFailures } from "./failures_measure.ts";
 import { measureBrokenWorkers } from "./broken_workers_measure.ts";
 import { measureCancellations } from "./cancellations_measure.ts";
@@ -17,6 +18,7 @@
 /** Measures that can be run by name. */
 enum Measure {
   Response = "response",
+  Claims = "claims",
   Failures = "failures",
   Capacity = "capacity",
   Policies = "policies",
@@ -50,6 +52,8 @@
   switch (measure) {
     case Measure.Response:
       return measureResponse();
+    case Measure.Claims:
+      return measureClaims();
     case Measure.Failures:
       return measureFailures();
     case Measure.Capacity:
