test(emulator): run the real decisions under randomised faults

Cause: the promises were asserted inside the program but nothing brought about the failures that threaten them. A run draws faults and work from its seed, heals the system and demands that new work completes; a checker watches starts, replies, answers and configurations from outside.

Hashing dominated a run: claims ranked all candidates at every step.

--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -212,15 +212,12 @@
   }
 
   #removeSilentMembers(): void {
-    if (!this.#isRemover()) return;
     const { timing } = this.#options;
-    for (const member of this.view.members()) {
-      const peer = member.joined.process;
-      if (this.heartbeats.silenceOf(peer) < timing.removalMilliseconds) {
-        continue;
-      }
-      this.#appendRemovalOnce(peer);
-    }
+    const silent = this.view.members().filter(({ joined }) =>
+      this.heartbeats.silenceOf(joined.process) >= timing.removalMilliseconds
+    );
+    if (silent.length === 0 || !this.#isRemover()) return;
+    for (const { joined } of silent) this.#appendRemovalOnce(joined.process);
   }
 
   /** The reachable sidecar that joined first writes the removals, so that one death costs one append. */
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -371,26 +371,40 @@
 
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
+    const claimable = this.#claimableShards();
+    const { heartbeats } = this.#options.follower;
+    if (claimable.length === 0 || !heartbeats.hearsMajority()) return;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
     const ownerless: ShardClaim[] = [];
-    for (let shard = 0; shard < this.#options.shardCount; shard += 1) {
+    for (const shard of claimable) {
       this.#sortClaim(shard, candidates, { unowned, ownerless });
     }
     this.#appendClaim(ClaimReason.Unowned, unowned);
     this.#appendClaim(ClaimReason.Takeover, ownerless);
   }
 
+  #claimableShards(): readonly ShardNumber[] {
+    const { follower, shardCount } = this.#options;
+    const claimable: ShardNumber[] = [];
+    for (let shard = 0; shard < shardCount; shard += 1) {
+      const owner = follower.view.ownership.find(shard)?.owner;
+      const isOwned = owner !== undefined && this.#isAnswerLikely(owner);
+      if (!isOwned) claimable.push(shard);
+    }
+    return claimable;
+  }
+
   #mayClaim(): boolean {
     const { collector, follower } = this.#options;
+    if (this.#isLeaving) return false;
     const hasSettled =
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
     const isAnswerDue =
       collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    return !this.#isLeaving && follower.isMember && hasSettled &&
-      !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
-      follower.heartbeats.hearsMajority();
+    return follower.isMember && hasSettled &&
+      !isAnswerDue && follower.view.lastReadToEndAt !== undefined;
   }
 
   #candidates(): readonly ProcessIdentifier[] {
@@ -414,17 +428,12 @@
   ): void {
     const { follower, self } = this.#options;
     const ownership = follower.view.ownership.find(shard);
-    if (ownership !== undefined && this.#isOwnerAlive(ownership.owner)) return;
     if (preferredOwner(shard, candidates) !== self) return;
     const replaces = follower.view.ownership.epochOf(shard);
     const list = ownership === undefined ? claims.unowned : claims.ownerless;
     list.push({ shard, replaces });
   }
 
-  #isOwnerAlive(owner: ProcessIdentifier): boolean {
-    return this.#isAnswerLikely(owner);
-  }
-
   #appendClaim(reason: ClaimReason, claims: readonly ShardClaim[]): void {
     if (claims.length === 0) return;
     const { collector, self } = this.#options;
--- a/emulator/src/fake_backend_server.ts
+++ b/emulator/src/fake_backend_server.ts
@@ -8,10 +8,12 @@
   type ExecuteTask,
   InputKind,
   type Milliseconds,
+  type TaskEnd,
   TaskEndKind,
+  type TaskIdentifier,
 } from "@eelgrassfront/model";
 import type { SeededRandom } from "./seeded_random.ts";
-import type { StartCounter } from "./start_counter.ts";
+import { type StartCounter, taskOfAttempt } from "./start_counter.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
 /** What a backend server needs. */
@@ -65,21 +67,30 @@
       tell({
         kind: InputKind.TaskExecutionEnded,
         attempt,
-        end: this.#end(isFailing, task.payload, runMilliseconds),
+        end: this.#end(output, isFailing, runMilliseconds),
       });
     });
   }
 
-  #end(isFailing: boolean, payload: string, runMilliseconds: Milliseconds) {
+  #end(
+    { attempt, task }: ExecuteTask,
+    isFailing: boolean,
+    runMilliseconds: Milliseconds,
+  ): TaskEnd {
     if (isFailing) {
       const detail = "the task failed";
-      return { kind: TaskEndKind.Failed as const, detail, runMilliseconds };
+      return { kind: TaskEndKind.Failed, detail, runMilliseconds };
     }
     if (this.#options.random.happens(this.answerLossProbability)) {
       const detail = "the answer was lost";
-      return { kind: TaskEndKind.Lost as const, detail };
+      return { kind: TaskEndKind.Lost, detail };
     }
-    const result = `ran ${payload}`;
-    return { kind: TaskEndKind.Succeeded as const, result, runMilliseconds };
+    const result = resultOf(taskOfAttempt(attempt), task.payload);
+    return { kind: TaskEndKind.Succeeded, result, runMilliseconds };
   }
 }
+
+/** Returns the result of a task, which no other task shares. */
+export function resultOf(task: TaskIdentifier, payload: string): string {
+  return `ran ${payload} for ${task}`;
+}
--- a/emulator/src/fake_log.ts
+++ b/emulator/src/fake_log.ts
@@ -34,6 +34,8 @@
   isAway = false;
   /** Share of appends whose answer is lost after they took effect. */
   answerLossProbability = 0;
+  /** Time that an append takes beyond its usual time. */
+  slownessMilliseconds: Milliseconds = 0;
   readonly #options: FakeLogOptions;
   readonly #records: PlacedRecord[] = [];
   readonly #waiting = new Set<() => void>();
@@ -66,7 +68,8 @@
       this.#tellInDoubt(append, writer);
       return;
     }
-    this.#syncedAt = Math.max(this.#syncedAt, time.now) + appendMilliseconds;
+    const cost = appendMilliseconds + this.slownessMilliseconds;
+    this.#syncedAt = Math.max(this.#syncedAt, time.now) + cost;
     time.after(this.#syncedAt - time.now, () => {
       const offset = this.#store(record);
       if (random.happens(this.answerLossProbability)) {
--- a/emulator/src/fake_network.ts
+++ b/emulator/src/fake_network.ts
@@ -29,8 +29,10 @@
   readonly delayMilliseconds: Milliseconds;
 }
 
-/** Why and when a sender learns that a message is lost. */
-const LOSS_NOTICE_MILLISECONDS: Milliseconds = 20;
+/** Time after which a sender learns that a connection broke. */
+export const LOSS_NOTICE_MILLISECONDS: Milliseconds = 20;
+/** Time after which a connection across a cut breaks. */
+const CUT_NOTICE_MILLISECONDS: Milliseconds = 1_500;
 
 /** Delivers messages between processes. */
 export class FakeNetwork {
@@ -63,7 +65,10 @@
     this.#messages += 1;
     const { time, random } = this.#options;
     const isCut = this.#cuts.has(`${message.from} ${message.to}`);
-    if (isCut) return;
+    if (isCut) {
+      time.after(CUT_NOTICE_MILLISECONDS, message.onLost);
+      return;
+    }
     if (random.happens(this.faults.lossProbability)) {
       time.after(LOSS_NOTICE_MILLISECONDS, message.onLost);
       return;
--- /dev/null
+++ b/emulator/src/fault_injector.ts
@@ -0,0 +1,223 @@
+/**
+ * Brings the faults of a schedule about in a virtual system, and ends them.
+ */
+import {
+  assertNever,
+  type ConfigurationPublished,
+  InputKind,
+  LogRecordKind,
+  type Milliseconds,
+  type ProcessIdentifier,
+} from "@eelgrassfront/model";
+import { NO_NETWORK_FAULTS } from "./fake_network.ts";
+import {
+  type ConfigurationRace,
+  type Fault,
+  FaultKind,
+  type LogFault,
+  type ProcessFault,
+} from "./fault_schedule.ts";
+import { SAMPLE_CONFIGURATION } from "./sample_work.ts";
+import { ProcessState, type VirtualProcess } from "./virtual_process.ts";
+import { type VirtualSystem, zoneOf } from "./virtual_system.ts";
+
+const SLOW_APPEND_MILLISECONDS: Milliseconds = 150;
+const LOST_ANSWERS_PROBABILITY = 0.5;
+const DRAIN_CHECK_MILLISECONDS: Milliseconds = 100;
+
+/** Injects faults into one system. */
+export class FaultInjector {
+  readonly #system: VirtualSystem;
+  #publications = 0;
+
+  constructor(system: VirtualSystem) {
+    this.#system = system;
+  }
+
+  /** Schedules every fault. */
+  schedule(faults: readonly Fault[]): void {
+    const { time } = this.#system;
+    for (const fault of faults) {
+      time.after(fault.at - time.now, () => this.#begin(fault));
+    }
+  }
+
+  #begin(fault: Fault): void {
+    switch (fault.kind) {
+      case FaultKind.NetworkTrouble: {
+        const { network } = this.#system;
+        network.faults = fault;
+        this.#afterwards(fault, () => network.faults = NO_NETWORK_FAULTS);
+        return;
+      }
+      case FaultKind.SidecarKilled:
+      case FaultKind.EntryKilled:
+      case FaultKind.SidecarPaused:
+      case FaultKind.SidecarDrained:
+      case FaultKind.TaskAnswersLost:
+      case FaultKind.BackendServerFailing:
+        this.#beginProcessFault(fault);
+        return;
+      case FaultKind.ZoneCut:
+        this.#cutZone(zoneOf(fault.zoneIndex));
+        this.#afterwards(fault, () => this.#system.network.healAll());
+        return;
+      case FaultKind.OneWayCut:
+        this.#cutOneWay(fault.from, fault.to);
+        this.#afterwards(fault, () => this.#system.network.healAll());
+        return;
+      case FaultKind.LogAway:
+      case FaultKind.LogSlow:
+      case FaultKind.AppendAnswersLost:
+        this.#beginLogFault(fault);
+        return;
+      case FaultKind.ConfigurationRace:
+        this.#race(fault);
+        return;
+      default:
+        assertNever(fault);
+    }
+  }
+
+  #beginProcessFault(fault: ProcessFault): void {
+    const { index } = fault;
+    const entry = this.#system.entries[index];
+    const sidecar = this.#system.sidecars[index];
+    switch (fault.kind) {
+      case FaultKind.EntryKilled:
+        if (entry !== undefined) this.#killEntry(fault, entry);
+        return;
+      case FaultKind.SidecarKilled:
+        if (sidecar !== undefined) this.#killSidecar(fault, sidecar.process);
+        return;
+      case FaultKind.SidecarPaused:
+        sidecar?.process.pause();
+        this.#afterwards(fault, () => sidecar?.process.resume());
+        return;
+      case FaultKind.SidecarDrained:
+        if (sidecar !== undefined) this.#drain(fault, sidecar.process);
+        return;
+      case FaultKind.TaskAnswersLost:
+        if (sidecar === undefined) return;
+        sidecar.backendServer.answerLossProbability = LOST_ANSWERS_PROBABILITY;
+        this.#afterwards(fault, () => {
+          sidecar.backendServer.answerLossProbability = 0;
+        });
+        return;
+      case FaultKind.BackendServerFailing:
+        if (sidecar === undefined) return;
+        sidecar.backendServer.isFailing = true;
+        this.#afterwards(fault, () => {
+          sidecar.backendServer.isFailing = false;
+        });
+        return;
+    }
+  }
+
+  #killEntry(fault: ProcessFault, process: VirtualProcess): void {
+    if (process.state === ProcessState.Ended) return;
+    this.#system.kill(process);
+    this.#afterwards(fault, () => this.#system.startEntry(fault.index));
+  }
+
+  #killSidecar(fault: ProcessFault, process: VirtualProcess): void {
+    if (process.state === ProcessState.Ended) return;
+    this.#system.kill(process);
+    this.#afterwards(fault, () => this.#system.startSidecar(fault.index));
+  }
+
+  #drain(fault: ProcessFault, process: VirtualProcess): void {
+    if (process.state !== ProcessState.Running) return;
+    process.take({ kind: InputKind.DrainAsked });
+    this.#afterwards(fault, () => this.#restartWhenEnded(fault, process));
+  }
+
+  #restartWhenEnded(fault: ProcessFault, process: VirtualProcess): void {
+    const isCurrent = this.#system.sidecars[fault.index]?.process === process;
+    if (!isCurrent) return;
+    if (process.state === ProcessState.Ended) {
+      this.#system.startSidecar(fault.index);
+      return;
+    }
+    this.#system.time.after(
+      DRAIN_CHECK_MILLISECONDS,
+      () => this.#restartWhenEnded(fault, process),
+    );
+  }
+
+  #cutZone(zone: string): void {
+    const processes = this.#placed();
+    for (const inside of processes) {
+      for (const outside of processes) {
+        if (inside.zone !== zone || outside.zone === zone) continue;
+        this.#system.network.cut(inside.identifier, outside.identifier);
+        this.#system.network.cut(outside.identifier, inside.identifier);
+      }
+    }
+  }
+
+  #cutOneWay(from: number, to: number): void {
+    const sender = this.#system.sidecars[from]?.process;
+    const receiver = this.#system.sidecars[to]?.process;
+    if (sender === undefined || receiver === undefined) return;
+    this.#system.network.cut(sender.identifier, receiver.identifier);
+  }
+
+  #placed(): readonly PlacedProcess[] {
+    const { sidecars, entries } = this.#system;
+    const place = ({ identifier }: VirtualProcess, index: number) => ({
+      identifier,
+      zone: zoneOf(index),
+    });
+    return [
+      ...sidecars.map(({ process }, index) => place(process, index)),
+      ...entries.map(place),
+    ];
+  }
+
+  #beginLogFault(fault: LogFault): void {
+    const { log } = this.#system;
+    switch (fault.kind) {
+      case FaultKind.LogAway:
+        log.isAway = true;
+        this.#afterwards(fault, () => log.isAway = false);
+        return;
+      case FaultKind.LogSlow:
+        log.slownessMilliseconds = SLOW_APPEND_MILLISECONDS;
+        this.#afterwards(fault, () => log.slownessMilliseconds = 0);
+        return;
+      case FaultKind.AppendAnswersLost:
+        log.answerLossProbability = LOST_ANSWERS_PROBABILITY;
+        this.#afterwards(fault, () => log.answerLossProbability = 0);
+        return;
+    }
+  }
+
+  #race(fault: ConfigurationRace): void {
+    const { log } = this.#system;
+    const replaces =
+      log.records.findLast(({ record }) =>
+        record.kind === LogRecordKind.ConfigurationPublished
+      )?.offset ?? 0;
+    for (let operator = 0; operator < fault.operators; operator += 1) {
+      this.#publications += 1;
+      const record: ConfigurationPublished = {
+        kind: LogRecordKind.ConfigurationPublished,
+        publication: `publication ${this.#publications}`,
+        replaces,
+        publishedBy: `operator ${operator}`,
+        configuration: SAMPLE_CONFIGURATION,
+      };
+      log.append(0, record, () => {});
+    }
+  }
+
+  #afterwards(fault: Fault, act: () => void): void {
+    this.#system.time.after(fault.durationMilliseconds, act);
+  }
+}
+
+interface PlacedProcess {
+  readonly identifier: ProcessIdentifier;
+  readonly zone: string;
+}
--- /dev/null
+++ b/emulator/src/fault_schedule.ts
@@ -0,0 +1,166 @@
+/**
+ * The faults of one randomised run: what goes wrong, when and for how long. A schedule is plain data,
+ * drawn from a seed or built by a test, so that a failure replays and shrinks.
+ */
+import type { Milliseconds } from "@eelgrassfront/model";
+import type { SeededRandom } from "./seeded_random.ts";
+
+/** Kinds of faults. */
+export enum FaultKind {
+  NetworkTrouble = "network-trouble",
+  SidecarKilled = "sidecar-killed",
+  EntryKilled = "entry-killed",
+  SidecarPaused = "sidecar-paused",
+  SidecarDrained = "sidecar-drained",
+  ZoneCut = "zone-cut",
+  OneWayCut = "one-way-cut",
+  LogAway = "log-away",
+  LogSlow = "log-slow",
+  AppendAnswersLost = "append-answers-lost",
+  TaskAnswersLost = "task-answers-lost",
+  BackendServerFailing = "backend-server-failing",
+  ConfigurationRace = "configuration-race",
+}
+
+/** When a fault begins, and how long it lasts. */
+export interface FaultSpan {
+  readonly at: Milliseconds;
+  readonly durationMilliseconds: Milliseconds;
+}
+
+/** Messages are lost, doubled and reordered. */
+export interface NetworkTrouble extends FaultSpan {
+  readonly kind: FaultKind.NetworkTrouble;
+  readonly lossProbability: number;
+  readonly doublingProbability: number;
+  readonly jitterMilliseconds: Milliseconds;
+}
+
+/** A fault of one process; killed and drained processes start again when it ends. */
+export interface ProcessFault extends FaultSpan {
+  readonly kind:
+    | FaultKind.SidecarKilled
+    | FaultKind.EntryKilled
+    | FaultKind.SidecarPaused
+    | FaultKind.SidecarDrained
+    | FaultKind.TaskAnswersLost
+    | FaultKind.BackendServerFailing;
+  readonly index: number;
+}
+
+/** An availability zone reaches no other. */
+export interface ZoneCut extends FaultSpan {
+  readonly kind: FaultKind.ZoneCut;
+  readonly zoneIndex: number;
+}
+
+/** Messages of one sidecar to another are lost; the other way works. */
+export interface OneWayCut extends FaultSpan {
+  readonly kind: FaultKind.OneWayCut;
+  readonly from: number;
+  readonly to: number;
+}
+
+/** The log misbehaves for every process. */
+export interface LogFault extends FaultSpan {
+  readonly kind:
+    | FaultKind.LogAway
+    | FaultKind.LogSlow
+    | FaultKind.AppendAnswersLost;
+}
+
+/** Several operators replace the same version at once. */
+export interface ConfigurationRace extends FaultSpan {
+  readonly kind: FaultKind.ConfigurationRace;
+  readonly operators: number;
+}
+
+/** Any fault. */
+export type Fault =
+  | NetworkTrouble
+  | ProcessFault
+  | ZoneCut
+  | OneWayCut
+  | LogFault
+  | ConfigurationRace;
+
+/** The part of a run in which faults happen, and the size of the system. */
+export interface FaultBounds {
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+  readonly sidecars: number;
+  readonly entries: number;
+  readonly zones: number;
+}
+
+const MAXIMUM_FAULTS = 5;
+const TOGETHER_PROBABILITY = 0.5;
+const TOGETHER_MILLISECONDS: Milliseconds = 200;
+const SHORTEST_MILLISECONDS: Milliseconds = 50;
+const LONGEST_MILLISECONDS: Milliseconds = 3_000;
+const MAXIMUM_JITTER_MILLISECONDS: Milliseconds = 400;
+const KINDS = Object.values(FaultKind);
+
+/** Draws a schedule; half of the faults begin close to the one before. */
+export function drawFaults(
+  random: SeededRandom,
+  bounds: FaultBounds,
+): readonly Fault[] {
+  const count = 1 + random.below(MAXIMUM_FAULTS);
+  const faults: Fault[] = [];
+  let at = random.between(bounds.from, bounds.until);
+  for (let index = 0; index < count; index += 1) {
+    faults.push(drawFault(random, bounds, at));
+    at = random.happens(TOGETHER_PROBABILITY)
+      ? Math.min(bounds.until, at + random.between(0, TOGETHER_MILLISECONDS))
+      : random.between(bounds.from, bounds.until);
+  }
+  return faults;
+}
+
+function drawFault(
+  random: SeededRandom,
+  bounds: FaultBounds,
+  at: Milliseconds,
+): Fault {
+  const longest = Math.min(LONGEST_MILLISECONDS, bounds.until - at);
+  const durationMilliseconds = Math.max(
+    SHORTEST_MILLISECONDS,
+    random.between(0, longest),
+  );
+  const span = { at, durationMilliseconds };
+  const kind = KINDS[random.below(KINDS.length)] ?? FaultKind.NetworkTrouble;
+  switch (kind) {
+    case FaultKind.NetworkTrouble:
+      return {
+        ...span,
+        kind,
+        lossProbability: random.between(0, 0.3),
+        doublingProbability: random.between(0, 0.3),
+        jitterMilliseconds: random.between(0, MAXIMUM_JITTER_MILLISECONDS),
+      };
+    case FaultKind.EntryKilled:
+      return { ...span, kind, index: random.below(bounds.entries) };
+    case FaultKind.SidecarKilled:
+    case FaultKind.SidecarPaused:
+    case FaultKind.SidecarDrained:
+    case FaultKind.TaskAnswersLost:
+    case FaultKind.BackendServerFailing:
+      return { ...span, kind, index: random.below(bounds.sidecars) };
+    case FaultKind.ZoneCut:
+      return { ...span, kind, zoneIndex: random.below(bounds.zones) };
+    case FaultKind.OneWayCut:
+      return {
+        ...span,
+        kind,
+        from: random.below(bounds.sidecars),
+        to: random.below(bounds.sidecars),
+      };
+    case FaultKind.LogAway:
+    case FaultKind.LogSlow:
+    case FaultKind.AppendAnswersLost:
+      return { ...span, kind };
+    case FaultKind.ConfigurationRace:
+      return { ...span, kind, operators: 2 + random.below(2) };
+  }
+}
--- /dev/null
+++ b/emulator/src/run_checker.ts
@@ -0,0 +1,224 @@
+/**
+ * Watches one run from outside and notes every broken promise: second starts, partial, foreign or
+ * doubled answers, refusals that are not true, and configurations that revert.
+ */
+import {
+  type CallerAnswer,
+  CallerAnswerKind,
+  type CallerRequestIdentifier,
+  type CompletedOutcome,
+  identifySubmission,
+  InputKind,
+  type JobOutcome,
+  JobOutcomeKind,
+  type LogOffset,
+  type Milliseconds,
+  OutputKind,
+  PeerReplyKind,
+  PeerRequestKind,
+  type ProcessInput,
+  type ProcessOutput,
+  type Submission,
+  taskIdentifier,
+} from "@eelgrassfront/model";
+import { FAILING_PAYLOAD, resultOf } from "./fake_backend_server.ts";
+import type { StartCounter } from "./start_counter.ts";
+
+/** Rules that a run is checked against. */
+export enum Rule {
+  InvariantHeldInside = "an invariant asserted inside the program holds",
+  NoSecondStart = "no task starts twice",
+  AnswerIsWhole = "a completed answer has every result",
+  AnswerIsItsOwn = "an answer belongs to its own submission",
+  AnsweredOnce = "a request is answered once",
+  AnsweredInTime = "a request is answered in time",
+  NotRunIsTrue = "a submission that is refused as not run has not run",
+  RefusedNeverStarts = "a refused request never causes a start",
+  FailureIsTrue = "a job that is answered as failed had started",
+  ConfigurationNeverReverts = "the configuration never reverts",
+  ConfigurationIsAlike = "every process has the same configuration",
+  WorkFlowsAgain = "new work completes after the faults",
+  NothingSpins = "no process spins",
+}
+
+/** A broken rule. */
+export interface Violation {
+  readonly rule: Rule;
+  readonly at: Milliseconds;
+  readonly detail: string;
+}
+
+/** One request that a caller made. */
+export interface TrackedRequest {
+  readonly request: CallerRequestIdentifier;
+  readonly submission: Submission;
+  /** Process name of the entry. */
+  readonly entry: string;
+  readonly madeAt: Milliseconds;
+  answer?: CallerAnswer;
+  answeredAt?: Milliseconds;
+}
+
+/** What a checker reads. */
+export interface RunCheckerOptions {
+  readonly starts: StartCounter;
+  readonly now: () => Milliseconds;
+}
+
+/** Checks one run. */
+export class RunChecker {
+  readonly violations: Violation[] = [];
+  readonly requests: TrackedRequest[] = [];
+  readonly #options: RunCheckerOptions;
+  readonly #byRequest = new Map<CallerRequestIdentifier, TrackedRequest>();
+  readonly #submissionOf = new Map<string, string>();
+  readonly #configurations = new Map<string, LogOffset>();
+
+  constructor(options: RunCheckerOptions) {
+    this.#options = options;
+  }
+
+  /** Notes a broken rule. */
+  note(rule: Rule, detail: string): void {
+    this.violations.push({ rule, detail, at: this.#options.now() });
+  }
+
+  /** Tracks a request of a caller. */
+  track(tracked: TrackedRequest): void {
+    this.requests.push(tracked);
+    this.#byRequest.set(tracked.request, tracked);
+  }
+
+  /** Watches what a process takes. */
+  watchInput(process: string, input: ProcessInput): void {
+    if (input.kind !== InputKind.PeerRequestArrived) return;
+    const { message, from, request } = input;
+    if (message.kind !== PeerRequestKind.SubmitJob) return;
+    const submission = identifySubmission(message.submission);
+    this.#submissionOf.set(`${process} ${from} ${request}`, submission);
+  }
+
+  /** Watches what a process does. */
+  watchOutput(process: string, output: ProcessOutput): void {
+    switch (output.kind) {
+      case OutputKind.SendReply: {
+        if (output.message.kind !== PeerReplyKind.JobAnswered) return;
+        const key = `${process} ${output.to} ${output.request}`;
+        this.#checkReply(this.#submissionOf.get(key), output.message.outcome);
+        return;
+      }
+      case OutputKind.AnswerCaller:
+        this.#checkAnswer(output.request, output.answer);
+        return;
+      case OutputKind.ApplyConfiguration:
+        this.#checkConfiguration(process, output.version.offset);
+        return;
+      case OutputKind.SendRequest:
+      case OutputKind.ExecuteTask:
+      case OutputKind.AppendRecord:
+      case OutputKind.RecordEvent:
+      case OutputKind.CountOccurrence:
+      case OutputKind.SetGauge:
+      case OutputKind.ReportReadiness:
+      case OutputKind.Stop:
+        return;
+    }
+  }
+
+  /** Checks what must hold at the end of a run. */
+  finish(): void {
+    for (const task of this.#options.starts.repeated()) {
+      this.note(Rule.NoSecondStart, task);
+    }
+    this.#checkRefusedNeverStarted();
+  }
+
+  /** The version in force in a process. */
+  configurationOf(process: string): LogOffset | undefined {
+    return this.#configurations.get(process);
+  }
+
+  #checkReply(submission: string | undefined, outcome: JobOutcome): void {
+    if (submission === undefined) return;
+    const started = this.#options.starts.startedOf(submission);
+    const detail = `${submission} is answered ${JSON.stringify(outcome)}` +
+      ` after ${started} starts`;
+    switch (outcome.kind) {
+      case JobOutcomeKind.NotRun:
+        if (started > 0) this.note(Rule.NotRunIsTrue, detail);
+        return;
+      case JobOutcomeKind.Failed:
+        if (started === 0) this.note(Rule.FailureIsTrue, detail);
+        return;
+      case JobOutcomeKind.Completed:
+      case JobOutcomeKind.Unknown:
+        return;
+    }
+  }
+
+  #checkAnswer(request: CallerRequestIdentifier, answer: CallerAnswer): void {
+    const tracked = this.#byRequest.get(request);
+    if (tracked === undefined) return;
+    if (tracked.answer !== undefined) {
+      this.note(Rule.AnsweredOnce, request);
+      return;
+    }
+    tracked.answer = answer;
+    tracked.answeredAt = this.#options.now();
+    if (answer.kind !== CallerAnswerKind.Outcome) return;
+    if (answer.outcome.kind !== JobOutcomeKind.Completed) return;
+    this.#checkCompleted(tracked.submission, answer.outcome);
+  }
+
+  #checkCompleted(submission: Submission, outcome: CompletedOutcome): void {
+    const identifier = identifySubmission(submission);
+    if (outcome.results.length !== submission.tasks.length) {
+      const detail = `${identifier} has ${outcome.results.length} results`;
+      this.note(Rule.AnswerIsWhole, detail);
+    }
+    for (const [index, { payload }] of submission.tasks.entries()) {
+      const expected = resultOf(taskIdentifier(identifier, index), payload);
+      const result = outcome.results[index];
+      const isRight = result === expected && payload !== FAILING_PAYLOAD;
+      if (!isRight) this.note(Rule.AnswerIsItsOwn, `${expected}: ${result}`);
+    }
+  }
+
+  #checkConfiguration(process: string, offset: LogOffset): void {
+    const known = this.#configurations.get(process) ?? 0;
+    if (offset < known) {
+      const detail = `${process} goes from ${known} to ${offset}`;
+      this.note(Rule.ConfigurationNeverReverts, detail);
+    }
+    this.#configurations.set(process, offset);
+  }
+
+  #checkRefusedNeverStarted(): void {
+    const mayHaveStarted = new Set<string>();
+    for (const tracked of this.requests) {
+      if (!isRefused(tracked.answer)) {
+        mayHaveStarted.add(identifySubmission(tracked.submission));
+      }
+    }
+    for (const { submission } of this.requests) {
+      const identifier = identifySubmission(submission);
+      if (mayHaveStarted.has(identifier)) continue;
+      const started = this.#options.starts.startedOf(identifier);
+      if (started === 0) continue;
+      this.note(Rule.RefusedNeverStarts, `${identifier}: ${started} starts`);
+    }
+  }
+}
+
+/** Whether an answer says that the request caused no start and never will. */
+function isRefused(answer: CallerAnswer | undefined): boolean {
+  switch (answer?.kind) {
+    case CallerAnswerKind.Outcome:
+      return answer.outcome.kind === JobOutcomeKind.NotRun;
+    case CallerAnswerKind.Rejection:
+      return true;
+    case CallerAnswerKind.Standing:
+    case undefined:
+      return false;
+  }
+}
--- a/emulator/src/seeded_random.ts
+++ b/emulator/src/seeded_random.ts
@@ -22,6 +22,11 @@
     return lowest + (highest - lowest) * this.next();
   }
 
+  /** A whole number from 0 up to a bound. */
+  below(bound: number): number {
+    return Math.floor(this.next() * bound);
+  }
+
   /** Whether something of this probability happens. */
   happens(probability: number): boolean {
     return this.next() < probability;
--- a/emulator/src/start_counter.ts
+++ b/emulator/src/start_counter.ts
@@ -1,22 +1,33 @@
 /**
  * Counts the starts of each task over all backend servers: what the users' first promise is about.
  */
-import type { AttemptIdentifier } from "@eelgrassfront/model";
+import type { AttemptIdentifier, TaskIdentifier } from "@eelgrassfront/model";
 
 const ATTEMPT_SUFFIX = /\.\d+\.\d+$/;
+const TASK_SUFFIX = /#\d+$/;
+
+/** Returns the task that an attempt belongs to. */
+export function taskOfAttempt(attempt: AttemptIdentifier): TaskIdentifier {
+  return attempt.replace(ATTEMPT_SUFFIX, "") as TaskIdentifier;
+}
 
 /** Starts by task. */
 export class StartCounter {
-  readonly #starts = new Map<string, number>();
+  readonly #starts = new Map<TaskIdentifier, number>();
+  readonly #startedTasks = new Map<string, number>();
 
   /** Counts a start. */
   count(attempt: AttemptIdentifier): void {
-    const task = attempt.replace(ATTEMPT_SUFFIX, "");
-    this.#starts.set(task, (this.#starts.get(task) ?? 0) + 1);
+    const task = taskOfAttempt(attempt);
+    const starts = this.#starts.get(task) ?? 0;
+    this.#starts.set(task, starts + 1);
+    if (starts > 0) return;
+    const submission = task.replace(TASK_SUFFIX, "");
+    this.#startedTasks.set(submission, this.startedOf(submission) + 1);
   }
 
   /** Tasks that started more than once. */
-  repeated(): readonly string[] {
+  repeated(): readonly TaskIdentifier[] {
     return [...this.#starts]
       .filter(([, count]) => count > 1)
       .map(([task]) => task);
@@ -24,8 +35,7 @@
 
   /** Number of tasks of a submission that started. */
   startedOf(submission: string): number {
-    return [...this.#starts.keys()]
-      .filter((task) => task.startsWith(`${submission}#`)).length;
+    return this.#startedTasks.get(submission) ?? 0;
   }
 
   /** All starts together. */
--- a/emulator/src/virtual_process.ts
+++ b/emulator/src/virtual_process.ts
@@ -18,6 +18,7 @@
   readonly time: VirtualTime;
   readonly perform: (output: ProcessOutput) => void;
   readonly alarm: () => ProcessInput;
+  readonly onInput?: (input: ProcessInput) => void;
 }
 
 /** Whether a process runs. */
@@ -33,6 +34,7 @@
   readonly #options: VirtualProcessOptions;
   #state: ProcessState = ProcessState.Running;
   #waiting: ProcessInput[] = [];
+  #deferred: (() => void)[] = [];
   #alarmAt: Milliseconds | undefined;
 
   constructor(options: VirtualProcessOptions) {
@@ -76,7 +78,25 @@
     const waiting = this.#waiting;
     this.#waiting = [];
     for (const input of waiting) this.take(input);
+    this.#alarmAt = undefined;
     this.#armAlarm();
+    const deferred = this.#deferred;
+    this.#deferred = [];
+    for (const act of deferred) act();
+  }
+
+  /** Does something that the process itself must do: at once, or when it goes on. */
+  whenRunning(act: () => void): void {
+    switch (this.#state) {
+      case ProcessState.Running:
+        act();
+        return;
+      case ProcessState.Paused:
+        this.#deferred.push(act);
+        return;
+      case ProcessState.Ended:
+        return;
+    }
   }
 
   /** Sets the first alarm. */
@@ -85,7 +105,8 @@
   }
 
   #step(input: ProcessInput): void {
-    const { decisions, time, perform } = this.#options;
+    const { decisions, time, perform, onInput } = this.#options;
+    onInput?.(input);
     for (const output of decisions.step(time.now, input)) perform(output);
     this.#armAlarm();
   }
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -17,15 +17,18 @@
   type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
+  type ProcessInput,
+  processName,
   type ProcessOutput,
   type SendReply,
   type SendRequest,
   type Submission,
+  type SubmissionIdentifier,
 } from "@eelgrassfront/model";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeLog } from "./fake_log.ts";
-import { FakeNetwork } from "./fake_network.ts";
+import { FakeNetwork, LOSS_NOTICE_MILLISECONDS } from "./fake_network.ts";
 import { SeededRandom } from "./seeded_random.ts";
 import { StartCounter } from "./start_counter.ts";
 import { ProcessState, VirtualProcess } from "./virtual_process.ts";
@@ -46,6 +49,15 @@
   readonly waitingPerRunner?: number;
   /** Told of each output of each process, for golden files. */
   readonly onOutput?: (process: string, output: ProcessOutput) => void;
+  /** Told of each input of each process, before the process takes it. */
+  readonly onInput?: (process: string, input: ProcessInput) => void;
+  /** Wraps the decisions of a process, so that tests can break a mechanism. */
+  readonly decorate?: (
+    decisions: Decisions,
+    identifier: ProcessIdentifier,
+  ) => Decisions;
+  /** Whether messages reach the newest run of a process whatever run they are meant for. */
+  readonly isIncarnationIgnored?: boolean;
   /** Told of each event. */
   readonly onEvent?: (process: string, event: ProcessEvent) => void;
 }
@@ -62,6 +74,11 @@
 const DESCRIPTION_MILLISECONDS: Milliseconds = 1;
 const AVAILABILITY_ZONES = 3;
 
+interface AwaitedReply {
+  readonly peer: ProcessIdentifier;
+  readonly lose: () => void;
+}
+
 /** The system. */
 export class VirtualSystem {
   readonly time = new VirtualTime();
@@ -73,7 +90,7 @@
   readonly sidecars: VirtualSidecar[] = [];
   readonly #options: VirtualSystemOptions;
   readonly #processes = new Map<ProcessIdentifier, VirtualProcess>();
-  readonly #replies = new Map<string, () => void>();
+  readonly #awaited = new Map<string, AwaitedReply>();
   readonly #callers = new Map<
     CallerRequestIdentifier,
     (answer: CallerAnswer, epochToken: number) => void
@@ -163,14 +180,36 @@
     submission: Submission,
     onAnswer: (answer: CallerAnswer, epochToken: number) => void,
   ): CallerRequestIdentifier {
+    const request = this.nextCallerRequest(entry);
     this.#callerRequests += 1;
-    const request: CallerRequestIdentifier =
-      `${entry.identifier}:${this.#callerRequests}`;
     this.#callers.set(request, onAnswer);
     entry.take({ kind: InputKind.SubmissionArrived, request, submission });
     return request;
   }
 
+  /** The identifier that the next request of a caller gets. */
+  nextCallerRequest(entry: VirtualProcess): CallerRequestIdentifier {
+    return `${entry.identifier}:${this.#callerRequests + 1}`;
+  }
+
+  /** Cancels a job through an entry. */
+  cancel(entry: VirtualProcess, submission: SubmissionIdentifier): void {
+    const request = this.nextCallerRequest(entry);
+    this.#callerRequests += 1;
+    entry.take({ kind: InputKind.CancellationAsked, request, submission });
+  }
+
+  /** Ends a process at once; whoever waits for a reply of it learns that the connection broke. */
+  kill(process: VirtualProcess): void {
+    process.kill();
+    const { identifier } = process;
+    for (const [key, { peer, lose }] of this.#awaited) {
+      if (peer !== identifier) continue;
+      this.#awaited.delete(key);
+      this.time.after(LOSS_NOTICE_MILLISECONDS, lose);
+    }
+  }
+
   #identifier(name: string): ProcessIdentifier {
     this.#incarnations += 1;
     return processIdentifier(name, String(this.#incarnations));
@@ -181,12 +220,14 @@
     decisions: Decisions,
     backendServer?: FakeBackendServer,
   ): VirtualProcess {
+    const { decorate, onInput } = this.#options;
     const process: VirtualProcess = new VirtualProcess({
       identifier,
-      decisions,
+      decisions: decorate?.(decisions, identifier) ?? decisions,
       time: this.time,
       perform: (output) => this.#perform(process, output, backendServer),
       alarm: () => ({ kind: InputKind.AlarmRang }),
+      onInput: (input) => onInput?.(identifier, input),
     });
     this.#processes.set(identifier, process);
     process.start();
@@ -199,7 +240,8 @@
     this.log.read(from, (input) => {
       process.take(input);
       const isRead = input.kind === InputKind.LogRecordsRead;
-      this.#readLog(process, isRead ? input.nextOffset : from);
+      const next = isRead ? input.nextOffset : from;
+      process.whenRunning(() => this.#readLog(process, next));
     });
   }
 
@@ -236,7 +278,7 @@
         this.#options.onEvent?.(process.identifier, output.event);
         return;
       case OutputKind.Stop:
-        process.kill();
+        this.kill(process);
         return;
       case OutputKind.CountOccurrence:
       case OutputKind.SetGauge:
@@ -252,13 +294,13 @@
     const { peer, request, message } = output;
     const lose = () =>
       sender.take({ kind: InputKind.PeerRequestLost, peer, request });
-    this.#replies.set(`${sender.identifier} ${request}`, lose);
+    this.#awaited.set(`${sender.identifier} ${request}`, { peer, lose });
     this.network.send({
       from: sender.identifier,
       to: peer,
       onLost: lose,
       deliver: () => {
-        const receiver = this.#processes.get(peer);
+        const receiver = this.#receiver(peer);
         if (receiver === undefined || receiver.state === ProcessState.Ended) {
           lose();
           return;
@@ -270,15 +312,23 @@
     });
   }
 
+  #receiver(peer: ProcessIdentifier): VirtualProcess | undefined {
+    if (!this.#options.isIncarnationIgnored) return this.#processes.get(peer);
+    const name = processName(peer);
+    return [...this.#processes.values()].findLast(({ identifier }) =>
+      processName(identifier) === name
+    );
+  }
+
   #sendReply(sender: VirtualProcess, output: SendReply): void {
     const { to, request, message } = output;
     const key = `${to} ${request}`;
     this.network.send({
       from: sender.identifier,
       to,
-      onLost: () => this.#replies.get(key)?.(),
+      onLost: () => this.#awaited.get(key)?.lose(),
       deliver: () => {
-        this.#replies.delete(key);
+        this.#awaited.delete(key);
         this.#processes.get(to)?.take({
           kind: InputKind.PeerReplyArrived,
           from: sender.identifier,
@@ -290,6 +340,7 @@
   }
 }
 
-function zoneOf(index: number): string {
+/** Returns the availability zone of the process with this index. */
+export function zoneOf(index: number): string {
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
--- a/emulator/src/virtual_time.ts
+++ b/emulator/src/virtual_time.ts
@@ -32,11 +32,21 @@
     this.#actions.push({ at, order: this.#scheduled, act });
   }
 
-  /** Runs every action up to a moment. */
-  runUntil(moment: Milliseconds): void {
+  /**
+   * Runs every action up to a moment.
+   *
+   * @param mostAtOnce the actions that may run without time passing
+   * @throws {RangeError} when more run, as when a process wakes itself again and again
+   */
+  runUntil(moment: Milliseconds, mostAtOnce = Infinity): void {
+    let atOnce = 0;
     while ((this.#actions.peek()?.at ?? Infinity) <= moment) {
       const action = this.#actions.pop();
       if (action === undefined) break;
+      atOnce = action.at > this.#now ? 0 : atOnce + 1;
+      if (atOnce > mostAtOnce) {
+        throw new RangeError(`${atOnce} actions at ${this.#now} ms`);
+      }
       this.#now = action.at;
       action.act();
     }
--- /dev/null
+++ b/emulator/src/workload.ts
@@ -0,0 +1,137 @@
+/**
+ * The work of one randomised run: jobs, their resubmissions through other entries, and cancellations
+ * in waves.
+ */
+import {
+  Idempotence,
+  type Milliseconds,
+  type Submission,
+} from "@eelgrassfront/model";
+import { FAILING_PAYLOAD } from "./fake_backend_server.ts";
+import { sampleSubmission } from "./sample_work.ts";
+import type { SeededRandom } from "./seeded_random.ts";
+
+/** One request of a caller. */
+export interface PlannedRequest {
+  readonly at: Milliseconds;
+  readonly entry: number;
+}
+
+/** A submission with all requests that callers make for it. */
+export interface PlannedSubmission {
+  readonly submission: Submission;
+  readonly requests: readonly PlannedRequest[];
+  /** Whether the caller sends the epoch token of an earlier answer. */
+  readonly isTokenSent: boolean;
+  readonly cancellation?: PlannedRequest;
+}
+
+/** The part of a run in which work arrives, and the entries that take it. */
+export interface WorkloadBounds {
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+  readonly entries: number;
+}
+
+const FEWEST_JOBS = 8;
+const MORE_JOBS = 20;
+const MOST_TASKS = 40;
+const FEW_TASKS = 4;
+const LARGE_JOB_PROBABILITY = 0.15;
+const LONGEST_RUN_MILLISECONDS: Milliseconds = 300;
+const FAILING_PROBABILITY = 0.02;
+const NON_IDEMPOTENT_PROBABILITY = 0.3;
+const TOKEN_PROBABILITY = 0.5;
+const MOST_RESUBMISSIONS = 3;
+const SOON_MILLISECONDS: Milliseconds = 100;
+const LATE_MILLISECONDS: Milliseconds = 3_000;
+const SHORTEST_DEADLINE_MILLISECONDS: Milliseconds = 100;
+const LONGEST_DEADLINE_MILLISECONDS: Milliseconds = 3_000;
+const CANCELLATION_PROBABILITY = 0.4;
+const WAVE_PROBABILITY = 0.5;
+const RECONSIDERED_MILLISECONDS: Milliseconds = 1_000;
+const WAVE_MILLISECONDS: Milliseconds = 50;
+const TEAMS = ["assessors", "dossiers", "secretaries"];
+const KINDS_OF_WORK = ["check", "batch"];
+
+/** Draws the work of a run. */
+export function drawWorkload(
+  random: SeededRandom,
+  bounds: WorkloadBounds,
+): readonly PlannedSubmission[] {
+  const jobs = FEWEST_JOBS + random.below(MORE_JOBS);
+  const waveAt = random.between(bounds.from, bounds.until);
+  return Array.from(
+    { length: jobs },
+    (_, job) => drawSubmission(random, bounds, { job, waveAt }),
+  );
+}
+
+function drawSubmission(
+  random: SeededRandom,
+  bounds: WorkloadBounds,
+  place: { readonly job: number; readonly waveAt: Milliseconds },
+): PlannedSubmission {
+  const requests = drawRequests(random, bounds);
+  const planned = {
+    submission: drawJob(random, place.job),
+    requests,
+    isTokenSent: random.happens(TOKEN_PROBABILITY),
+  };
+  if (!random.happens(CANCELLATION_PROBABILITY)) return planned;
+  const firstAt = requests[0]?.at ?? bounds.from;
+  const cancellation = {
+    at: random.happens(WAVE_PROBABILITY)
+      ? place.waveAt + random.between(0, WAVE_MILLISECONDS)
+      : firstAt + random.between(0, RECONSIDERED_MILLISECONDS),
+    entry: random.below(bounds.entries),
+  };
+  return { ...planned, cancellation };
+}
+
+function drawJob(random: SeededRandom, job: number): Submission {
+  const isLarge = random.happens(LARGE_JOB_PROBABILITY);
+  const tasks = 1 + random.below(isLarge ? MOST_TASKS : FEW_TASKS);
+  const runMilliseconds = Array.from(
+    { length: tasks },
+    () => 1 + random.below(LONGEST_RUN_MILLISECONDS),
+  );
+  const submission = sampleSubmission({
+    key: `job-${job}`,
+    runMilliseconds,
+    team: random.pick(TEAMS) ?? "assessors",
+    kindOfWork: random.pick(KINDS_OF_WORK) ?? "check",
+    idempotence: random.happens(NON_IDEMPOTENT_PROBABILITY)
+      ? Idempotence.NonIdempotent
+      : Idempotence.Idempotent,
+    deadlineMilliseconds: random.between(
+      SHORTEST_DEADLINE_MILLISECONDS,
+      LONGEST_DEADLINE_MILLISECONDS,
+    ),
+  });
+  return {
+    ...submission,
+    tasks: submission.tasks.map((task) =>
+      random.happens(FAILING_PROBABILITY)
+        ? { ...task, payload: FAILING_PAYLOAD }
+        : task
+    ),
+  };
+}
+
+function drawRequests(
+  random: SeededRandom,
+  bounds: WorkloadBounds,
+): readonly PlannedRequest[] {
+  const first = random.between(bounds.from, bounds.until);
+  const requests = [{ at: first, entry: random.below(bounds.entries) }];
+  const resubmissions = random.below(MOST_RESUBMISSIONS + 1);
+  for (let index = 0; index < resubmissions; index += 1) {
+    const latest = random.happens(0.5) ? SOON_MILLISECONDS : LATE_MILLISECONDS;
+    requests.push({
+      at: Math.min(bounds.until, first + random.between(0, latest)),
+      entry: random.below(bounds.entries),
+    });
+  }
+  return requests.sort((left, right) => left.at - right.at);
+}
