--- a/domain/owner/src/job.ts
+++ b/domain/owner/src/job.ts
@@ -90,6 +90,8 @@
   readonly kindOfWork: KindOfWork;
   readonly arrivedAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
+  /** Returns an attempt number that no job of this owner has used. */
+  readonly nextAttempt: () => number;
 }
 
 /** One job. */
@@ -107,7 +109,6 @@
   servedMilliseconds: Milliseconds = 0;
   readonly #tasks: TaskState[];
   readonly #refusals: number[];
-  #lastAttempt = 0;
   #ended = 0;
 
   constructor(options: JobOptions) {
@@ -156,10 +157,9 @@
     return task;
   }
 
-  /** Returns an attempt number that this job has not used. */
+  /** Returns an attempt number that neither this job nor an earlier one of its key has used. */
   nextAttempt(): number {
-    this.#lastAttempt += 1;
-    return this.#lastAttempt;
+    return this.options.nextAttempt();
   }
 
   /** Puts a task into a phase. */
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -40,6 +40,7 @@
   Severity,
   type ShardEpoch,
   type ShardNumber,
+  Step,
   type SubmissionIdentifier,
   type SubmitJob,
   TaskEndKind,
@@ -103,7 +104,9 @@
     (left, right) => left.at - right.at,
   );
   readonly #handOvers = new Set<RequestIdentifier>();
+  readonly #withdrawing = new Set<Job>();
   #isLeaving = false;
+  #lastAttempt = 0;
 
   constructor(options: OwnerDecisionsOptions) {
     this.#options = options;
@@ -162,6 +165,7 @@
       const timer = this.#timers.pop();
       if (timer !== undefined) this.#expire(timer.job);
     }
+    for (const job of [...this.#withdrawing]) this.#finishWithdrawal(job);
     for (const shard of [...this.#held.keys()]) {
       if (this.#isGranted(shard)) this.#decideHeld(shard);
     }
@@ -299,11 +303,6 @@
     arrivedAt: Milliseconds,
   ): void {
     const identifier = identifySubmission(message.submission);
-    const refusal = this.#answers.findRefusal(waiter.callerRequest);
-    if (refusal !== undefined) {
-      this.#replyOutcome(waiter, message.shard, refusal);
-      return;
-    }
     const answer = this.#answers.find(identifier);
     if (answer !== undefined) {
       this.#replyKept(waiter, message, answer);
@@ -314,15 +313,20 @@
       this.#attach(waiter, message, job);
       return;
     }
+    const refusal = this.#answers.findRefusal(waiter.callerRequest);
     const evidence = this.#evidence.find(identifier);
-    if (evidence !== undefined) {
+    if (evidence !== undefined && refusal === undefined) {
       this.#recover({ waiter, message, arrivedAt }, evidence);
       return;
     }
-    if (this.#mayHaveStartedElsewhere(message)) {
+    if (evidence !== undefined || this.#mayHaveStartedElsewhere(message)) {
       this.#replyEvidenceMissing(waiter, message.shard);
       return;
     }
+    if (refusal !== undefined) {
+      this.#replyOutcome(waiter, message.shard, refusal);
+      return;
+    }
     this.#admit(waiter, message, arrivedAt);
   }
 
@@ -337,10 +341,12 @@
     this.#countOutcome({
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
     this.#replyOutcome(waiter, shard, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.EvidenceMissing,
+      step: Step.GatherEvidence,
     });
   }
 
@@ -416,6 +422,7 @@
       kindOfWork,
       arrivedAt,
       deadlineAt,
+      nextAttempt: () => this.#nextAttempt(),
     });
     job.waiters.push(waiter);
     this.#jobs.set(job.identifier, job);
@@ -424,6 +431,11 @@
     return job;
   }
 
+  #nextAttempt(): number {
+    this.#lastAttempt += 1;
+    return this.#lastAttempt;
+  }
+
   #recover(held: HeldSubmission, evidence: SubmissionEvidence): void {
     const { waiter, message } = held;
     if (evidence.digest !== message.submission.digest) {
@@ -470,7 +482,7 @@
       phase: TaskPhase.Placed,
       runner,
       attempt: record.attempt,
-      epoch: job.options.epoch,
+      epoch: record.epoch,
       isStarted: true,
     });
     this.#dispatcher.adopt(job, index);
@@ -542,6 +554,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case TaskRefusalReason.QueueFull:
@@ -576,6 +589,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Unknown,
       reason: UnknownReason.TaskAnswerLost,
+      step: Step.ExecuteTask,
       peer: runner,
     });
     this.#dispatcher.withdraw(job);
@@ -587,6 +601,7 @@
     notRun: NotRunReason,
   ): void {
     job.phase = JobPhase.Withdrawing;
+    this.#withdrawing.add(job);
     job.withdrawal = { failure, notRun };
     job.tasks.forEach((task, index) => {
       if (task.phase === TaskPhase.Waiting) {
@@ -599,7 +614,9 @@
     this.#finishWithdrawal(job);
   }
 
+  /** Answers a job that is taken back; a view that is not fresh may miss the starts of a new owner. */
   #finishWithdrawal(job: Job): void {
+    if (!this.#isGranted(job.options.shard)) return;
     if (job.isAnyTaskInDoubt && !job.isAnyTaskStarted) return;
     const { failure, notRun } = job.withdrawal;
     if (!job.isAnyTaskStarted) {
@@ -609,6 +626,7 @@
     this.#answer(job, {
       kind: JobOutcomeKind.Failed,
       reason: failure,
+      step: Step.PlaceTask,
       detail: `the job was ended: ${failure}`,
     });
   }
@@ -626,6 +644,7 @@
         this.#answer(job, {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         });
         return;
       case JobPhase.Answered:
@@ -641,6 +660,7 @@
     );
     assertNotRunIsTrue(job, outcome);
     job.phase = JobPhase.Answered;
+    this.#withdrawing.delete(job);
     this.#jobs.delete(job.identifier);
     this.#addTeamTasks(job.options.submission.team, -job.size);
     this.#keepAnswer(job, outcome);
@@ -713,6 +733,7 @@
 
   #abandon(job: Job): void {
     job.phase = JobPhase.Answered;
+    this.#withdrawing.delete(job);
     this.#jobs.delete(job.identifier);
     this.#addTeamTasks(job.options.submission.team, -job.size);
     this.#dispatcher.abandon(job);
@@ -806,6 +827,7 @@
       outcome: {
         kind: JobOutcomeKind.Unknown,
         reason: UnknownReason.AnswerExpired,
+        step: Step.AdmitJob,
       },
       isKeyReused: true,
     });
@@ -857,6 +879,7 @@
         return {
           kind: JobOutcomeKind.Failed,
           reason: FailureReason.TaskFailed,
+          step: Step.ExecuteTask,
           detail: task.end.detail,
           taskIndex: index,
         };
@@ -864,6 +887,7 @@
         return {
           kind: JobOutcomeKind.Unknown,
           reason: UnknownReason.TaskAnswerLost,
+          step: Step.ExecuteTask,
         };
     }
   }
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -10,6 +10,7 @@
   type CallerRequestIdentifier,
   type Configuration,
   type Decisions,
+  ErrorTag,
   InputKind,
   LogRecordKind,
   type Milliseconds,
@@ -22,6 +23,7 @@
   type ProcessOutput,
   type SendReply,
   type SendRequest,
+  Step,
   type Submission,
   type SubmissionIdentifier,
 } from "@eelgrassfront/model";
@@ -293,7 +295,17 @@
   #sendRequest(sender: VirtualProcess, output: SendRequest): void {
     const { peer, request, message } = output;
     const lose = () =>
-      sender.take({ kind: InputKind.PeerRequestLost, peer, request });
+      sender.take({
+        kind: InputKind.PeerRequestLost,
+        peer,
+        request,
+        error: {
+          tag: ErrorTag.ConnectionLost,
+          step: Step.CallPeer,
+          peer,
+          detail: "the connection ended",
+        },
+      });
     this.#awaited.set(`${sender.identifier} ${request}`, { peer, lose });
     this.network.send({
       from: sender.identifier,
