--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -218,9 +218,9 @@
     }
   }
 
-  /** Answers how a job stands. */
+  /** Answers how a job stands; an owner that is not granted cannot tell yet, and is asked again. */
   query(waiter: RequestFrom, message: QueryJob): void {
-    if (this.#grants.standingOf(message.shard) === ShardStanding.NotOwned) {
+    if (!this.#isGranted(message.shard)) {
       this.#replyNotOwner(waiter, message.shard);
       return;
     }
@@ -229,7 +229,7 @@
 
   /** Cancels a job. */
   cancel(waiter: RequestFrom, message: CancelJob): void {
-    if (this.#grants.standingOf(message.shard) === ShardStanding.NotOwned) {
+    if (!this.#isGranted(message.shard)) {
       this.#replyNotOwner(waiter, message.shard);
       return;
     }
--- /dev/null
+++ b/emulator/src/refusal_test.ts
@@ -0,0 +1,146 @@
+/**
+ * Refusals and cancellations under the failures that once made them untrue.
+ */
+import { test } from "node:test";
+import {
+  identifySubmission,
+  InputKind,
+  JobOutcomeKind,
+  OutputKind,
+  PeerRequestKind,
+  type ProcessIdentifier,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { sampleSubmission } from "./sample_work.ts";
+import { Scenario } from "./scenario.ts";
+
+const SUBMISSION = sampleSubmission({ key: "checked", runMilliseconds: [50] });
+const IDENTIFIER = identifySubmission(SUBMISSION);
+
+test("a refused request that is relayed again attaches to the resubmission that runs", () => {
+  const { scenario, owner } = busyScenario();
+  const { system } = scenario;
+  scenario.submit(0, SUBMISSION);
+  scenario.pass(5);
+  system.network.cut(owner(), scenario.entry(0).identifier);
+  system.cancel(scenario.entry(1), IDENTIFIER);
+  scenario.pass(5);
+  scenario.submit(1, SUBMISSION);
+  scenario.pass(1_400);
+  system.network.healAll();
+  scenario.pass(2_000);
+  expect(scenario.checker.violations).toEqual([]);
+  expect(scenario.outcomesOf(SUBMISSION)).toEqual([
+    JobOutcomeKind.Completed,
+    JobOutcomeKind.Completed,
+  ]);
+});
+
+test("a resubmission uses no attempt of the refused job before it", () => {
+  const { scenario, attempts } = busyScenario();
+  scenario.submit(0, SUBMISSION);
+  scenario.pass(700);
+  scenario.system.cancel(scenario.entry(1), IDENTIFIER);
+  scenario.pass(50);
+  scenario.submit(1, SUBMISSION);
+  scenario.pass(2_000);
+  expect(scenario.outcomesOf(SUBMISSION)).toEqual([
+    JobOutcomeKind.NotRun,
+    JobOutcomeKind.Completed,
+  ]);
+  expect(attempts.length).toEqual(2);
+  expect(new Set(attempts).size).toEqual(2);
+});
+
+test("a job that a new owner recovered while it ran is not refused as not run", () => {
+  const { scenario, owner } = idleScenario();
+  const { system } = scenario;
+  const long = sampleSubmission({ key: "long", runMilliseconds: [8_000] });
+  scenario.submit(0, long);
+  scenario.pass(10);
+  system.kill(scenario.sidecar(owner()).process);
+  scenario.pass(4_000);
+  system.cancel(scenario.entry(1), identifySubmission(long));
+  scenario.pass(1_000);
+  expect(scenario.checker.violations).toEqual([]);
+  expect(scenario.outcomesOf(long)).toEqual([
+    JobOutcomeKind.Failed,
+  ]);
+});
+
+test("an owner that was paused past its lease refuses nothing as not run", () => {
+  const { scenario, owner } = busyScenario();
+  const { system } = scenario;
+  scenario.submit(0, SUBMISSION);
+  scenario.pass(5);
+  const paused = scenario.sidecar(owner()).process;
+  paused.pause();
+  system.cancel(scenario.entry(0), IDENTIFIER);
+  scenario.pass(7_000);
+  scenario.submit(
+    1,
+    sampleSubmission({ key: "other", runMilliseconds: [50] }),
+  );
+  scenario.pass(500);
+  scenario.submit(1, { ...SUBMISSION, firstMadeAtEpoch: scenario.token });
+  scenario.pass(1_000);
+  expect(system.starts.startedOf(IDENTIFIER)).toEqual(1);
+  paused.resume();
+  scenario.pass(1_000);
+  expect(scenario.checker.violations).toEqual([]);
+});
+
+test("a cancellation that meets a hand-over is not forgotten", () => {
+  const { scenario, owner } = busyScenario();
+  const { system } = scenario;
+  scenario.submit(0, SUBMISSION);
+  scenario.pass(5);
+  scenario.sidecar(owner()).process.take({ kind: InputKind.DrainAsked });
+  scenario.pass(50);
+  system.cancel(scenario.entry(1), IDENTIFIER);
+  scenario.pass(5_000);
+  expect(scenario.checker.violations).toEqual([]);
+  expect(scenario.outcomesOf(SUBMISSION)).toEqual([JobOutcomeKind.NotRun]);
+});
+
+/** A system in which every slot is taken for a while. */
+function busyScenario(): ObservedScenario {
+  const observed = idleScenario();
+  observed.scenario.submit(
+    0,
+    sampleSubmission({ key: "busy", runMilliseconds: Array(9).fill(400) }),
+  );
+  observed.scenario.pass(5);
+  return observed;
+}
+
+function idleScenario(): ObservedScenario {
+  const attempts: number[] = [];
+  let owner: ProcessIdentifier | undefined;
+  const scenario = new Scenario({
+    onOutput: (_, output) => {
+      if (output.kind !== OutputKind.SendRequest) return;
+      const { message, peer } = output;
+      if (message.kind === PeerRequestKind.SubmitJob) owner = peer;
+      const isCounted = message.kind === PeerRequestKind.StartTask &&
+        message.submission === IDENTIFIER;
+      if (isCounted) attempts.push(message.attempt);
+    },
+  });
+  return {
+    scenario,
+    attempts,
+    owner: () => {
+      if (owner === undefined) throw new Error("nothing was submitted");
+      return owner;
+    },
+  };
+}
+
+interface ObservedScenario {
+  readonly scenario: Scenario;
+  /** Attempts of the checked submission, as they were placed. */
+  readonly attempts: readonly number[];
+  /** The owner that the newest submission was relayed to. */
+  readonly owner: () => ProcessIdentifier;
+}
