--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
 import { request } from "undici";
@@ -80,7 +81,10 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await endInOrder(this.all().map(({ child }) => child));
+    await endTogether(this.entries);
+    await endTogether(this.sidecars);
+    await endTogether(this.backendServers);
+    if (this.#log !== undefined) await endTogether([this.#log]);
     await rm(this.#folder, { recursive: true, force: true });
   }
 
@@ -235,7 +239,7 @@
 
 /** Waits for a time. */
 export function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  return setTimeout(milliseconds);
 }
 
 async function isAnswering(url: string): Promise<boolean> {
@@ -264,12 +268,16 @@
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
 
-/** Entries and sidecars are asked to leave; what has not left in time is ended. */
-async function endInOrder(children: readonly Child[]): Promise<void> {
+/** Processes are asked to leave; what has not left in time is ended. */
+async function endTogether(processes: readonly LocalProcess[]): Promise<void> {
+  const children = processes.map(({ child }) => child);
   for (const child of children) child.signal("SIGTERM");
+  const limit = new AbortController();
   await Promise.race([
     Promise.all(children.map((child) => child.exited)),
-    pause(LEAVE_MILLISECONDS),
+    setTimeout(LEAVE_MILLISECONDS, undefined, { signal: limit.signal })
+      .catch(() => undefined),
   ]);
+  limit.abort();
   await Promise.all(children.map((child) => child[Symbol.asyncDispose]()));
 }
