--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -3,6 +3,7 @@
  */
 import {
   address,
+  addresses,
   count,
   duration,
   size,
@@ -12,8 +13,17 @@
 import { z } from "zod";
 
 const common = {
-  peers: z.strictObject({ listen: address, shared_key: text }),
-  platform_log: z.strictObject({ origin: text, read_wait: duration }),
+  peers: z.strictObject({
+    listen: address,
+    shared_key: text,
+    seeds: addresses.optional(),
+  }),
+  operators: z.strictObject({ listen: address, token: text }),
+  platform_log: z.strictObject({
+    origin: text,
+    read_wait: duration,
+    retention: duration,
+  }),
   ownership: z.strictObject({ shards: count, owners: count }),
   timing: z.strictObject({
     heartbeat: duration,
@@ -36,8 +46,12 @@
     maximum_tasks: count,
     maximum_connections: count,
     maximum_pending: count,
+    maximum_headers: count,
+    maximum_header_size: size,
+    header_time: duration,
     body_time: duration,
   }),
+  teams: z.record(z.string(), text).optional(),
 });
 
 const sidecarSchema = z.strictObject({
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -18,6 +18,7 @@
   Role,
   Severity,
 } from "@eelgrassfront/model";
+import { HttpOperators } from "@eelgrassfront/operators-http";
 import { TrpcPeers } from "@eelgrassfront/peers-trpc";
 import { HttpPlatformLog } from "@eelgrassfront/platform-log-http";
 import { formatAddress } from "@eelgrassfront/settings-ini";
@@ -50,7 +51,7 @@
   self: ProcessIdentifier,
   settings: EntrySettings,
 ): Promise<number> {
-  const { callers: limits } = settings;
+  const { callers: limits, teams: teamTokens } = settings;
   await using shared = await openShared(self, settings);
   await using callers = await HttpCallers.listen({
     self,
@@ -58,13 +59,18 @@
     maximumBodyBytes: limits.maximum_body,
     maximumTasks: limits.maximum_tasks,
     maximumConnections: limits.maximum_connections,
+    maximumHeaders: limits.maximum_headers,
+    maximumHeaderBytes: limits.maximum_header_size,
+    headersMilliseconds: limits.header_time,
     bodyMilliseconds: limits.body_time,
+    ...(teamTokens === undefined ? {} : { teamTokens }),
   });
   const decisions = new EntryDecisions({
     self,
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     shardCount: settings.ownership.shards,
     maximumPending: limits.maximum_pending,
   });
@@ -89,6 +95,7 @@
     availabilityZone: settings.process.availability_zone,
     address: formatAddress(settings.peers.listen),
     timing: timingOf(settings),
+    seeds: (settings.peers.seeds ?? []).map(formatAddress),
     random: Math.random,
     shardCount: settings.ownership.shards,
     ownerCount: settings.ownership.owners,
@@ -126,12 +133,13 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    const { clock, operators, peers, platformLog, metrics } = this.ports;
+    const { clock, operators, peers, platformLog, signals } = this.ports;
+    await signals[Symbol.asyncDispose]();
     await operators[Symbol.asyncDispose]();
     await clock[Symbol.asyncDispose]();
     await platformLog[Symbol.asyncDispose]();
     await peers[Symbol.asyncDispose]();
-    await metrics?.[Symbol.asyncDispose]();
+    await this.ports.metrics?.[Symbol.asyncDispose]();
   }
 }
 
@@ -139,7 +147,8 @@
   readonly clock: MonotonicClock;
   readonly peers: TrpcPeers;
   readonly platformLog: HttpPlatformLog;
-  readonly operators: ProcessSignals;
+  readonly operators: HttpOperators;
+  readonly signals: ProcessSignals;
   readonly journal: RoarrJournal;
   readonly metrics?: HotShotsMetrics;
 }
@@ -148,19 +157,24 @@
   self: ProcessIdentifier,
   settings: DaemonSettings,
 ): Promise<SharedPorts> {
-  const { peers, platform_log: log, metrics } = settings;
+  const { operators, peers, platform_log: log, metrics } = settings;
   const opened = {
     clock: new MonotonicClock(),
     peers: await TrpcPeers.listen({
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
+      silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
       origin: log.origin,
       waitMilliseconds: log.read_wait,
     }),
-    operators: new ProcessSignals(),
+    operators: await HttpOperators.listen({
+      ...operators.listen,
+      token: operators.token,
+    }),
+    signals: new ProcessSignals(),
     journal: new RoarrJournal(self),
   };
   if (metrics === undefined) return new SharedPorts(opened);
@@ -169,12 +183,15 @@
   return new SharedPorts({ ...opened, metrics: sender });
 }
 
-function timingOf({ timing }: DaemonSettings): Timing {
+function timingOf(
+  { timing, platform_log: log }: DaemonSettings,
+): Timing {
   return {
     heartbeatMilliseconds: timing.heartbeat,
     unreachableMilliseconds: timing.unreachable,
     leaseMilliseconds: timing.lease,
     removalMilliseconds: timing.removal,
     horizonMilliseconds: timing.horizon,
+    retentionMilliseconds: log.retention,
   };
 }
--- a/daemon/src/process_loop.ts
+++ b/daemon/src/process_loop.ts
@@ -4,12 +4,15 @@
  */
 import {
   assertNever,
+  Counter,
   type Decisions,
   EventNumber,
   InvariantError,
   OutputKind,
   type ProcessInput,
   type ProcessOutput,
+  type SendReply,
+  type SendRequest,
   Severity,
 } from "@eelgrassfront/model";
 import type {
@@ -22,6 +25,7 @@
   OperatorsPort,
   PeersPort,
   PlatformLogPort,
+  SignalsPort,
 } from "@eelgrassfront/ports";
 import { mergeArray, runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
@@ -32,6 +36,7 @@
   readonly peers: PeersPort;
   readonly platformLog: PlatformLogPort;
   readonly operators: OperatorsPort;
+  readonly signals: SignalsPort;
   readonly journal: JournalPort;
   readonly metrics?: MetricsPort;
   readonly callers?: CallersPort;
@@ -67,9 +72,10 @@
   }
 
   #inputPorts(): readonly InputPort<ProcessInput>[] {
-    const { clock, peers, platformLog, operators } = this.#ports;
+    const { clock, peers, platformLog, operators, signals } = this.#ports;
     const { callers, backendServer } = this.#ports;
-    return [clock, peers, platformLog, operators, callers, backendServer]
+    const shared = [clock, peers, platformLog, operators, signals];
+    return [...shared, callers, backendServer]
       .filter((port) => port !== undefined);
   }
 
@@ -91,11 +97,18 @@
   #perform(output: ProcessOutput): void {
     switch (output.kind) {
       case OutputKind.AnswerCaller:
+        this.#ports.callers?.perform(output);
+        return;
+      case OutputKind.AnswerOperator:
+        this.#ports.operators.perform(output);
+        return;
       case OutputKind.ReportReadiness:
         this.#ports.callers?.perform(output);
+        this.#ports.operators.perform(output);
         return;
       case OutputKind.SendRequest:
       case OutputKind.SendReply:
+        this.#countMessage(output);
         this.#ports.peers.perform(output);
         return;
       case OutputKind.ExecuteTask:
@@ -122,6 +135,14 @@
     }
   }
 
+  #countMessage({ message }: SendRequest | SendReply): void {
+    this.#ports.metrics?.measure({
+      kind: OutputKind.CountOccurrence,
+      counter: Counter.MessagesSent,
+      reason: message.kind,
+    });
+  }
+
   #stop(exitCode: number): void {
     this.#isStopped = true;
     this.#finish(exitCode);
--- a/daemon/src/process_loop_test.ts
+++ b/daemon/src/process_loop_test.ts
@@ -93,6 +93,7 @@
       peers: silent,
       platformLog: silent,
       operators: { ...silent, inputs },
+      signals: silent,
       journal: { record: (event) => void this.events.push(event) },
     };
     this.loop = new ProcessLoop(decisions, ports);
--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -7,6 +7,7 @@
   type FleetChange,
   FleetChangeKind,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -50,6 +51,7 @@
   UnknownReason,
 } from "@eelgrassfront/model";
 import { shardOf } from "@eelgrassfront/ownership";
+import { EpochTokens } from "./epoch_tokens.ts";
 
 /** What an entry needs. */
 export interface EntryDecisionsOptions {
@@ -58,6 +60,8 @@
   /** Address at which peers reach this process, as `host:port`. */
   readonly address: string;
   readonly timing: Timing;
+  /** Addresses of processes that are asked for the configuration while the log is away. */
+  readonly seeds?: readonly string[];
   readonly shardCount: number;
   /** Requests of callers that may wait at once. */
   readonly maximumPending: number;
@@ -91,7 +95,7 @@
   readonly #follower: FleetFollower;
   readonly #pending = new Map<CallerRequestIdentifier, Pending>();
   readonly #byRequest = new Map<RequestIdentifier, Pending>();
-  readonly #grantedEpochs = new Map<ShardNumber, Epoch>();
+  readonly #tokens = new EpochTokens();
   #isLeaving = false;
   #isDeparting = false;
   #isStopped = false;
@@ -141,6 +145,9 @@
       case InputKind.CallerGone:
         this.#forget(input.request);
         return;
+      case InputKind.RequestRejected:
+        this.#collector.count(Counter.RequestsRejected, input.reason);
+        return;
       case InputKind.PeerRequestArrived:
         this.#takeRequest(input);
         return;
@@ -162,6 +169,9 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.TaskExecutionEnded:
       case InputKind.TaskNotSent:
       case InputKind.BackendServerDescribed:
@@ -221,7 +231,6 @@
     pending.relayAt = now + RELAY_CHECK_MILLISECONDS;
     this.#byRequest.set(request, pending);
     this.#wakeAt(Math.min(pending.relayAt, pending.giveUpAt));
-    this.#collector.count(Counter.MessagesSent);
     this.#collector.add({
       kind: OutputKind.SendRequest,
       request,
@@ -258,6 +267,10 @@
       this.#changeFleet(this.#follower.handleAnswer(input, message));
       return;
     }
+    if (
+      message.kind === PeerReplyKind.OtherIncarnation &&
+      this.#follower.redirect(request, message)
+    ) return;
     const pending = this.#byRequest.get(request);
     if (pending === undefined) return;
     this.#byRequest.delete(request);
@@ -345,6 +358,7 @@
   #changeFleet(changes: readonly FleetChange[]): void {
     for (const change of changes) {
       if (change.kind !== FleetChangeKind.OwnershipChanged) continue;
+      this.#tokens.noteClaim(change.ownership);
       this.#relayToNewOwner(change.ownership.shard, change.ownership.epoch);
     }
   }
@@ -359,20 +373,13 @@
 
   #noteGrants(granted: readonly ShardEpoch[]): void {
     for (const { shard, epoch } of granted) {
-      const known = this.#grantedEpochs.get(shard) ?? 0;
-      this.#grantedEpochs.set(shard, Math.max(known, epoch));
+      this.#tokens.noteGrant(shard, epoch);
     }
   }
 
-  /** The newest log offset up to which every claim is known to be granted. */
   #epochToken(): Epoch {
     const { view } = this.#follower;
-    let token = view.nextOffset - 1;
-    for (const { shard, epoch } of view.ownership.all()) {
-      const isGranted = (this.#grantedEpochs.get(shard) ?? 0) >= epoch;
-      if (!isGranted) token = Math.min(token, epoch - 1);
-    }
-    return token;
+    return this.#tokens.tokenAt(view.nextOffset, view.ownership.all());
   }
 
   #answerOutcome(pending: Pending, outcome: JobOutcome): void {
@@ -423,6 +430,25 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#isLeaving,
+    });
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: {
+        ...common,
+        role: Role.Entry,
+        waitingRequests: this.#pending.size,
+        epochToken: this.#epochToken(),
+      },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = !this.#isLeaving &&
       this.#follower.view.configuration.current !== undefined &&
--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -57,6 +57,16 @@
   readonly submission: SubmissionIdentifier;
 }
 
+/** What a runner does with a task that finds no free slot. */
+export enum SlotClaim {
+  /** The task waits: the slot belongs to the owner. */
+  MayWait = "may-wait",
+  /** The task is refused, so that the owner places it elsewhere. */
+  FreeSlot = "free-slot",
+  /** The task is refused unless a slot more is free: it would borrow another owner's slot. */
+  SpareSlot = "spare-slot",
+}
+
 /** An owner places one attempt of a task at a runner. */
 export interface StartTask {
   readonly kind: PeerRequestKind.StartTask;
@@ -72,8 +82,9 @@
   readonly task: TaskDescription;
   readonly requirements: Requirements;
   readonly remainingMilliseconds: Milliseconds;
-  /** Run time of this submission's tasks that other runners have already served. */
+  /** Run time that this submission's other tasks have received, or are expected to where they run. */
   readonly servedMilliseconds: Milliseconds;
+  readonly slotClaim: SlotClaim;
 }
 
 /** An owner takes back an attempt that has not started. */
@@ -266,6 +277,8 @@
   readonly isLeaving: boolean;
   /** Shards that the answering process owns and has been granted. */
   readonly granted: readonly ShardEpoch[];
+  /** Load of the answering process's runner, so that an owner with nothing in flight hears of it. */
+  readonly load?: RunnerLoad;
   /** Present when the sender's configuration is older than the receiver's. */
   readonly newerConfiguration?: ConfigurationVersion;
 }
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -36,6 +36,7 @@
   type QueryJob,
   type RequestIdentifier,
   RetryReason,
+  type RunnerLoad,
   Severity,
   type ShardEpoch,
   type ShardNumber,
@@ -47,6 +48,8 @@
   UNCLAIMED_EPOCH,
   UnknownReason,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { identifySubmission } from "@eelgrassfront/model";
 import { shardOf } from "@eelgrassfront/ownership";
 import TinyQueue from "tinyqueue";
@@ -71,8 +74,8 @@
   readonly shardCount: number;
   readonly ownerCount: number;
   readonly maximumAnswerBytes: number;
-  /** Tasks beyond its slots that the owner lets wait at a runner. */
-  readonly waitingPerRunner: number;
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 interface HeldSubmission {
@@ -110,7 +113,7 @@
 
   constructor(options: OwnerDecisionsOptions) {
     this.#options = options;
-    const { timing, collector, follower, self } = options;
+    const { timing } = options;
     this.#answers = new AnswerBook({
       horizonMilliseconds: timing.horizonMilliseconds,
       maximumAnswerBytes: options.maximumAnswerBytes,
@@ -134,11 +137,7 @@
       },
     });
     this.#dispatcher = new TaskDispatcher({
-      self,
-      collector,
-      follower,
-      random: options.random,
-      waitingPerRunner: options.waitingPerRunner,
+      ...options,
       mayPlace: (job) => this.#isGranted(job.options.shard),
       onTaskEnded: (job, index) => this.#taskEnded(job, index),
       onTaskRefused: (job, index, reason) =>
@@ -152,6 +151,16 @@
     return this.#grants.granted();
   }
 
+  /** Shards owned, granted or not. */
+  owned(): readonly ShardEpoch[] {
+    return this.#grants.owned();
+  }
+
+  /** Tasks that wait for a runner. */
+  get waitingTasks(): number {
+    return this.#dispatcher.queuedTasks;
+  }
+
   /** Whether this owner answers for no job and hands nothing over any more. */
   get isIdle(): boolean {
     const isAnyActive = [...this.#jobs.values()].some(({ phase }) =>
@@ -200,19 +209,27 @@
         return;
       case FleetChangeKind.OwnershipChanged: {
         const { shard } = change.ownership;
+        this.#dispatcher.noteFleetChange();
         if (this.#grants.changeOwnership(change.ownership)) {
           this.#loseShard(shard);
         }
         return;
       }
       case FleetChangeKind.ConfigurationJudged:
+        return;
       case FleetChangeKind.ConfigurationInForce:
+        this.#dispatcher.applyConfiguration(change.version.configuration);
         return;
       default:
         assertNever(change);
     }
   }
 
+  /** Takes the load that a runner told beside its heartbeat. */
+  noteLoad(runner: ProcessIdentifier, load: RunnerLoad): void {
+    this.#dispatcher.pool.noteLoad(runner, load);
+  }
+
   /** Takes a submission from an entry. */
   submit(waiter: JobWaiter, message: SubmitJob): void {
     const { collector } = this.#options;
@@ -296,12 +313,13 @@
     const { process, address, backendServer } = member.joined;
     if (backendServer === undefined) return;
     this.#dispatcher.pool.add({ process, address, backendServer });
+    this.#dispatcher.noteFleetChange();
     this.#dispatcher.dispatch();
   }
 
   /** Ends the jobs that no runner can take any more while this owner leaves. */
   #refuseUnplaceable(): void {
-    if (this.#dispatcher.pool.availableSlots() > 0) return;
+    if (this.#dispatcher.pool.isAnyOpen()) return;
     for (const job of [...this.#jobs.values()]) {
       const isWaiting = job.phase === JobPhase.Active &&
         job.tasks.some((task) => task.phase === TaskPhase.Waiting);
@@ -415,6 +433,13 @@
       });
       return;
     }
+    if (this.#answers.isFull(this.#options.collector.now)) {
+      this.#refuse(waiter, message.shard, {
+        kind: JobOutcomeKind.NotRun,
+        reason: NotRunReason.QueueFull,
+      });
+      return;
+    }
     const admission = judgeSubmission(submission, {
       configuration,
       queuedTasks: this.#dispatcher.queuedTasks,
@@ -501,8 +526,9 @@
       job.put(index, { phase: TaskPhase.Ended, end: record.end });
       return;
     }
-    if (record.isResultDropped) {
-      const detail = "the result is no longer kept";
+    const isRunnerGone = this.#options.follower.view.find(runner) === undefined;
+    if (record.isResultDropped || isRunnerGone) {
+      const detail = "nobody keeps the result any more";
       job.put(index, {
         phase: TaskPhase.Ended,
         end: { kind: TaskEndKind.Lost, detail },
@@ -589,6 +615,7 @@
         });
         return;
       case TaskRefusalReason.QueueFull:
+      case TaskRefusalReason.SlotTaken:
       case TaskRefusalReason.Leaving:
       case TaskRefusalReason.Isolated:
       case TaskRefusalReason.BackendServerUnavailable:
@@ -612,7 +639,7 @@
       RetryReason.RunnerRefused,
     );
     job.put(index, { phase: TaskPhase.Waiting });
-    this.#dispatcher.enqueue(job, index);
+    this.#dispatcher.enqueueRetry(job, index);
   }
 
   #taskLost(job: Job, runner: ProcessIdentifier): void {
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -21,6 +21,8 @@
   type ShardClaim,
   type ShardEpoch,
   type ShardNumber,
+  type ShardsClaimed,
+  UNCLAIMED_EPOCH,
 } from "@eelgrassfront/model";
 import type {
   DepartedMember,
@@ -110,10 +112,12 @@
 }
 
 const SETTLE_MILLISECONDS: Milliseconds = 500;
+/** Time between two looks for shards without an owner. */
+const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
 const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
-/** Ranking the candidates of every claimable shard is too dear for each step. */
-const CLAIM_CHECK_MILLISECONDS: Milliseconds = 50;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
+/** Time in which the owner of a shard refreshes its claim after an outage of the log. */
+const REFRESH_PATIENCE_MILLISECONDS: Milliseconds = 10_000;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
 
 /** Claims and grants of one owner. */
@@ -123,8 +127,8 @@
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
   #membershipChangedAt: Milliseconds = 0;
+  #claimCheckedAt = -Infinity;
   #claimedAt: Milliseconds = -Infinity;
-  #claimCheckedAt: Milliseconds = -Infinity;
   #isLeaving = false;
   readonly #stopped = new Set<ShardNumber>();
 
@@ -415,11 +419,13 @@
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
     const ownerless: ShardClaim[] = [];
+    const unseen: ShardClaim[] = [];
     for (const shard of claimable) {
-      this.#sortClaim(shard, candidates, { unowned, ownerless });
+      this.#sortClaim(shard, candidates, { unowned, ownerless, unseen });
     }
     this.#appendClaim(ClaimReason.Unowned, unowned);
     this.#appendClaim(ClaimReason.Takeover, ownerless);
+    this.#appendUnseenClaim(unseen);
   }
 
   #claimableShards(): readonly ShardNumber[] {
@@ -462,17 +468,49 @@
     claims: {
       readonly unowned: ShardClaim[];
       readonly ownerless: ShardClaim[];
+      readonly unseen: ShardClaim[];
     },
   ): void {
     const { follower, self } = this.#options;
     const ownership = follower.view.ownership.find(shard);
     if (preferredOwner(shard, candidates) !== self) return;
+    if (!follower.view.ownership.isDecided(shard)) {
+      claims.unseen.push({ shard, replaces: UNCLAIMED_EPOCH });
+      return;
+    }
     const replaces = follower.view.ownership.epochOf(shard);
     const list = ownership === undefined ? claims.unowned : claims.ownerless;
     list.push({ shard, replaces });
   }
 
-  #appendClaim(reason: ClaimReason, claims: readonly ShardClaim[]): void {
+  /** Claims shards of which the log says nothing any more, once nobody refreshed them in time. */
+  #appendUnseenClaim(claims: readonly ShardClaim[]): void {
+    const { collector, follower } = this.#options;
+    const { view } = follower;
+    const missedAt = view.missedRecordsAt ?? collector.now;
+    if (collector.now - missedAt < REFRESH_PATIENCE_MILLISECONDS) return;
+    const unseenSince = Math.max(
+      ...claims.map(({ shard }) => view.ownership.unseenSince(shard)),
+    );
+    this.#appendClaim(ClaimReason.Takeover, claims, { unseenSince });
+  }
+
+  /** How far the log was read, if that is enough to judge the claims. */
+  #judgedTo(claims: readonly ShardClaim[]): Pick<ShardsClaimed, "readTo"> {
+    const { ownership, nextOffset } = this.#options.follower.view;
+    const isJudged = claims.every(({ shard, replaces }) =>
+      ownership.isDecided(shard) && ownership.epochOf(shard) === replaces
+    );
+    return isJudged ? { readTo: nextOffset } : {};
+  }
+
+  #appendClaim(
+    reason: ClaimReason,
+    claims: readonly ShardClaim[],
+    proof: Pick<ShardsClaimed, "readTo" | "unseenSince"> = this.#judgedTo(
+      claims,
+    ),
+  ): void {
     if (claims.length === 0) return;
     const { collector, self } = this.#options;
     this.#claimedAt = collector.now;
@@ -487,6 +525,7 @@
         claimant: self,
         reason,
         claims,
+        ...proof,
       },
     });
   }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -4,6 +4,7 @@
 import {
   type FleetChange,
   FleetFollower,
+  reportFleet,
   type Timing,
 } from "@eelgrassfront/membership";
 import {
@@ -28,9 +29,13 @@
   type ProcessInput,
   type ProcessOutput,
   RemovalReason,
+  type RequestIdentifier,
   Role,
+  type SidecarReport,
 } from "@eelgrassfront/model";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { OwnerDecisions } from "@eelgrassfront/owner";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { RunnerDecisions } from "@eelgrassfront/runner";
 import { RecordHandOver, RecordHandOverPhase } from "./record_hand_over.ts";
 
@@ -41,6 +46,8 @@
   /** Address at which peers reach this process, as `host:port`. */
   readonly address: string;
   readonly timing: Timing;
+  /** Addresses of processes that are asked for the configuration while the log is away. */
+  readonly seeds?: readonly string[];
   readonly random: () => number;
   readonly shardCount: number;
   readonly ownerCount: number;
@@ -48,6 +55,9 @@
   readonly maximumResultBytes: number;
   readonly maximumQueuedTasks: number;
   readonly waitingPerRunner: number;
+  /** Baselines to measure against choose another placement. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
 }
 
 enum LeavingPhase {
@@ -135,10 +145,14 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case InputKind.ReportAsked:
+        this.#report(input.request);
+        return;
       case InputKind.SubmissionArrived:
       case InputKind.StandingAsked:
       case InputKind.CancellationAsked:
       case InputKind.CallerGone:
+      case InputKind.RequestRejected:
         // Callers reach entries only; a sidecar opens no port for them.
         return;
       default:
@@ -188,6 +202,7 @@
         const answer = this.#follower.heartbeats.answer(message, {
           isLeaving: this.#leaving !== LeavingPhase.No,
           granted: this.#owner.granted(),
+          load: this.#runner.load(),
         });
         this.#reply(input, answer);
         return;
@@ -198,11 +213,16 @@
   }
 
   #takeReply(input: PeerReplyArrived): void {
-    const { request, message } = input;
+    const { from, request, message } = input;
     if (message.kind === PeerReplyKind.HeartbeatAnswered) {
       this.#changeFleet(this.#follower.handleAnswer(input, message));
+      if (message.load !== undefined) this.#owner.noteLoad(from, message.load);
       return;
     }
+    if (
+      message.kind === PeerReplyKind.OtherIncarnation &&
+      this.#follower.redirect(request, message)
+    ) return;
     if (this.#recordHandOver.takeReply(request, message)) return;
     this.#owner.takeReply(request, message);
   }
@@ -326,6 +346,31 @@
     this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
   }
 
+  #report(request: RequestIdentifier): void {
+    const common = reportFleet(this.#follower, {
+      ...this.#options,
+      now: this.#collector.now,
+      isReady: this.#isReady,
+      isLeaving: this.#leaving !== LeavingPhase.No,
+    });
+    const { backendServer } = this.#runner;
+    const report: SidecarReport = {
+      ...common,
+      role: Role.Sidecar,
+      load: this.#runner.load(),
+      ownedShards: this.#owner.owned(),
+      grantedShards: this.#owner.granted(),
+      waitingTasks: this.#owner.waitingTasks,
+    };
+    this.#collector.add({
+      kind: OutputKind.AnswerOperator,
+      request,
+      report: backendServer === undefined
+        ? report
+        : { ...report, backendServer },
+    });
+  }
+
   #reportReadiness(): void {
     const isReady = this.#leaving === LeavingPhase.No &&
       this.#follower.isMember &&
--- a/emulator/src/randomized_run.ts
+++ b/emulator/src/randomized_run.ts
@@ -62,6 +62,7 @@
   leaseMilliseconds: 500,
   removalMilliseconds: 2_000,
   horizonMilliseconds: 600_000,
+  retentionMilliseconds: 86_400_000,
 };
 
 const READY_AT: Milliseconds = 1_500;
@@ -77,6 +78,8 @@
 const ZONES = 3;
 const SHARDS = 8;
 const MOST_SLOTS = 4;
+const LITTLE_MEMORY_PROBABILITY = 0.2;
+const MOST_LITTLE_MEMORY_BYTES = 5_000;
 const DELAY_MILLISECONDS: Milliseconds = 1;
 
 /** Runs a seed. */
@@ -141,6 +144,9 @@
       configuration: SAMPLE_CONFIGURATION,
       delayMilliseconds: DELAY_MILLISECONDS,
       timing: RUN_TIMING,
+      ...(random.happens(LITTLE_MEMORY_PROBABILITY)
+        ? { maximumKeptBytes: random.below(MOST_LITTLE_MEMORY_BYTES) }
+        : {}),
       isIncarnationIgnored: isIncarnationIgnored ?? false,
       ...(decorate === undefined ? {} : { decorate }),
       onInput: (process, input) => this.#checker.watchInput(process, input),
--- a/emulator/src/refusal_test.ts
+++ b/emulator/src/refusal_test.ts
@@ -37,13 +37,18 @@
 });
 
 test("a resubmission uses no attempt of the refused job before it", () => {
-  const { scenario, attempts } = busyScenario();
+  const { scenario, owner, attempts } = idleScenario();
+  const { network, sidecars } = scenario.system;
+  scenario.submit(0, sampleSubmission({ key: "first", runMilliseconds: [1] }));
+  scenario.pass(50);
+  for (const { process } of sidecars) network.cut(owner(), process.identifier);
   scenario.submit(0, SUBMISSION);
-  scenario.pass(700);
-  scenario.system.cancel(scenario.entry(1), IDENTIFIER);
   scenario.pass(50);
+  scenario.system.cancel(scenario.entry(1), IDENTIFIER);
+  network.healAll();
+  scenario.pass(1_900);
   scenario.submit(1, SUBMISSION);
-  scenario.pass(2_000);
+  scenario.pass(500);
   expect(scenario.outcomesOf(SUBMISSION)).toEqual([
     JobOutcomeKind.NotRun,
     JobOutcomeKind.Completed,
--- a/emulator/src/run_checker.ts
+++ b/emulator/src/run_checker.ts
@@ -113,6 +113,7 @@
       case OutputKind.ApplyConfiguration:
         this.#checkConfiguration(process, output.version.offset);
         return;
+      case OutputKind.AnswerOperator:
       case OutputKind.SendRequest:
       case OutputKind.ExecuteTask:
       case OutputKind.AppendRecord:
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -3,6 +3,7 @@
  * Faults are injected from outside; runs with the same seed are the same.
  */
 import { EntryDecisions } from "@eelgrassfront/entry";
+import type { QueueDisciplineKind } from "@eelgrassfront/fairness";
 import { DEFAULT_TIMING, type Timing } from "@eelgrassfront/membership";
 import {
   assertNever,
@@ -15,6 +16,7 @@
   LogRecordKind,
   type Milliseconds,
   OutputKind,
+  PeerReplyKind,
   type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
@@ -27,6 +29,7 @@
   type Submission,
   type SubmissionIdentifier,
 } from "@eelgrassfront/model";
+import type { PlacementPolicy } from "@eelgrassfront/placement";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeLog } from "./fake_log.ts";
@@ -49,6 +52,11 @@
   readonly delayMilliseconds: Milliseconds;
   readonly timing?: Timing;
   readonly waitingPerRunner?: number;
+  /** Bytes of answers that an owner keeps, and of results that a runner keeps. */
+  readonly maximumKeptBytes?: number;
+  /** Baselines to measure against choose another placement or queue. */
+  readonly placementPolicy?: PlacementPolicy;
+  readonly queueDiscipline?: QueueDisciplineKind;
   /** Told of each output of each process, for golden files. */
   readonly onOutput?: (process: string, output: ProcessOutput) => void;
   /** Told of each input of each process, before the process takes it. */
@@ -75,6 +83,8 @@
 const READ_WAIT_MILLISECONDS: Milliseconds = 500;
 const DESCRIPTION_MILLISECONDS: Milliseconds = 1;
 const AVAILABILITY_ZONES = 3;
+const SEEDS = 2;
+const DEFAULT_KEPT_BYTES = 64_000_000;
 
 interface AwaitedReply {
   readonly peer: ProcessIdentifier;
@@ -132,7 +142,7 @@
   /** Starts a sidecar, or a later run of one. */
   startSidecar(index: number): void {
     const { random, time, starts } = this;
-    const { slots, owners, shards, timing } = this.#options;
+    const { slots, owners, shards, timing, maximumKeptBytes } = this.#options;
     const identifier = this.#identifier(`sidecar-${index}`);
     const backendServer = new FakeBackendServer({
       time,
@@ -141,15 +151,17 @@
       starts,
     });
     const decisions = new SidecarDecisions({
+      ...policyOf(this.#options),
       self: identifier,
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       random: () => random.next(),
       shardCount: shards,
       ownerCount: owners,
-      maximumAnswerBytes: 64_000_000,
-      maximumResultBytes: 64_000_000,
+      maximumAnswerBytes: maximumKeptBytes ?? DEFAULT_KEPT_BYTES,
+      maximumResultBytes: maximumKeptBytes ?? DEFAULT_KEPT_BYTES,
       maximumQueuedTasks: 1_000,
       waitingPerRunner: this.#options.waitingPerRunner ?? 2,
     });
@@ -170,6 +182,7 @@
       availabilityZone: zoneOf(index),
       address: identifier,
       timing: this.#options.timing ?? DEFAULT_TIMING,
+      seeds: this.#seeds(),
       shardCount: this.#options.shards,
       maximumPending: 100_000,
     });
@@ -282,6 +295,7 @@
       case OutputKind.Stop:
         this.kill(process);
         return;
+      case OutputKind.AnswerOperator:
       case OutputKind.CountOccurrence:
       case OutputKind.SetGauge:
       case OutputKind.ReportReadiness:
@@ -313,11 +327,11 @@
       onLost: lose,
       deliver: () => {
         const receiver = this.#receiver(peer);
+        const from = sender.identifier;
         if (receiver === undefined || receiver.state === ProcessState.Ended) {
-          lose();
+          if (!this.#redirect(sender, output)) lose();
           return;
         }
-        const from = sender.identifier;
         const kind = InputKind.PeerRequestArrived;
         receiver.take({ kind, from, request, message });
       },
@@ -332,6 +346,34 @@
     );
   }
 
+  /** Answers for the run of a process that is at the address now, where there is one. */
+  #redirect(sender: VirtualProcess, output: SendRequest): boolean {
+    const { address, peer, request } = output;
+    const current = this.#processes.get(address as ProcessIdentifier);
+    if (current === undefined || address === peer) return false;
+    if (current.state !== ProcessState.Running) return false;
+    this.#sendReply(current, {
+      kind: OutputKind.SendReply,
+      to: sender.identifier,
+      request,
+      message: {
+        kind: PeerReplyKind.OtherIncarnation,
+        current: current.identifier,
+      },
+    });
+    return true;
+  }
+
+  /** Addresses that a process which starts now asks; those that start first have nobody to ask. */
+  #seeds(): readonly string[] {
+    if (this.time.now === 0) return [];
+    return this.sidecars
+      .map(({ process }) => process)
+      .filter(({ state }) => state === ProcessState.Running)
+      .map(({ identifier }) => identifier)
+      .slice(0, SEEDS);
+  }
+
   #sendReply(sender: VirtualProcess, output: SendReply): void {
     const { to, request, message } = output;
     const key = `${to} ${request}`;
@@ -356,3 +398,12 @@
 export function zoneOf(index: number): string {
   return `zone-${index % AVAILABILITY_ZONES + 1}`;
 }
+
+function policyOf(
+  { placementPolicy, queueDiscipline }: VirtualSystemOptions,
+): Pick<VirtualSystemOptions, "placementPolicy" | "queueDiscipline"> {
+  return {
+    ...(placementPolicy === undefined ? {} : { placementPolicy }),
+    ...(queueDiscipline === undefined ? {} : { queueDiscipline }),
+  };
+}
--- a/emulator/src/workload.ts
+++ b/emulator/src/workload.ts
@@ -39,6 +39,8 @@
 const FEW_TASKS = 4;
 const LARGE_JOB_PROBABILITY = 0.15;
 const LONGEST_RUN_MILLISECONDS: Milliseconds = 300;
+const LONG_RUN_PROBABILITY = 0.1;
+const LONG_RUN_FACTOR = 6;
 const FAILING_PROBABILITY = 0.02;
 const NON_IDEMPOTENT_PROBABILITY = 0.3;
 const TOKEN_PROBABILITY = 0.5;
@@ -92,9 +94,11 @@
 function drawJob(random: SeededRandom, job: number): Submission {
   const isLarge = random.happens(LARGE_JOB_PROBABILITY);
   const tasks = 1 + random.below(isLarge ? MOST_TASKS : FEW_TASKS);
+  const isLong = random.happens(LONG_RUN_PROBABILITY);
+  const longest = LONGEST_RUN_MILLISECONDS * (isLong ? LONG_RUN_FACTOR : 1);
   const runMilliseconds = Array.from(
     { length: tasks },
-    () => 1 + random.below(LONGEST_RUN_MILLISECONDS),
+    () => 1 + random.below(longest),
   );
   const submission = sampleSubmission({
     key: `job-${job}`,
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -9,7 +9,11 @@
   readonly availabilityZone: string;
   readonly peers: number;
   readonly callers: number;
+  readonly operators: number;
   readonly logOrigin: string;
+  /** Addresses that the process asks while the log is away. */
+  readonly seeds: readonly string[];
+  readonly metricsReceiver: string | undefined;
 }
 
 /** What differs between the sidecars of a local system. */
@@ -17,10 +21,17 @@
   readonly name: string;
   readonly availabilityZone: string;
   readonly peers: number;
+  readonly operators: number;
   readonly backendServerOrigin: string;
   readonly logOrigin: string;
+  /** Addresses that the process asks while the log is away. */
+  readonly seeds: readonly string[];
+  readonly metricsReceiver: string | undefined;
 }
 
+/** Operators' token of every process of a local system. */
+export const LOCAL_OPERATORS_TOKEN = "local-operators-token";
+
 const SHARDS = 64;
 const OWNERS = 3;
 
@@ -39,6 +50,9 @@
       maximum_tasks: 220,
       maximum_connections: 10_000,
       maximum_pending: 10_000,
+      maximum_headers: 64,
+      maximum_header_size: "16KiB",
+      header_time: "5s",
       body_time: "10s",
     },
   });
@@ -64,12 +78,25 @@
 }
 
 function shared(process: LocalEntry | LocalSidecar): object {
+  const { metricsReceiver, seeds } = process;
   return {
+    ...(metricsReceiver === undefined
+      ? {}
+      : { metrics: { receiver: metricsReceiver } }),
     peers: {
       listen: `127.0.0.1:${process.peers}`,
       shared_key: "local-key",
+      ...(seeds.length > 0 ? { seeds: seeds.join(" ") } : {}),
+    },
+    operators: {
+      listen: `127.0.0.1:${process.operators}`,
+      token: LOCAL_OPERATORS_TOKEN,
+    },
+    platform_log: {
+      origin: process.logOrigin,
+      read_wait: "500ms",
+      retention: "24h",
     },
-    platform_log: { origin: process.logOrigin, read_wait: "500ms" },
     ownership: { shards: SHARDS, owners: OWNERS },
     timing: {
       heartbeat: "250ms",
