--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -290,7 +290,10 @@
     if (this.#ledger.isAdopted(task)) {
       return TaskRefusalReason.TaskAlreadyRecorded;
     }
-    if (this.#queue.size >= this.#options.maximumQueuedTasks) {
+    const isLedgerFull = this.#ledger.isFull(this.#options.collector.now);
+    if (
+      isLedgerFull || this.#queue.size >= this.#options.maximumQueuedTasks
+    ) {
       return TaskRefusalReason.QueueFull;
     }
     if (!this.#isSlotFree(order)) return TaskRefusalReason.SlotTaken;
