--- a/measure/src/capacity_measure.ts
+++ b/measure/src/capacity_measure.ts
@@ -45,18 +45,16 @@
 /** Header of a WebSocket frame from a client, with a length of two bytes and its mask. */
 const FRAME_HEADER_BYTES = 8;
 
-/** Runs the measure and prints its figures. */
-export function measureCapacity(): Promise<void> {
-  const figures = {
+/** Runs the measure and returns its figures. */
+export function measureCapacity(): Promise<object> {
+  return Promise.resolve({
     measure: "capacity",
     decisionMicrosecondsByFleet: Object.fromEntries(
       FLEETS.map((fleet) => [fleet, measureFleet(fleet)]),
     ),
     slopes: measureSlopes(),
     wireBytesByKind: measureWire(),
-  };
-  process.stdout.write(`${JSON.stringify(figures)}\n`);
-  return Promise.resolve();
+  });
 }
 
 /** Time in the decisions for each thing that happens, in microseconds, in a fleet of this size. */
--- a/measure/src/main.ts
+++ b/measure/src/main.ts
@@ -4,6 +4,7 @@
  */
 import { assertNever } from "@eelgrassfront/model";
 import { measureCapacity } from "./capacity_measure.ts";
+import { measureFlood } from "./flood_measure.ts";
 import { measurePolicies } from "./policies_measure.ts";
 import { measureResponse } from "./response_measure.ts";
 
@@ -12,6 +13,7 @@
   Response = "response",
   Capacity = "capacity",
   Policies = "policies",
+  Flood = "flood",
 }
 
 const UNKNOWN_MEASURE_EXIT_CODE = 2;
@@ -27,11 +29,12 @@
     );
     return UNKNOWN_MEASURE_EXIT_CODE;
   }
-  await runMeasure(measure);
+  const figures = await figuresOf(measure);
+  process.stdout.write(`${JSON.stringify(figures)}\n`);
   return 0;
 }
 
-function runMeasure(measure: Measure): Promise<void> {
+function figuresOf(measure: Measure): Promise<object> {
   switch (measure) {
     case Measure.Response:
       return measureResponse();
@@ -39,6 +42,8 @@
       return measureCapacity();
     case Measure.Policies:
       return measurePolicies();
+    case Measure.Flood:
+      return measureFlood();
     default:
       return assertNever(measure);
   }
