perf(membership): send heartbeats only to the peers whose answers are used

Cause: heartbeats to every member are the square of the fleet; an idle entry spent 3.3 % of a core on 13 peers, of which it acts on the answers of the owners alone. Change: an entry watches the owners and three sidecars; a sidecar the witnesses, the owners and two candidates an owner; an owner every sidecar, since it places on all; the first three reachable sidecars every member, since one of them writes the removals. What was heard of a peer is forgotten once it is no longer watched. Ruled out: fewer witnesses in small fleets, since a rack could then take the majority.

--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -105,6 +105,7 @@
     this.#options = options;
     this.#follower = new FleetFollower({
       ...options,
+      role: Role.Entry,
       collector: this.#collector,
     });
     this.#follower.announce({
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -35,6 +35,9 @@
 /** What a follower needs. */
 export interface FleetFollowerOptions {
   readonly self: ProcessIdentifier;
+  readonly role: Role;
+  /** Sidecars that own shards at a time; an entry need not know. */
+  readonly ownerCount?: number;
   readonly timing: Timing;
   readonly collector: OutputCollector;
   /** Addresses of processes that a starting process asks while the log is away. */
@@ -76,6 +79,8 @@
     });
     this.heartbeats = new Heartbeats({
       self,
+      role: options.role,
+      ownerCount: options.ownerCount ?? 0,
       timing,
       collector,
       view: this.view,
--- a/domain/membership/src/heartbeats.ts
+++ b/domain/membership/src/heartbeats.ts
@@ -19,11 +19,13 @@
   PeerRequestKind,
   type ProcessIdentifier,
   type RequestIdentifier,
+  type Role,
   type RunnerLoad,
   type ShardEpoch,
 } from "@eelgrassfront/model";
 import type { FleetView, Member } from "./fleet_view.ts";
 import type { Timing } from "./timing.ts";
+import { WatchList } from "./watch_list.ts";
 
 /**
  * Most witnesses. The number is even, so that majorities of two sets that differ in one replaced
@@ -34,6 +36,9 @@
 /** What heartbeats need. */
 export interface HeartbeatsOptions {
   readonly self: ProcessIdentifier;
+  readonly role: Role;
+  /** Sidecars that own shards at a time. */
+  readonly ownerCount: number;
   readonly view: FleetView;
   readonly timing: Timing;
   readonly collector: OutputCollector;
@@ -57,10 +62,16 @@
   readonly #heard = new Map<ProcessIdentifier, Heard>();
   readonly #watchedSince = new Map<ProcessIdentifier, Milliseconds>();
   readonly #outstanding = new Map<RequestIdentifier, Outstanding>();
+  readonly #watchList: WatchList;
   #nextBeatAt: Milliseconds = 0;
 
   constructor(options: HeartbeatsOptions) {
     this.#options = options;
+    this.#watchList = new WatchList({
+      ...options,
+      witnesses: () => this.witnesses(),
+      isReachable: (peer) => this.isReachable(peer),
+    });
   }
 
   /** When the next heartbeats are due. */
@@ -73,8 +84,9 @@
     const { collector, timing } = this.#options;
     if (collector.now < this.#nextBeatAt) return;
     this.#nextBeatAt = collector.now + timing.heartbeatMilliseconds;
-    this.#forgetStale();
-    for (const member of this.#watched()) this.#beat(member);
+    const watched = this.#watchList.members();
+    this.#forgetStale(watched);
+    for (const member of watched) this.#beat(member);
   }
 
   /** Answers a peer's heartbeat. */
@@ -125,7 +137,7 @@
     return this.#outstanding.delete(request);
   }
 
-  /** Whether a peer answered recently; a peer not yet asked counts as reachable. */
+  /** Whether a peer answered recently; a peer that is not watched counts as reachable. */
   isReachable(peer: ProcessIdentifier): boolean {
     return this.silenceOf(peer) < this.#options.timing.unreachableMilliseconds;
   }
@@ -182,11 +194,6 @@
     return agreeing.length > witnesses.length / 2;
   }
 
-  #watched(): readonly Member[] {
-    const { self, view } = this.#options;
-    return view.members().filter((member) => member.joined.process !== self);
-  }
-
   #beat(member: Member): void {
     const { collector, view } = this.#options;
     const peer = member.joined.process;
@@ -208,15 +215,17 @@
     });
   }
 
-  #forgetStale(): void {
-    const { collector, timing, view } = this.#options;
+  /** What was heard of a peer says nothing once it is no longer watched. */
+  #forgetStale(watched: readonly Member[]): void {
+    const { collector, timing } = this.#options;
     for (const [request, { sentAt }] of this.#outstanding) {
       if (collector.now - sentAt > timing.leaseMilliseconds) {
         this.#outstanding.delete(request);
       }
     }
+    const peers = new Set(watched.map(({ joined }) => joined.process));
     for (const peer of this.#watchedSince.keys()) {
-      if (view.find(peer) !== undefined) continue;
+      if (peers.has(peer)) continue;
       this.#watchedSince.delete(peer);
       this.#heard.delete(peer);
     }
--- a/domain/membership/src/mod.ts
+++ b/domain/membership/src/mod.ts
@@ -6,3 +6,4 @@
 export * from "./fleet_view.ts";
 export * from "./heartbeats.ts";
 export * from "./timing.ts";
+export * from "./watch_list.ts";
--- /dev/null
+++ b/domain/membership/src/watch_list.ts
@@ -0,0 +1,110 @@
+/**
+ * Whom a process sends heartbeats to. It watches those whose answers it acts on, so that the number
+ * of heartbeats does not grow with the square of the fleet:
+ *
+ * - an entry watches the owners, which grant shards, and a few sidecars for a newer configuration;
+ * - a sidecar watches the witnesses, the owners and the candidates that may become owners;
+ * - an owner watches every sidecar, since it places tasks on all of them;
+ * - the first few sidecars watch every member, since one of them writes the removals.
+ */
+import {
+  assertNever,
+  type ProcessIdentifier,
+  Role,
+} from "@eelgrassfront/model";
+import { ownerCandidates } from "@eelgrassfront/ownership";
+import type { FleetView, Member } from "./fleet_view.ts";
+
+/** Who watches, and what it acts on. */
+export interface WatchListOptions {
+  readonly self: ProcessIdentifier;
+  readonly role: Role;
+  readonly view: FleetView;
+  /** Sidecars that own shards at a time. */
+  readonly ownerCount: number;
+  /** The sidecars whose answers count for a majority. */
+  readonly witnesses: () => readonly Member[];
+  readonly isReachable: (peer: ProcessIdentifier) => boolean;
+}
+
+/** Reachable sidecars that stand ready to write removals. */
+const REMOVERS = 3;
+/** Sidecars that an entry asks for a newer configuration. */
+const GUIDES = 3;
+/** Candidates watched for each owner, so that one that died is passed over at once. */
+const CANDIDATES_PER_OWNER = 2;
+
+/** The members that one process watches. */
+export class WatchList {
+  readonly #options: WatchListOptions;
+  #rankedSidecars: readonly Member[] | undefined;
+  #candidates: readonly Member[] = [];
+
+  constructor(options: WatchListOptions) {
+    this.#options = options;
+  }
+
+  /** The members to send heartbeats to, without this process itself. */
+  members(): readonly Member[] {
+    const watched = new Set(this.#watched());
+    return [...watched].filter(({ joined }) =>
+      joined.process !== this.#options.self
+    );
+  }
+
+  #watched(): readonly Member[] {
+    const { role, view, witnesses } = this.#options;
+    switch (role) {
+      case Role.Entry:
+        return [...this.#owners(), ...view.sidecars().slice(0, GUIDES)];
+      case Role.Sidecar:
+        if (this.#isRemover()) return view.members();
+        if (this.#isOwner()) return view.sidecars();
+        return [
+          ...witnesses(),
+          ...this.#owners(),
+          ...this.#rankCandidates(),
+        ];
+      default:
+        return assertNever(role);
+    }
+  }
+
+  #owners(): readonly Member[] {
+    const { view } = this.#options;
+    return [...this.#ownerNames()]
+      .map((owner) => view.find(owner))
+      .filter((member) => member !== undefined);
+  }
+
+  #ownerNames(): ReadonlySet<ProcessIdentifier> {
+    const ownerships = [...this.#options.view.ownership.all()];
+    return new Set(ownerships.map(({ owner }) => owner));
+  }
+
+  #isOwner(): boolean {
+    return this.#ownerNames().has(this.#options.self);
+  }
+
+  #isRemover(): boolean {
+    const { self, view, isReachable } = this.#options;
+    const removers = view.sidecars()
+      .filter(({ joined }) => isReachable(joined.process))
+      .slice(0, REMOVERS);
+    return removers.some(({ joined }) => joined.process === self);
+  }
+
+  /** Ranks the fleet again only after a sidecar came or went. */
+  #rankCandidates(): readonly Member[] {
+    const { view, ownerCount } = this.#options;
+    const sidecars = view.sidecars();
+    if (sidecars === this.#rankedSidecars) return this.#candidates;
+    this.#rankedSidecars = sidecars;
+    const names = sidecars.map(({ joined }) => joined.process);
+    const count = ownerCount * CANDIDATES_PER_OWNER;
+    this.#candidates = ownerCandidates(names, count)
+      .map((process) => view.find(process))
+      .filter((member) => member !== undefined);
+    return this.#candidates;
+  }
+}
--- /dev/null
+++ b/domain/membership/src/watch_list_test.ts
@@ -0,0 +1,132 @@
+/**
+ * Whom each process watches: enough to act on, and no more as the fleet grows.
+ */
+import { test } from "node:test";
+import { ConfigurationHistory } from "@eelgrassfront/configuration";
+import {
+  ClaimReason,
+  InputKind,
+  type LogRecord,
+  LogRecordKind,
+  type ProcessIdentifier,
+  processIdentifier,
+  Role,
+} from "@eelgrassfront/model";
+import { ownerCandidates, OwnershipTable } from "@eelgrassfront/ownership";
+import { expect } from "earl";
+import { FleetView } from "./fleet_view.ts";
+import { WatchList } from "./watch_list.ts";
+
+const SIDECARS = 200;
+const OWNERS = 3;
+const WITNESSES = 14;
+const names = Array.from({ length: SIDECARS }, (_, index) => sidecar(index));
+const candidates = ownerCandidates(names, OWNERS * 2);
+const owner = sidecar(150);
+
+test("a sidecar watches witnesses, owners and candidates, however large the fleet", () => {
+  const plain = names.find((name) =>
+    names.indexOf(name) >= WITNESSES && name !== owner &&
+    !candidates.includes(name)
+  );
+  const watched = watchedBy(plain ?? sidecar(0), Role.Sidecar);
+  const expected = new Set([
+    ...names.slice(0, WITNESSES),
+    owner,
+    ...candidates,
+  ]);
+  expect(new Set(watched)).toEqual(expected);
+});
+
+test("an owner watches every sidecar and no entry", () => {
+  const watched = watchedBy(owner, Role.Sidecar);
+  expect(new Set(watched)).toEqual(
+    new Set(names.filter((name) => name !== owner)),
+  );
+});
+
+test("the first reachable sidecars watch every member, entries too", () => {
+  const all = [...names, entry()];
+  expect(new Set(watchedBy(sidecar(2), Role.Sidecar))).toEqual(
+    new Set(all.filter((name) => name !== sidecar(2))),
+  );
+  expect(watchedBy(sidecar(3), Role.Sidecar).includes(entry())).toEqual(false);
+});
+
+test("the next sidecars take over watching when the first are silent", () => {
+  const silent = names.slice(0, 3);
+  const watched = watchedBy(sidecar(3), Role.Sidecar, silent);
+  expect(watched.includes(entry())).toEqual(true);
+});
+
+test("an entry watches the owners and a few sidecars", () => {
+  const watched = watchedBy(entry(), Role.Entry);
+  expect(new Set(watched)).toEqual(new Set([...names.slice(0, 3), owner]));
+});
+
+function watchedBy(
+  self: ProcessIdentifier,
+  role: Role,
+  silent: readonly ProcessIdentifier[] = [],
+): readonly ProcessIdentifier[] {
+  const view = viewOfFleet();
+  const list = new WatchList({
+    self,
+    role,
+    view,
+    ownerCount: OWNERS,
+    witnesses: () => view.sidecars().slice(0, WITNESSES),
+    isReachable: (peer) => !silent.includes(peer),
+  });
+  return list.members().map(({ joined }) => joined.process);
+}
+
+function viewOfFleet(): FleetView {
+  const view = new FleetView({
+    ownership: new OwnershipTable(),
+    configuration: new ConfigurationHistory(),
+    horizonMilliseconds: 600_000,
+  });
+  const records: readonly LogRecord[] = [
+    ...names.map((name) => join(name, Role.Sidecar)),
+    join(entry(), Role.Entry),
+    {
+      kind: LogRecordKind.ShardsClaimed,
+      claimant: owner,
+      reason: ClaimReason.Unowned,
+      claims: [{ shard: 0, replaces: 0 }],
+    },
+  ];
+  view.read({
+    kind: InputKind.LogRecordsRead,
+    records: records.map((record, index) => ({
+      offset: index + 1,
+      appendedAt: 0,
+      record,
+    })),
+    firstRetained: 1,
+    nextOffset: records.length + 1,
+    isAtEnd: true,
+    readStartedAt: 0,
+    logClock: 0,
+  });
+  return view;
+}
+
+function join(process: ProcessIdentifier, role: Role): LogRecord {
+  return {
+    kind: LogRecordKind.MemberJoined,
+    process,
+    role,
+    availabilityZone: "zone-1",
+    address: process,
+  };
+}
+
+function sidecar(index: number): ProcessIdentifier {
+  return processIdentifier(`sidecar-${index}`, "1");
+}
+
+function entry(): ProcessIdentifier {
+  return processIdentifier("entry-0", "1");
+}
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -85,7 +85,11 @@
   constructor(options: SidecarDecisionsOptions) {
     this.#options = options;
     const collector = this.#collector;
-    this.#follower = new FleetFollower({ ...options, collector });
+    this.#follower = new FleetFollower({
+      ...options,
+      role: Role.Sidecar,
+      collector,
+    });
     this.#recordHandOver = new RecordHandOver({
       ...options,
       collector,
