--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -59,6 +59,7 @@
     maximumBodyBytes: limits.maximum_body,
     maximumTasks: limits.maximum_tasks,
     maximumConnections: limits.maximum_connections,
+    maximumDeadlineMilliseconds: limits.maximum_deadline,
     maximumHeaders: limits.maximum_headers,
     maximumHeaderBytes: limits.maximum_header_size,
     headersMilliseconds: limits.header_time,
@@ -77,7 +78,7 @@
   const running = new ProcessLoop(decisions, { ...shared.ports, callers })
     .run();
   shared.start(self);
-  return await running;
+  return shared.stop(self, await running);
 }
 
 async function runSidecar(
@@ -108,7 +109,7 @@
   const running = new ProcessLoop(decisions, ports).run();
   shared.start(self);
   backendServer.start();
-  return await running;
+  return shared.stop(self, await running);
 }
 
 /** Ports that both roles have. */
@@ -132,6 +133,17 @@
     this.#platformLog.start();
   }
 
+  /** Writes that the process stopped; returns its exit code. */
+  stop(self: ProcessIdentifier, exitCode: number): number {
+    this.ports.journal.record({
+      number: EventNumber.ProcessStopped,
+      severity: Severity.Information,
+      message: "the process stopped",
+      context: { process: self, exitCode },
+    });
+    return exitCode;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const { clock, operators, peers, platformLog, signals } = this.ports;
     await signals[Symbol.asyncDispose]();
