feat(placement): let a borrower have the last free slot where two owners aimed at the last but one

Cause: 2.5% to 3.1% of messages were wasted at a one-way delay of 1 ms, above the bound of 2%: 4% to 6% of the borrowings made on a fresh word were refused, since another owner's task was on its way.

Change: an owner still borrows only where it knows of two free slots, but the runner refuses only when none is left. The claim for a spare slot is gone.

--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -283,8 +283,7 @@
       likelyFree,
     );
     if (foreign !== undefined) {
-      const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.SpareSlot;
-      return { runner: foreign.runner, claim };
+      return { runner: foreign.runner, claim: SlotClaim.FreeSlot };
     }
     return mayWait(this.#best(candidates, likelyFree));
   }
--- a/domain/runner/src/runner_decisions.ts
+++ b/domain/runner/src/runner_decisions.ts
@@ -63,8 +63,6 @@
 
 const INITIAL_RUN_MILLISECONDS: Milliseconds = 300;
 const RUN_TIME_SMOOTHING = 0.1;
-/** Slots that a borrower leaves free. */
-const RESERVED_SLOTS = 1;
 
 /** The runner of one backend server. */
 export class RunnerDecisions {
@@ -298,15 +296,13 @@
   }
 
   #isSlotFree(order: StartTask): boolean {
-    const slots = this.#backendServer?.slots ?? 0;
-    const free = slots - this.#running.size - this.#queue.size;
     switch (order.slotClaim) {
       case SlotClaim.MayWait:
         return true;
-      case SlotClaim.FreeSlot:
-        return free > 0;
-      case SlotClaim.SpareSlot:
-        return free > RESERVED_SLOTS;
+      case SlotClaim.FreeSlot: {
+        const slots = this.#backendServer?.slots ?? 0;
+        return this.#running.size + this.#queue.size < slots;
+      }
     }
   }
 
