feat(admission): say whether the share or the whole fleet is at fault when work is refused

Change: work that would start in time with all of the owner's slots is refused with share-exceeded, and with deadline-unreachable otherwise.

Ruled out: a limit of its own for each kind.

--- a/domain/admission/src/admission.ts
+++ b/domain/admission/src/admission.ts
@@ -53,8 +53,10 @@
   readonly waitingTasks: number;
   /** Submissions of the team and kind with waiting tasks. */
   readonly waitingSubmissions: number;
-  /** Slots that the team's work of this kind can expect. */
+  /** Slots that this owner can expect for all work of the service. */
   readonly slots: number;
+  /** Share of them that the team's work of this kind has now, from 0 to 1. */
+  readonly share: number;
   /** Learnt run time of a task. */
   readonly runMilliseconds: Milliseconds;
 }
@@ -87,34 +89,42 @@
   if (situation.queuedTasks + tasks > maximumQueuedTasks) {
     return refuse(NotRunReason.QueueFull, QUEUE_FULL_RETRY_MILLISECONDS);
   }
-  const lateness = expectedLateness(submission, {
-    drain: situation.drainOf(kindOfWork),
+  return refuseLate(submission, situation.drainOf(kindOfWork), {
     remainingMilliseconds: situation.remainingMilliseconds,
-  });
-  if (lateness > 0) {
-    const retryAfter = Math.max(lateness, SHORTEST_RETRY_MILLISECONDS);
-    return refuse(NotRunReason.DeadlineUnreachable, Math.ceil(retryAfter));
-  }
-  return { kind: AdmissionKind.Admitted, kindOfWork };
+  }) ?? { kind: AdmissionKind.Admitted, kindOfWork };
+}
+
+/** Refuses what is expected to miss its deadline, and says whether its share or the whole fleet is at fault. */
+function refuseLate(
+  submission: Submission,
+  drain: DrainEstimate,
+  { remainingMilliseconds }: { readonly remainingMilliseconds: Milliseconds },
+): Refused | undefined {
+  const usable = remainingMilliseconds * USABLE_SHARE_OF_DEADLINE;
+  const work = expectedWork(submission, drain);
+  const lateness = work / Math.max(1, drain.slots * drain.share) - usable;
+  if (lateness <= 0) return undefined;
+  const isLateAnyway = work / Math.max(1, drain.slots) > usable;
+  return refuse(
+    isLateAnyway
+      ? NotRunReason.DeadlineUnreachable
+      : NotRunReason.ShareExceeded,
+    Math.ceil(Math.max(lateness, SHORTEST_RETRY_MILLISECONDS)),
+  );
 }
 
 /**
- * Returns by how much a submission is expected to miss its deadline; not positive when it should meet
- * it. Of each submission before it, no more than its own number of tasks is served first.
+ * Returns the run time of the tasks of a submission and of those that go before them: of each submission
+ * ahead no more tasks than its own, since the least-served submission is first. Nothing ahead counts as
+ * no work, since a submission that finds the queue empty has all there is to have.
  */
-function expectedLateness(
+function expectedWork(
   submission: Submission,
-  { drain, remainingMilliseconds }: {
-    readonly drain: DrainEstimate;
-    readonly remainingMilliseconds: Milliseconds;
-  },
+  { waitingTasks, waitingSubmissions, runMilliseconds }: DrainEstimate,
 ): Milliseconds {
   const tasks = submission.tasks.length;
-  const { waitingTasks, waitingSubmissions, slots, runMilliseconds } = drain;
   const tasksAhead = Math.min(waitingTasks, waitingSubmissions * tasks);
-  if (tasksAhead === 0) return 0;
-  const expected = (tasksAhead + tasks) * runMilliseconds / Math.max(1, slots);
-  return expected - remainingMilliseconds * USABLE_SHARE_OF_DEADLINE;
+  return tasksAhead === 0 ? 0 : (tasksAhead + tasks) * runMilliseconds;
 }
 
 function refuse(
--- a/domain/admission/src/admission_test.ts
+++ b/domain/admission/src/admission_test.ts
@@ -39,6 +39,7 @@
   waitingTasks: 0,
   waitingSubmissions: 0,
   slots: 8,
+  share: 1,
   runMilliseconds: 300,
 };
 
@@ -118,6 +119,15 @@
       .toEqual(NotRunReason.DeadlineUnreachable);
   });
 
+  test("says that the share is exceeded where the whole fleet would do", () => {
+    const drain = { ...IDLE, waitingTasks: 60, waitingSubmissions: 60 };
+    const full = { drainOf: () => drain };
+    expect(judge(submissionOf(1), full).kind).toEqual(AdmissionKind.Admitted);
+    const shared = { drainOf: () => ({ ...drain, share: 0.25 }) };
+    expect(reasonOf(judge(submissionOf(1), shared)))
+      .toEqual(NotRunReason.ShareExceeded);
+  });
+
   test("names a time after which the same submission would be admitted", () => {
     const counts = integer({ min: 1, max: 5_000 });
     assert(
--- a/domain/owner/src/task_dispatcher.ts
+++ b/domain/owner/src/task_dispatcher.ts
@@ -141,7 +141,8 @@
     return {
       waitingTasks: standing.items,
       waitingSubmissions: standing.submissions,
-      slots: this.pool.quotaSlots(service) * standing.share,
+      slots: this.pool.quotaSlots(service),
+      share: standing.share,
       runMilliseconds: this.#runTimes.of(flow),
     };
   }
