--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -153,6 +153,8 @@
   readonly submission: SubmissionIdentifier;
   readonly digest: string;
   readonly taskIndex: number;
+  /** The epoch of the owner that placed the attempt. */
+  readonly epoch: Epoch;
   readonly attempt: number;
   /** How the task ended; absent while it runs, or when the result has been dropped. */
   readonly end?: TaskEnd;
--- a/domain/runner/src/start_ledger.ts
+++ b/domain/runner/src/start_ledger.ts
@@ -22,10 +22,13 @@
   readonly horizonMilliseconds: Milliseconds;
   /** Bytes of results that are kept. */
   readonly maximumResultBytes: number;
+  /** Tasks that are remembered; beyond it no new task is accepted. */
+  readonly maximumTasks?: number;
 }
 
-/** Entries beyond this number are forgotten before the horizon. */
-const MAXIMUM_ENTRIES = 1_000_000;
+const MAXIMUM_TASKS = 1_000_000;
+/** Refusals that are remembered for late copies of their placements. */
+const MAXIMUM_REFUSALS = 1_000_000;
 const RECORD_OVERHEAD_BYTES = 1_200;
 
 /** Everything that a runner accepted or refused. */
@@ -35,12 +38,14 @@
   readonly #dropped: RecentMap<TaskIdentifier, TaskRecord>;
   readonly #refused: RecentMap<AttemptIdentifier, TaskRefusalReason>;
   readonly #adopted: RecentMap<TaskIdentifier, StartRecord>;
+  readonly #maximumTasks: number;
 
   constructor(options: StartLedgerOptions) {
     const { horizonMilliseconds } = options;
+    this.#maximumTasks = options.maximumTasks ?? MAXIMUM_TASKS;
     this.#dropped = new RecentMap({
       horizonMilliseconds,
-      maximumWeight: MAXIMUM_ENTRIES,
+      maximumWeight: Infinity,
       weigh: () => 1,
     });
     this.#ended = new RecentMap({
@@ -51,16 +56,24 @@
     });
     this.#refused = new RecentMap({
       horizonMilliseconds,
-      maximumWeight: MAXIMUM_ENTRIES,
+      maximumWeight: MAXIMUM_REFUSALS,
       weigh: () => 1,
     });
     this.#adopted = new RecentMap({
       horizonMilliseconds,
-      maximumWeight: MAXIMUM_ENTRIES,
+      maximumWeight: Infinity,
       weigh: () => 1,
     });
   }
 
+  /** Whether no more tasks can be remembered; a start that is forgotten early could happen again. */
+  isFull(now: Milliseconds): boolean {
+    const kept = [this.#ended, this.#dropped, this.#adopted];
+    for (const records of kept) records.purge(now);
+    const size = kept.reduce((sum, records) => sum + records.size, 0);
+    return this.#open.size + size >= this.#maximumTasks;
+  }
+
   /** Finds the record of a task. */
   find(task: TaskIdentifier): TaskRecord | undefined {
     return this.#open.get(task) ?? this.#ended.get(task) ??
