--- a/domain/placement/src/runner_pool.ts
+++ b/domain/placement/src/runner_pool.ts
@@ -24,10 +24,16 @@
   readonly backendServer: BackendServerDescription;
 }
 
-/** What a task needs of a runner. */
-export interface PlacementNeed {
+/** What a task can run on. */
+export interface CapabilityNeed {
   readonly service: string;
   readonly requirements: Requirements;
+}
+
+/** What a task needs of a runner. */
+export interface PlacementNeed extends CapabilityNeed {
+  /** Tasks of the submission, all of which are lost with this one. */
+  readonly submissionTasks: number;
   /** Whether the submission has received no service yet; such a task may take the last free slot. */
   readonly isFirst: boolean;
 }
@@ -70,6 +76,12 @@
   isLeaving: boolean;
 }
 
+type TaskStanding = Pick<PlacementNeed, "isFirst" | "submissionTasks">;
+
+/** The task that finds room wherever any task does. */
+const EASIEST_TASK: TaskStanding = { isFirst: true, submissionTasks: 1 };
+/** Runners without quota that are considered for one task. */
+const MAXIMUM_FOREIGN = 16;
 /** Free slots that a borrower leaves at a runner, unless its submission has received nothing yet. */
 const RESERVED_SLOTS = 1;
 /** Age of a load by which one more slot is left. */
@@ -79,7 +91,11 @@
 export class RunnerPool {
   readonly #options: RunnerPoolOptions;
   readonly #pooled = new Map<ProcessIdentifier, Pooled>();
+  /** Runners with slots of this owner's quota, and the others, from which it may borrow. */
+  #own: readonly Pooled[] = [];
+  #foreign: readonly Pooled[] = [];
   #lastTurn = 0;
+  #lastForeign = 0;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
@@ -102,11 +118,13 @@
       loadNotedAt: 0,
       isLeaving: false,
     });
+    this.#sortByQuota();
   }
 
   /** Removes a runner that departed. */
   remove(process: ProcessIdentifier): void {
     this.#pooled.delete(process);
+    this.#sortByQuota();
   }
 
   /** Finds a runner. */
@@ -125,6 +143,7 @@
       pooled.quota = quotaOf(self, { runner: process, rank, slots, owners });
       rank += 1;
     }
+    this.#sortByQuota();
   }
 
   /** Whether any runner may be given work now. */
@@ -136,7 +155,7 @@
   }
 
   /** Whether any known runner could ever run such a task. */
-  isAnyCapable(need: Omit<PlacementNeed, "isFirst">): boolean {
+  isAnyCapable(need: CapabilityNeed): boolean {
     for (const { runner } of this.#pooled.values()) {
       if (isCapable(runner, need)) return true;
     }
@@ -156,9 +175,9 @@
 
   /** Whether a task of this service without special needs could be placed now. */
   hasRoom(service: string): boolean {
-    for (const pooled of this.#pooled.values()) {
+    for (const pooled of this.#considered()) {
       const isInService = pooled.runner.backendServer.service === service;
-      if (isInService && this.#hasRoom(pooled, true)) return true;
+      if (isInService && this.#hasRoom(pooled, EASIEST_TASK)) return true;
     }
     return false;
   }
@@ -217,10 +236,27 @@
     pooled.loadNotedAt = this.#options.now();
   }
 
+  #sortByQuota(): void {
+    const all = [...this.#pooled.values()];
+    this.#own = all.filter(({ quota }) => quota > 0);
+    this.#foreign = all.filter(({ quota }) => quota === 0);
+  }
+
+  /** The runners with quota, and a few of the others in turn, so that the cost does not grow with the fleet. */
+  #considered(): readonly Pooled[] {
+    const foreign = this.#foreign;
+    if (foreign.length <= MAXIMUM_FOREIGN) return [...this.#own, ...foreign];
+    const start = this.#lastForeign % foreign.length;
+    return [
+      ...this.#own,
+      ...foreign.slice(start, start + MAXIMUM_FOREIGN),
+    ];
+  }
+
   #candidates(need: PlacementNeed): readonly Pooled[] {
     const candidates: Pooled[] = [];
-    for (const pooled of this.#pooled.values()) {
-      if (!this.#hasRoom(pooled, need.isFirst)) continue;
+    for (const pooled of this.#considered()) {
+      if (!this.#hasRoom(pooled, need)) continue;
       if (isCapable(pooled.runner, need)) candidates.push(pooled);
     }
     return candidates;
@@ -241,6 +277,7 @@
       const claim = isFirst ? SlotClaim.FreeSlot : SlotClaim.MayWait;
       return { runner: own.runner, claim };
     }
+    this.#lastForeign += 1;
     const foreign = this.#best(
       candidates.filter((pooled) => !hasQuotaLeft(pooled)),
       likelyFree,
@@ -272,9 +309,9 @@
       this.#options.isAvailable(pooled.runner.process);
   }
 
-  #hasRoom(pooled: Pooled, isFirst: boolean): boolean {
-    return this.#isWithinWindow(pooled, isFirst) && this.#isOpen(pooled) &&
-      this.#isHealthy(pooled);
+  #hasRoom(pooled: Pooled, task: TaskStanding): boolean {
+    return this.#isWithinWindow(pooled, task.isFirst) &&
+      this.#isOpen(pooled) && this.#isHealthy(pooled, task);
   }
 
   #isWithinWindow(pooled: Pooled, isFirst: boolean): boolean {
@@ -300,13 +337,13 @@
     return freeSlotsOf(pooled) - age / LOAD_AGE_PER_SLOT_MILLISECONDS;
   }
 
-  #isHealthy(pooled: Pooled): boolean {
+  #isHealthy(pooled: Pooled, task: TaskStanding): boolean {
     const { failures } = pooled;
     switch (this.#options.policy.kind) {
       case PlacementPolicyKind.SlotQuota:
         if (!failures.isOutlier(this.#meanPeerRate(pooled))) return true;
         return pooled.inFlight === 0 &&
-          failures.isTrialDue(this.#options.now());
+          failures.isTrialDue(this.#options.now(), task.submissionTasks);
       case PlacementPolicyKind.LeastLoaded:
       case PlacementPolicyKind.RoundRobin:
       case PlacementPolicyKind.Random:
@@ -344,7 +381,7 @@
 
 function isCapable(
   runner: KnownRunner,
-  need: Omit<PlacementNeed, "isFirst">,
+  need: CapabilityNeed,
 ): boolean {
   const offered = runner.backendServer;
   const needed = need.requirements;
