--- /dev/null
+++ b/domain/configuration/src/example.ts
@@ -0,0 +1,24 @@
+/**
+ * Two operators replace the same version: the first in the log wins, and every reader sees the same.
+ */
+import { ConfigurationHistory } from "@eelgrassfront/configuration";
+import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
+
+const configuration: Configuration = {
+  kindsOfWork: [],
+  teams: [],
+  limits: { maximumTasksPerJob: 220, retryBudget: 0, maximumQueuedTasks: 1 },
+};
+const history = new ConfigurationHistory();
+["first", "second"].forEach((publication, index) => {
+  const { verdict } = history.apply(index + 1, {
+    kind: LogRecordKind.ConfigurationPublished,
+    publication,
+    replaces: 0,
+    publishedBy: "operator",
+    configuration,
+  });
+  console.log(`${publication}: ${verdict}`);
+});
+// prints: first: accepted
+// prints: second: rejected
--- /dev/null
+++ b/domain/owner/src/example.ts
@@ -0,0 +1,34 @@
+/**
+ * An owner that owns no shard tells whoever asks so, and is idle.
+ */
+import { DEFAULT_TIMING, FleetFollower } from "@eelgrassfront/membership";
+import { OutputCollector, PeerRequestKind } from "@eelgrassfront/model";
+import { OwnerDecisions } from "@eelgrassfront/owner";
+
+const collector = new OutputCollector();
+const shared = {
+  self: "sidecar-1~a",
+  timing: DEFAULT_TIMING,
+  collector,
+} as const;
+const owner = new OwnerDecisions({
+  ...shared,
+  follower: new FleetFollower(shared),
+  random: () => 0,
+  shardCount: 64,
+  ownerCount: 3,
+  maximumAnswerBytes: 1_000_000,
+});
+collector.begin(0);
+owner.query({ from: "entry-1~a", request: 1 }, {
+  kind: PeerRequestKind.QueryJob,
+  shard: 0,
+  submission: "assessors/dossier-4711",
+});
+console.log(
+  collector.finish().map((output) =>
+    "message" in output ? output.message.kind : output.kind
+  ),
+  owner.isIdle,
+);
+// prints: [ 'not-owner' ] true
