--- a/measure/src/local_system_test.ts
+++ b/measure/src/local_system_test.ts
@@ -6,7 +6,6 @@
 import { fileURLToPath } from "node:url";
 import type { BackendServerStatistics } from "@eelgrassfront/stand-in-backend-server";
 import { expect } from "earl";
-import { request } from "undici";
 import { LocalSystem } from "./local_system.ts";
 
 const TOOL = fileURLToPath(
@@ -49,8 +48,8 @@
 async function countStarts(system: LocalSystem): Promise<number> {
   const counts = await Promise.all(
     system.backendServers.map(async ({ address }) => {
-      const response = await request(`http://${address}/statistics`);
-      const statistics = await response.body.json() as BackendServerStatistics;
+      const response = await fetch(`http://${address}/statistics`);
+      const statistics = await response.json() as BackendServerStatistics;
       return statistics.starts;
     }),
   );
