feat(callers-http): bound the memory of all bodies that arrive at once

Cause: with 10,000 connections and bodies of 8 MiB, callers could make an entry hold 80 GB before it had read one submission; a body refused as too slow was still kept as it trickled in. Change: a budget that all bodies share (`maximum_bodies`), given back when a body is read or refused; above it a request is rejected as entry-busy. What is refused is read on and dropped. Conclusion: the budget counts what is buffered, not what is announced, so that idle connections cost nothing of it.

--- a/adapters/callers_http/src/body_reader.ts
+++ b/adapters/callers_http/src/body_reader.ts
@@ -3,19 +3,23 @@
  */
 import type { IncomingMessage } from "node:http";
 import { type Milliseconds, RejectionReason } from "@eelgrassfront/model";
+import type { BodyAccount, BodyBudget } from "./body_budget.ts";
 import { RequestError } from "./request_error.ts";
 
 /** Limits on a body. */
 export interface BodyLimits {
   readonly maximumBodyBytes: number;
   readonly bodyMilliseconds: Milliseconds;
+  /** Bytes that all bodies that are being read may take together. */
+  readonly bodyBudget: BodyBudget;
 }
 
 /**
- * Reads a whole body as UTF-8 text. The rest of a body that is too large is read and dropped, so that
- * the caller gets to read the answer.
+ * Reads a whole body as UTF-8 text. The rest of a body that is refused is read and dropped, so that the
+ * caller gets to read the answer.
  *
- * @throws {RequestError} when the body is too large, too slow, cut short or no UTF-8
+ * @throws {RequestError} when the body is too large, too slow, cut short or no UTF-8, or when too many
+ * bodies are being read
  */
 export async function readBody(
   request: IncomingMessage,
@@ -23,31 +27,40 @@
 ): Promise<string> {
   const announced = Number(request.headers["content-length"] ?? 0);
   if (announced > limits.maximumBodyBytes) throw tooLarge(limits);
-  return decode(await readBytes(request, limits));
+  using account = limits.bodyBudget.open();
+  return decode(await readBytes(request, { ...limits, account }));
+}
+
+interface BodyReading extends BodyLimits {
+  readonly account: BodyAccount;
 }
 
 function readBytes(
   request: IncomingMessage,
-  limits: BodyLimits,
+  reading: BodyReading,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    const timer = setTimeout(
-      () => reject(tooSlow(limits)),
-      limits.bodyMilliseconds,
-    );
-    request.on("data", (chunk: Buffer) => {
+    const keep = (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes <= limits.maximumBodyBytes) {
-        chunks.push(chunk);
-        return;
-      }
+      if (bytes > reading.maximumBodyBytes) refuse(tooLarge(reading));
+      else if (!reading.account.tryTake(chunk.length)) refuse(tooMany());
+      else chunks.push(chunk);
+    };
+    const refuse = (error: RequestError) => {
+      request.off("data", keep);
+      request.resume();
       chunks.length = 0;
-      reject(tooLarge(limits));
-    });
+      reject(error);
+    };
+    const timer = setTimeout(
+      () => refuse(tooSlow(reading)),
+      reading.bodyMilliseconds,
+    );
+    request.on("data", keep);
     request.on("end", () => resolve(Buffer.concat(chunks)));
-    request.on("error", () => reject(cutShort()));
+    request.on("error", () => refuse(cutShort()));
     request.on("close", () => clearTimeout(timer));
   });
 }
@@ -70,6 +83,13 @@
   );
 }
 
+function tooMany(): RequestError {
+  return new RequestError(
+    RejectionReason.EntryBusy,
+    "too many large bodies arrive at once; try again later or at another entry",
+  );
+}
+
 function tooSlow({ bodyMilliseconds }: BodyLimits): RequestError {
   return new RequestError(
     RejectionReason.BodyTooSlow,
--- a/adapters/callers_http/src/http_callers.ts
+++ b/adapters/callers_http/src/http_callers.ts
@@ -27,6 +27,7 @@
 import { createAdapter } from "@most/adapter";
 import type { Stream } from "@most/types";
 import { encodeAnswer, encodeRejection } from "./answer_encoding.ts";
+import { BodyBudget } from "./body_budget.ts";
 import { readBody } from "./body_reader.ts";
 import { isIdentifier, readSubmission } from "./job_request.ts";
 import { RequestError } from "./request_error.ts";
@@ -44,6 +45,8 @@
   readonly host: string;
   readonly port: number;
   readonly maximumBodyBytes: number;
+  /** Bytes that all bodies that are being read may take together. */
+  readonly maximumBodiesBytes: number;
   readonly maximumTasks: number;
   readonly maximumDeadlineMilliseconds: Milliseconds;
   readonly maximumConnections: number;
@@ -85,6 +88,7 @@
   readonly inputs: Stream<CallerInput>;
   readonly #induce: (input: CallerInput) => void;
   readonly #options: HttpCallersOptions;
+  readonly #bodyBudget: BodyBudget;
   readonly #teamTokens: TeamTokens | undefined;
   readonly #responses = new Map<CallerRequestIdentifier, ServerResponse>();
   #listener: HttpListener | undefined;
@@ -94,6 +98,7 @@
   private constructor(options: HttpCallersOptions) {
     [this.#induce, this.inputs] = createAdapter<CallerInput>();
     this.#options = options;
+    this.#bodyBudget = new BodyBudget(options.maximumBodiesBytes);
     this.#teamTokens = options.teamTokens === undefined
       ? undefined
       : new TeamTokens(options.teamTokens);
@@ -203,7 +208,10 @@
     const idempotencyKey = readIdempotencyKey(request);
     const firstMadeAtEpoch = readEpochToken(request);
     requireJson(request);
-    const body = await readBody(request, this.#options);
+    const body = await readBody(request, {
+      ...this.#options,
+      bodyBudget: this.#bodyBudget,
+    });
     const content = { body, idempotencyKey, firstMadeAtEpoch };
     const submission = readSubmission(content, this.#options);
     requireTeam(team, submission.team);
--- a/adapters/callers_http/src/http_callers_test.ts
+++ b/adapters/callers_http/src/http_callers_test.ts
@@ -44,6 +44,7 @@
         host: "127.0.0.1",
         port: 0,
         maximumBodyBytes: 4_096,
+        maximumBodiesBytes: 8_192,
         maximumTasks: 2,
         maximumDeadlineMilliseconds: 60_000,
         maximumConnections: 8,
@@ -413,6 +414,23 @@
     first.destroy();
   });
 
+  it("bounds the memory of all bodies together, and gives it back", async () => {
+    await using rig = await Rig.start({ maximumBodiesBytes: 4_096 });
+    const rejected = rig.awaitInput(InputKind.RequestRejected);
+    const text = message({ body: "x".repeat(3_000), length: 4_000 });
+    const sockets = [rig.connect(), rig.connect()];
+    for (const socket of sockets) socket.write(text);
+    await rejected;
+    expect(rig.inputs).toEqual([{
+      kind: InputKind.RequestRejected,
+      reason: RejectionReason.EntryBusy,
+    }]);
+    const bothEnded = sockets.map((socket) => readAll(socket));
+    for (const socket of sockets) socket.end("x".repeat(1_000));
+    await Promise.all(bothEnded);
+    expect((await rig.send(message())).status).toEqual(200);
+  });
+
   it("answers a submission", async () => {
     await using rig = await Rig.start();
     expect((await rig.send(message())).status).toEqual(200);
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -51,6 +51,7 @@
   callers: section({
     listen: address,
     maximum_body: size,
+    maximum_bodies: size,
     maximum_tasks: count,
     maximum_deadline: duration,
     maximum_connections: count,
--- a/daemon/src/daemon_settings_test.ts
+++ b/daemon/src/daemon_settings_test.ts
@@ -182,6 +182,14 @@
       'entry.ini: platform_log.read_wait: found "501ms"; allowed: at most half of timing.lease, so that one read confirms the view until the next',
     ],
   },
+  {
+    title: "a size for all bodies that one exceeds",
+    found: "maximum_bodies = 64MiB",
+    replacement: "maximum_bodies = 1MiB",
+    faults: [
+      'entry.ini: callers.maximum_bodies: found "1MiB"; allowed: at least callers.maximum_body',
+    ],
+  },
   {
     title: "two interfaces at one address",
     found: "10.0.1.10:8080",
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -57,6 +57,7 @@
     self,
     ...limits.listen,
     maximumBodyBytes: limits.maximum_body,
+    maximumBodiesBytes: limits.maximum_bodies,
     maximumTasks: limits.maximum_tasks,
     maximumConnections: limits.maximum_connections,
     maximumDeadlineMilliseconds: limits.maximum_deadline,
--- a/daemon/src/settings_checks.ts
+++ b/daemon/src/settings_checks.ts
@@ -21,6 +21,8 @@
   readonly callers?: {
     readonly listen: Address;
     readonly maximum_deadline: Milliseconds;
+    readonly maximum_body: number;
+    readonly maximum_bodies: number;
   };
 }
 
@@ -93,6 +95,12 @@
       isKept: ownership.owners <= ownership.shards,
       allowed: "at most ownership.shards",
     },
+    {
+      path: ["callers", "maximum_bodies"],
+      isKept: callers === undefined ||
+        callers.maximum_bodies >= callers.maximum_body,
+      allowed: "at least callers.maximum_body",
+    },
     {
       path: ["operators", "listen"],
       isKept: operatorsAddress !== peersAddress,
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -47,6 +47,7 @@
     callers: {
       listen: `127.0.0.1:${entry.callers}`,
       maximum_body: "8MiB",
+      maximum_bodies: "64MiB",
       maximum_tasks: 220,
       maximum_deadline: "5min",
       maximum_connections: 10_000,
