--- a/domain/model/src/peer_message.ts
+++ b/domain/model/src/peer_message.ts
@@ -63,8 +63,6 @@
   MayWait = "may-wait",
   /** The task is refused, so that the owner places it elsewhere. */
   FreeSlot = "free-slot",
-  /** The task is refused unless a slot more is free: it would borrow another owner's slot. */
-  SpareSlot = "spare-slot",
 }
 
 /** An owner places one attempt of a task at a runner. */
@@ -155,6 +153,8 @@
   readonly submission: SubmissionIdentifier;
   readonly digest: string;
   readonly taskIndex: number;
+  /** The epoch of the owner that placed the attempt. */
+  readonly epoch: Epoch;
   readonly attempt: number;
   /** How the task ended; absent while it runs, or when the result has been dropped. */
   readonly end?: TaskEnd;
--- a/domain/owner/src/evidence_book.ts
+++ b/domain/owner/src/evidence_book.ts
@@ -23,8 +23,6 @@
   readonly starts: ReadonlyMap<number, ReportedStart>;
 }
 
-const MAXIMUM_SUBMISSIONS = 1_000_000;
-
 /** Starts reported by runners. */
 export class EvidenceBook {
   readonly #submissions: RecentMap<SubmissionIdentifier, SubmissionEvidence>;
@@ -32,7 +30,8 @@
   constructor(options: { readonly horizonMilliseconds: Milliseconds }) {
     this.#submissions = new RecentMap({
       horizonMilliseconds: options.horizonMilliseconds,
-      maximumWeight: MAXIMUM_SUBMISSIONS,
+      // Evidence that is forgotten early would let a task start again; runners bound what they report.
+      maximumWeight: Infinity,
       weigh: () => 1,
     });
   }
--- a/domain/runner/src/task_record.ts
+++ b/domain/runner/src/task_record.ts
@@ -80,6 +80,7 @@
     submission: order.submission,
     digest: order.digest,
     taskIndex: order.taskIndex,
+    epoch: order.epoch,
     attempt: order.attempt,
   };
   switch (phase.phase) {
--- a/measure/src/response_measure.ts
+++ b/measure/src/response_measure.ts
@@ -17,6 +17,8 @@
 const IDLE_MILLISECONDS = 4_000;
 /** Longer than the time for which processes gather metrics before they send them. */
 const METRICS_MILLISECONDS = 1_500;
+/** Time after the warm-up in which compilation and garbage collection come to rest. */
+const SETTLE_MILLISECONDS = 6_000;
 const DEADLINE_MILLISECONDS = 30_000;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
@@ -58,6 +60,8 @@
   readonly addedP99: number;
   readonly messagesPerTask: number;
   readonly processorMicrosecondsPerTask: RoleTimes;
+  /** Share of a core in the time before the phase, all processes of a role together. */
+  readonly idleCoreShare: RoleTimes;
   readonly failedJobs: number;
 }
 
@@ -66,7 +70,7 @@
   readonly sidecars: number;
 }
 
-/** Runs the measure and prints its figures. */
+/** Runs the measure and returns its figures. */
 export async function measureResponse(): Promise<object> {
   await using receiver = await MetricsReceiver.listen();
   await using system = await LocalSystem.start({
@@ -77,14 +81,13 @@
   });
   await using experiment = new ResponseExperiment(system, receiver);
   for (const phase of WARM_UP) await experiment.submitAll(phase);
-  const idle = await experiment.measureIdle();
+  await pause(SETTLE_MILLISECONDS);
   const figures: Record<string, PhaseFigures> = {};
   for (const phase of PHASES) {
-    figures[phase.name] = await experiment.measure(phase, idle);
+    figures[phase.name] = await experiment.measure(phase);
     print(phase.name, figures[phase.name]);
   }
-  const whole = { measure: "response", idleCoreShare: idle, ...figures };
-  return whole;
+  return { measure: "response", ...figures };
 }
 
 class ResponseExperiment implements AsyncDisposable {
@@ -125,7 +128,8 @@
     };
   }
 
-  async measure(phase: Phase, idle: RoleTimes): Promise<PhaseFigures> {
+  async measure(phase: Phase): Promise<PhaseFigures> {
+    const idle = await this.measureIdle();
     const ideal = await this.#callDirectly(Math.min(phase.jobs, 200));
     this.#failedJobs = 0;
     const messagesBefore = this.#messages();
@@ -151,6 +155,7 @@
         entries: perTask(used.entries, idle.entries),
         sidecars: perTask(used.sidecars, idle.sidecars),
       },
+      idleCoreShare: idle,
       failedJobs: this.#failedJobs,
     };
   }
