--- a/domain/admission/src/example.ts
+++ b/domain/admission/src/example.ts
@@ -26,6 +26,7 @@
     waitingTasks: 0,
     waitingSubmissions: 0,
     slots: 1,
+    share: 1,
     runMilliseconds: 50,
   }),
   isCapableWorkerKnown: () => true,
--- a/domain/owner/src/example.ts
+++ b/domain/owner/src/example.ts
@@ -2,13 +2,15 @@
  * An owner that owns no shard tells whoever asks so, and is idle.
  */
 import { DEFAULT_TIMING, FleetFollower } from "@eelgrassfront/membership";
-import { OutputCollector, PeerRequestKind } from "@eelgrassfront/model";
+import { OutputCollector, PeerRequestKind, Role } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 
 const collector = new OutputCollector();
 const shared = {
   self: "sidecar-1~a",
+  role: Role.Sidecar,
   timing: DEFAULT_TIMING,
+  ownerCount: 3,
   collector,
 } as const;
 const owner = new OwnerDecisions({
@@ -16,7 +18,6 @@
   follower: new FleetFollower(shared),
   random: () => 0,
   shardCount: 64,
-  ownerCount: 3,
   maximumAnswerBytes: 1_000_000,
 });
 collector.begin(0);
