refactor(sidecar): drop the setting waiting_per_runner, and hash a process's refresh share once

Cause: slot quotas leave no task waiting at a runner by a setting, so waiting_per_runner did nothing.

Ruled out: keeping the setting for baselines, which choose their window in measure.

--- a/adapters/message_lines/src/line_front_end_test.ts
+++ b/adapters/message_lines/src/line_front_end_test.ts
@@ -175,7 +175,6 @@
     maximumAnswerBytes: 1_000_000,
     maximumResultBytes: 1_000_000,
     maximumQueuedTasks: 10,
-    waitingPerRunner: 2,
   });
 }
 
--- a/daemon/src/daemon_settings.ts
+++ b/daemon/src/daemon_settings.ts
@@ -77,7 +77,6 @@
   }),
   owner: section({
     kept_answers: size,
-    waiting_per_runner: count,
   }),
 });
 
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -103,7 +103,6 @@
     maximumAnswerBytes: settings.owner.kept_answers,
     maximumResultBytes: settings.runner.kept_results,
     maximumQueuedTasks: settings.runner.queued_tasks,
-    waitingPerRunner: settings.owner.waiting_per_runner,
   });
   const ports = { ...shared.ports, backendServer };
   const running = new ProcessLoop(decisions, ports).run();
--- a/domain/membership/src/record_refresher.ts
+++ b/domain/membership/src/record_refresher.ts
@@ -48,10 +48,14 @@
 /** Repeats records that grow old. */
 export class RecordRefresher {
   readonly #options: RecordRefresherOptions;
+  /** Share of the retention after which this process repeats its own records. */
+  readonly #ownShare: number;
   readonly #refreshedAt = new Map<RefreshKind, Milliseconds>();
 
   constructor(options: RecordRefresherOptions) {
     this.#options = options;
+    const place = stableHash(`refresh ${options.self}`) / HASH_RANGE;
+    this.#ownShare = EARLIEST_SHARE + SPREAD_SHARE * place;
   }
 
   /** Repeats what is due, on behalf of a process with this announcement. */
@@ -67,7 +71,7 @@
     const { self, view } = this.#options;
     const member = view.find(self);
     if (member === undefined) return;
-    if (!this.#isOld(member.announcedAt, this.#ownShare())) return;
+    if (!this.#isOld(member.announcedAt, this.#ownShare)) return;
     this.#append(RefreshKind.Announcement, {
       ...announcement,
       firstOffset: member.joinOffset,
@@ -80,7 +84,7 @@
       owner === self && view.ownership.isDecided(shard)
     );
     const isAnyOld = owned.some(({ shard }) =>
-      this.#isOld(view.shardRecordedAt(shard), this.#ownShare())
+      this.#isOld(view.shardRecordedAt(shard), this.#ownShare)
     );
     if (!isAnyOld) return;
     const claims: readonly ShardClaim[] = owned.map(({ shard, epoch }) => ({
@@ -122,11 +126,6 @@
     return place < 0 ? MAXIMUM_PLACE : Math.min(place, MAXIMUM_PLACE);
   }
 
-  #ownShare(): number {
-    const place = stableHash(`refresh ${this.#options.self}`) / HASH_RANGE;
-    return EARLIEST_SHARE + SPREAD_SHARE * place;
-  }
-
   #isOld(recordedAt: Milliseconds | undefined, share: number): boolean {
     const { timing, view } = this.#options;
     const age = view.logClock - (recordedAt ?? -Infinity);
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -54,7 +54,6 @@
   readonly maximumAnswerBytes: number;
   readonly maximumResultBytes: number;
   readonly maximumQueuedTasks: number;
-  readonly waitingPerRunner: number;
   /** Baselines to measure against choose another placement. */
   readonly placementPolicy?: PlacementPolicy;
   readonly queueDiscipline?: QueueDisciplineKind;
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -51,7 +51,6 @@
   /** One-way delay between processes. */
   readonly delayMilliseconds: Milliseconds;
   readonly timing?: Timing;
-  readonly waitingPerRunner?: number;
   /** Bytes of answers that an owner keeps, and of results that a runner keeps. */
   readonly maximumKeptBytes?: number;
   /** Baselines to measure against choose another placement or queue. */
@@ -163,7 +162,6 @@
       maximumAnswerBytes: maximumKeptBytes ?? DEFAULT_KEPT_BYTES,
       maximumResultBytes: maximumKeptBytes ?? DEFAULT_KEPT_BYTES,
       maximumQueuedTasks: 1_000,
-      waitingPerRunner: this.#options.waitingPerRunner ?? 2,
     });
     const process = this.#start(identifier, decisions, backendServer);
     this.sidecars[index] = { process, backendServer };
--- a/measure/src/capacity_processes.ts
+++ b/measure/src/capacity_processes.ts
@@ -58,7 +58,6 @@
       maximumAnswerBytes: UNBOUNDED,
       maximumResultBytes: UNBOUNDED,
       maximumQueuedTasks: UNBOUNDED,
-      waitingPerRunner: 2,
     }),
     fleet,
   );
--- a/measure/src/local_settings.ts
+++ b/measure/src/local_settings.ts
@@ -74,7 +74,7 @@
       description_interval: "1s",
     },
     runner: { kept_results: "64MiB", queued_tasks: 1_000 },
-    owner: { kept_answers: "64MiB", waiting_per_runner: 2 },
+    owner: { kept_answers: "64MiB" },
   });
 }
 
