--- a/adapters/callers_http/src/canonical_json.ts
+++ b/adapters/callers_http/src/canonical_json.ts
@@ -2,17 +2,13 @@
  * One text for each JSON value, whatever the order in which its keys were written.
  */
 
-/** Encodes a JSON value with the keys of every object sorted. */
+/** Encodes a value that JSON can hold with the keys of every object sorted. */
 export function canonicalJson(value: unknown): string {
-  return JSON.stringify(value, (_key, inner: unknown) => sortKeys(inner));
-}
-
-function sortKeys(value: unknown): unknown {
-  if (typeof value !== "object" || value === null || Array.isArray(value)) {
-    return value;
-  }
-  const entries = Object.entries(value);
-  return Object.fromEntries(
-    entries.sort(([left], [right]) => left < right ? -1 : 1),
+  if (typeof value !== "object" || value === null) return JSON.stringify(value);
+  if (Array.isArray(value)) return `[${value.map(canonicalJson).join()}]`;
+  const members = new Map<string, unknown>(Object.entries(value));
+  const encoded = [...members.keys()].sort().map((key) =>
+    `${JSON.stringify(key)}:${canonicalJson(members.get(key))}`
   );
+  return `{${encoded.join()}}`;
 }
--- a/adapters/callers_http/src/json_scanner.ts
+++ b/adapters/callers_http/src/json_scanner.ts
@@ -21,6 +21,21 @@
 export const MAXIMUM_DEPTH = 64;
 
 const QUOTE = '"';
+
+/** Codes of the characters that matter to the scan. */
+enum Code {
+  Quote = 0x22,
+  Comma = 0x2c,
+  Minus = 0x2d,
+  Zero = 0x30,
+  Nine = 0x39,
+  OpeningBracket = 0x5b,
+  Backslash = 0x5c,
+  ClosingBracket = 0x5d,
+  OpeningBrace = 0x7b,
+  ClosingBrace = 0x7d,
+}
+
 const NUMBER_PATTERN = /-?\d+(?:\.\d+)?(?:[eE][+-]?\d+)?/y;
 const INTEGER_PATTERN = /^-?\d+$/;
 
@@ -58,23 +73,23 @@
   }
 
   #scanToken(): JsonFault | undefined {
-    const character = this.#text.charAt(this.#position);
-    switch (character) {
-      case "{":
+    const code = this.#text.charCodeAt(this.#position);
+    switch (code) {
+      case Code.OpeningBrace:
         return this.#open({ keys: new Set(), isKeyNext: true });
-      case "[":
+      case Code.OpeningBracket:
         return this.#open({ keys: undefined, isKeyNext: false });
-      case "}":
-      case "]":
+      case Code.ClosingBrace:
+      case Code.ClosingBracket:
         this.#levels.pop();
         break;
-      case ",":
+      case Code.Comma:
         this.#expectKey();
         break;
-      case QUOTE:
+      case Code.Quote:
         return this.#scanString();
       default:
-        if (isNumberStart(character)) return this.#scanNumber();
+        if (isNumberStart(code)) return this.#scanNumber();
     }
     this.#position += 1;
     return undefined;
@@ -118,7 +133,9 @@
   /** Whether an odd number of backslashes stands before a position. */
   #isEscaped(position: number): boolean {
     let backslashes = 0;
-    while (this.#text.charAt(position - 1 - backslashes) === "\\") {
+    while (
+      this.#text.charCodeAt(position - 1 - backslashes) === Code.Backslash
+    ) {
       backslashes += 1;
     }
     return backslashes % 2 === 1;
@@ -133,8 +150,8 @@
   }
 }
 
-function isNumberStart(character: string): boolean {
-  return character === "-" || (character >= "0" && character <= "9");
+function isNumberStart(code: number): boolean {
+  return code === Code.Minus || (code >= Code.Zero && code <= Code.Nine);
 }
 
 function isExact(literal: string): boolean {
