--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -52,6 +52,7 @@
   UnknownReason,
 } from "@eelgrassfront/model";
 import { shardOf } from "@eelgrassfront/ownership";
+import { EpochTokens } from "./epoch_tokens.ts";
 
 /** What an entry needs. */
 export interface EntryDecisionsOptions {
@@ -95,7 +96,7 @@
   readonly #follower: FleetFollower;
   readonly #pending = new Map<CallerRequestIdentifier, Pending>();
   readonly #byRequest = new Map<RequestIdentifier, Pending>();
-  readonly #grantedEpochs = new Map<ShardNumber, Epoch>();
+  readonly #tokens = new EpochTokens();
   #isLeaving = false;
   #isDeparting = false;
   #isStopped = false;
@@ -106,6 +107,7 @@
     this.#options = options;
     this.#follower = new FleetFollower({
       ...options,
+      role: Role.Entry,
       collector: this.#collector,
     });
     this.#follower.announce({
@@ -358,6 +360,7 @@
   #changeFleet(changes: readonly FleetChange[]): void {
     for (const change of changes) {
       if (change.kind !== FleetChangeKind.OwnershipChanged) continue;
+      this.#tokens.noteClaim(change.ownership);
       this.#relayToNewOwner(change.ownership.shard, change.ownership.epoch);
     }
   }
@@ -372,20 +375,13 @@
 
   #noteGrants(granted: readonly ShardEpoch[]): void {
     for (const { shard, epoch } of granted) {
-      const known = this.#grantedEpochs.get(shard) ?? 0;
-      this.#grantedEpochs.set(shard, Math.max(known, epoch));
+      this.#tokens.noteGrant(shard, epoch);
     }
   }
 
-  /** The newest log offset up to which every claim is known to be granted. */
   #epochToken(): Epoch {
     const { view } = this.#follower;
-    let token = view.nextOffset - 1;
-    for (const { shard, epoch } of view.ownership.all()) {
-      const isGranted = (this.#grantedEpochs.get(shard) ?? 0) >= epoch;
-      if (!isGranted) token = Math.min(token, epoch - 1);
-    }
-    return token;
+    return this.#tokens.tokenAt(view.nextOffset, view.ownership.all());
   }
 
   #answerOutcome(pending: Pending, outcome: JobOutcome): void {
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -38,6 +38,9 @@
 /** What a follower needs. */
 export interface FleetFollowerOptions {
   readonly self: ProcessIdentifier;
+  readonly role: Role;
+  /** Sidecars that own shards at a time; an entry need not know. */
+  readonly ownerCount?: number;
   readonly timing: Timing;
   readonly collector: OutputCollector;
   /** Addresses of processes that a starting process asks while the log is away. */
@@ -81,6 +84,8 @@
     });
     this.heartbeats = new Heartbeats({
       self,
+      role: options.role,
+      ownerCount: options.ownerCount ?? 0,
       timing,
       collector,
       view: this.view,
@@ -309,15 +314,12 @@
   }
 
   #removeSilentMembers(): void {
-    if (!this.#isRemover()) return;
     const { timing } = this.#options;
-    for (const member of this.view.members()) {
-      const peer = member.joined.process;
-      if (this.heartbeats.silenceOf(peer) < timing.removalMilliseconds) {
-        continue;
-      }
-      this.#appendRemovalOnce(peer);
-    }
+    const silent = this.view.members().filter(({ joined }) =>
+      this.heartbeats.silenceOf(joined.process) >= timing.removalMilliseconds
+    );
+    if (silent.length === 0 || !this.#isRemover()) return;
+    for (const { joined } of silent) this.#appendRemovalOnce(joined.process);
   }
 
   /** The reachable sidecar that joined first writes the removals, so that one death costs one append. */
--- a/domain/owner/src/answer_book.ts
+++ b/domain/owner/src/answer_book.ts
@@ -21,23 +21,28 @@
   readonly horizonMilliseconds: Milliseconds;
   /** Bytes of answers that are kept. */
   readonly maximumAnswerBytes: number;
+  /** Keys that are remembered; beyond it no new job is taken in. */
+  readonly maximumKeys?: number;
 }
 
 const ANSWER_OVERHEAD_BYTES = 700;
-/** Keys and refusals that are remembered without their content. */
 const MAXIMUM_KEYS = 1_000_000;
+/** Refusals that are remembered for late copies of their requests. */
+const MAXIMUM_REFUSALS = 1_000_000;
 
 /** Answers by submission, and refusals by caller request. */
 export class AnswerBook {
   readonly #answers: RecentMap<SubmissionIdentifier, KeptAnswer>;
   readonly #expired: RecentMap<SubmissionIdentifier, KeptAnswer>;
   readonly #refusals: RecentMap<CallerRequestIdentifier, NotRunOutcome>;
+  readonly #maximumKeys: number;
 
   constructor(options: AnswerBookOptions) {
     const { horizonMilliseconds } = options;
+    this.#maximumKeys = options.maximumKeys ?? MAXIMUM_KEYS;
     this.#expired = new RecentMap({
       horizonMilliseconds,
-      maximumWeight: MAXIMUM_KEYS,
+      maximumWeight: Infinity,
       weigh: () => 1,
     });
     this.#answers = new RecentMap({
@@ -49,11 +54,18 @@
     });
     this.#refusals = new RecentMap({
       horizonMilliseconds,
-      maximumWeight: MAXIMUM_KEYS,
+      maximumWeight: MAXIMUM_REFUSALS,
       weigh: () => 1,
     });
   }
 
+  /** Whether no more keys can be remembered; a key that is forgotten early could run again. */
+  isFull(now: Milliseconds): boolean {
+    this.#answers.purge(now);
+    this.#expired.purge(now);
+    return this.#answers.size + this.#expired.size >= this.#maximumKeys;
+  }
+
   /** Finds the answer to a submission. */
   find(submission: SubmissionIdentifier): KeptAnswer | undefined {
     return this.#answers.get(submission) ?? this.#expired.get(submission);
