--- a/domain/admission/src/example.ts
+++ b/domain/admission/src/example.ts
@@ -27,6 +27,7 @@
     waitingSubmissions: 0,
     slots: 1,
     runMilliseconds: 50,
+    share: 1,
   }),
   isCapableWorkerKnown: () => true,
 });
--- a/domain/owner/src/example.ts
+++ b/domain/owner/src/example.ts
@@ -2,12 +2,13 @@
  * An owner that owns no shard tells whoever asks so, and is idle.
  */
 import { DEFAULT_TIMING, FleetFollower } from "@eelgrassfront/membership";
-import { OutputCollector, PeerRequestKind } from "@eelgrassfront/model";
+import { OutputCollector, PeerRequestKind, Role } from "@eelgrassfront/model";
 import { OwnerDecisions } from "@eelgrassfront/owner";
 
 const collector = new OutputCollector();
 const shared = {
   self: "sidecar-1~a",
+  role: Role.Sidecar,
   timing: DEFAULT_TIMING,
   collector,
 } as const;
