--- a/cli/src/job_commands.ts
+++ b/cli/src/job_commands.ts
@@ -17,6 +17,7 @@
 import { ExitCode } from "./exit_code.ts";
 import { call, tokenHeaders } from "./http_call.ts";
 import { describeOutcome, exitCodeOf, REJECTED } from "./job_outcome.ts";
+import { jobPath } from "./job_path.ts";
 import { formatTable } from "./text_table.ts";
 
 const jobArguments = {
@@ -74,7 +75,7 @@
   const { body } = await call({
     ...question,
     peer: entry,
-    path: `/v1/jobs/${encodeURIComponent(team)}/${encodeURIComponent(key)}`,
+    path: jobPath(team, key),
     headers: tokenHeaders(token),
   });
   const isAnswered = body["state"] !== undefined;
--- a/cli/src/job_progress.ts
+++ b/cli/src/job_progress.ts
@@ -5,6 +5,7 @@
 import { Step } from "@eelgrassfront/model";
 import { tell } from "./console_output.ts";
 import { call, tokenHeaders } from "./http_call.ts";
+import { jobPath } from "./job_path.ts";
 
 /** The job that is watched. */
 export interface JobProgressOptions {
@@ -40,7 +41,7 @@
         step: Step.AskJob,
         peer: entry,
         method: "GET",
-        path: `/v1/jobs/${encodeURIComponent(team)}/${encodeURIComponent(key)}`,
+        path: jobPath(team, key),
         headers: tokenHeaders(token),
       });
       this.#tellChange(body);
