--- a/domain/admission/src/example.ts
+++ b/domain/admission/src/example.ts
@@ -26,8 +26,8 @@
     waitingTasks: 0,
     waitingSubmissions: 0,
     slots: 1,
-    runMilliseconds: 50,
     share: 1,
+    runMilliseconds: 50,
   }),
   isCapableWorkerKnown: () => true,
 });
--- a/domain/owner/src/example.ts
+++ b/domain/owner/src/example.ts
@@ -10,6 +10,7 @@
   self: "sidecar-1~a",
   role: Role.Sidecar,
   timing: DEFAULT_TIMING,
+  ownerCount: 3,
   collector,
 } as const;
 const owner = new OwnerDecisions({
@@ -17,7 +18,6 @@
   follower: new FleetFollower(shared),
   random: () => 0,
   shardCount: 64,
-  ownerCount: 3,
   maximumAnswerBytes: 1_000_000,
 });
 collector.begin(0);
