perf(owner): rank the fleet for claims only while a shard lacks a living owner

Cause: every 20 ms a sidecar hashed and sorted the whole fleet to see whether it should claim. Change: it first looks whether any shard is unowned or its owner unreachable, each owner once.

--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -412,6 +412,7 @@
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
     this.#claimCheckedAt = this.#options.collector.now;
+    if (!this.#isAnyShardFree()) return;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
@@ -438,6 +439,20 @@
       follower.heartbeats.hearsMajority();
   }
 
+  /** Whether any shard lacks a living owner; ranking the fleet costs far more than this. */
+  #isAnyShardFree(): boolean {
+    const { follower, shardCount } = this.#options;
+    const alive = new Set<ProcessIdentifier>();
+    let owned = 0;
+    for (const { owner } of follower.view.ownership.all()) {
+      owned += 1;
+      if (alive.has(owner)) continue;
+      if (!this.#isOwnerAlive(owner)) return true;
+      alive.add(owner);
+    }
+    return owned < shardCount;
+  }
+
   #candidates(): readonly ProcessIdentifier[] {
     const { follower, ownerCount } = this.#options;
     const reachable = follower.view.sidecars()
