--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -106,8 +106,10 @@
     [],
     (left, right) => left.at - right.at,
   );
+  readonly #withdrawing = new Set<Job>();
   readonly #handOver: ShardHandOver;
   #isLeaving = false;
+  #lastAttempt = 0;
 
   constructor(options: OwnerDecisionsOptions) {
     this.#options = options;
@@ -187,6 +189,7 @@
       const timer = this.#timers.pop();
       if (timer !== undefined) this.#expire(timer.job);
     }
+    for (const job of [...this.#withdrawing]) this.#finishWithdrawal(job);
     for (const shard of [...this.#held.keys()]) {
       if (this.#isGranted(shard)) this.#decideHeld(shard);
     }
@@ -247,9 +250,9 @@
     }
   }
 
-  /** Answers how a job stands. */
+  /** Answers how a job stands; an owner that is not granted cannot tell yet, and is asked again. */
   query(waiter: RequestFrom, message: QueryJob): void {
-    if (this.#grants.standingOf(message.shard) === ShardStanding.NotOwned) {
+    if (!this.#isGranted(message.shard)) {
       this.#replyNotOwner(waiter, message.shard);
       return;
     }
@@ -258,7 +261,7 @@
 
   /** Cancels a job. */
   cancel(waiter: RequestFrom, message: CancelJob): void {
-    if (this.#grants.standingOf(message.shard) === ShardStanding.NotOwned) {
+    if (!this.#isGranted(message.shard)) {
       this.#replyNotOwner(waiter, message.shard);
       return;
     }
@@ -349,11 +352,6 @@
     arrivedAt: Milliseconds,
   ): void {
     const identifier = identifySubmission(message.submission);
-    const refusal = this.#answers.findRefusal(waiter.callerRequest);
-    if (refusal !== undefined) {
-      this.#replyOutcome(waiter, message.shard, refusal);
-      return;
-    }
     const answer = this.#answers.find(identifier);
     if (answer !== undefined) {
       this.#replyKept(waiter, message, answer);
@@ -364,15 +362,20 @@
       this.#attach(waiter, message, job);
       return;
     }
+    const refusal = this.#answers.findRefusal(waiter.callerRequest);
     const evidence = this.#evidence.find(identifier);
-    if (evidence !== undefined) {
+    if (evidence !== undefined && refusal === undefined) {
       this.#recover({ waiter, message, arrivedAt }, evidence);
       return;
     }
-    if (this.#mayHaveStartedElsewhere(message)) {
+    if (evidence !== undefined || this.#mayHaveStartedElsewhere(message)) {
       this.#replyEvidenceMissing(waiter, message.shard);
       return;
     }
+    if (refusal !== undefined) {
+      this.#replyOutcome(waiter, message.shard, refusal);
+      return;
+    }
     this.#admit(waiter, message, arrivedAt);
   }
 
@@ -430,6 +433,13 @@
       });
       return;
     }
+    if (this.#answers.isFull(this.#options.collector.now)) {
+      this.#refuse(waiter, message.shard, {
+        kind: JobOutcomeKind.NotRun,
+        reason: NotRunReason.QueueFull,
+      });
+      return;
+    }
     const admission = judgeSubmission(submission, {
       configuration,
       queuedTasks: this.#dispatcher.queuedTasks,
@@ -471,6 +481,7 @@
       kindOfWork,
       arrivedAt,
       deadlineAt,
+      nextAttempt: () => this.#nextAttempt(),
     });
     job.waiters.push(waiter);
     this.#jobs.set(job.identifier, job);
@@ -479,6 +490,11 @@
     return job;
   }
 
+  #nextAttempt(): number {
+    this.#lastAttempt += 1;
+    return this.#lastAttempt;
+  }
+
   #recover(held: HeldSubmission, evidence: SubmissionEvidence): void {
     const { waiter, message } = held;
     if (evidence.digest !== message.submission.digest) {
@@ -513,8 +529,9 @@
       job.put(index, { phase: TaskPhase.Ended, end: record.end });
       return;
     }
-    if (record.isResultDropped) {
-      const detail = "the result is no longer kept";
+    const isRunnerGone = this.#options.follower.view.find(runner) === undefined;
+    if (record.isResultDropped || isRunnerGone) {
+      const detail = "nobody keeps the result any more";
       job.put(index, {
         phase: TaskPhase.Ended,
         end: { kind: TaskEndKind.Lost, detail },
@@ -525,7 +542,7 @@
       phase: TaskPhase.Placed,
       runner,
       attempt: record.attempt,
-      epoch: job.options.epoch,
+      epoch: record.epoch,
       isStarted: true,
     });
     this.#dispatcher.adopt(job, index);
@@ -645,6 +662,7 @@
     notRun: NotRunReason,
   ): void {
     job.phase = JobPhase.Withdrawing;
+    this.#withdrawing.add(job);
     job.withdrawal = { failure, notRun };
     job.tasks.forEach((task, index) => {
       if (task.phase === TaskPhase.Waiting) {
@@ -657,7 +675,9 @@
     this.#finishWithdrawal(job);
   }
 
+  /** Answers a job that is taken back; a view that is not fresh may miss the starts of a new owner. */
   #finishWithdrawal(job: Job): void {
+    if (!this.#isGranted(job.options.shard)) return;
     if (job.isAnyTaskInDoubt && !job.isAnyTaskStarted) return;
     const { failure, notRun } = job.withdrawal;
     if (!job.isAnyTaskStarted) {
@@ -706,6 +726,7 @@
     }
     assertNotRunIsTrue(job, outcome);
     job.phase = JobPhase.Answered;
+    this.#withdrawing.delete(job);
     this.#jobs.delete(job.identifier);
     this.#addTeamTasks(job.options.submission.team, -job.size);
     this.#keepAnswer(job, outcome);
@@ -788,6 +809,7 @@
 
   #abandon(job: Job): void {
     job.phase = JobPhase.Answered;
+    this.#withdrawing.delete(job);
     this.#jobs.delete(job.identifier);
     this.#addTeamTasks(job.options.submission.team, -job.size);
     this.#dispatcher.abandon(job);
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -411,14 +411,16 @@
 
   #claimIfDue(): void {
     if (!this.#mayClaim()) return;
+    const claimable = this.#claimableShards();
+    const { heartbeats } = this.#options.follower;
+    if (claimable.length === 0 || !heartbeats.hearsMajority()) return;
     this.#claimCheckedAt = this.#options.collector.now;
-    if (!this.#isAnyShardFree()) return;
     const candidates = this.#candidates();
     if (!candidates.includes(this.#options.self)) return;
     const unowned: ShardClaim[] = [];
     const ownerless: ShardClaim[] = [];
     const unseen: ShardClaim[] = [];
-    for (let shard = 0; shard < this.#options.shardCount; shard += 1) {
+    for (const shard of claimable) {
       this.#sortClaim(shard, candidates, { unowned, ownerless, unseen });
     }
     this.#appendClaim(ClaimReason.Unowned, unowned);
@@ -426,31 +428,27 @@
     this.#appendUnseenClaim(unseen);
   }
 
+  #claimableShards(): readonly ShardNumber[] {
+    const { follower, shardCount } = this.#options;
+    const claimable: ShardNumber[] = [];
+    for (let shard = 0; shard < shardCount; shard += 1) {
+      const owner = follower.view.ownership.find(shard)?.owner;
+      const isOwned = owner !== undefined && this.#isAnswerLikely(owner);
+      if (!isOwned) claimable.push(shard);
+    }
+    return claimable;
+  }
+
   #mayClaim(): boolean {
     const { collector, follower } = this.#options;
+    if (this.#isLeaving) return false;
     const hasSettled =
       collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
-    const isAnswerDue =
-      collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS;
-    const isCheckDue =
-      collector.now - this.#claimCheckedAt >= CLAIM_CHECK_MILLISECONDS;
-    return isCheckDue && !this.#isLeaving && follower.isMember && hasSettled &&
-      !isAnswerDue && follower.view.lastReadToEndAt !== undefined &&
-      follower.heartbeats.hearsMajority();
-  }
-
-  /** Whether any shard lacks a living owner; ranking the fleet costs far more than this. */
-  #isAnyShardFree(): boolean {
-    const { follower, shardCount } = this.#options;
-    const alive = new Set<ProcessIdentifier>();
-    let owned = 0;
-    for (const { owner } of follower.view.ownership.all()) {
-      owned += 1;
-      if (alive.has(owner)) continue;
-      if (!this.#isOwnerAlive(owner)) return true;
-      alive.add(owner);
-    }
-    return owned < shardCount;
+    const isTooSoon =
+      collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS ||
+      collector.now - this.#claimCheckedAt < CLAIM_CHECK_MILLISECONDS;
+    return follower.isMember && hasSettled &&
+      !isTooSoon && follower.view.lastReadToEndAt !== undefined;
   }
 
   #candidates(): readonly ProcessIdentifier[] {
@@ -475,7 +473,6 @@
   ): void {
     const { follower, self } = this.#options;
     const ownership = follower.view.ownership.find(shard);
-    if (ownership !== undefined && this.#isOwnerAlive(ownership.owner)) return;
     if (preferredOwner(shard, candidates) !== self) return;
     if (!follower.view.ownership.isDecided(shard)) {
       claims.unseen.push({ shard, replaces: UNCLAIMED_EPOCH });
@@ -486,10 +483,6 @@
     list.push({ shard, replaces });
   }
 
-  #isOwnerAlive(owner: ProcessIdentifier): boolean {
-    return this.#isAnswerLikely(owner);
-  }
-
   /** Claims shards of which the log says nothing any more, once nobody refreshed them in time. */
   #appendUnseenClaim(claims: readonly ShardClaim[]): void {
     const { collector, follower } = this.#options;
--- a/domain/retention/src/recent_map.ts
+++ b/domain/retention/src/recent_map.ts
@@ -51,7 +51,7 @@
     const weight = this.#options.weigh(value);
     this.#entries.set(key, { value, storedAt: now, weight });
     this.#weight += weight;
-    this.#purge(now);
+    this.purge(now);
   }
 
   /** Removes an entry. */
@@ -72,7 +72,8 @@
     for (const [key, { value }] of this.#entries) yield [key, value];
   }
 
-  #purge(now: Milliseconds): void {
+  /** Forgets what has gone past its bounds. */
+  purge(now: Milliseconds): void {
     const { horizonMilliseconds, maximumWeight, onEviction } = this.#options;
     for (const [key, kept] of this.#entries) {
       const isExpired = now - kept.storedAt > horizonMilliseconds;
