fix(sidecar): give no start record to the runner beside the owner of its shard

Cause: a new owner counts on it that the death of its predecessor takes no evidence of what started under it, since an owner places nothing beside itself. A leaving runner could hand its records to just that runner; the death of the owner then took decision and evidence, and a resubmission could start twice. Found by reading. Change: records go to a sidecar that does not own their shard, which refuses them too when it does; with nobody else to take them they are given up and the runner leaves as one whose records are missing. Conclusion: ruled out two copies of each record, which every drain would pay for.

--- a/domain/sidecar/src/record_hand_over.ts
+++ b/domain/sidecar/src/record_hand_over.ts
@@ -1,9 +1,12 @@
 /**
  * Hands the start records of a leaving runner to another runner, some at a time, so that the evidence
- * outlives the process. A runner that is leaving itself refuses, and another one is asked.
+ * outlives the process. A runner that is leaving itself refuses, and another one is asked. The runner
+ * beside the owner of a shard gets no record of that shard: the next owner counts on it that the death
+ * of an owner takes no evidence of what started under it.
  */
-import type { FleetFollower, Member } from "@eelgrassfront/membership";
+import type { FleetFollower } from "@eelgrassfront/membership";
 import {
+  type MemberJoined,
   type Milliseconds,
   type OutputCollector,
   OutputKind,
@@ -12,6 +15,7 @@
   PeerRequestKind,
   type ProcessIdentifier,
   type RequestIdentifier,
+  type ShardNumber,
   type StartRecord,
 } from "@eelgrassfront/model";
 
@@ -69,19 +73,20 @@
       return;
     }
     const elapsed = this.#options.collector.now - this.#startedAt;
-    const successor = this.#successor();
-    if (successor === undefined || elapsed >= PATIENCE_MILLISECONDS) {
+    const batch = this.#nextBatch();
+    if (batch === undefined || elapsed >= PATIENCE_MILLISECONDS) {
       this.#phase = RecordHandOverPhase.GivenUp;
       return;
     }
-    if (this.#outstanding === undefined) this.#send(successor);
+    if (this.#outstanding === undefined) this.#send(batch);
   }
 
   /** Takes an answer; false when it belongs to no message of this hand-over. */
   takeReply(request: RequestIdentifier, reply: PeerReply): boolean {
     if (request !== this.#outstanding?.request) return false;
     if (reply.kind === PeerReplyKind.RecordsTaken) {
-      this.#records = this.#records.slice(RECORDS_PER_MESSAGE);
+      const taken = new Set(this.#outstanding.records);
+      this.#records = this.#records.filter((record) => !taken.has(record));
     } else this.#refusedBy.add(this.#outstanding.successor);
     this.#outstanding = undefined;
     return true;
@@ -95,33 +100,54 @@
     return true;
   }
 
-  #successor(): Member | undefined {
+  /** The first successor that may keep some of the records, with as many as one message carries. */
+  #nextBatch(): Batch | undefined {
+    for (const successor of this.#successors()) {
+      const records = this.#records
+        .filter(({ shard }) => this.#ownerOf(shard) !== successor.process)
+        .slice(0, RECORDS_PER_MESSAGE);
+      if (records.length > 0) return { successor, records };
+    }
+    return undefined;
+  }
+
+  #ownerOf(shard: ShardNumber): ProcessIdentifier | undefined {
+    return this.#options.follower.view.ownership.find(shard)?.owner;
+  }
+
+  #successors(): readonly MemberJoined[] {
     const { follower, self } = this.#options;
-    return follower.view.sidecars().find(({ joined: { process } }) =>
-      process !== self && !this.#refusedBy.has(process) &&
-      follower.heartbeats.isReachable(process) &&
-      !follower.heartbeats.isLeaving(process)
-    );
+    return follower.view.sidecars()
+      .map(({ joined }) => joined)
+      .filter(({ process }) =>
+        process !== self && !this.#refusedBy.has(process) &&
+        follower.heartbeats.isReachable(process) &&
+        !follower.heartbeats.isLeaving(process)
+      );
   }
 
-  #send({ joined: { process, address } }: Member): void {
+  #send({ successor, records }: Batch): void {
     const { collector } = this.#options;
+    const { process, address } = successor;
     const request = collector.nextRequest();
-    this.#outstanding = { request, successor: process };
+    this.#outstanding = { request, successor: process, records };
     collector.add({
       kind: OutputKind.SendRequest,
       request,
       peer: process,
       address,
-      message: {
-        kind: PeerRequestKind.HandOverRecords,
-        records: this.#records.slice(0, RECORDS_PER_MESSAGE),
-      },
+      message: { kind: PeerRequestKind.HandOverRecords, records },
     });
   }
 }
 
+interface Batch {
+  readonly successor: MemberJoined;
+  readonly records: readonly StartRecord[];
+}
+
 interface Outstanding {
   readonly request: RequestIdentifier;
   readonly successor: ProcessIdentifier;
+  readonly records: readonly StartRecord[];
 }
--- a/domain/sidecar/src/sidecar_decisions.ts
+++ b/domain/sidecar/src/sidecar_decisions.ts
@@ -290,8 +290,11 @@
     this.#owner.leave();
   }
 
+  /** Keeps records, but none of a shard owned here: one death must not take decision and evidence. */
   #adopt(message: HandOverRecords): PeerReply {
-    if (this.#leaving !== LeavingPhase.No) {
+    const owned = new Set(this.#owner.owned().map(({ shard }) => shard));
+    const isOwned = message.records.some(({ shard }) => owned.has(shard));
+    if (isOwned || this.#leaving !== LeavingPhase.No) {
       return { kind: PeerReplyKind.HandOverRefused };
     }
     this.#runner.adopt(message);
