--- a/emulator/src/fake_log.ts
+++ b/emulator/src/fake_log.ts
@@ -3,6 +3,7 @@
  * after the append took effect.
  */
 import {
+  type AppendRecord,
   ErrorTag,
   InputKind,
   type LogOffset,
@@ -11,6 +12,7 @@
   type PlacedRecord,
   type PlatformLogInput,
   type ProcessError,
+  type ProcessIdentifier,
   Step,
 } from "@eelgrassfront/model";
 import type { SeededRandom } from "./seeded_random.ts";
@@ -32,6 +34,12 @@
 /** Tells a reader what its read gave. */
 export type LogReader = (input: PlatformLogInput) => void;
 
+/** A process that reads and appends. */
+export interface LogClient {
+  readonly process: ProcessIdentifier;
+  readonly tell: LogReader;
+}
+
 /** An append-only log. */
 export class FakeLog {
   isAway = false;
@@ -39,6 +47,8 @@
   answerLossProbability = 0;
   /** Time that an append takes beyond its usual time. */
   slownessMilliseconds: Milliseconds = 0;
+  /** Processes that do not reach the log. */
+  readonly cutOff = new Set<ProcessIdentifier>();
   readonly #options: FakeLogOptions;
   readonly #records: PlacedRecord[] = [];
   readonly #waiting = new Set<() => void>();
@@ -83,6 +93,19 @@
     });
   }
 
+  /** Appends what a process asks for, if it reaches the log. */
+  appendFor({ process, tell }: LogClient, output: AppendRecord): void {
+    if (this.cutOff.has(process)) this.#tellInDoubt(output.append, tell);
+    else this.append(output.append, output.record, tell);
+  }
+
+  /** Reads for a process, if it reaches the log. */
+  readFor({ process, tell }: LogClient, from: LogOffset): void {
+    this.read(from, (input) => {
+      tell(this.cutOff.has(process) ? this.#unavailable() : input);
+    });
+  }
+
   /** Reads from an offset; ends at the next record or after the waiting time. */
   read(from: LogOffset, reader: LogReader): void {
     const { time, readMilliseconds, waitMilliseconds } = this.#options;
--- a/emulator/src/fake_network.ts
+++ b/emulator/src/fake_network.ts
@@ -39,6 +39,7 @@
   faults: NetworkFaults = NO_NETWORK_FAULTS;
   readonly #options: FakeNetworkOptions;
   readonly #cuts = new Set<string>();
+  readonly #stalledUntil = new Map<ProcessIdentifier, Milliseconds>();
   #messages = 0;
 
   constructor(options: FakeNetworkOptions) {
@@ -55,6 +56,11 @@
     this.#cuts.add(`${from} ${to}`);
   }
 
+  /** Holds back what a process sends until a moment, as a full buffer does. */
+  stall(from: ProcessIdentifier, until: Milliseconds): void {
+    this.#stalledUntil.set(from, until);
+  }
+
   /** Heals every cut. */
   healAll(): void {
     this.#cuts.clear();
@@ -73,17 +79,19 @@
       time.after(LOSS_NOTICE_MILLISECONDS, message.onLost);
       return;
     }
-    time.after(this.#delay(), message.deliver);
+    time.after(this.#delay(message.from), message.deliver);
     if (random.happens(this.faults.doublingProbability)) {
-      time.after(this.#delay(), message.deliver);
+      time.after(this.#delay(message.from), message.deliver);
     }
   }
 
-  #delay(): Milliseconds {
-    const { random, delayMilliseconds } = this.#options;
+  #delay(from: ProcessIdentifier): Milliseconds {
+    const { time, random, delayMilliseconds } = this.#options;
     const { jitterMilliseconds } = this.faults;
-    if (jitterMilliseconds === 0) return delayMilliseconds;
-    return delayMilliseconds + random.between(0, jitterMilliseconds);
+    const stalledUntil = this.#stalledUntil.get(from) ?? 0;
+    const shortest = delayMilliseconds + Math.max(0, stalledUntil - time.now);
+    if (jitterMilliseconds === 0) return shortest;
+    return shortest + random.between(0, jitterMilliseconds);
   }
 }
 
--- a/emulator/src/fault_injector.ts
+++ b/emulator/src/fault_injector.ts
@@ -53,6 +53,7 @@
       case FaultKind.SidecarKilled:
       case FaultKind.EntryKilled:
       case FaultKind.SidecarPaused:
+      case FaultKind.SidecarStalled:
       case FaultKind.SidecarDrained:
       case FaultKind.TaskAnswersLost:
       case FaultKind.BackendServerFailing:
@@ -60,6 +61,7 @@
         return;
       case FaultKind.ZoneCut:
         this.#cutZone(zoneOf(fault.zoneIndex));
+        if (fault.isLogCut) this.#cutLog(fault, zoneOf(fault.zoneIndex));
         this.#afterwards(fault, () => this.#system.network.healAll());
         return;
       case FaultKind.OneWayCut:
@@ -94,6 +96,9 @@
         sidecar?.process.pause();
         this.#afterwards(fault, () => sidecar?.process.resume());
         return;
+      case FaultKind.SidecarStalled:
+        if (sidecar !== undefined) this.#stall(fault, sidecar.process);
+        return;
       case FaultKind.SidecarDrained:
         if (sidecar !== undefined) this.#drain(fault, sidecar.process);
         return;
@@ -126,6 +131,20 @@
     this.#afterwards(fault, () => this.#system.startSidecar(fault.index));
   }
 
+  #stall(fault: ProcessFault, { identifier }: VirtualProcess): void {
+    const { network } = this.#system;
+    network.stall(identifier, fault.at + fault.durationMilliseconds);
+  }
+
+  #cutLog(fault: Fault, zone: string): void {
+    const { log } = this.#system;
+    const cut = this.#placed().filter((placed) => placed.zone === zone);
+    for (const { identifier } of cut) log.cutOff.add(identifier);
+    this.#afterwards(fault, () => {
+      for (const { identifier } of cut) log.cutOff.delete(identifier);
+    });
+  }
+
   #drain(fault: ProcessFault, process: VirtualProcess): void {
     if (process.state !== ProcessState.Running) return;
     process.take({ kind: InputKind.DrainAsked });
--- a/emulator/src/fault_schedule.ts
+++ b/emulator/src/fault_schedule.ts
@@ -11,6 +11,7 @@
   SidecarKilled = "sidecar-killed",
   EntryKilled = "entry-killed",
   SidecarPaused = "sidecar-paused",
+  SidecarStalled = "sidecar-stalled",
   SidecarDrained = "sidecar-drained",
   ZoneCut = "zone-cut",
   OneWayCut = "one-way-cut",
@@ -42,6 +43,7 @@
     | FaultKind.SidecarKilled
     | FaultKind.EntryKilled
     | FaultKind.SidecarPaused
+    | FaultKind.SidecarStalled
     | FaultKind.SidecarDrained
     | FaultKind.TaskAnswersLost
     | FaultKind.BackendServerFailing;
@@ -52,6 +54,8 @@
 export interface ZoneCut extends FaultSpan {
   readonly kind: FaultKind.ZoneCut;
   readonly zoneIndex: number;
+  /** Whether the zone is cut from the log too. */
+  readonly isLogCut: boolean;
 }
 
 /** Messages of one sidecar to another are lost; the other way works. */
@@ -91,6 +95,8 @@
   readonly sidecars: number;
   readonly entries: number;
   readonly zones: number;
+  /** The kinds to draw from; all when absent. */
+  readonly kinds?: readonly FaultKind[];
 }
 
 const MAXIMUM_FAULTS = 5;
@@ -99,6 +105,7 @@
 const SHORTEST_MILLISECONDS: Milliseconds = 50;
 const LONGEST_MILLISECONDS: Milliseconds = 3_000;
 const MAXIMUM_JITTER_MILLISECONDS: Milliseconds = 400;
+const LOG_CUT_PROBABILITY = 0.5;
 const KINDS = Object.values(FaultKind);
 
 /** Draws a schedule; half of the faults begin close to the one before. */
@@ -129,7 +136,7 @@
     random.between(0, longest),
   );
   const span = { at, durationMilliseconds };
-  const kind = KINDS[random.below(KINDS.length)] ?? FaultKind.NetworkTrouble;
+  const kind = random.pick(bounds.kinds ?? KINDS) ?? FaultKind.NetworkTrouble;
   switch (kind) {
     case FaultKind.NetworkTrouble:
       return {
@@ -143,12 +150,18 @@
       return { ...span, kind, index: random.below(bounds.entries) };
     case FaultKind.SidecarKilled:
     case FaultKind.SidecarPaused:
+    case FaultKind.SidecarStalled:
     case FaultKind.SidecarDrained:
     case FaultKind.TaskAnswersLost:
     case FaultKind.BackendServerFailing:
       return { ...span, kind, index: random.below(bounds.sidecars) };
     case FaultKind.ZoneCut:
-      return { ...span, kind, zoneIndex: random.below(bounds.zones) };
+      return {
+        ...span,
+        kind,
+        zoneIndex: random.below(bounds.zones),
+        isLogCut: random.happens(LOG_CUT_PROBABILITY),
+      };
     case FaultKind.OneWayCut:
       return {
         ...span,
--- /dev/null
+++ b/emulator/src/mutations.ts
@@ -0,0 +1,221 @@
+/**
+ * Mechanisms broken on purpose, for tests: each mutation wraps the decisions of every process and
+ * falsifies what goes in or comes out, so that the product carries no switch for it.
+ */
+import {
+  type Decisions,
+  type EvidenceGiven,
+  InputKind,
+  JobOutcomeKind,
+  type LogRecordsRead,
+  type Milliseconds,
+  OutputKind,
+  type PeerReply,
+  PeerReplyKind,
+  type PeerRequest,
+  PeerRequestKind,
+  type ProcessInput,
+  type ProcessOutput,
+  type SendReply,
+  type SendRequest,
+  type StartTask,
+  TaskRefusalReason,
+  UNCLAIMED_EPOCH,
+} from "@eelgrassfront/model";
+
+/** Mechanisms that a mutation can break. */
+export enum Mutation {
+  /** Runners give evidence but do not fence the earlier owner. */
+  FenceRemoved = "fence-removed",
+  /** Runners start tasks but keep no record for a later owner. */
+  StartRecordSkipped = "start-record-skipped",
+  /** Owners answer as complete with a result missing. */
+  AnswerIncomplete = "answer-incomplete",
+  /** Processes believe that they have just read the log to its end. */
+  LeaseSkipped = "lease-skipped",
+  /** Claimants take the evidence for given without asking. */
+  EvidenceSkipped = "evidence-skipped",
+  /** Processes go back to the first configuration that they had. */
+  OlderConfigurationTaken = "older-configuration-taken",
+  /** Owners take a task for withdrawn without asking its runner. */
+  WithdrawalSkipped = "withdrawal-skipped",
+  /** Runners forget which attempts they refused. */
+  RefusedAttemptForgotten = "refused-attempt-forgotten",
+  /** Messages and identities of one run of a process are taken for another's. */
+  IncarnationsMixed = "incarnations-mixed",
+  /** Answers reach the request that was relayed before. */
+  AnswersCrossed = "answers-crossed",
+  /** Runners go on starting tasks after they were asked to leave. */
+  LeavingIgnored = "leaving-ignored",
+}
+
+/** Decisions with a broken mechanism. */
+export class MutatedDecisions implements Decisions {
+  readonly #decisions: Decisions;
+  readonly #mutation: Mutation;
+  readonly #copies = new Map<string, number>();
+  #firstConfiguration: ProcessOutput | undefined;
+  #lastAnswer: PeerReply | undefined;
+
+  constructor(decisions: Decisions, mutation: Mutation) {
+    this.#decisions = decisions;
+    this.#mutation = mutation;
+  }
+
+  step(now: Milliseconds, input: ProcessInput): readonly ProcessOutput[] {
+    const outputs = this.#decisions.step(now, this.#mutateInput(now, input));
+    return this.#mutateOutputs(now, outputs);
+  }
+
+  nextAlarm(): Milliseconds | undefined {
+    return this.#decisions.nextAlarm();
+  }
+
+  #mutateInput(now: Milliseconds, input: ProcessInput): ProcessInput {
+    switch (input.kind) {
+      case InputKind.LogRecordsRead:
+        return this.#mutateRead(now, input);
+      case InputKind.DrainAsked:
+        return this.#mutation === Mutation.LeavingIgnored
+          ? { kind: InputKind.AlarmRang }
+          : input;
+      case InputKind.PeerRequestArrived:
+        return { ...input, message: this.#mutateRequest(input.message) };
+      default:
+        return input;
+    }
+  }
+
+  #mutateRead(now: Milliseconds, input: LogRecordsRead): ProcessInput {
+    if (this.#mutation !== Mutation.LeaseSkipped) return input;
+    return { ...input, readStartedAt: now + FOREVER_MILLISECONDS };
+  }
+
+  #mutateRequest(message: PeerRequest): PeerRequest {
+    const isUnfenced = this.#mutation === Mutation.FenceRemoved &&
+      message.kind === PeerRequestKind.GatherEvidence;
+    if (isUnfenced) {
+      const unfence = ({ shard }: { readonly shard: number }) => ({
+        shard,
+        epoch: UNCLAIMED_EPOCH,
+      });
+      return { ...message, shards: message.shards.map(unfence) };
+    }
+    const isForgotten = this.#mutation === Mutation.RefusedAttemptForgotten &&
+      message.kind === PeerRequestKind.StartTask;
+    return isForgotten ? this.#renumber(message) : message;
+  }
+
+  /** Gives each copy of a placement an attempt of its own, which no refusal names. */
+  #renumber(message: StartTask): StartTask {
+    const { submission, taskIndex, epoch, attempt } = message;
+    const name = `${submission}#${taskIndex}.${epoch}.${attempt}`;
+    const copies = (this.#copies.get(name) ?? 0) + 1;
+    this.#copies.set(name, copies);
+    return { ...message, attempt: attempt + (copies - 1) * COPY_OFFSET };
+  }
+
+  #mutateOutputs(
+    now: Milliseconds,
+    outputs: readonly ProcessOutput[],
+  ): readonly ProcessOutput[] {
+    return outputs.flatMap((output) => {
+      switch (output.kind) {
+        case OutputKind.SendReply:
+          return [this.#mutateReply(output)];
+        case OutputKind.SendRequest:
+          return this.#mutateSend(now, output);
+        case OutputKind.ApplyConfiguration:
+          return this.#mutateConfiguration(output);
+        default:
+          return [output];
+      }
+    });
+  }
+
+  #mutateReply(output: SendReply): SendReply {
+    return { ...output, message: this.#mutateReplyMessage(output.message) };
+  }
+
+  #mutateReplyMessage(message: PeerReply): PeerReply {
+    switch (this.#mutation) {
+      case Mutation.StartRecordSkipped:
+        return message.kind === PeerReplyKind.EvidenceGiven
+          ? { ...message, records: [] }
+          : message;
+      case Mutation.AnswerIncomplete:
+        return dropLastResult(message);
+      case Mutation.AnswersCrossed: {
+        if (message.kind !== PeerReplyKind.JobAnswered) return message;
+        const earlier = this.#lastAnswer;
+        this.#lastAnswer = message;
+        return earlier ?? message;
+      }
+      default:
+        return message;
+    }
+  }
+
+  #mutateSend(
+    now: Milliseconds,
+    output: SendRequest,
+  ): readonly ProcessOutput[] {
+    const isEvidenceSkipped = this.#mutation === Mutation.EvidenceSkipped &&
+      output.message.kind === PeerRequestKind.GatherEvidence;
+    if (isEvidenceSkipped) return this.#answerAtOnce(now, output, NO_EVIDENCE);
+    const isWithdrawalSkipped = this.#mutation === Mutation.WithdrawalSkipped &&
+      output.message.kind === PeerRequestKind.CancelTask;
+    if (isWithdrawalSkipped) return this.#answerAtOnce(now, output, CANCELLED);
+    return [output];
+  }
+
+  /** Answers a request of the wrapped decisions before it is sent. */
+  #answerAtOnce(
+    now: Milliseconds,
+    { peer, request }: SendRequest,
+    message: PeerReply,
+  ): readonly ProcessOutput[] {
+    return this.step(now, {
+      kind: InputKind.PeerReplyArrived,
+      from: peer,
+      request,
+      message,
+    });
+  }
+
+  #mutateConfiguration(output: ProcessOutput): readonly ProcessOutput[] {
+    if (this.#mutation !== Mutation.OlderConfigurationTaken) return [output];
+    this.#firstConfiguration ??= output;
+    return [output, this.#firstConfiguration];
+  }
+}
+
+const FOREVER_MILLISECONDS: Milliseconds = 1_000_000;
+const COPY_OFFSET = 1_000_000;
+
+const NO_EVIDENCE: EvidenceGiven = {
+  kind: PeerReplyKind.EvidenceGiven,
+  records: [],
+  fenced: [],
+};
+
+const CANCELLED: PeerReply = {
+  kind: PeerReplyKind.TaskRefused,
+  reason: TaskRefusalReason.Cancelled,
+  knownEpoch: UNCLAIMED_EPOCH,
+  load: {
+    slots: 1,
+    running: 0,
+    queued: 0,
+    expectedWaitMilliseconds: 0,
+    isLeaving: false,
+  },
+};
+
+function dropLastResult(message: PeerReply): PeerReply {
+  const isCompleted = message.kind === PeerReplyKind.JobAnswered &&
+    message.outcome.kind === JobOutcomeKind.Completed;
+  if (!isCompleted) return message;
+  const results = message.outcome.results.slice(0, -1);
+  return { ...message, outcome: { ...message.outcome, results } };
+}
--- a/emulator/src/randomized_run.ts
+++ b/emulator/src/randomized_run.ts
@@ -17,7 +17,7 @@
   type Submission,
 } from "@eelgrassfront/model";
 import { FaultInjector } from "./fault_injector.ts";
-import { drawFaults, type Fault } from "./fault_schedule.ts";
+import { drawFaults, type Fault, type FaultKind } from "./fault_schedule.ts";
 import { Rule, RunChecker, type Violation } from "./run_checker.ts";
 import { SAMPLE_CONFIGURATION, sampleSubmission } from "./sample_work.ts";
 import { SeededRandom } from "./seeded_random.ts";
@@ -30,6 +30,8 @@
   readonly seed: number;
   /** The faults; drawn from the seed when absent. */
   readonly faults?: readonly Fault[];
+  /** The kinds of faults to draw from; all when absent. */
+  readonly faultKinds?: readonly FaultKind[];
   /** Wraps the decisions of a process, so that a mechanism is broken. */
   readonly decorate?: (
     decisions: Decisions,
@@ -113,6 +115,9 @@
       sidecars,
       entries,
       zones: ZONES,
+      ...(options.faultKinds === undefined
+        ? {}
+        : { kinds: options.faultKinds }),
     });
     this.#faults = options.faults ?? drawn;
     this.#work = drawWorkload(random, {
--- a/emulator/src/run_checker.ts
+++ b/emulator/src/run_checker.ts
@@ -37,6 +37,7 @@
   FailureIsTrue = "a job that is answered as failed had started",
   ConfigurationNeverReverts = "the configuration never reverts",
   ConfigurationIsAlike = "every process has the same configuration",
+  NoStartAfterLeaving = "no start a second after leaving",
   WorkFlowsAgain = "new work completes after the faults",
   NothingSpins = "no process spins",
 }
@@ -65,6 +66,9 @@
   readonly now: () => Milliseconds;
 }
 
+/** Time after which a process that leaves starts nothing. */
+const LEAVING_MILLISECONDS: Milliseconds = 1_000;
+
 /** Checks one run. */
 export class RunChecker {
   readonly violations: Violation[] = [];
@@ -73,6 +77,7 @@
   readonly #byRequest = new Map<CallerRequestIdentifier, TrackedRequest>();
   readonly #submissionOf = new Map<string, string>();
   readonly #configurations = new Map<string, LogOffset>();
+  readonly #leftAt = new Map<string, Milliseconds>();
 
   constructor(options: RunCheckerOptions) {
     this.#options = options;
@@ -91,6 +96,9 @@
 
   /** Watches what a process takes. */
   watchInput(process: string, input: ProcessInput): void {
+    if (input.kind === InputKind.DrainAsked) {
+      this.#leftAt.set(process, this.#options.now());
+    }
     if (input.kind !== InputKind.PeerRequestArrived) return;
     const { message, from, request } = input;
     if (message.kind !== PeerRequestKind.SubmitJob) return;
@@ -113,9 +121,11 @@
       case OutputKind.ApplyConfiguration:
         this.#checkConfiguration(process, output.version.offset);
         return;
+      case OutputKind.ExecuteTask:
+        this.#checkLeaving(process, output.attempt);
+        return;
       case OutputKind.AnswerOperator:
       case OutputKind.SendRequest:
-      case OutputKind.ExecuteTask:
       case OutputKind.AppendRecord:
       case OutputKind.RecordEvent:
       case OutputKind.CountOccurrence:
@@ -185,6 +195,12 @@
     }
   }
 
+  #checkLeaving(process: string, attempt: string): void {
+    const leftAt = this.#leftAt.get(process) ?? Infinity;
+    if (this.#options.now() <= leftAt + LEAVING_MILLISECONDS) return;
+    this.note(Rule.NoStartAfterLeaving, `${attempt} starts at ${process}`);
+  }
+
   #checkConfiguration(process: string, offset: LogOffset): void {
     const known = this.#configurations.get(process) ?? 0;
     if (offset < known) {
--- a/emulator/src/virtual_system.ts
+++ b/emulator/src/virtual_system.ts
@@ -17,6 +17,7 @@
   type Milliseconds,
   OutputKind,
   PeerReplyKind,
+  type PlatformLogInput,
   type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
@@ -252,12 +253,13 @@
 
   #readLog(process: VirtualProcess, from: number): void {
     if (process.state === ProcessState.Ended) return;
-    this.log.read(from, (input) => {
+    const tell = (input: PlatformLogInput) => {
       process.take(input);
       const isRead = input.kind === InputKind.LogRecordsRead;
       const next = isRead ? input.nextOffset : from;
       process.whenRunning(() => this.#readLog(process, next));
-    });
+    };
+    this.log.readFor({ process: process.identifier, tell }, from);
   }
 
   #perform(
@@ -283,11 +285,10 @@
         backendServer?.execute(output, (input) => process.take(input));
         return;
       case OutputKind.AppendRecord:
-        this.log.append(
-          output.append,
-          output.record,
-          (input) => process.take(input),
-        );
+        this.log.appendFor({
+          process: process.identifier,
+          tell: (input) => process.take(input),
+        }, output);
         return;
       case OutputKind.RecordEvent:
         this.#options.onEvent?.(process.identifier, output.event);
