--- a/cli/src/configuration_command.ts
+++ b/cli/src/configuration_command.ts
@@ -8,11 +8,8 @@
 import { defineCommand } from "citty";
 import { changesBetween, describeChange } from "./configuration_changes.ts";
 import { ConfigurationLog } from "./configuration_log.ts";
-import {
-  describeManifestFault,
-  ManifestResultKind,
-  readManifest,
-} from "./configuration_manifest.ts";
+import { ManifestResultKind, readManifest } from "./configuration_manifest.ts";
+import { describeFault } from "@eelgrassfront/settings-ini";
 import {
   PublicationKind,
   type PublicationRequest,
@@ -20,11 +17,11 @@
   publish,
 } from "./configuration_publication.ts";
 import { waitUntilInForce } from "./configuration_spread.ts";
+import { TokenVariable } from "./common_arguments.ts";
 import { formatTable } from "./text_table.ts";
 import { ExitCode } from "./exit_code.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const TOKEN_VARIABLE = "EELGRASSFRONT_OPERATORS_TOKEN";
 
 const logArgument = {
   type: "string",
@@ -86,7 +83,7 @@
     wait: {
       type: "string",
       description: "Operators' addresses of the processes in which the " +
-        `version must come into force; the token stands in ${TOKEN_VARIABLE}`,
+        `version must come into force; the token stands in ${TokenVariable.Operators}`,
     },
     limit: {
       type: "string",
@@ -244,7 +241,7 @@
   if (args.wait === undefined) return ExitCode.Success;
   const spread = await waitUntilInForce({
     addresses: args.wait.split(","),
-    token: process.env[TOKEN_VARIABLE] ?? "",
+    token: process.env[TokenVariable.Operators] ?? "",
     version,
     limitMilliseconds: Number(args.limit) * MILLISECONDS_PER_SECOND,
   });
@@ -334,7 +331,7 @@
       return result.configuration;
     case ManifestResultKind.Faulty:
       if (json) print(JSON.stringify({ faults: result.faults }));
-      for (const fault of result.faults) complain(describeManifestFault(fault));
+      for (const fault of result.faults) complain(describeFault(fault));
       return undefined;
   }
 }
--- a/cli/src/configuration_manifest.ts
+++ b/cli/src/configuration_manifest.ts
@@ -6,19 +6,13 @@
 import {
   count,
   duration,
+  IniLines,
   readSettings,
   type SettingsFault,
   SettingsResultKind,
   text,
 } from "@eelgrassfront/settings-ini";
 import { z } from "zod";
-import { ManifestLines } from "./manifest_lines.ts";
-
-/** One fault in a manifest. */
-export interface ManifestFault extends SettingsFault {
-  /** Missing where the whole section is. */
-  readonly line?: number;
-}
 
 /** Kinds of results. */
 export enum ManifestResultKind {
@@ -35,7 +29,7 @@
 /** Every fault that was found, in the order of their lines. */
 export interface ManifestFaulty {
   readonly kind: ManifestResultKind.Faulty;
-  readonly faults: readonly ManifestFault[];
+  readonly faults: readonly SettingsFault[];
 }
 
 /** Result of reading a manifest. */
@@ -82,19 +76,9 @@
 
 /** Reads a manifest. */
 export function readManifest(file: string, content: string): ManifestResult {
-  const lines = new ManifestLines(content);
-  const repeated = lines.repeated.map(({ key, line, firstLine }) => ({
-    file,
-    key,
-    line,
-    found: "the key again",
-    allowed: `once; it stands in line ${firstLine} too`,
-  }));
   const result = readSettings({ file, text: content, schema: manifestSchema });
   const faults = result.kind === SettingsResultKind.Faulty ? result.faults : [];
-  const placed = [...faults, ...faultsOfWhole(file, lines)]
-    .map((fault) => place(fault, lines));
-  const all = [...repeated, ...placed];
+  const all = [...faults, ...faultsOfWhole(file, new IniLines(content))];
   if (all.length > 0 || result.kind === SettingsResultKind.Faulty) {
     return { kind: ManifestResultKind.Faulty, faults: all.sort(byLine) };
   }
@@ -104,25 +88,19 @@
   };
 }
 
-/** Describes a fault in one line. */
-export function describeManifestFault(fault: ManifestFault): string {
-  const place = fault.line === undefined
-    ? fault.file
-    : `${fault.file}:${fault.line}`;
-  return `${place}: ${fault.key}: found ${fault.found}; allowed: ${fault.allowed}`;
-}
-
 /** What no single key shows. */
 function faultsOfWhole(
   file: string,
-  lines: ManifestLines,
+  lines: IniLines,
 ): readonly SettingsFault[] {
   const floors = lines.valuesWhere(FLOOR_PATTERN);
   const sum = floors.reduce((total, [, floor]) => total + numberOf(floor), 0);
   if (sum <= 1) return [];
+  const key = floors.at(-1)?.[0] ?? "";
   return [{
     file,
-    key: floors.at(-1)?.[0] ?? "",
+    key,
+    line: lines.lineOf(key) ?? 1,
     found: `floors of ${sum.toFixed(2)} together`,
     allowed: "at most 1 over all kinds of work",
   }];
@@ -134,12 +112,7 @@
   return value <= 1 ? value : 0;
 }
 
-function place(fault: SettingsFault, lines: ManifestLines): ManifestFault {
-  const line = lines.lineOf(fault.key);
-  return line === undefined ? fault : { ...fault, line };
-}
-
-function byLine(left: ManifestFault, right: ManifestFault): number {
+function byLine(left: SettingsFault, right: SettingsFault): number {
   return (left.line ?? 0) - (right.line ?? 0);
 }
 
--- a/cli/src/configuration_manifest_test.ts
+++ b/cli/src/configuration_manifest_test.ts
@@ -5,11 +5,8 @@
   changesBetween,
   describeChange,
 } from "./configuration_changes.ts";
-import {
-  describeManifestFault,
-  ManifestResultKind,
-  readManifest,
-} from "./configuration_manifest.ts";
+import { ManifestResultKind, readManifest } from "./configuration_manifest.ts";
+import { describeFault } from "@eelgrassfront/settings-ini";
 
 const MANIFEST = `[limits]
 maximum_tasks_per_job = 220
@@ -61,7 +58,7 @@
     'terms.ini:7: kind_of_work.check.weight: found "heavy"; allowed: a number above 0, such as 2 or 0.5',
     'terms.ini:8: kind_of_work.check.floor: found "1.5"; allowed: a share from 0 to 1, such as 0.25',
     'terms.ini:10: kind_of_work.check.default_deadline: found "30"; allowed: a duration such as 250ms, 5s or 10min',
-    "terms.ini:14: team.assessors.colour: found an unknown key; allowed: see docs/OPERATIONS.md for the keys",
+    "terms.ini:14: team.assessors.colour: found an unknown key; allowed: weight, maximum_tasks_in_flight",
   ]);
 });
 
@@ -117,12 +114,12 @@
 function read(text: string) {
   const result = readManifest("terms.ini", text);
   if (result.kind === ManifestResultKind.Read) return result.configuration;
-  throw new Error(result.faults.map(describeManifestFault).join("\n"));
+  throw new Error(result.faults.map(describeFault).join("\n"));
 }
 
 function faultsOf(text: string): readonly string[] {
   const result = readManifest("terms.ini", text);
   return result.kind === ManifestResultKind.Read
     ? []
-    : result.faults.map(describeManifestFault);
+    : result.faults.map(describeFault);
 }
--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -8,6 +8,7 @@
   EventNumber,
   type HeartbeatAnswered,
   InputKind,
+  type LogOffset,
   LogRecordKind,
   type LogRecordsRead,
   type MemberJoined,
@@ -27,7 +28,9 @@
 } from "@eelgrassfront/model";
 import { OwnershipTable } from "@eelgrassfront/ownership";
 import { type FleetChange, FleetChangeKind, FleetView } from "./fleet_view.ts";
+import { setFleetGauges } from "./fleet_gauges.ts";
 import { Heartbeats } from "./heartbeats.ts";
+import { IsolationWatch } from "./isolation_watch.ts";
 import { RecordRefresher } from "./record_refresher.ts";
 import { SeedInquiry } from "./seed_inquiry.ts";
 import type { Timing } from "./timing.ts";
@@ -57,6 +60,7 @@
   readonly view: FleetView;
   readonly heartbeats: Heartbeats;
   readonly #options: FleetFollowerOptions;
+  readonly #isolation: IsolationWatch;
   readonly #refresher: RecordRefresher;
   readonly #seedInquiry: SeedInquiry;
   #announcement: MemberJoined | undefined;
@@ -69,6 +73,7 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     const { self, timing, collector } = options;
+    this.#isolation = new IsolationWatch(collector);
     this.view = new FleetView({
       ownership: new OwnershipTable(),
       configuration: new ConfigurationHistory(),
@@ -97,7 +102,7 @@
     return this.view.find(this.#options.self) !== undefined;
   }
 
-  /** Whether the log answered the last read. */
+  /** Whether the log answered when it was last asked. */
   get isLogAvailable(): boolean {
     return this.#isLogAvailable;
   }
@@ -132,6 +137,7 @@
   /** Does what is due. */
   tick(): void {
     this.heartbeats.tick();
+    this.#isolation.note(this.heartbeats.isFresh());
     this.#announceIfDue();
     this.#removeSelf();
     this.#removeSilentMembers();
@@ -200,9 +206,21 @@
     this.#noteAvailable();
     const changes = this.view.read(input);
     for (const change of changes) this.#recordChange(change);
+    this.#recordInvalid(input.invalidOffsets ?? []);
+    setFleetGauges(this.view, this.#options.collector);
     return changes;
   }
 
+  #recordInvalid(offsets: readonly LogOffset[]): void {
+    for (const offset of offsets) {
+      this.#options.collector.record(
+        EventNumber.LogRecordInvalid,
+        "a record does not keep the protocol and is passed over",
+        { severity: Severity.Warning, context: { offset } },
+      );
+    }
+  }
+
   #recordChange(change: FleetChange): void {
     const { collector } = this.#options;
     switch (change.kind) {
--- a/domain/owner/src/answer_book.ts
+++ b/domain/owner/src/answer_book.ts
@@ -25,7 +25,7 @@
   readonly maximumKeys?: number;
 }
 
-const ANSWER_OVERHEAD_BYTES = 200;
+const ANSWER_OVERHEAD_BYTES = 700;
 const MAXIMUM_KEYS = 1_000_000;
 /** Refusals that are remembered for late copies of their requests. */
 const MAXIMUM_REFUSALS = 1_000_000;
--- a/domain/owner/src/answer_book_test.ts
+++ b/domain/owner/src/answer_book_test.ts
@@ -14,7 +14,7 @@
 const MAXIMUM_KEYS = 3;
 
 test("an answer that goes for its weight becomes unknown and is not forgotten", () => {
-  const book = bookOf(300);
+  const book = bookOf(1_000);
   book.keep(0, answerOf("team/one"));
   book.keep(1, answerOf("team/two"));
   expect(book.find("team/one")?.outcome.kind).toEqual(JobOutcomeKind.Unknown);
--- a/domain/ownership/src/stable_hash.ts
+++ b/domain/ownership/src/stable_hash.ts
@@ -1,10 +1,18 @@
 /**
  * A hash that is the same in every process and version, for shards and for preferences between
- * processes.
+ * processes. Names are hashed again and again while a shard has no owner, so the newest are remembered.
  */
 import { createHash } from "node:crypto";
 
+const MAXIMUM_REMEMBERED = 20_000;
+const remembered = new Map<string, number>();
+
 /** Returns 32 bits of the SHA-256 digest of the text. */
 export function stableHash(text: string): number {
-  return createHash("sha256").update(text).digest().readUInt32BE(0);
+  const known = remembered.get(text);
+  if (known !== undefined) return known;
+  const hash = createHash("sha256").update(text).digest().readUInt32BE(0);
+  if (remembered.size >= MAXIMUM_REMEMBERED) remembered.clear();
+  remembered.set(text, hash);
+  return hash;
 }
--- a/domain/runner/src/start_ledger.ts
+++ b/domain/runner/src/start_ledger.ts
@@ -29,7 +29,7 @@
 const MAXIMUM_TASKS = 1_000_000;
 /** Refusals that are remembered for late copies of their placements. */
 const MAXIMUM_REFUSALS = 1_000_000;
-const RECORD_OVERHEAD_BYTES = 300;
+const RECORD_OVERHEAD_BYTES = 1_200;
 
 /** Everything that a runner accepted or refused. */
 export class StartLedger {
--- a/emulator/src/randomized_run.ts
+++ b/emulator/src/randomized_run.ts
@@ -81,7 +81,7 @@
 const SHARDS = 8;
 const MOST_SLOTS = 4;
 const LITTLE_MEMORY_PROBABILITY = 0.2;
-const MOST_LITTLE_MEMORY_BYTES = 5_000;
+const MOST_LITTLE_MEMORY_BYTES = 15_000;
 const DELAY_MILLISECONDS: Milliseconds = 1;
 
 /** Runs a seed. */
