test(emulator): break each mechanism and record whole sessions

Golden files record a takeover, a drain, a lost answer of non-idempotent work and an operators' race.

The takeover showed an entry relaying a submission to its dead owner every 50 ms. The pause now doubles up to 400 ms while the owner stays the same; a new owner is still tried at once.

--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -79,6 +79,8 @@
   request: RequestIdentifier | undefined;
   sentEpoch: Epoch;
   relayAt: Milliseconds;
+  /** Time until the next relay after a loss; it doubles while the owner stays the same. */
+  relayAgainMilliseconds: Milliseconds;
 }
 
 /** Time beyond the caller's deadline in which the owner's answer is awaited. */
@@ -86,6 +88,7 @@
 /** Time in which the owner answers a question about a job. */
 const QUESTION_MILLISECONDS: Milliseconds = 5_000;
 const RELAY_AGAIN_MILLISECONDS: Milliseconds = 50;
+const LONGEST_RELAY_AGAIN_MILLISECONDS: Milliseconds = 400;
 /** An owner that has not answered is asked again, since the request itself may be lost. */
 const RELAY_CHECK_MILLISECONDS: Milliseconds = 5_000;
 
@@ -200,6 +203,7 @@
       request: undefined,
       sentEpoch: 0,
       relayAt: now,
+      relayAgainMilliseconds: RELAY_AGAIN_MILLISECONDS,
     };
     this.#pending.set(input.request, pending);
     this.#relay(pending);
@@ -323,7 +327,12 @@
 
   #relayLater(pending: Pending, reason: RetryReason): void {
     this.#collector.count(Counter.RequestsLost, reason);
-    pending.relayAt = this.#collector.now + RELAY_AGAIN_MILLISECONDS;
+    const delay = pending.relayAgainMilliseconds;
+    pending.relayAt = this.#collector.now + delay;
+    pending.relayAgainMilliseconds = Math.min(
+      2 * delay,
+      LONGEST_RELAY_AGAIN_MILLISECONDS,
+    );
     this.#wakeAt(pending.relayAt);
   }
 
@@ -368,6 +377,7 @@
     for (const pending of this.#pending.values()) {
       if (pending.shard !== shard || pending.sentEpoch >= epoch) continue;
       this.#collector.count(Counter.RequestsLost, RetryReason.OwnerChanged);
+      pending.relayAgainMilliseconds = RELAY_AGAIN_MILLISECONDS;
       this.#relay(pending);
     }
   }
--- a/emulator/src/golden_session_test.ts
+++ b/emulator/src/golden_session_test.ts
@@ -5,83 +5,125 @@
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { test } from "node:test";
 import {
-  OutputKind,
-  PeerReplyKind,
-  PeerRequestKind,
-  type ProcessOutput,
+  Idempotence,
+  identifySubmission,
+  InputKind,
+  LogRecordKind,
+  type Submission,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
+import { shardOf } from "@eelgrassfront/ownership";
+import { RecordedSession, SESSION_SHARDS } from "./recorded_session.ts";
 import { SAMPLE_CONFIGURATION, sampleSubmission } from "./sample_work.ts";
-import { VirtualSystem } from "./virtual_system.ts";
-
-const READY_MILLISECONDS = 3_000;
+import type { VirtualSidecar, VirtualSystem } from "./virtual_system.ts";
 
 test("submit, resubmit through another entry, answer", () => {
-  const session = new Session();
+  const session = new RecordedSession();
   const { system } = session;
-  system.time.runUntil(READY_MILLISECONDS);
   session.begin();
   const submission = sampleSubmission({
     key: "golden",
     runMilliseconds: [50, 80, 50],
   });
   session.submit(0, submission);
-  system.time.runUntil(READY_MILLISECONDS + 20);
+  session.pass(20);
   session.submit(1, submission);
-  system.time.runUntil(READY_MILLISECONDS + 1_000);
+  session.pass(980);
   session.submit(1, submission);
-  system.time.runUntil(READY_MILLISECONDS + 1_100);
+  session.pass(100);
   expect(system.starts.total()).toEqual(3);
   expectGolden("submit_resubmit_answer", session.lines);
 });
 
-class Session {
-  readonly lines: string[] = [];
-  readonly system: VirtualSystem;
-  #isRecording = false;
-
-  constructor() {
-    this.system = new VirtualSystem({
-      seed: 1,
-      entries: 2,
-      sidecars: 4,
-      slots: 2,
-      owners: 2,
-      shards: 8,
-      configuration: SAMPLE_CONFIGURATION,
-      delayMilliseconds: 1,
-      onOutput: (process, output) => this.#record(process, output),
-    });
-  }
-
-  begin(): void {
-    this.#isRecording = true;
-  }
+test("a takeover after the owner was killed", () => {
+  const session = new RecordedSession();
+  const { system } = session;
+  session.begin();
+  const submission = sampleSubmission({
+    key: "taken-over",
+    runMilliseconds: [6_000],
+  });
+  session.submit(0, submission);
+  session.pass(20);
+  session.note("kills the owner");
+  system.kill(ownerOf(system, submission).process);
+  session.pass(8_000);
+  expect(system.starts.total()).toEqual(1);
+  expectGolden("takeover", session.lines);
+});
 
-  submit(entry: number, submission: ReturnType<typeof sampleSubmission>): void {
-    const process = this.system.entries[entry];
-    if (process === undefined) throw new Error(`no entry ${entry}`);
-    this.system.submit(process, submission, (answer) => {
-      this.#write("caller", `is answered ${JSON.stringify(answer)}`);
-    });
-  }
+test("a drain of the owner while its job runs", () => {
+  const session = new RecordedSession();
+  const { system } = session;
+  session.begin();
+  const submission = sampleSubmission({
+    key: "drained",
+    runMilliseconds: [1_500, 100],
+  });
+  session.submit(0, submission);
+  session.pass(20);
+  session.note("drains the owner");
+  ownerOf(system, submission).process.take({ kind: InputKind.DrainAsked });
+  session.pass(4_000);
+  expect(system.starts.total()).toEqual(2);
+  expectGolden("drain", session.lines);
+});
 
-  #record(process: string, output: ProcessOutput): void {
-    if (!this.#isRecording || isBackground(output)) return;
-    this.#write(process, JSON.stringify(output));
+test("a lost answer of non-idempotent work is unknown and stays so", () => {
+  const session = new RecordedSession();
+  const { system } = session;
+  session.begin();
+  for (const { backendServer } of system.sidecars) {
+    backendServer.answerLossProbability = 1;
   }
+  const submission = sampleSubmission({
+    key: "charge",
+    runMilliseconds: [50],
+    idempotence: Idempotence.NonIdempotent,
+  });
+  session.submit(0, submission);
+  session.pass(500);
+  session.submit(1, submission);
+  session.pass(500);
+  expect(system.starts.total()).toEqual(1);
+  expectGolden("lost_answer", session.lines);
+});
 
-  #write(who: string, what: string): void {
-    this.lines.push(`${this.system.time.now} ${who} ${what}`);
+test("of two operators who race the first in the log wins", () => {
+  const session = new RecordedSession();
+  const { system } = session;
+  session.begin();
+  for (const operator of ["first", "second"]) {
+    system.log.append(0, {
+      kind: LogRecordKind.ConfigurationPublished,
+      publication: `publication of the ${operator} operator`,
+      replaces: 1,
+      publishedBy: operator,
+      configuration: SAMPLE_CONFIGURATION,
+    }, () => session.note(`the ${operator} operator's append settled`));
   }
-}
+  session.pass(200);
+  expectGolden("operators_race", session.lines);
+});
 
-function isBackground(output: ProcessOutput): boolean {
-  const isHeartbeat = output.kind === OutputKind.SendRequest &&
-    output.message.kind === PeerRequestKind.Heartbeat;
-  const isAnswer = output.kind === OutputKind.SendReply &&
-    output.message.kind === PeerReplyKind.HeartbeatAnswered;
-  return isHeartbeat || isAnswer || output.kind === OutputKind.SetGauge;
+/** The sidecar that owns the shard of a submission. */
+function ownerOf(
+  system: VirtualSystem,
+  submission: Submission,
+): VirtualSidecar {
+  const shard = shardOf(identifySubmission(submission), SESSION_SHARDS);
+  const claim = system.log.records.findLast(({ record }) =>
+    record.kind === LogRecordKind.ShardsClaimed &&
+    record.claims.some((claimed) => claimed.shard === shard)
+  );
+  const owner = claim?.record.kind === LogRecordKind.ShardsClaimed
+    ? claim.record.claimant
+    : undefined;
+  const sidecar = system.sidecars.find(({ process }) =>
+    process.identifier === owner
+  );
+  if (sidecar === undefined) throw new Error("nobody owns the shard");
+  return sidecar;
 }
 
 function expectGolden(name: string, lines: readonly string[]): void {
--- a/emulator/src/mutations.ts
+++ b/emulator/src/mutations.ts
@@ -16,7 +16,6 @@
   PeerRequestKind,
   type ProcessInput,
   type ProcessOutput,
-  type SendReply,
   type SendRequest,
   type StartTask,
   TaskRefusalReason,
@@ -72,18 +71,15 @@
   }
 
   #mutateInput(now: Milliseconds, input: ProcessInput): ProcessInput {
-    switch (input.kind) {
-      case InputKind.LogRecordsRead:
-        return this.#mutateRead(now, input);
-      case InputKind.DrainAsked:
-        return this.#mutation === Mutation.LeavingIgnored
-          ? { kind: InputKind.AlarmRang }
-          : input;
-      case InputKind.PeerRequestArrived:
-        return { ...input, message: this.#mutateRequest(input.message) };
-      default:
-        return input;
+    if (input.kind === InputKind.LogRecordsRead) {
+      return this.#mutateRead(now, input);
     }
+    if (input.kind === InputKind.PeerRequestArrived) {
+      return { ...input, message: this.#mutateRequest(input.message) };
+    }
+    const isIgnored = this.#mutation === Mutation.LeavingIgnored &&
+      input.kind === InputKind.DrainAsked;
+    return isIgnored ? { kind: InputKind.AlarmRang } : input;
   }
 
   #mutateRead(now: Milliseconds, input: LogRecordsRead): ProcessInput {
@@ -120,40 +116,30 @@
     outputs: readonly ProcessOutput[],
   ): readonly ProcessOutput[] {
     return outputs.flatMap((output) => {
-      switch (output.kind) {
-        case OutputKind.SendReply:
-          return [this.#mutateReply(output)];
-        case OutputKind.SendRequest:
-          return this.#mutateSend(now, output);
-        case OutputKind.ApplyConfiguration:
-          return this.#mutateConfiguration(output);
-        default:
-          return [output];
+      if (output.kind === OutputKind.SendReply) {
+        return [{ ...output, message: this.#mutateReply(output.message) }];
+      }
+      if (output.kind === OutputKind.SendRequest) {
+        return this.#mutateSend(now, output);
       }
+      return output.kind === OutputKind.ApplyConfiguration
+        ? this.#mutateConfiguration(output)
+        : [output];
     });
   }
 
-  #mutateReply(output: SendReply): SendReply {
-    return { ...output, message: this.#mutateReplyMessage(output.message) };
-  }
-
-  #mutateReplyMessage(message: PeerReply): PeerReply {
-    switch (this.#mutation) {
-      case Mutation.StartRecordSkipped:
-        return message.kind === PeerReplyKind.EvidenceGiven
-          ? { ...message, records: [] }
-          : message;
-      case Mutation.AnswerIncomplete:
-        return dropLastResult(message);
-      case Mutation.AnswersCrossed: {
-        if (message.kind !== PeerReplyKind.JobAnswered) return message;
-        const earlier = this.#lastAnswer;
-        this.#lastAnswer = message;
-        return earlier ?? message;
-      }
-      default:
-        return message;
+  #mutateReply(message: PeerReply): PeerReply {
+    const isRecordSkipped = this.#mutation === Mutation.StartRecordSkipped &&
+      message.kind === PeerReplyKind.EvidenceGiven;
+    if (isRecordSkipped) return { ...message, records: [] };
+    if (message.kind !== PeerReplyKind.JobAnswered) return message;
+    if (this.#mutation === Mutation.AnswerIncomplete) {
+      return dropLastResult(message);
     }
+    if (this.#mutation !== Mutation.AnswersCrossed) return message;
+    const earlier = this.#lastAnswer ?? message;
+    this.#lastAnswer = message;
+    return earlier;
   }
 
   #mutateSend(
--- /dev/null
+++ b/emulator/src/recorded_session.ts
@@ -0,0 +1,83 @@
+/**
+ * Records whole sessions for golden files: every output of every process, but for heartbeats and gauges.
+ */
+import {
+  type Milliseconds,
+  OutputKind,
+  PeerReplyKind,
+  PeerRequestKind,
+  type ProcessOutput,
+  type Submission,
+} from "@eelgrassfront/model";
+import { SAMPLE_CONFIGURATION } from "./sample_work.ts";
+import { VirtualSystem } from "./virtual_system.ts";
+
+/** Shards of a recorded system. */
+export const SESSION_SHARDS = 8;
+const READY_MILLISECONDS: Milliseconds = 3_000;
+
+/** A system whose outputs are written down from a moment on. */
+export class RecordedSession {
+  /** What was recorded, a line for each output. */
+  readonly lines: string[] = [];
+  /** The system. */
+  readonly system: VirtualSystem;
+  #isRecording = false;
+
+  constructor() {
+    this.system = new VirtualSystem({
+      seed: 1,
+      entries: 2,
+      sidecars: 4,
+      slots: 2,
+      owners: 2,
+      shards: SESSION_SHARDS,
+      configuration: SAMPLE_CONFIGURATION,
+      delayMilliseconds: 1,
+      onOutput: (process, output) => this.#record(process, output),
+    });
+    this.system.time.runUntil(READY_MILLISECONDS);
+  }
+
+  /** Begins to record. */
+  begin(): void {
+    this.#isRecording = true;
+  }
+
+  /** Lets time pass. */
+  pass(milliseconds: Milliseconds): void {
+    const { time } = this.system;
+    time.runUntil(time.now + milliseconds);
+  }
+
+  /** Writes down what the test does. */
+  note(what: string): void {
+    this.#write("test", what);
+  }
+
+  /** Submits through an entry and writes down the answer. */
+  submit(entry: number, submission: Submission): void {
+    const process = this.system.entries[entry];
+    if (process === undefined) throw new Error(`no entry ${entry}`);
+    this.system.submit(process, submission, (answer) => {
+      this.#write("caller", `is answered ${JSON.stringify(answer)}`);
+    });
+  }
+
+  #record(process: string, output: ProcessOutput): void {
+    if (!this.#isRecording || isBackground(output)) return;
+    this.#write(process, JSON.stringify(output));
+  }
+
+  #write(who: string, what: string): void {
+    this.lines.push(`${this.system.time.now} ${who} ${what}`);
+  }
+}
+
+function isBackground(output: ProcessOutput): boolean {
+  const isHeartbeat = output.kind === OutputKind.SendRequest &&
+    output.message.kind === PeerRequestKind.Heartbeat;
+  const isAnswer = output.kind === OutputKind.SendReply &&
+    output.message.kind === PeerReplyKind.HeartbeatAnswered;
+  return isHeartbeat || isAnswer || output.kind === OutputKind.SetGauge;
+}
