perf(membership): look for records to refresh ten times a second

Cause: at every step each owned shard was looked at and a hash made for each; in a profile of a sidecar under jobs of 40 this was 18 % of the processor time (9.4 % in the refresher, 9.2 % in hashes). Change: the own share of the retention is worked out once, and old records are looked for every 100 ms.

--- a/domain/membership/src/record_refresher.ts
+++ b/domain/membership/src/record_refresher.ts
@@ -44,20 +44,29 @@
 const HASH_RANGE = 2 ** 32;
 /** Time after which a refresh that did not show in the log is made again. */
 const REFRESH_RETRY_MILLISECONDS: Milliseconds = 5_000;
+/** Time between two looks for records that grow old. */
+const REFRESH_CHECK_MILLISECONDS: Milliseconds = 100;
 
 /** Repeats records that grow old. */
 export class RecordRefresher {
   readonly #options: RecordRefresherOptions;
   readonly #refreshedAt = new Map<RefreshKind, Milliseconds>();
 
+  readonly #ownShare: number;
+  #nextCheckAt: Milliseconds = 0;
+
   constructor(options: RecordRefresherOptions) {
     this.#options = options;
+    const place = stableHash(`refresh ${options.self}`) / HASH_RANGE;
+    this.#ownShare = EARLIEST_SHARE + place * SPREAD_SHARE;
   }
 
   /** Repeats what is due, on behalf of a process with this announcement. */
   tick(announcement: MemberJoined): void {
-    const { view } = this.#options;
-    if (view.lastReadToEndAt === undefined) return;
+    const { view, collector } = this.#options;
+    const isDue = collector.now >= this.#nextCheckAt;
+    if (!isDue || view.lastReadToEndAt === undefined) return;
+    this.#nextCheckAt = collector.now + REFRESH_CHECK_MILLISECONDS;
     this.#refreshAnnouncement(announcement);
     this.#refreshClaims();
     this.#refreshConfiguration();
@@ -67,7 +76,7 @@
     const { self, view } = this.#options;
     const member = view.find(self);
     if (member === undefined) return;
-    if (!this.#isOld(member.announcedAt, this.#ownShare())) return;
+    if (!this.#isOld(member.announcedAt, this.#ownShare)) return;
     this.#append(RefreshKind.Announcement, {
       ...announcement,
       firstOffset: member.joinOffset,
@@ -80,7 +89,7 @@
       owner === self && view.ownership.isDecided(shard)
     );
     const isAnyOld = owned.some(({ shard }) =>
-      this.#isOld(view.shardRecordedAt(shard), this.#ownShare())
+      this.#isOld(view.shardRecordedAt(shard), this.#ownShare)
     );
     if (!isAnyOld) return;
     const claims: readonly ShardClaim[] = owned.map(({ shard, epoch }) => ({
@@ -122,11 +131,6 @@
     return place < 0 ? MAXIMUM_PLACE : Math.min(place, MAXIMUM_PLACE);
   }
 
-  #ownShare(): number {
-    const place = stableHash(`refresh ${this.#options.self}`) / HASH_RANGE;
-    return EARLIEST_SHARE + SPREAD_SHARE * place;
-  }
-
   #isOld(recordedAt: Milliseconds | undefined, share: number): boolean {
     const { timing, view } = this.#options;
     const age = view.logClock - (recordedAt ?? -Infinity);
