--- a/domain/membership/src/record_refresher.ts
+++ b/domain/membership/src/record_refresher.ts
@@ -44,6 +44,8 @@
 const HASH_RANGE = 2 ** 32;
 /** Time after which a refresh that did not show in the log is made again. */
 const REFRESH_RETRY_MILLISECONDS: Milliseconds = 5_000;
+/** Time between two looks for records that grow old. */
+const REFRESH_CHECK_MILLISECONDS: Milliseconds = 100;
 
 /** Repeats records that grow old. */
 export class RecordRefresher {
@@ -51,6 +53,7 @@
   /** Share of the retention after which this process repeats its own records. */
   readonly #ownShare: number;
   readonly #refreshedAt = new Map<RefreshKind, Milliseconds>();
+  #nextCheckAt: Milliseconds = 0;
 
   constructor(options: RecordRefresherOptions) {
     this.#options = options;
@@ -60,8 +63,10 @@
 
   /** Repeats what is due, on behalf of a process with this announcement. */
   tick(announcement: MemberJoined): void {
-    const { view } = this.#options;
-    if (view.lastReadToEndAt === undefined) return;
+    const { view, collector } = this.#options;
+    const isDue = collector.now >= this.#nextCheckAt;
+    if (!isDue || view.lastReadToEndAt === undefined) return;
+    this.#nextCheckAt = collector.now + REFRESH_CHECK_MILLISECONDS;
     this.#refreshAnnouncement(announcement);
     this.#refreshClaims();
     this.#refreshConfiguration();
