--- a/domain/membership/src/record_refresher.ts
+++ b/domain/membership/src/record_refresher.ts
@@ -50,15 +50,15 @@
 /** Repeats records that grow old. */
 export class RecordRefresher {
   readonly #options: RecordRefresherOptions;
-  readonly #refreshedAt = new Map<RefreshKind, Milliseconds>();
-
+  /** Share of the retention after which this process repeats its own records. */
   readonly #ownShare: number;
+  readonly #refreshedAt = new Map<RefreshKind, Milliseconds>();
   #nextCheckAt: Milliseconds = 0;
 
   constructor(options: RecordRefresherOptions) {
     this.#options = options;
     const place = stableHash(`refresh ${options.self}`) / HASH_RANGE;
-    this.#ownShare = EARLIEST_SHARE + place * SPREAD_SHARE;
+    this.#ownShare = EARLIEST_SHARE + SPREAD_SHARE * place;
   }
 
   /** Repeats what is due, on behalf of a process with this announcement. */
