--- a/domain/sidecar/src/example.ts
+++ b/domain/sidecar/src/example.ts
@@ -16,7 +16,6 @@
   maximumAnswerBytes: 1_000_000,
   maximumResultBytes: 1_000_000,
   maximumQueuedTasks: 100,
-  waitingPerRunner: 2,
 });
 const outputs = sidecar.step(0, {
   kind: InputKind.BackendServerDescribed,
