--- a/adapters/callers_http/src/api_document_test.ts
+++ b/adapters/callers_http/src/api_document_test.ts
@@ -1,3 +1,6 @@
+/**
+ * `docs/API.md` held against the closed lists of reasons and their statuses.
+ */
 import { readFileSync } from "node:fs";
 import { describe, it } from "node:test";
 import {
--- a/adapters/callers_http/src/canonical_json_test.ts
+++ b/adapters/callers_http/src/canonical_json_test.ts
@@ -1,3 +1,6 @@
+/**
+ * Canonical JSON: the same content gives the same text, whatever the order of its keys.
+ */
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import fastCheck from "fast-check";
--- a/adapters/callers_http/src/http_callers_test.ts
+++ b/adapters/callers_http/src/http_callers_test.ts
@@ -1,3 +1,7 @@
+/**
+ * Callers' HTTP over real connections: every faulty request gets its reason, and answers reach their
+ * callers.
+ */
 import { connect, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import {
--- a/adapters/callers_http/src/json_scanner_test.ts
+++ b/adapters/callers_http/src/json_scanner_test.ts
@@ -1,3 +1,7 @@
+/**
+ * The scanner finds what a JSON parser passes over: keys that stand twice, digits that would be lost,
+ * nesting.
+ */
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import fastCheck from "fast-check";
--- a/adapters/message_lines/src/line_front_end_test.ts
+++ b/adapters/message_lines/src/line_front_end_test.ts
@@ -3,6 +3,7 @@
  */
 import { test } from "node:test";
 import { EntryDecisions } from "@eelgrassfront/entry";
+import { readOf } from "@eelgrassfront/fixtures";
 import { DEFAULT_TIMING } from "@eelgrassfront/membership";
 import {
   ClaimReason,
@@ -75,7 +76,7 @@
     kind: InputKind.BackendServerDescribed,
     description: BACKEND_SERVER,
   });
-  driven.take(1, logRead([joined(SIDECAR), joined(OTHER_SIDECAR)]));
+  driven.take(1, readOf([joined(SIDECAR), joined(OTHER_SIDECAR)]));
   driven.take(2, {
     kind: InputKind.PeerRequestArrived,
     from: OTHER_SIDECAR,
@@ -99,7 +100,7 @@
 
 test("an entry relays a submission and answers its caller", () => {
   const driven = new Driven(entry());
-  driven.take(0, logRead([configuration(), joined(SIDECAR), claimed()]));
+  driven.take(0, readOf([configuration(), joined(SIDECAR), claimed()]));
   driven.take(1, {
     kind: InputKind.SubmissionArrived,
     request: `${ENTRY}:1`,
@@ -189,22 +190,6 @@
   });
 }
 
-function logRead(records: readonly LogRecord[]): ProcessInput {
-  return {
-    kind: InputKind.LogRecordsRead,
-    records: records.map((record, index) => ({
-      offset: index + 1,
-      appendedAt: 0,
-      record,
-    })),
-    firstRetained: 1,
-    nextOffset: records.length + 1,
-    isAtEnd: true,
-    readStartedAt: 0,
-    logClock: 0,
-  };
-}
-
 function joined(process: ProcessIdentifier): LogRecord {
   return {
     kind: LogRecordKind.MemberJoined,
--- a/adapters/metrics_hot_shots/src/hot_shots_metrics_test.ts
+++ b/adapters/metrics_hot_shots/src/hot_shots_metrics_test.ts
@@ -1,3 +1,6 @@
+/**
+ * Metrics as a receiver sees them, and a receiver that is not there.
+ */
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
 import { it } from "node:test";
--- a/adapters/operators_http/src/http_operators_test.ts
+++ b/adapters/operators_http/src/http_operators_test.ts
@@ -1,3 +1,6 @@
+/**
+ * Operators' HTTP over real connections: probes, tokens, report and drain.
+ */
 import { describe, it } from "node:test";
 import {
   type AnswerOperator,
--- a/adapters/platform_log_http/src/log_record_schema_test.ts
+++ b/adapters/platform_log_http/src/log_record_schema_test.ts
@@ -1,3 +1,6 @@
+/**
+ * Records of the log: what is read, and what every process passes over alike.
+ */
 import { describe, it } from "node:test";
 import { ClaimReason, LogRecordKind, Role } from "@eelgrassfront/model";
 import { expect } from "earl";
--- a/cli/src/configuration_manifest_test.ts
+++ b/cli/src/configuration_manifest_test.ts
@@ -1,3 +1,6 @@
+/**
+ * The manifest of operators: every fault at once, with its line.
+ */
 import { test } from "node:test";
 import { expect } from "earl";
 import {
--- a/cli/src/tool_test.ts
+++ b/cli/src/tool_test.ts
@@ -1,3 +1,6 @@
+/**
+ * The tool: arguments, exit codes, explanations and help.
+ */
 import { spawnSync } from "node:child_process";
 import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
--- a/daemon/src/daemon_settings_test.ts
+++ b/daemon/src/daemon_settings_test.ts
@@ -1,3 +1,6 @@
+/**
+ * Settings: each fault in one line with file, key, what was found and what is allowed.
+ */
 import { spawnSync } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
--- a/domain/entry/src/entry_report_test.ts
+++ b/domain/entry/src/entry_report_test.ts
@@ -1,10 +1,13 @@
+/**
+ * The report of an entry, and when it says that it is ready.
+ */
 import { describe, it } from "node:test";
+import { readOf } from "@eelgrassfront/fixtures";
 import { DEFAULT_TIMING } from "@eelgrassfront/membership";
 import {
   InputKind,
   type LogRecord,
   LogRecordKind,
-  type LogRecordsRead,
   OutputKind,
   type ProcessOutput,
   type ProcessReport,
@@ -51,22 +54,6 @@
   });
 }
 
-function read(...records: readonly LogRecord[]): LogRecordsRead {
-  return {
-    kind: InputKind.LogRecordsRead,
-    records: records.map((record, index) => ({
-      offset: index + 1,
-      appendedAt: 0,
-      record,
-    })),
-    firstRetained: 1,
-    nextOffset: records.length + 1,
-    isAtEnd: true,
-    readStartedAt: 0,
-    logClock: 0,
-  };
-}
-
 function reportOf(decisions: EntryDecisions): ProcessReport | undefined {
   const outputs = decisions.step(10, {
     kind: InputKind.ReportAsked,
@@ -85,16 +72,16 @@
   it("says starting until configuration and membership are known", () => {
     const decisions = entry();
     expect(reportOf(decisions)?.readiness).toEqual(Readiness.Starting);
-    expect(readinessIn(decisions.step(1, read(SIDECAR)))).toEqual([]);
+    expect(readinessIn(decisions.step(1, readOf([SIDECAR])))).toEqual([]);
     expect(reportOf(decisions)?.readiness).toEqual(Readiness.Starting);
-    const outputs = decisions.step(2, read(SIDECAR, CONFIGURATION));
+    const outputs = decisions.step(2, readOf([SIDECAR, CONFIGURATION]));
     expect(readinessIn(outputs)).toEqual([true]);
     expect(reportOf(decisions)?.readiness).toEqual(Readiness.Ready);
   });
 
   it("is not ready from the start of a drain", () => {
     const decisions = entry();
-    decisions.step(1, read(SIDECAR, CONFIGURATION));
+    decisions.step(1, readOf([SIDECAR, CONFIGURATION]));
     const outputs = decisions.step(2, { kind: InputKind.DrainAsked });
     expect(readinessIn(outputs)).toEqual([false]);
     expect(reportOf(decisions)?.readiness).toEqual(Readiness.Leaving);
@@ -102,7 +89,7 @@
 
   it("tells the fleet, the log and the configuration", () => {
     const decisions = entry();
-    decisions.step(1, read(SIDECAR, CONFIGURATION));
+    decisions.step(1, readOf([SIDECAR, CONFIGURATION]));
     expect(reportOf(decisions)).toEqual({
       process: "entry-0~a",
       role: Role.Entry,
--- a/domain/membership/src/watch_list_test.ts
+++ b/domain/membership/src/watch_list_test.ts
@@ -3,9 +3,9 @@
  */
 import { test } from "node:test";
 import { ConfigurationHistory } from "@eelgrassfront/configuration";
+import { joinOf, readOf } from "@eelgrassfront/fixtures";
 import {
   ClaimReason,
-  InputKind,
   type LogRecord,
   LogRecordKind,
   type ProcessIdentifier,
@@ -88,8 +88,8 @@
     horizonMilliseconds: 600_000,
   });
   const records: readonly LogRecord[] = [
-    ...names.map((name) => join(name, Role.Sidecar)),
-    join(entry(), Role.Entry),
+    ...names.map((name) => joinOf(name, Role.Sidecar)),
+    joinOf(entry(), Role.Entry),
     {
       kind: LogRecordKind.ShardsClaimed,
       claimant: owner,
@@ -97,32 +97,10 @@
       claims: [{ shard: 0, replaces: 0 }],
     },
   ];
-  view.read({
-    kind: InputKind.LogRecordsRead,
-    records: records.map((record, index) => ({
-      offset: index + 1,
-      appendedAt: 0,
-      record,
-    })),
-    firstRetained: 1,
-    nextOffset: records.length + 1,
-    isAtEnd: true,
-    readStartedAt: 0,
-    logClock: 0,
-  });
+  view.read(readOf(records));
   return view;
 }
 
-function join(process: ProcessIdentifier, role: Role): LogRecord {
-  return {
-    kind: LogRecordKind.MemberJoined,
-    process,
-    role,
-    availabilityZone: "zone-1",
-    address: process,
-  };
-}
-
 function sidecar(index: number): ProcessIdentifier {
   return processIdentifier(`sidecar-${index}`, "1");
 }
--- a/domain/sidecar/src/record_hand_over_test.ts
+++ b/domain/sidecar/src/record_hand_over_test.ts
@@ -3,10 +3,10 @@
  * both the decision and its evidence, and the next owner counts on the opposite.
  */
 import { test } from "node:test";
+import { joinOf, readOf } from "@eelgrassfront/fixtures";
 import { DEFAULT_TIMING, FleetFollower } from "@eelgrassfront/membership";
 import {
   ClaimReason,
-  InputKind,
   type LogRecord,
   LogRecordKind,
   OutputCollector,
@@ -65,7 +65,9 @@
       collector,
     });
     collector.begin(0);
-    follower.handleLog(logRead([...members.map(joined), claimed()]));
+    follower.handleLog(
+      readOf([...members.map((member) => joinOf(member)), claimed()]),
+    );
     this.handOver = new RecordHandOver({ self: SELF, collector, follower });
   }
 
@@ -99,16 +101,6 @@
   };
 }
 
-function joined(process: ProcessIdentifier): LogRecord {
-  return {
-    kind: LogRecordKind.MemberJoined,
-    process,
-    role: Role.Sidecar,
-    availabilityZone: "zone-1",
-    address: "127.0.0.1:1",
-  };
-}
-
 function claimed(): LogRecord {
   return {
     kind: LogRecordKind.ShardsClaimed,
@@ -117,19 +109,3 @@
     claims: [{ shard: OWNED_SHARD, replaces: 0 }],
   };
 }
-
-function logRead(records: readonly LogRecord[]) {
-  return {
-    kind: InputKind.LogRecordsRead as const,
-    records: records.map((record, index) => ({
-      offset: index + 1,
-      appendedAt: 0,
-      record,
-    })),
-    firstRetained: 1,
-    nextOffset: records.length + 1,
-    isAtEnd: true,
-    readStartedAt: 0,
-    logClock: 0,
-  };
-}
--- a/measure/src/claim_model_test.ts
+++ b/measure/src/claim_model_test.ts
@@ -1,3 +1,6 @@
+/**
+ * The models of the ways to claim a submission keep their own promises.
+ */
 import { test } from "node:test";
 import { expect } from "earl";
 import { ClaimModel } from "./claim_model.ts";
--- a/measure/src/local_system_test.ts
+++ b/measure/src/local_system_test.ts
@@ -1,3 +1,7 @@
+/**
+ * A small system of real processes: a job through the tool, again through another entry, and no
+ * process left.
+ */
 import { spawn } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
--- a/stand-ins/backend_server/src/backend_server.ts
+++ b/stand-ins/backend_server/src/backend_server.ts
@@ -2,12 +2,12 @@
  * HTTP of the stand-in backend server: `GET /description`, `POST /tasks`, `GET /statistics`, and
  * `POST /control` for its faults. It counts how often each task started.
  */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+  LoopbackServer,
+  readJson,
+  writeJson,
+} from "@eelgrassfront/stand-in-loopback-server";
 import { z } from "zod";
 
 /** What the stand-in offers. */
@@ -46,9 +46,8 @@
 }
 
 /** A backend server that can be reached by HTTP. */
-export class BackendServer implements AsyncDisposable {
+export class BackendServer extends LoopbackServer {
   readonly #options: BackendServerOptions;
-  readonly #server: Server;
   readonly #starts = new Map<string, number>();
   #running = 0;
   #highestConcurrency = 0;
@@ -57,10 +56,8 @@
   #answersToLose = 0;
 
   private constructor(options: BackendServerOptions) {
+    super();
     this.#options = options;
-    this.#server = createServer((request, response) =>
-      void this.#serve(request, response)
-    );
   }
 
   /** Listens on loopback. */
@@ -69,19 +66,10 @@
     options: BackendServerOptions,
   ): Promise<BackendServer> {
     const server = new BackendServer(options);
-    await new Promise<void>((resolve, reject) => {
-      server.#server.once("error", reject);
-      server.#server.listen(port, "127.0.0.1", resolve);
-    });
+    await server.open(port);
     return server;
   }
 
-  /** Port that the backend server listens on. */
-  get port(): number {
-    const bound = this.#server.address();
-    return typeof bound === "object" && bound !== null ? bound.port : 0;
-  }
-
   /** Counts so far. */
   statistics(): BackendServerStatistics {
     const counts = [...this.#starts.values()];
@@ -93,21 +81,16 @@
     };
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => this.#server.close(resolve));
-  }
-
-  async #serve(
+  protected override async serve(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     switch (`${request.method} ${request.url}`) {
       case "GET /description":
-        write(response, 200, this.#description());
+        writeJson(response, 200, this.#description());
         return;
       case "GET /statistics":
-        write(response, 200, this.statistics());
+        writeJson(response, 200, this.statistics());
         return;
       case "POST /tasks":
         await this.#runTask(request, response);
@@ -116,7 +99,7 @@
         await this.#control(request, response);
         return;
       default:
-        write(response, 404, { error: "no such path" });
+        writeJson(response, 404, { error: "no such path" });
     }
   }
 
@@ -134,7 +117,7 @@
     this.#countStart(String(request.headers["attempt"] ?? "direct"));
     if (this.#isStalling) return;
     if (this.#isFailing || payload.fail === true) {
-      write(response, 500, { error: "the task failed" });
+      writeJson(response, 500, { error: "the task failed" });
       return;
     }
     await this.#run(payload.runMilliseconds ?? this.#options.runMilliseconds);
@@ -143,7 +126,7 @@
       response.destroy();
       return;
     }
-    write(response, 200, { verdict: "accepted", of: task.payload });
+    writeJson(response, 200, { verdict: "accepted", of: task.payload });
   }
 
   async #run(milliseconds: number): Promise<void> {
@@ -167,14 +150,14 @@
   ): Promise<void> {
     const parsed = controlSchema.safeParse(await readJson(request));
     if (!parsed.success) {
-      write(response, 400, { error: parsed.error.message });
+      writeJson(response, 400, { error: parsed.error.message });
       return;
     }
     const { isFailing, isStalling, loseAnswers } = parsed.data;
     this.#isFailing = isFailing ?? this.#isFailing;
     this.#isStalling = isStalling ?? this.#isStalling;
     this.#answersToLose = loseAnswers ?? this.#answersToLose;
-    write(response, 200, {});
+    writeJson(response, 200, {});
   }
 }
 
@@ -182,14 +165,3 @@
   const parsed = payloadSchema.safeParse(JSON.parse(text));
   return parsed.success ? parsed.data : {};
 }
-
-async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
-}
-
-function write(response: ServerResponse, status: number, body: object): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
-}
--- a/stand-ins/backend_server/src/main.ts
+++ b/stand-ins/backend_server/src/main.ts
@@ -2,6 +2,7 @@
 /**
  * Runs the stand-in backend server as a process.
  */
+import { serveUntilSignal } from "@eelgrassfront/stand-in-loopback-server";
 import { defineCommand, runMain } from "citty";
 import { BackendServer } from "./backend_server.ts";
 
@@ -33,11 +34,7 @@
       accelerators: 0,
       runMilliseconds: Number(args.run),
     });
-    const stop = () =>
-      void server[Symbol.asyncDispose]().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
-    process.stdout.write(`listening on ${server.port}\n`);
+    serveUntilSignal(server);
   },
 });
 
--- a/stand-ins/platform_log/src/log_server.ts
+++ b/stand-ins/platform_log/src/log_server.ts
@@ -1,12 +1,12 @@
 /**
  * HTTP of the stand-in log: `GET /records`, `POST /records`, and `POST /control` for its faults.
  */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+  LoopbackServer,
+  readJson,
+  writeJson,
+} from "@eelgrassfront/stand-in-loopback-server";
 import { z } from "zod";
 import { LogStore, type LogStoreOptions } from "./log_store.ts";
 
@@ -22,17 +22,14 @@
 });
 
 /** A log that can be reached by HTTP. */
-export class LogServer implements AsyncDisposable {
-  readonly #server: Server;
+export class LogServer extends LoopbackServer {
   readonly #store: LogStore;
   #isAway = false;
   #answersToLose = 0;
 
   private constructor(options: LogStoreOptions) {
+    super();
     this.#store = new LogStore(options);
-    this.#server = createServer((request, response) =>
-      void this.#serve(request, response)
-    );
   }
 
   /** Listens on loopback. */
@@ -41,30 +38,16 @@
     options: LogStoreOptions,
   ): Promise<LogServer> {
     const server = new LogServer(options);
-    await new Promise<void>((resolve, reject) => {
-      server.#server.once("error", reject);
-      server.#server.listen(port, "127.0.0.1", resolve);
-    });
+    await server.open(port);
     return server;
   }
 
-  /** Port that the log listens on. */
-  get port(): number {
-    const bound = this.#server.address();
-    return typeof bound === "object" && bound !== null ? bound.port : 0;
-  }
-
   /** Number of appends so far. */
   get appends(): number {
     return this.#store.appends;
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => this.#server.close(resolve));
-  }
-
-  async #serve(
+  protected override async serve(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -87,10 +70,10 @@
         await this.#control(request, response);
         return;
       case "GET /statistics":
-        write(response, 200, { appends: this.#store.appends });
+        writeJson(response, 200, { appends: this.#store.appends });
         return;
       default:
-        write(response, 404, { error: "no such path" });
+        writeJson(response, 404, { error: "no such path" });
     }
   }
 
@@ -104,7 +87,7 @@
     );
     const result = await this.#store.read(Number(query.get("from") ?? 1), wait);
     if (this.#isAway) response.destroy();
-    else write(response, 200, result);
+    else writeJson(response, 200, result);
   }
 
   async #append(
@@ -117,7 +100,7 @@
       response.destroy();
       return;
     }
-    write(response, 200, { offset });
+    writeJson(response, 200, { offset });
   }
 
   async #control(
@@ -126,7 +109,7 @@
   ): Promise<void> {
     const parsed = controlSchema.safeParse(await readJson(request));
     if (!parsed.success) {
-      write(response, 400, { error: parsed.error.message });
+      writeJson(response, 400, { error: parsed.error.message });
       return;
     }
     const { isAway, loseAnswers, appendMilliseconds, retainedRecords } =
@@ -137,17 +120,6 @@
       ...(appendMilliseconds === undefined ? {} : { appendMilliseconds }),
       ...(retainedRecords === undefined ? {} : { retainedRecords }),
     });
-    write(response, 200, {});
+    writeJson(response, 200, {});
   }
 }
-
-async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
-}
-
-function write(response: ServerResponse, status: number, body: object): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
-}
--- a/stand-ins/platform_log/src/main.ts
+++ b/stand-ins/platform_log/src/main.ts
@@ -2,6 +2,7 @@
 /**
  * Runs the stand-in log as a process.
  */
+import { serveUntilSignal } from "@eelgrassfront/stand-in-loopback-server";
 import { defineCommand, runMain } from "citty";
 import { LogServer } from "./log_server.ts";
 
@@ -28,11 +29,7 @@
       appendMilliseconds: Number(args.append),
       retainedRecords: Number(args.retained),
     });
-    const stop = () =>
-      void server[Symbol.asyncDispose]().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
-    process.stdout.write(`listening on ${server.port}\n`);
+    serveUntilSignal(server);
   },
 });
 
