perf(membership): look for silent members once in a heartbeat's time

Found by a profile: 51 % in silenceOf, 23 % in the scan. Change: the scan runs once in a heartbeat's time.

--- a/domain/membership/src/fleet_follower.ts
+++ b/domain/membership/src/fleet_follower.ts
@@ -70,6 +70,8 @@
   #announcedAt: Milliseconds | undefined;
   #departure: Departure | undefined;
   #isLogAvailable = true;
+  /** Silence grows by the heartbeat, so it is looked for once in a heartbeat's time. */
+  #nextSilenceCheckAt: Milliseconds = 0;
   readonly #lostPeers = new Set<ProcessIdentifier>();
   #removalsAskedAt = new Map<ProcessIdentifier, Milliseconds>();
 
@@ -314,7 +316,9 @@
   }
 
   #removeSilentMembers(): void {
-    const { timing } = this.#options;
+    const { timing, collector } = this.#options;
+    if (collector.now < this.#nextSilenceCheckAt) return;
+    this.#nextSilenceCheckAt = collector.now + timing.heartbeatMilliseconds;
     const silent = this.view.members().filter(({ joined }) =>
       this.heartbeats.silenceOf(joined.process) >= timing.removalMilliseconds
     );
