fix(peers-trpc): do not take a living peer for silent after a stall

Cause: the test of a peer that answers late failed once on the loaded machine. Timers run before reads, so after a stall shorter than one and a half checks the check saw no sign of life though it lay in the socket, and ended the connection; everything in flight on it was lost and sent again. Change: a connection ends after three checks without a sign, at four checks a silence in place of one at two; the silence limit stays. Conclusion: ruled out letting the check wait a turn or two of the loop, which still failed under a lasting stall: two checks then came closer than a round trip.

--- a/adapters/peers_trpc/src/lasting_connection.ts
+++ b/adapters/peers_trpc/src/lasting_connection.ts
@@ -26,6 +26,7 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 const ENDED = "the connection ended";
 const SILENT = "the peer has been silent";
+const SILENT_CHECKS = 3;
 const MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024;
 
 const responseSchema = z.union([
@@ -43,7 +44,8 @@
   readonly #calls = new Map<number, Call>();
   readonly #onClosed: () => void;
   #lastCall = 0;
-  #isHeard = true;
+  /** Checks since the peer was last heard. */
+  #silentChecks = 0;
   #isUsed = true;
   #isClosed = false;
 
@@ -57,7 +59,7 @@
     });
     this.#writer = new FrameWriter(this.#socket);
     this.#socket.on("message", (data) => this.#receive(String(data)));
-    this.#socket.on("pong", () => this.#isHeard = true);
+    this.#socket.on("pong", () => this.#silentChecks = 0);
     this.#socket.on("error", (error) => this.close(error.message));
     this.#socket.on("close", () => this.close());
   }
@@ -82,16 +84,17 @@
   }
 
   /**
-   * Ends the connection when nothing was heard since the last check, or when no call used it; asks the
-   * peer for a sign of life.
+   * Ends the connection when nothing was heard for several checks, or when no call used it; asks the
+   * peer for a sign of life. One check is not enough: timers run before reads, so that after a stall
+   * the sign of life may have arrived and not been read.
    */
   check(): void {
     const isUseless = !this.#isUsed && this.#calls.size === 0;
-    if (isUseless || !this.#isHeard) {
+    if (isUseless || this.#silentChecks >= SILENT_CHECKS) {
       this.close(SILENT);
       return;
     }
-    this.#isHeard = false;
+    this.#silentChecks += 1;
     this.#isUsed = false;
     if (this.#socket.readyState === WebSocket.OPEN) this.#socket.ping();
   }
@@ -108,7 +111,7 @@
   }
 
   #receive(frame: string): void {
-    this.#isHeard = true;
+    this.#silentChecks = 0;
     for (const message of messagesOf(frame)) this.#settle(message);
   }
 
--- a/adapters/peers_trpc/src/trpc_peers.ts
+++ b/adapters/peers_trpc/src/trpc_peers.ts
@@ -202,7 +202,7 @@
 }
 
 const CLOSE_MILLISECONDS = 500;
-const CHECKS_PER_SILENCE = 2;
+const CHECKS_PER_SILENCE = 4;
 const LATE_CHECK_FACTOR = 1.5;
 
 function replyKey(from: ProcessIdentifier, request: number): string {
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -21,6 +21,8 @@
 import { TrpcPeers } from "./trpc_peers.ts";
 
 const SILENCE_MILLISECONDS = 100;
+const STALL_MILLISECONDS = 30;
+const STALLS = 20;
 const LONG_MILLISECONDS = 60_000;
 const HEARTBEAT: PeerRequest = {
   kind: PeerRequestKind.Heartbeat,
@@ -96,6 +98,26 @@
   expect(input?.kind).toEqual(InputKind.PeerReplyArrived);
 });
 
+test("a stall of this process does not make a living peer look silent", async () => {
+  await using callee = await TestPeer.listen(CALLEE);
+  await using caller = await TestPeer.listen(CALLER, {
+    silenceMilliseconds: SILENCE_MILLISECONDS,
+  });
+  caller.call(callee.address, 1);
+  const [request] = await callee.take(1);
+  for (let stall = 0; stall < STALLS; stall += 1) await stallOneTurn();
+  if (request !== undefined) callee.reply(request);
+  const [input] = await caller.take(1);
+  expect(input?.kind).toEqual(InputKind.PeerReplyArrived);
+});
+
+/** Keeps the loop from reading for longer than the time between two checks. */
+async function stallOneTurn(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+  const end = performance.now() + STALL_MILLISECONDS;
+  while (performance.now() < end);
+}
+
 interface TestPeerOptions {
   readonly sharedKey?: string;
   readonly silenceMilliseconds?: number;
