refactor(owner): part claims from grants, and caller requests from the entry

Change: shard_claims.ts looks every 20 ms and only then; caller_request.ts holds what an entry asks and for how long.

--- a/domain/entry/src/entry_decisions.ts
+++ b/domain/entry/src/entry_decisions.ts
@@ -15,12 +15,10 @@
   type CallerAnswer,
   CallerAnswerKind,
   type CallerRequestIdentifier,
-  type CancellationAsked,
   Counter,
   type Decisions,
   type Epoch,
   EventNumber,
-  identifySubmission,
   InputKind,
   type JobOutcome,
   JobOutcomeKind,
@@ -31,7 +29,6 @@
   type PeerReply,
   type PeerReplyArrived,
   PeerReplyKind,
-  type PeerRequest,
   type PeerRequestArrived,
   PeerRequestKind,
   type ProcessIdentifier,
@@ -45,12 +42,17 @@
   Severity,
   type ShardEpoch,
   type ShardNumber,
-  type StandingAsked,
   Step,
-  type SubmissionArrived,
-  type SubmissionIdentifier,
   UnknownReason,
 } from "@eelgrassfront/model";
+import {
+  type ArrivedRequest,
+  type CallerRequest,
+  messageFor,
+  patienceOf,
+  REJECTION_DETAILS,
+  submissionOf,
+} from "./caller_request.ts";
 import { shardOf } from "@eelgrassfront/ownership";
 import { EpochTokens } from "./epoch_tokens.ts";
 
@@ -68,12 +70,7 @@
   readonly maximumPending: number;
 }
 
-type CallerRequest = SubmissionArrived | StandingAsked | CancellationAsked;
-
-interface Pending {
-  readonly input: CallerRequest;
-  readonly shard: ShardNumber;
-  readonly arrivedAt: Milliseconds;
+interface Pending extends ArrivedRequest {
   readonly giveUpAt: Milliseconds;
   /** The request to the owner that is awaited. */
   request: RequestIdentifier | undefined;
@@ -83,10 +80,6 @@
   relayAgainMilliseconds: Milliseconds;
 }
 
-/** Time beyond the caller's deadline in which the owner's answer is awaited. */
-const ANSWER_GRACE_MILLISECONDS: Milliseconds = 3_000;
-/** Time in which the owner answers a question about a job. */
-const QUESTION_MILLISECONDS: Milliseconds = 5_000;
 const RELAY_AGAIN_MILLISECONDS: Milliseconds = 50;
 const LONGEST_RELAY_AGAIN_MILLISECONDS: Milliseconds = 400;
 /** An owner that has not answered is asked again, since the request itself may be lost. */
@@ -483,64 +476,3 @@
     this.#collector.add({ kind: OutputKind.ReportReadiness, isReady });
   }
 }
-
-const REJECTION_DETAILS: ReadonlyMap<RejectionReason, string> = new Map([
-  [RejectionReason.EntryLeaving, "this entry is leaving; use another one"],
-  [
-    RejectionReason.EntryNotReady,
-    "this entry does not know the configuration and the fleet yet; try again",
-  ],
-  [RejectionReason.EntryBusy, "too many requests wait here; try again later"],
-  [
-    RejectionReason.KeyReused,
-    "the idempotency key was used before with another content",
-  ],
-]);
-
-function submissionOf(input: CallerRequest): SubmissionIdentifier {
-  switch (input.kind) {
-    case InputKind.SubmissionArrived:
-      return identifySubmission(input.submission);
-    case InputKind.StandingAsked:
-    case InputKind.CancellationAsked:
-      return input.submission;
-  }
-}
-
-function patienceOf(input: CallerRequest): Milliseconds {
-  switch (input.kind) {
-    case InputKind.SubmissionArrived:
-      return input.submission.deadlineMilliseconds + ANSWER_GRACE_MILLISECONDS;
-    case InputKind.StandingAsked:
-    case InputKind.CancellationAsked:
-      return QUESTION_MILLISECONDS;
-  }
-}
-
-function messageFor(pending: Pending, now: Milliseconds): PeerRequest {
-  const { input, shard, arrivedAt } = pending;
-  switch (input.kind) {
-    case InputKind.SubmissionArrived: {
-      const elapsed = now - arrivedAt;
-      return {
-        kind: PeerRequestKind.SubmitJob,
-        shard,
-        callerRequest: input.request,
-        submission: input.submission,
-        remainingMilliseconds: input.submission.deadlineMilliseconds - elapsed,
-      };
-    }
-    case InputKind.StandingAsked:
-      return {
-        kind: PeerRequestKind.QueryJob,
-        shard,
-        submission: input.submission,
-      };
-    case InputKind.CancellationAsked:
-      return {
-        kind: PeerRequestKind.CancelJob,
-        shard,
-        submission: input.submission,
-      };
-  }
-}
--- a/domain/owner/src/owner_decisions.ts
+++ b/domain/owner/src/owner_decisions.ts
@@ -42,6 +42,7 @@
 import { JobEndings } from "./job_endings.ts";
 import { JobTable } from "./job_table.ts";
 import { OwnerReplies, type RequestFrom } from "./owner_replies.ts";
+import { ShardClaims } from "./shard_claims.ts";
 import { ShardGrants, ShardStanding } from "./shard_grants.ts";
 import { ShardHandOver } from "./shard_hand_over.ts";
 import { type ArrivedSubmission, SubmissionGate } from "./submission_gate.ts";
@@ -66,6 +67,7 @@
   readonly #options: OwnerDecisionsOptions;
   readonly #answers: AnswerBook;
   readonly #evidence: EvidenceBook;
+  readonly #claims: ShardClaims;
   readonly #grants: ShardGrants;
   readonly #dispatcher: TaskDispatcher;
   readonly #jobs = new JobTable();
@@ -84,6 +86,7 @@
       maximumAnswerBytes: options.maximumAnswerBytes,
     });
     this.#evidence = new EvidenceBook(timing);
+    this.#claims = new ShardClaims(options);
     this.#grants = new ShardGrants({
       ...options,
       evidence: this.#evidence,
@@ -169,6 +172,7 @@
   /** Does what is due. */
   tick(): void {
     this.#grants.tick();
+    this.#claims.tick();
     this.#handOver.tick();
     if (this.#isLeaving) this.#refuseUnplaceable();
     this.#endings.tick();
@@ -182,10 +186,11 @@
   changeFleet(change: FleetChange): void {
     switch (change.kind) {
       case FleetChangeKind.MemberJoined:
-        this.#grants.noteMembershipChange();
+        this.#claims.noteMembershipChange();
         this.#addRunner(change.member);
         return;
       case FleetChangeKind.MemberDeparted:
+        this.#claims.noteMembershipChange();
         this.#grants.noteDeparture(change.departed);
         this.#dispatcher.loseRunner(change.departed.member.joined.process);
         return;
@@ -270,7 +275,7 @@
       return;
     }
     for (const answer of message.answers) this.#answers.keep(now, answer);
-    this.#grants.claimHandedOver(message.shards);
+    this.#claims.claimHandedOver(message.shards);
     this.#replies.send(waiter, { kind: PeerReplyKind.ShardsTaken });
   }
 
@@ -278,7 +283,7 @@
   leave(): void {
     this.#isLeaving = true;
     this.#gate.close();
-    this.#grants.leave();
+    this.#claims.leave();
     this.#handOver.begin();
   }
 
--- a/domain/owner/src/shard_grants.ts
+++ b/domain/owner/src/shard_grants.ts
@@ -1,7 +1,7 @@
 /**
- * The shards of one owner: when to claim them, and the way from a claim in the log to the grant. A
- * claim is granted after a majority has read it, the earlier owner's lease term has passed, and the
- * runners have given their start records, which fences the earlier owner.
+ * The shards of one owner on the way from a claim in the log to the grant. A claim is granted after a
+ * majority has read it, the earlier owner's lease term has passed, and the runners have given their start
+ * records, which fences the earlier owner.
  */
 import {
   assertNever,
@@ -9,7 +9,6 @@
   type Epoch,
   EventNumber,
   type EvidenceGiven,
-  LogRecordKind,
   type Milliseconds,
   type OutputCollector,
   OutputKind,
@@ -18,10 +17,8 @@
   RemovalReason,
   type RequestIdentifier,
   Severity,
-  type ShardClaim,
   type ShardEpoch,
   type ShardNumber,
-  type ShardsClaimed,
   UNCLAIMED_EPOCH,
 } from "@eelgrassfront/model";
 import type {
@@ -29,11 +26,7 @@
   FleetFollower,
   Timing,
 } from "@eelgrassfront/membership";
-import {
-  ownerCandidates,
-  type Ownership,
-  preferredOwner,
-} from "@eelgrassfront/ownership";
+import type { Ownership } from "@eelgrassfront/ownership";
 import type { EvidenceBook } from "./evidence_book.ts";
 
 /** What the grants need. */
@@ -43,9 +36,6 @@
   readonly follower: FleetFollower;
   readonly evidence: EvidenceBook;
   readonly timing: Timing;
-  readonly shardCount: number;
-  /** Sidecars that own shards at a time. */
-  readonly ownerCount: number;
   /** Told when a shard is granted. */
   readonly onGranted: (shard: ShardNumber) => void;
 }
@@ -111,25 +101,15 @@
   readonly runner: ProcessIdentifier;
 }
 
-const SETTLE_MILLISECONDS: Milliseconds = 500;
-/** Time between two looks for shards without an owner. */
-const CLAIM_CHECK_MILLISECONDS: Milliseconds = 20;
-const CLAIM_RETRY_MILLISECONDS: Milliseconds = 1_000;
 const EVIDENCE_PATIENCE_MILLISECONDS: Milliseconds = 500;
-/** Time in which the owner of a shard refreshes its claim after an outage of the log. */
-const REFRESH_PATIENCE_MILLISECONDS: Milliseconds = 10_000;
 const EVIDENCE_RETRY_MILLISECONDS: Milliseconds = 200;
 
-/** Claims and grants of one owner. */
+/** Grants of one owner. */
 export class ShardGrants {
   readonly #options: ShardGrantsOptions;
   readonly #grants = new Map<Epoch, Grant>();
   readonly #byShard = new Map<ShardNumber, Grant>();
   readonly #questions = new Map<RequestIdentifier, Question>();
-  #membershipChangedAt: Milliseconds = 0;
-  #claimCheckedAt = -Infinity;
-  #claimedAt: Milliseconds = -Infinity;
-  #isLeaving = false;
   readonly #stopped = new Set<ShardNumber>();
 
   constructor(options: ShardGrantsOptions) {
@@ -192,16 +172,6 @@
     );
   }
 
-  /** Notes that the membership changed; claims wait until it has settled. */
-  noteMembershipChange(): void {
-    this.#membershipChangedAt = this.#options.collector.now;
-  }
-
-  /** Stops claiming. */
-  leave(): void {
-    this.#isLeaving = true;
-  }
-
   /** Grants a shard no more: a successor is asked to claim it. */
   stopGranting(shard: ShardNumber): void {
     this.#stopped.add(shard);
@@ -224,7 +194,6 @@
 
   /** Asks every runner again when one left that had not answered: another keeps its records now. */
   noteDeparture({ member, reason }: DepartedMember): void {
-    this.noteMembershipChange();
     if (reason !== RemovalReason.Left) return;
     for (const grant of this.#grants.values()) {
       if (!grant.missing.delete(member.joined.process)) continue;
@@ -250,7 +219,6 @@
   /** Does what is due. */
   tick(): void {
     for (const grant of this.#grants.values()) this.#advance(grant);
-    this.#claimIfDue();
   }
 
   /** Takes a runner's evidence; false when it answers no question of this owner. */
@@ -271,15 +239,6 @@
     return this.#questions.delete(request);
   }
 
-  /** Claims shards that a leaving owner handed over. */
-  claimHandedOver(shards: readonly ShardEpoch[]): void {
-    const claims = shards.map(({ shard, epoch }) => ({
-      shard,
-      replaces: epoch,
-    }));
-    this.#appendClaim(ClaimReason.HandOver, claims);
-  }
-
   #begin(shard: ShardNumber, epoch: Epoch, reason: ClaimReason): void {
     const known = this.#grants.get(epoch);
     const grant = known ?? {
@@ -421,125 +380,4 @@
       message: { kind: PeerRequestKind.GatherEvidence, shards },
     });
   }
-
-  #claimIfDue(): void {
-    if (!this.#mayClaim()) return;
-    const claimable = this.#claimableShards();
-    const { heartbeats } = this.#options.follower;
-    if (claimable.length === 0 || !heartbeats.hearsMajority()) return;
-    this.#claimCheckedAt = this.#options.collector.now;
-    const candidates = this.#candidates();
-    if (!candidates.includes(this.#options.self)) return;
-    const unowned: ShardClaim[] = [];
-    const ownerless: ShardClaim[] = [];
-    const unseen: ShardClaim[] = [];
-    for (const shard of claimable) {
-      this.#sortClaim(shard, candidates, { unowned, ownerless, unseen });
-    }
-    this.#appendClaim(ClaimReason.Unowned, unowned);
-    this.#appendClaim(ClaimReason.Takeover, ownerless);
-    this.#appendUnseenClaim(unseen);
-  }
-
-  #claimableShards(): readonly ShardNumber[] {
-    const { follower, shardCount } = this.#options;
-    const claimable: ShardNumber[] = [];
-    for (let shard = 0; shard < shardCount; shard += 1) {
-      const owner = follower.view.ownership.find(shard)?.owner;
-      const isOwned = owner !== undefined && this.#isAnswerLikely(owner);
-      if (!isOwned) claimable.push(shard);
-    }
-    return claimable;
-  }
-
-  #mayClaim(): boolean {
-    const { collector, follower } = this.#options;
-    if (this.#isLeaving) return false;
-    const hasSettled =
-      collector.now - this.#membershipChangedAt >= SETTLE_MILLISECONDS;
-    const isTooSoon =
-      collector.now - this.#claimedAt < CLAIM_RETRY_MILLISECONDS ||
-      collector.now - this.#claimCheckedAt < CLAIM_CHECK_MILLISECONDS;
-    return follower.isMember && hasSettled &&
-      !isTooSoon && follower.view.lastReadToEndAt !== undefined;
-  }
-
-  #candidates(): readonly ProcessIdentifier[] {
-    const { follower, ownerCount } = this.#options;
-    const reachable = follower.view.sidecars()
-      .map(({ joined }) => joined.process)
-      .filter((process) =>
-        follower.heartbeats.isReachable(process) &&
-        !follower.heartbeats.isLeaving(process)
-      );
-    return ownerCandidates(reachable, ownerCount);
-  }
-
-  #sortClaim(
-    shard: ShardNumber,
-    candidates: readonly ProcessIdentifier[],
-    claims: {
-      readonly unowned: ShardClaim[];
-      readonly ownerless: ShardClaim[];
-      readonly unseen: ShardClaim[];
-    },
-  ): void {
-    const { follower, self } = this.#options;
-    const ownership = follower.view.ownership.find(shard);
-    if (preferredOwner(shard, candidates) !== self) return;
-    if (!follower.view.ownership.isDecided(shard)) {
-      claims.unseen.push({ shard, replaces: UNCLAIMED_EPOCH });
-      return;
-    }
-    const replaces = follower.view.ownership.epochOf(shard);
-    const list = ownership === undefined ? claims.unowned : claims.ownerless;
-    list.push({ shard, replaces });
-  }
-
-  /** Claims shards of which the log says nothing any more, once nobody refreshed them in time. */
-  #appendUnseenClaim(claims: readonly ShardClaim[]): void {
-    const { collector, follower } = this.#options;
-    const { view } = follower;
-    const missedAt = view.missedRecordsAt ?? collector.now;
-    if (collector.now - missedAt < REFRESH_PATIENCE_MILLISECONDS) return;
-    const unseenSince = Math.max(
-      ...claims.map(({ shard }) => view.ownership.unseenSince(shard)),
-    );
-    this.#appendClaim(ClaimReason.Takeover, claims, { unseenSince });
-  }
-
-  /** How far the log was read, if that is enough to judge the claims. */
-  #judgedTo(claims: readonly ShardClaim[]): Pick<ShardsClaimed, "readTo"> {
-    const { ownership, nextOffset } = this.#options.follower.view;
-    const isJudged = claims.every(({ shard, replaces }) =>
-      ownership.isDecided(shard) && ownership.epochOf(shard) === replaces
-    );
-    return isJudged ? { readTo: nextOffset } : {};
-  }
-
-  #appendClaim(
-    reason: ClaimReason,
-    claims: readonly ShardClaim[],
-    proof: Pick<ShardsClaimed, "readTo" | "unseenSince"> = this.#judgedTo(
-      claims,
-    ),
-  ): void {
-    if (claims.length === 0) return;
-    const { collector, self } = this.#options;
-    this.#claimedAt = collector.now;
-    collector.record(EventNumber.ShardsClaimed, "claims shards", {
-      context: { reason, shards: claims.length },
-    });
-    collector.add({
-      kind: OutputKind.AppendRecord,
-      append: collector.nextRequest(),
-      record: {
-        kind: LogRecordKind.ShardsClaimed,
-        claimant: self,
-        reason,
-        claims,
-        ...proof,
-      },
-    });
-  }
 }
