fix(admission): hold a team to its quota over all owners

Cause: each owner counted the tasks of a team by itself, so that with three owners a team could have three times its quota under way. Change: an owner holds a team to its share of the quota, by the shards it owns; a team with nothing under way there may have one job within the whole quota, so that no job becomes impossible. Conclusion: the owners together exceed a quota by one job each at most; ruled out counting at one owner a team, which would put a hop before each admission.

--- a/domain/admission/src/admission.ts
+++ b/domain/admission/src/admission.ts
@@ -8,6 +8,7 @@
   type Milliseconds,
   NotRunReason,
   type Submission,
+  type Team,
 } from "@eelgrassfront/model";
 
 /** Whether a job is taken in. */
@@ -37,8 +38,10 @@
   readonly configuration: Configuration;
   /** Tasks waiting at this owner. */
   readonly queuedTasks: number;
-  /** Tasks of the submission's team that are waiting or running. */
+  /** Tasks of the submission's team that are waiting or running at this owner. */
   readonly teamTasksInFlight: number;
+  /** Share of all submissions that reach this owner, from 0 to 1. */
+  readonly quotaShare: number;
   /** Time that remains until the submission's deadline. */
   readonly remainingMilliseconds: Milliseconds;
   /** What the queue says of this submission's team and kind of work. */
@@ -82,7 +85,7 @@
     return refuse(NotRunReason.NoCapableWorker);
   }
   const tasks = submission.tasks.length;
-  if (situation.teamTasksInFlight + tasks > team.maximumTasksInFlight) {
+  if (isOverQuota(tasks, team, situation)) {
     return refuse(NotRunReason.QuotaExceeded, QUEUE_FULL_RETRY_MILLISECONDS);
   }
   const { maximumQueuedTasks } = configuration.limits;
@@ -94,6 +97,21 @@
   }) ?? { kind: AdmissionKind.Admitted, kindOfWork };
 }
 
+/**
+ * Whether a job would take its team over the quota. Each owner holds the team to its share of the quota,
+ * since it knows only its own jobs; a team that has nothing under way here may have one job of any size
+ * within the whole quota, so that the owners together exceed it by at most one job each.
+ */
+function isOverQuota(
+  tasks: number,
+  team: Team,
+  { teamTasksInFlight, quotaShare }: AdmissionSituation,
+): boolean {
+  const quota = team.maximumTasksInFlight;
+  if (teamTasksInFlight === 0) return tasks > quota;
+  return teamTasksInFlight + tasks > quota * quotaShare;
+}
+
 /** Refuses what is expected to miss its deadline, and says whether its share or the whole fleet is at fault. */
 function refuseLate(
   submission: Submission,
--- a/domain/admission/src/admission_test.ts
+++ b/domain/admission/src/admission_test.ts
@@ -71,6 +71,7 @@
     configuration: CONFIGURATION,
     queuedTasks: 0,
     teamTasksInFlight: 0,
+    quotaShare: 1,
     remainingMilliseconds: 10_000,
     drainOf: () => IDLE,
     isCapableWorkerKnown: () => true,
@@ -103,6 +104,24 @@
       .toEqual(NotRunReason.UnknownKindOfWork);
   });
 
+  test("holds a team to the owner's share of its quota", () => {
+    const third = { quotaShare: 1 / 3 };
+    expect(
+      reasonOf(judge(submissionOf(1), { ...third, teamTasksInFlight: 99 })),
+    )
+      .toEqual(undefined);
+    expect(
+      reasonOf(judge(submissionOf(1), { ...third, teamTasksInFlight: 100 })),
+    ).toEqual(NotRunReason.QuotaExceeded);
+  });
+
+  test("lets a team with nothing under way have one job within its quota", () => {
+    const third = { quotaShare: 1 / 3 };
+    expect(reasonOf(judge(submissionOf(220), third))).toEqual(undefined);
+    expect(reasonOf(judge(submissionOf(301), third)))
+      .toEqual(NotRunReason.QuotaExceeded);
+  });
+
   test("holds a team to its quota and the owner to its queue", () => {
     expect(reasonOf(judge(submissionOf(1), { teamTasksInFlight: 300 })))
       .toEqual(NotRunReason.QuotaExceeded);
--- a/domain/admission/src/example.ts
+++ b/domain/admission/src/example.ts
@@ -21,6 +21,7 @@
   },
   queuedTasks: 0,
   teamTasksInFlight: 0,
+  quotaShare: 1,
   remainingMilliseconds: 1_000,
   drainOf: () => ({
     waitingTasks: 0,
--- a/domain/owner/src/submission_gate.ts
+++ b/domain/owner/src/submission_gate.ts
@@ -46,6 +46,7 @@
   readonly dispatcher: TaskDispatcher;
   readonly endings: JobEndings;
   readonly replies: OwnerReplies;
+  readonly shardCount: number;
 }
 
 /** A submission with the entry that relayed it. */
@@ -164,6 +165,7 @@
       configuration,
       queuedTasks: this.#options.dispatcher.queuedTasks,
       teamTasksInFlight: this.#options.jobs.teamTasks(submission.team),
+      quotaShare: this.#options.grants.size / this.#options.shardCount,
       remainingMilliseconds: message.remainingMilliseconds,
       drainOf: (kindOfWork) =>
         this.#options.dispatcher.drainOf(kindOfWork, submission.team),
