refactor(model): drop two reasons of not-run that nothing gives

Cause: no-runner-available and takeover-in-progress stood in the closed list, the API and the operators' page, but no decision ever gave them: a submission is held while a takeover is under way, and work without a runner waits for its deadline. Change: the two members, their explanations and their rows go.

--- a/cli/src/outcome_explanations.ts
+++ b/cli/src/outcome_explanations.ts
@@ -71,11 +71,6 @@
       "No worker of the fleet could ever run a task with these requirements.",
     action: "Lower the requirements, or add a backend server that meets them.",
   },
-  [NotRunReason.NoRunnerAvailable]: {
-    meaning:
-      "No sidecar with a backend server for this service can be reached.",
-    action: "Look at `fleet`; start backend servers of the service.",
-  },
   [NotRunReason.RetriesExhausted]: {
     meaning: "Every attempt to place a task was refused, and none started.",
     action: "Look at tasks.refused by reason, then submit under a new key.",
@@ -97,11 +92,6 @@
     action:
       "Submit under a new key; another owner has taken over within seconds.",
   },
-  [NotRunReason.TakeoverInProgress]: {
-    meaning:
-      "A new owner is gathering the start records and could not take the job in time.",
-    action: "Submit under a new key after a few seconds.",
-  },
 };
 
 /** Why it cannot be proved whether or how a job ran. */
--- a/domain/model/src/outcome.ts
+++ b/domain/model/src/outcome.ts
@@ -34,13 +34,11 @@
   QuotaExceeded = "quota-exceeded",
   ShareExceeded = "share-exceeded",
   NoCapableWorker = "no-capable-worker",
-  NoRunnerAvailable = "no-runner-available",
   RetriesExhausted = "retries-exhausted",
   UnknownKindOfWork = "unknown-kind-of-work",
   UnknownTeam = "unknown-team",
   Cancelled = "cancelled",
   OwnerLeaving = "owner-leaving",
-  TakeoverInProgress = "takeover-in-progress",
 }
 
 /** Why the outcome of a job cannot be proved. */
