--- a/adapters/journal_roarr/src/roarr_journal.ts
+++ b/adapters/journal_roarr/src/roarr_journal.ts
@@ -1,5 +1,5 @@
 /**
- * The event log of a process: one JSON line an event on standard error, written by roarr.
+ * The event log of a process: one JSON line an event, written by roarr.
  */
 import "./roarr_environment.ts";
 import {
@@ -15,10 +15,16 @@
 export class RoarrJournal implements JournalPort {
   readonly #logger: typeof Roarr;
 
-  constructor(self: ProcessIdentifier) {
-    ROARR.write = (line: string) => {
-      process.stderr.write(`${line}\n`);
-    };
+  /**
+   * Makes the journal of a process.
+   *
+   * @param write takes each line; standard error by default
+   */
+  constructor(
+    self: ProcessIdentifier,
+    write: (line: string) => void = writeToStandardError,
+  ) {
+    ROARR.write = write;
     this.#logger = Roarr.child({ package: "eelgrassfront", process: self });
   }
 
@@ -42,3 +48,7 @@
     }
   }
 }
+
+function writeToStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
--- a/adapters/metrics_hot_shots/src/hot_shots_metrics.ts
+++ b/adapters/metrics_hot_shots/src/hot_shots_metrics.ts
@@ -6,6 +6,8 @@
 import {
   assertNever,
   type CountOccurrence,
+  DispatchOutputKind,
+  type ObserveDuration,
   OutputKind,
   type ProcessIdentifier,
   processName,
@@ -51,7 +53,7 @@
     this.#timer = setInterval(() => this.#send(), FLUSH_MILLISECONDS);
   }
 
-  measure(output: CountOccurrence | SetGauge): void {
+  measure(output: CountOccurrence | SetGauge | ObserveDuration): void {
     switch (output.kind) {
       case OutputKind.CountOccurrence:
         this.#count(output);
@@ -59,6 +61,11 @@
       case OutputKind.SetGauge:
         this.#set(output);
         return;
+      case DispatchOutputKind.ObserveDuration:
+        this.#client.histogram(output.histogram, output.milliseconds, {
+          label: output.label,
+        });
+        return;
       default:
         assertNever(output);
     }
--- /dev/null
+++ b/adapters/metrics_prometheus/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Counters, gauges and histograms served as text.
+ */
+export * from "./prometheus_metrics.ts";
--- /dev/null
+++ b/adapters/metrics_prometheus/src/prometheus_metrics.ts
@@ -0,0 +1,144 @@
+/**
+ * Counters, gauges and histograms kept by prom-client and served as text by HTTP.
+ */
+import { createServer, type Server } from "node:http";
+import {
+  assertNever,
+  Counter,
+  type CountOccurrence,
+  DispatchOutputKind,
+  Gauge,
+  Histogram,
+  type ObserveDuration,
+  OutputKind,
+  type SetGauge,
+} from "@eelgrassfront/model";
+import type { MetricsPort } from "@eelgrassfront/ports";
+import {
+  Counter as CounterMetric,
+  Gauge as GaugeMetric,
+  Histogram as HistogramMetric,
+  Registry,
+} from "prom-client";
+
+/** Where metrics are served. */
+export interface PrometheusMetricsOptions {
+  readonly host: string;
+  readonly port: number;
+}
+
+const PATH = "/metrics";
+const PREFIX = "eelgrassfront_";
+/** Bounds of durations in milliseconds, from a round trip to the longest wait of a client. */
+const BUCKETS_MILLISECONDS = [
+  2,
+  5,
+  12,
+  25,
+  50,
+  100,
+  200,
+  400,
+  800,
+  1_600,
+  3_200,
+  6_400,
+];
+
+/** Serves metrics. */
+export class PrometheusMetrics implements MetricsPort {
+  readonly #registry = new Registry();
+  readonly #counters = new Map<Counter, CounterMetric>();
+  readonly #gauges = new Map<Gauge, GaugeMetric>();
+  readonly #histograms = new Map<Histogram, HistogramMetric>();
+  readonly #server: Server;
+
+  private constructor() {
+    const registers = [this.#registry];
+    for (const counter of Object.values(Counter)) {
+      const name = metricName(counter);
+      const metric = new CounterMetric({
+        name,
+        help: counter,
+        labelNames: ["reason"],
+        registers,
+      });
+      this.#counters.set(counter, metric);
+    }
+    for (const gauge of Object.values(Gauge)) {
+      const name = metricName(gauge);
+      this.#gauges.set(
+        gauge,
+        new GaugeMetric({ name, help: gauge, registers }),
+      );
+    }
+    for (const histogram of Object.values(Histogram)) {
+      const metric = new HistogramMetric({
+        name: `${metricName(histogram)}_milliseconds`,
+        help: histogram,
+        labelNames: ["label"],
+        buckets: BUCKETS_MILLISECONDS,
+        registers,
+      });
+      this.#histograms.set(histogram, metric);
+    }
+    this.#server = createServer((request, response) => {
+      if (request.url !== PATH) {
+        response.writeHead(404).end();
+        return;
+      }
+      this.#registry.metrics().then((text) => {
+        response.writeHead(200, { "content-type": "text/plain" }).end(text);
+      }, (error: unknown) => {
+        response.writeHead(500).end(String(error));
+      });
+    });
+  }
+
+  /**
+   * Serves metrics on an address.
+   *
+   * @throws when the address cannot be listened on
+   */
+  static async listen(
+    { host, port }: PrometheusMetricsOptions,
+  ): Promise<PrometheusMetrics> {
+    const metrics = new PrometheusMetrics();
+    await new Promise<void>((resolve, reject) => {
+      metrics.#server.once("error", reject);
+      metrics.#server.listen(port, host, resolve);
+    });
+    return metrics;
+  }
+
+  measure(output: CountOccurrence | SetGauge | ObserveDuration): void {
+    switch (output.kind) {
+      case OutputKind.CountOccurrence:
+        this.#counters.get(output.counter)?.inc(
+          output.reason === undefined ? {} : { reason: output.reason },
+        );
+        return;
+      case OutputKind.SetGauge:
+        this.#gauges.get(output.gauge)?.set(output.value);
+        return;
+      case DispatchOutputKind.ObserveDuration:
+        this.#histograms.get(output.histogram)?.observe(
+          { label: output.label },
+          output.milliseconds,
+        );
+        return;
+      default:
+        assertNever(output);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+  }
+}
+
+function metricName(name: string): string {
+  return `${PREFIX}${name.replaceAll(".", "_")}`;
+}
--- a/adapters/peers_trpc/src/peer_router.ts
+++ b/adapters/peers_trpc/src/peer_router.ts
@@ -2,36 +2,37 @@
  * The tRPC router that peers call: one typed procedure that carries any request of the system and
  * returns its reply.
  */
-import {
-  type PeerReply,
-  type PeerRequest,
-  PeerRequestKind,
-  type ProcessIdentifier,
-  type RequestIdentifier,
+import type {
+  ProcessIdentifier,
+  RequestIdentifier,
 } from "@eelgrassfront/model";
 import {
   type inferRouterInputs,
   type inferRouterOutputs,
   initTRPC,
+  TRPCError,
 } from "@trpc/server";
 import { z } from "zod";
 
+/** A message of some vocabulary of the system. */
+export interface PeerMessage {
+  readonly kind: string;
+}
+
 /** What the procedures need. */
 export interface PeerContext {
+  /** Whether the vocabulary of this process has requests of the kind. */
+  readonly isRequestKind: (kind: string) => boolean;
   /** Takes a request; the reply comes when the decisions have made it. */
-  readonly accept: (envelope: PeerEnvelope) => Promise<PeerReply>;
+  readonly accept: (envelope: PeerEnvelope) => Promise<PeerMessage>;
 }
 
-const REQUEST_KINDS: ReadonlySet<unknown> = new Set(
-  Object.values(PeerRequestKind),
-);
-
 const identifier = z.custom<ProcessIdentifier>((value) =>
   typeof value === "string" && value.includes("~")
 );
-const message = z.custom<PeerRequest>((value) =>
+const message = z.custom<PeerMessage>((value) =>
   typeof value === "object" && value !== null && "kind" in value &&
-  REQUEST_KINDS.has(value.kind)
+  typeof value.kind === "string"
 );
 // Peers hold the shared key, so the envelope is checked and the content trusted.
 const envelopeSchema = z.object({
@@ -50,7 +51,10 @@
 export const peerRouter = trpc.router({
   deliver: trpc.procedure
     .input(envelopeSchema)
-    .mutation(({ ctx, input }) => ctx.accept(input)),
+    .mutation(({ ctx, input }) => {
+      if (ctx.isRequestKind(input.message.kind)) return ctx.accept(input);
+      throw new TRPCError({ code: "BAD_REQUEST" });
+    }),
 });
 
 /** Type of the router, for typed clients. */
--- a/adapters/peers_trpc/src/trpc_peers.ts
+++ b/adapters/peers_trpc/src/trpc_peers.ts
@@ -10,21 +10,25 @@
   ErrorTag,
   InputKind,
   type Milliseconds,
+  type OtherIncarnation,
   OutputKind,
-  type PeerInput,
   type PeerReply,
   PeerReplyKind,
+  type PeerRequest,
+  type PeerRequestLost,
   type ProcessIdentifier,
-  type SendReply,
-  type SendRequest,
+  type ReplyArrived,
+  type ReplySent,
+  type RequestArrived,
+  type RequestSent,
   Step,
 } from "@eelgrassfront/model";
-import type { PeersPort } from "@eelgrassfront/ports";
+import type { Port } from "@eelgrassfront/ports";
 import { createAdapter } from "@most/adapter";
 import type { Stream } from "@most/types";
 import { WebSocketServer } from "ws";
 import { LastingConnection } from "./lasting_connection.ts";
-import type { PeerContext, PeerEnvelope } from "./peer_router.ts";
+import type { PeerContext, PeerEnvelope, PeerMessage } from "./peer_router.ts";
 import { PeerSession } from "./peer_session.ts";
 
 /** Identity, address and key of a process. */
@@ -34,27 +38,40 @@
   readonly port: number;
   /** Key that every process of the fleet holds. */
   readonly sharedKey: string;
+  /** Kinds of the requests that this process takes. */
+  readonly requestKinds: readonly string[];
   /** A connection on which nothing is heard for this long is ended, and its calls are lost. */
   readonly silenceMilliseconds: Milliseconds;
 }
 
 const MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024;
 
-/** Peers by tRPC. */
-export class TrpcPeers implements PeersPort {
-  readonly inputs: Stream<PeerInput>;
-  readonly #induce: (input: PeerInput) => void;
+type Inputs<Request, Reply> =
+  | RequestArrived<Request>
+  | ReplyArrived<Reply>
+  | PeerRequestLost;
+type Outputs<Request, Reply> = RequestSent<Request> | ReplySent<Reply>;
+
+/** Peers by tRPC, in one vocabulary of requests and replies. */
+export class TrpcPeers<
+  Request extends PeerMessage = PeerRequest,
+  Reply extends PeerMessage = PeerReply,
+> implements Port<Inputs<Request, Reply>, Outputs<Request, Reply>> {
+  readonly inputs: Stream<Inputs<Request, Reply>>;
+  readonly #induce: (input: Inputs<Request, Reply>) => void;
   readonly #options: TrpcPeersOptions;
   readonly #server: WebSocketServer;
   readonly #connections = new Map<string, LastingConnection>();
-  readonly #replies = new Map<string, (reply: PeerReply) => void>();
+  readonly #replies = new Map<string, (reply: Reply) => void>();
   readonly #checkMilliseconds: Milliseconds;
   readonly #checks: NodeJS.Timeout;
   #checkedAt = performance.now();
   #isDisposed = false;
 
   private constructor(options: TrpcPeersOptions) {
-    [this.#induce, this.inputs] = createAdapter<PeerInput>();
+    [this.#induce, this.inputs] = createAdapter<
+      Inputs<Request, Reply>
+    >();
     this.#options = options;
     this.#server = new WebSocketServer({
       host: options.host,
@@ -64,7 +81,9 @@
       verifyClient: ({ req }: { readonly req: IncomingMessage }) =>
         this.#isAuthorized(req.headers.authorization),
     });
+    const requestKinds = new Set(options.requestKinds);
     const context: PeerContext = {
+      isRequestKind: (kind) => requestKinds.has(kind),
       accept: (envelope) => this.#accept(envelope),
     };
     this.#server.on("connection", (socket) => new PeerSession(socket, context));
@@ -81,8 +100,11 @@
    *
    * @throws when the address cannot be listened on
    */
-  static async listen(options: TrpcPeersOptions): Promise<TrpcPeers> {
-    const peers = new TrpcPeers(options);
+  static async listen<
+    Request extends PeerMessage = PeerRequest,
+    Reply extends PeerMessage = PeerReply,
+  >(options: TrpcPeersOptions): Promise<TrpcPeers<Request, Reply>> {
+    const peers = new TrpcPeers<Request, Reply>(options);
     await new Promise<void>((resolve, reject) => {
       peers.#server.once("listening", resolve);
       peers.#server.once("error", reject);
@@ -90,7 +112,7 @@
     return peers;
   }
 
-  perform(output: SendRequest | SendReply): void {
+  perform(output: Outputs<Request, Reply>): void {
     switch (output.kind) {
       case OutputKind.SendRequest:
         this.#call(output);
@@ -118,7 +140,7 @@
     for (const socket of this.#server.clients) socket.terminate();
   }
 
-  #accept(envelope: PeerEnvelope): Promise<PeerReply> {
+  #accept(envelope: PeerEnvelope): Promise<Reply | OtherIncarnation> {
     const { from, request, message, to } = envelope;
     if (to !== this.#options.self) {
       return Promise.resolve({
@@ -132,19 +154,20 @@
         kind: InputKind.PeerRequestArrived,
         from,
         request,
-        message,
+        // The router lets only the kinds of this vocabulary pass; peers hold the shared key.
+        message: message as PeerMessage as Request,
       });
     });
   }
 
-  #resolve({ to, request, message }: SendReply): void {
+  #resolve({ to, request, message }: ReplySent<Reply>): void {
     const key = replyKey(to, request);
     const resolve = this.#replies.get(key);
     this.#replies.delete(key);
     resolve?.(message);
   }
 
-  #call(output: SendRequest): void {
+  #call(output: RequestSent<Request>): void {
     const { request, peer, address, message } = output;
     const envelope = { from: this.#options.self, to: peer, request, message };
     this.#connectionTo(address).send(envelope, {
@@ -153,13 +176,16 @@
           kind: InputKind.PeerReplyArrived,
           from: peer,
           request,
-          message: reply,
+          message: reply as PeerMessage as Reply,
         }),
       fail: (detail) => this.#lose(output, detail),
     });
   }
 
-  #lose({ peer, request, address }: SendRequest, detail: string): void {
+  #lose(
+    { peer, request, address }: RequestSent<Request>,
+    detail: string,
+  ): void {
     if (this.#isDisposed) return;
     this.#induce({
       kind: InputKind.PeerRequestLost,
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -146,6 +146,7 @@
       host: "127.0.0.1",
       port,
       sharedKey: "key",
+      requestKinds: Object.values(PeerRequestKind),
       silenceMilliseconds: LONG_MILLISECONDS,
       ...options,
     });
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -115,4 +115,91 @@
     meaning: "A request to another process was lost.",
     action: "Look at the peer if it lasts.",
   },
+  [EventNumber.SettingsReloaded]: {
+    meaning: "The settings file was read again after a signal or a change.",
+    action: "Nothing; addresses count from the next start.",
+  },
+  [EventNumber.ProcessPaused]: {
+    meaning:
+      "The process stood still for longer than a session lasts; its sessions were ended, since work that it finds to read may be stale.",
+    action:
+      "Look whether the VM was frozen, suspended or short of processor time.",
+  },
+  [EventNumber.SessionOpened]: {
+    meaning:
+      "An entry and a sidecar opened a session; nothing of an earlier one runs any more.",
+    action: "Nothing.",
+  },
+  [EventNumber.SessionLost]: {
+    meaning:
+      "An entry gave up its session with a sidecar that left renewals unanswered, ended the session or was restarted; its tasks there are placed again when they have certainly ended.",
+    action:
+      "Look for the sidecar's events at that time: a pause, a restart, a cut connection.",
+  },
+  [EventNumber.SessionEnded]: {
+    meaning:
+      "A sidecar ended the session of an entry and stops its work: the entry was silent, gave the session up, or the sidecar stood still.",
+    action: "Look for the entry's events at that time.",
+  },
+  [EventNumber.MemberLearnt]: {
+    meaning:
+      "The process learnt of a member from a peer and not from the platform's store.",
+    action: "Nothing; if it repeats, look whether the store can be reached.",
+  },
+  [EventNumber.JobEnded]: {
+    meaning:
+      "A best-effort job completed or failed; the line tells how long it waited and how many attempts its tasks took.",
+    action:
+      "Nothing; for a failed job look for the failed attempts of its tasks.",
+  },
+  [EventNumber.JobRefused]: {
+    meaning:
+      "A best-effort job was refused: nothing of it has run or will. The line tells the reason and the backlog that decided it.",
+    action:
+      "For `overloaded` and `waited-too-long` look at the free processor time of the workers; for `no-capable-worker` at what the job asks for.",
+  },
+  [EventNumber.JobGivenUp]: {
+    meaning:
+      "A best-effort job was given up after something of it may have run; what ran was stopped.",
+    action: "Look for the attempts of its tasks by the identifier of the job.",
+  },
+  [EventNumber.JobAbandoned]: {
+    meaning:
+      "The client closed its connection before the answer; what ran of the job was stopped.",
+    action: "Nothing, unless clients wait for less time than their jobs need.",
+  },
+  [EventNumber.TaskRetried]: {
+    meaning:
+      "An attempt at a task ended without its completion; the task is placed again.",
+    action: "Look at the reason and at the sidecar that had it.",
+  },
+  [EventNumber.WorkerAnnounced]: {
+    meaning: "A worker announced itself to its sidecar.",
+    action: "Nothing.",
+  },
+  [EventNumber.WorkerDraining]: {
+    meaning: "A worker leaves and gets no new work from this moment on.",
+    action: "Nothing.",
+  },
+  [EventNumber.WorkerLost]: {
+    meaning:
+      "A worker left, crashed or was replaced; what ran there has ended.",
+    action: "Look whether the worker was meant to end.",
+  },
+  [EventNumber.WorkerReportInvalid]: {
+    meaning:
+      "A report that cannot be read was passed over; it names no worker to use.",
+    action: "Look what writes it; the line tells what is wrong with it.",
+  },
+  [EventNumber.RunDoubtful]: {
+    meaning:
+      "A worker did not answer the start of a task. Its list of runs decides whether the task runs.",
+    action: "Nothing for single lines; otherwise look at the worker.",
+  },
+  [EventNumber.RunSettled]: {
+    meaning:
+      "An attempt ended without an outcome of its own; the line tells why.",
+    action:
+      "Look for the line of the entry that placed it, by the identifier of the job.",
+  },
 };
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -21,6 +21,21 @@
     "Requests sent to other processes on the path of a job.",
   [Counter.RequestsLost]:
     "Requests to other processes that were lost, by reason.",
+  [Counter.JobsRefused]: "Best-effort jobs that were refused, by reason.",
+  [Counter.JobsGivenUp]:
+    "Best-effort jobs given up after something of them may have run, by reason.",
+  [Counter.JobsAbandoned]:
+    "Best-effort jobs whose client left before the answer.",
+  [Counter.TasksSettled]:
+    "Attempts that a sidecar settled, by outcome or reason.",
+  [Counter.TasksInterrupted]:
+    "Attempts of an entry that ended without completion, whose task is placed again, by reason.",
+  [Counter.RunsRefused]: "Calls that a worker refused, by reason.",
+  [Counter.RunsDoubtful]: "Starts that a worker did not answer.",
+  [Counter.SessionsEnded]:
+    "Sessions of entries that a sidecar ended, by reason.",
+  [Counter.WorkerCallsMissing]:
+    "Calls that a worker did not answer, by kind of call.",
 };
 
 /** What each gauge shows. */
@@ -31,4 +46,10 @@
   [Gauge.ConfigurationOffset]: "Version of the configuration in force.",
   [Gauge.LogOffset]: "Offset at which the log is read next.",
   [Gauge.Members]: "Members of the fleet that this process knows.",
+  [Gauge.ConfigurationVersion]:
+    "Version of the configuration in force at an entry that runs best-effort jobs.",
+  [Gauge.QueuedJobs]: "Best-effort jobs with tasks to place.",
+  [Gauge.RunningJobs]: "Best-effort jobs whose tasks are all placed.",
+  [Gauge.FreeMillicores]:
+    "Thousandths of a core that running tasks leave of the worker.",
 };
--- /dev/null
+++ b/daemon/src/dispatch_main.ts
@@ -0,0 +1,66 @@
+/**
+ * The daemon on the users' platform: one process of the system, in the role that it is started with.
+ *
+ * Exit codes: 0 after leaving, 1 when it could not start, 2 for faulty settings, 70 after a broken
+ * invariant.
+ */
+import { Role } from "@eelgrassfront/model";
+import {
+  type HostSettings,
+  hostSettingsPath,
+  readHostSettings,
+} from "@eelgrassfront/platform";
+import { defineCommand, runMain } from "citty";
+import { runDispatchProcess } from "./dispatch_process.ts";
+
+const FAULTY_SETTINGS_EXIT_CODE = 2;
+const FAILED_START_EXIT_CODE = 1;
+
+const command = defineCommand({
+  meta: {
+    name: "eelgrassfront",
+    description: "Runs one process of eelgrassfront on the users' platform",
+  },
+  args: {
+    role: {
+      type: "positional",
+      required: true,
+      description: `role of the process: ${Object.values(Role).join(" or ")}`,
+    },
+  },
+  run: async ({ args }) => {
+    process.exit(await runInRole(args.role));
+  },
+});
+
+async function runInRole(text: string): Promise<number> {
+  const role = Object.values(Role).find((value) => value === text);
+  if (role === undefined) {
+    complain(`unknown role ${text}: ${Object.values(Role).join(" or ")}`);
+    return FAULTY_SETTINGS_EXIT_CODE;
+  }
+  const settings = readSettings();
+  if (settings === undefined) return FAULTY_SETTINGS_EXIT_CODE;
+  try {
+    return await runDispatchProcess(role, settings);
+  } catch (error) {
+    complain(`could not start: ${String(error)}`);
+    return FAILED_START_EXIT_CODE;
+  }
+}
+
+function readSettings(): HostSettings | undefined {
+  const path = hostSettingsPath();
+  try {
+    return readHostSettings(path);
+  } catch (error) {
+    complain(`${path}: ${String(error)}`);
+    return undefined;
+  }
+}
+
+function complain(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+await runMain(command);
--- /dev/null
+++ b/daemon/src/dispatch_process.ts
@@ -0,0 +1,192 @@
+/**
+ * Builds a process for best-effort work from the settings of its VM: the adapters, the decisions of its
+ * role and the loop. Whatever is opened is disposed of when the process ends, the last first.
+ */
+import { randomBytes } from "node:crypto";
+import { MonotonicClock } from "@eelgrassfront/clock";
+import { DispatcherDecisions } from "@eelgrassfront/dispatcher";
+import { BoundedJournal } from "@eelgrassfront/journal-roarr";
+import { PrometheusMetrics } from "@eelgrassfront/metrics-prometheus";
+import {
+  assertNever,
+  type DispatchReply,
+  type DispatchRequest,
+  DispatchRequestKind,
+  EventNumber,
+  type FleetMember,
+  type ProcessIdentifier,
+  processIdentifier,
+  Role,
+  Severity,
+} from "@eelgrassfront/model";
+import { TrpcPeers } from "@eelgrassfront/peers-trpc";
+import {
+  ClientListener,
+  formatHostAddress,
+  type HostSettings,
+  SettingsWatch,
+  StoreClient,
+  StoreDirectory,
+  WorkerChannel,
+} from "@eelgrassfront/platform";
+import { ProcessSignals } from "@eelgrassfront/signals";
+import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
+import { DispatchLoop, type DispatchPorts } from "./dispatch_loop.ts";
+
+const INCARNATION_BYTES = 6;
+/** Port on which every process serves its metrics; the deploy file names it too. */
+const METRICS_PORT = 9_464;
+/** The platform's network lets only the system's VMs reach the peers' ports, and hands out no secret. */
+const SHARED_KEY = "eelgrassfront";
+/**
+ * A connection between peers on which nothing is heard for this long is ended. Sessions are given up
+ * sooner, by the decisions.
+ */
+const PEER_SILENCE_MILLISECONDS = 1_200;
+
+/** Runs a process until it stops; returns its exit code. */
+export async function runDispatchProcess(
+  role: Role,
+  settings: HostSettings,
+): Promise<number> {
+  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const self = {
+    process: processIdentifier(settings.vmName, incarnation),
+    role,
+    address: formatHostAddress(settings.peers),
+    availabilityZone: settings.availabilityZone,
+  };
+  await using shared = await openShared(self, settings);
+  switch (role) {
+    case Role.Entry:
+      return await runEntry(self, settings, shared);
+    case Role.Sidecar:
+      return await runSidecar(self, settings, shared);
+    default:
+      return assertNever(role);
+  }
+}
+
+async function runEntry(
+  self: FleetMember,
+  settings: HostSettings,
+  shared: SharedPorts,
+): Promise<number> {
+  const { clients, readiness } = settings;
+  if (clients === undefined || readiness === undefined) {
+    throw new Error("the settings name no address for client accounts");
+  }
+  await using listener = await ClientListener.listen({ clients, readiness });
+  const decisions = new DispatcherDecisions({
+    self,
+    seeds: settings.seeds,
+    graceMilliseconds: settings.graceMilliseconds,
+  });
+  const ports = { ...shared.ports, clients: listener };
+  const running = new DispatchLoop(decisions, ports).run();
+  return await shared.finish(running);
+}
+
+async function runSidecar(
+  self: FleetMember,
+  settings: HostSettings,
+  shared: SharedPorts,
+): Promise<number> {
+  if (settings.workerReports === undefined) {
+    throw new Error("the settings name no address for the worker's reports");
+  }
+  await using worker = await WorkerChannel.listen(settings.workerReports);
+  const decisions = new WorkerGuardDecisions({
+    self,
+    seeds: settings.seeds,
+    firstFencingToken: Date.now(),
+    leaseMilliseconds: settings.leaseMilliseconds,
+    graceMilliseconds: settings.graceMilliseconds,
+  });
+  const ports = { ...shared.ports, worker };
+  const running = new DispatchLoop(decisions, ports).run();
+  return await shared.finish(running);
+}
+
+type DispatchPeers = TrpcPeers<DispatchRequest, DispatchReply>;
+
+interface OpenedPorts extends DispatchPorts {
+  readonly peers: DispatchPeers;
+  readonly directory: StoreDirectory;
+  readonly journal: BoundedJournal;
+}
+
+/** Ports that both roles have. */
+class SharedPorts implements AsyncDisposable {
+  readonly ports: OpenedPorts;
+  readonly #self: ProcessIdentifier;
+  readonly #store: StoreClient;
+
+  constructor(
+    self: ProcessIdentifier,
+    ports: OpenedPorts,
+    store: StoreClient,
+  ) {
+    this.#self = self;
+    this.ports = ports;
+    this.#store = store;
+  }
+
+  /** Follows the store while the process runs. Returns the exit code. */
+  async finish(running: Promise<number>): Promise<number> {
+    this.#record(EventNumber.ProcessStarted, "the process started");
+    this.ports.directory.start();
+    const exitCode = await running;
+    this.#record(EventNumber.ProcessStopped, "the process stopped", exitCode);
+    return exitCode;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { clock, directory, journal, metrics, peers } = this.ports;
+    await this.ports.signals[Symbol.asyncDispose]();
+    await this.ports.settings[Symbol.asyncDispose]();
+    await clock[Symbol.asyncDispose]();
+    await directory[Symbol.asyncDispose]();
+    await this.#store[Symbol.asyncDispose]();
+    await peers[Symbol.asyncDispose]();
+    await metrics[Symbol.asyncDispose]();
+    await journal[Symbol.asyncDispose]();
+  }
+
+  #record(number: EventNumber, message: string, exitCode = 0): void {
+    this.ports.journal.record({
+      number,
+      severity: Severity.Information,
+      message,
+      context: { process: this.#self, exitCode },
+    });
+  }
+}
+
+async function openShared(
+  self: FleetMember,
+  settings: HostSettings,
+): Promise<SharedPorts> {
+  const { host, port } = settings.peers;
+  const store = new StoreClient(settings.storeAddress);
+  const ports = {
+    clock: new MonotonicClock(),
+    peers: await TrpcPeers.listen<DispatchRequest, DispatchReply>({
+      self: self.process,
+      host,
+      port,
+      sharedKey: SHARED_KEY,
+      requestKinds: Object.values(DispatchRequestKind),
+      silenceMilliseconds: PEER_SILENCE_MILLISECONDS,
+    }),
+    directory: new StoreDirectory({
+      client: store,
+      readsConfiguration: self.role === Role.Entry,
+    }),
+    signals: new ProcessSignals(),
+    settings: new SettingsWatch(),
+    journal: new BoundedJournal(self.process),
+    metrics: await PrometheusMetrics.listen({ host, port: METRICS_PORT }),
+  };
+  return new SharedPorts(self.process, ports, store);
+}
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -13,6 +13,7 @@
 import {
   assertNever,
   EventNumber,
+  PeerRequestKind,
   type ProcessIdentifier,
   processIdentifier,
   Role,
@@ -176,6 +177,7 @@
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
+      requestKinds: Object.values(PeerRequestKind),
       silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
--- a/daemon/src/process_loop.ts
+++ b/daemon/src/process_loop.ts
@@ -1,13 +1,11 @@
 /**
- * The one loop of a process: every port's inputs merge into one stream, the decisions take one input
- * at a time, and each output goes to its port.
+ * The loop of a process for work at most once: each output goes to its port.
  */
 import {
   assertNever,
   Counter,
   type Decisions,
   EventNumber,
-  InvariantError,
   OutputKind,
   type ProcessInput,
   type ProcessOutput,
@@ -28,8 +26,9 @@
   PlatformLogPort,
   SignalsPort,
 } from "@eelgrassfront/ports";
-import { mergeArray, runEffects, tap } from "@most/core";
-import { newDefaultScheduler } from "@most/scheduler";
+import { InputLoop } from "./input_loop.ts";
+
+export { INVARIANT_EXIT_CODE } from "./input_loop.ts";
 
 /** The ports of a process. An entry has callers, a sidecar has a backend server. */
 export interface ProcessPorts {
@@ -44,32 +43,25 @@
   readonly backendServer?: BackendServerPort;
 }
 
-/** Exit code after a broken invariant. */
-export const INVARIANT_EXIT_CODE = 70;
-
 /** Runs decisions on ports until the decisions stop. */
 export class ProcessLoop {
-  readonly #decisions: Decisions;
   readonly #ports: ProcessPorts;
-  #finish: (exitCode: number) => void = () => {};
-  #isStopped = false;
+  readonly #loop: InputLoop<ProcessInput, ProcessOutput>;
 
   constructor(decisions: Decisions, ports: ProcessPorts) {
-    this.#decisions = decisions;
     this.#ports = ports;
+    this.#loop = new InputLoop({
+      decisions,
+      sources: this.#inputPorts(),
+      clock: ports.clock,
+      journal: ports.journal,
+      perform: (output) => this.#perform(output),
+    });
   }
 
   /** Runs until the decisions stop; returns the exit code. */
   run(): Promise<number> {
-    return new Promise((resolve) => {
-      this.#finish = resolve;
-      const inputs = mergeArray(this.#inputPorts().map((port) => port.inputs));
-      const steps = tap((input: ProcessInput) => this.#step(input), inputs);
-      runEffects(steps, newDefaultScheduler()).catch((error: unknown) => {
-        this.#fail(error);
-      });
-      this.#armAlarm();
-    });
+    return this.#loop.run();
   }
 
   #inputPorts(): readonly InputPort<ProcessInput>[] {
@@ -80,21 +72,6 @@
       .filter((port) => port !== undefined);
   }
 
-  #step(input: ProcessInput): void {
-    if (this.#isStopped) return;
-    try {
-      const outputs = this.#decisions.step(this.#ports.clock.now(), input);
-      for (const output of outputs) this.#perform(output);
-      this.#armAlarm();
-    } catch (error) {
-      this.#fail(error);
-    }
-  }
-
-  #armAlarm(): void {
-    this.#ports.clock.setAlarm(this.#decisions.nextAlarm());
-  }
-
   #perform(output: ProcessOutput): void {
     switch (output.kind) {
       case OutputKind.AnswerCaller:
@@ -128,7 +105,7 @@
         // The decisions hold the configuration; the output tells observers that it is in force.
         return;
       case OutputKind.Stop:
-        this.#stop(output.exitCode);
+        this.#loop.stop(output.exitCode);
         return;
       default:
         assertNever(output);
@@ -154,20 +131,4 @@
       context: {},
     });
   }
-
-  #stop(exitCode: number): void {
-    this.#isStopped = true;
-    this.#finish(exitCode);
-  }
-
-  #fail(error: unknown): void {
-    const state = error instanceof InvariantError ? error.state : String(error);
-    this.#ports.journal.record({
-      number: EventNumber.InvariantBroken,
-      severity: Severity.Error,
-      message: error instanceof Error ? error.message : "the loop failed",
-      context: { state },
-    });
-    this.#stop(INVARIANT_EXIT_CODE);
-  }
 }
--- /dev/null
+++ b/domain/directory/src/example.ts
@@ -0,0 +1,10 @@
+/**
+ * A version of the configuration never goes back.
+ */
+import { FleetDirectory } from "@eelgrassfront/directory";
+
+const directory = new FleetDirectory();
+directory.learnConfiguration({ version: 7, routes: [] });
+const isTaken = directory.learnConfiguration({ version: 5, routes: [] });
+console.log(isTaken, directory.configurationVersion);
+// prints: false 7
--- /dev/null
+++ b/domain/directory/src/fleet_directory.ts
@@ -0,0 +1,68 @@
+/**
+ * Members and configuration as one process knows them, from the platform's store and from peers. A
+ * version of the configuration never goes back; of two runs of a process the one heard last counts.
+ */
+import {
+  type FleetKnowledge,
+  type FleetMember,
+  processName,
+  type Role,
+  type WorkConfiguration,
+} from "@eelgrassfront/model";
+
+/** What one process knows of the fleet. */
+export class FleetDirectory {
+  readonly #members = new Map<string, FleetMember>();
+  #configuration: WorkConfiguration | undefined;
+
+  /** The configuration in force. */
+  get configuration(): WorkConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  /** Version of the configuration in force; 0 for none. */
+  get configurationVersion(): number {
+    return this.#configuration?.version ?? 0;
+  }
+
+  /** Takes a newer version. Returns whether it is in force now. */
+  learnConfiguration(configuration: WorkConfiguration): boolean {
+    if (configuration.version <= this.configurationVersion) return false;
+    this.#configuration = configuration;
+    return true;
+  }
+
+  /** Takes a member. Returns whether it is news. */
+  learnMember(member: FleetMember): boolean {
+    const name = processName(member.process);
+    const known = this.#members.get(name);
+    this.#members.set(name, member);
+    return known?.process !== member.process ||
+      known.address !== member.address;
+  }
+
+  /** Takes a member that a peer told of; what is known of the same name goes first. */
+  learnHearsay(member: FleetMember): boolean {
+    return !this.#members.has(processName(member.process)) &&
+      this.learnMember(member);
+  }
+
+  /** Forgets a member. */
+  removeMember(name: string): boolean {
+    return this.#members.delete(name);
+  }
+
+  /** Members of one role. */
+  membersOf(role: Role): readonly FleetMember[] {
+    return [...this.#members.values()].filter((member) => member.role === role);
+  }
+
+  /** What a peer with this version of the configuration does not know. */
+  knowledgeFor(configurationVersion: number): FleetKnowledge {
+    const members = [...this.#members.values()];
+    const isNewer = this.configurationVersion > configurationVersion;
+    return this.#configuration === undefined || !isNewer
+      ? { members }
+      : { configuration: this.#configuration, members };
+  }
+}
--- /dev/null
+++ b/domain/directory/src/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Members and configuration as one process knows them, and how peers tell each other.
+ */
+export * from "./fleet_directory.ts";
+export * from "./knowledge_exchange.ts";
--- /dev/null
+++ b/domain/dispatcher/src/job_desk.ts
@@ -0,0 +1,317 @@
+/**
+ * The jobs of an entry from handing in to the answer: admission, the queue, retries and deadlines.
+ */
+import type { RunTimeEstimates } from "@eelgrassfront/admission";
+import {
+  BestEffortState,
+  ClientAnswerKind,
+  type DispatchOutput,
+  Gauge,
+  GivenUpReason,
+  type Milliseconds,
+  type OutputCollector,
+  OutputKind,
+  RefusalReason,
+  type RequestIdentifier,
+} from "@eelgrassfront/model";
+import type { AttemptBook } from "./attempt_book.ts";
+import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
+import {
+  type Backlog,
+  canStartInTime,
+  expectedWait,
+  retryAfter,
+} from "./job_admission.ts";
+import type { JobAnswers } from "./job_answers.ts";
+import { JobQueue } from "./job_queue.ts";
+import type { TaskPlacer } from "./task_placer.ts";
+import { isCapableWorkerKnown } from "./worker_choice.ts";
+import { LinkPhase, type WorkerLinks } from "./worker_links.ts";
+
+/** What the backlog is computed from. */
+export interface BacklogSource {
+  readonly links: WorkerLinks;
+  readonly attempts: AttemptBook;
+  readonly runTimes: RunTimeEstimates;
+}
+
+/** What the desk needs. */
+export interface JobDeskOptions {
+  readonly collector: OutputCollector<DispatchOutput>;
+  readonly placer: TaskPlacer;
+  readonly answers: JobAnswers;
+  readonly source: BacklogSource;
+}
+
+/** Time between two looks for room while jobs wait and nothing else happens. */
+const RETRY_MILLISECONDS: Milliseconds = 20;
+/** Retry-After where nothing is known of the load: the time of a restart. */
+const UNKNOWN_RETRY_MILLISECONDS: Milliseconds = 1_000;
+
+/** The jobs of an entry. */
+export class JobDesk {
+  readonly #options: JobDeskOptions;
+  readonly #jobs = new Map<string, DispatchJob>();
+  readonly #byRequest = new Map<RequestIdentifier, DispatchJob>();
+  readonly #queue = new JobQueue();
+
+  constructor(options: JobDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Number of jobs that are not answered. */
+  get size(): number {
+    return this.#jobs.size;
+  }
+
+  /** Finds a job that is not answered. */
+  find(id: string): DispatchJob | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /** Whether some worker takes work. */
+  hasWorkers(): boolean {
+    return this.#options.source.links.all().some(({ state }) =>
+      state.phase === LinkPhase.Open && state.load?.isTakingWork === true
+    );
+  }
+
+  /** Jobs of a route of which nothing has begun. */
+  countPending(route: string): number {
+    return this.#queue.jobs.filter((job) =>
+      job.route.name === route && job.isRefusable
+    ).length;
+  }
+
+  /** Takes a job in, or refuses it. */
+  admit(job: DispatchJob, isClosed: boolean): void {
+    const { answers, placer } = this.#options;
+    const known = this.#jobs.get(job.id);
+    const [request] = job.requests;
+    if (known !== undefined && request !== undefined) {
+      known.requests.push(request);
+      this.#byRequest.set(request, known);
+      return;
+    }
+    if (isClosed) {
+      answers.refuse(job, RefusalReason.Leaving, { context: {} });
+      return;
+    }
+    if (this.#refuseHopeless(job)) return;
+    this.#jobs.set(job.id, job);
+    if (request !== undefined) this.#byRequest.set(request, job);
+    this.#queue.add(job);
+    if (this.#queue.jobs[0] === job && placer.place(job)) {
+      this.#queue.remove(job);
+      return;
+    }
+    this.#refuseIfLate(job);
+  }
+
+  /** Goes on with a job after something of it was settled. */
+  continue(job: DispatchJob): void {
+    if (this.#jobs.get(job.id) !== job) return;
+    if (job.isCompleted) {
+      this.#remove(job);
+      this.#options.answers.end(job, BestEffortState.Completed);
+      return;
+    }
+    const isFailed = job.tasks.some(({ failures }) =>
+      failures >= job.route.maximumAttempts
+    );
+    if (isFailed) {
+      this.#options.placer.takeBack(job);
+      this.#remove(job);
+      this.#options.answers.end(job, BestEffortState.Failed);
+      return;
+    }
+    job.unblock();
+    const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
+    if (isWaiting) this.#queue.add(job);
+  }
+
+  /** The tasks that a lost sidecar had have ended there. */
+  endHold(address: string): void {
+    for (const job of this.#jobs.values()) {
+      for (const task of job.tasks) {
+        const isHeld = task.phase === TaskPhase.Ready &&
+          task.placedAt === address;
+        if (isHeld) task.heldUntil = 0;
+      }
+    }
+  }
+
+  /** The client of a request has gone. */
+  abandon(request: RequestIdentifier): void {
+    const job = this.#byRequest.get(request);
+    if (job === undefined) return;
+    this.#byRequest.delete(request);
+    job.requests.splice(job.requests.indexOf(request), 1);
+    if (job.requests.length > 0) return;
+    this.#options.placer.takeBack(job);
+    this.#remove(job);
+    this.#options.answers.abandon(job);
+  }
+
+  /** Cancels a job. Returns whether it was known. */
+  cancel(id: string): boolean {
+    const job = this.#jobs.get(id);
+    if (job === undefined) return false;
+    this.#options.placer.takeBack(job);
+    this.#remove(job);
+    for (const request of job.requests) {
+      this.#options.answers.answer(request, {
+        kind: ClientAnswerKind.Cancelled,
+      });
+    }
+    return true;
+  }
+
+  /** Gives every job up, before the process ends. */
+  giveUpAll(reason: GivenUpReason): void {
+    for (const job of [...this.#jobs.values()]) {
+      if (job.isRefusable) this.#refuse(job, RefusalReason.Leaving);
+      else this.#giveUp(job, reason);
+    }
+  }
+
+  /** Places what has room, refuses what cannot start in time any more, and keeps deadlines. */
+  tick(): void {
+    this.#keepDeadlines();
+    this.#placeWaiting();
+    this.#refuseLate();
+    this.#tellGauges();
+  }
+
+  /** When something is due. */
+  nextAlarm(): Milliseconds | undefined {
+    const times = [...this.#jobs.values()].map(({ deadlineAt }) => deadlineAt);
+    if (this.#queue.size > 0) {
+      times.push(this.#options.collector.now + RETRY_MILLISECONDS);
+    }
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  #placeWaiting(): void {
+    for (const job of [...this.#queue.jobs]) {
+      if (!this.#options.placer.place(job)) return;
+      const isHeld = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
+      if (!isHeld) this.#queue.remove(job);
+    }
+  }
+
+  #keepDeadlines(): void {
+    const { now } = this.#options.collector;
+    for (const job of [...this.#jobs.values()]) {
+      if (now < job.deadlineAt) continue;
+      if (job.isRefusable) this.#refuse(job, RefusalReason.WaitedTooLong);
+      else this.#giveUp(job, GivenUpReason.DeadlinePassed);
+    }
+  }
+
+  #refuseLate(): void {
+    const { now } = this.#options.collector;
+    for (const job of [...this.#queue.jobs]) {
+      const isLate = job.isRefusable && now > job.startBy;
+      if (isLate) this.#refuse(job, RefusalReason.WaitedTooLong);
+    }
+  }
+
+  /** Refuses a job that no known worker could ever run, once workers are known. */
+  #refuseHopeless(job: DispatchJob): boolean {
+    const { source, answers } = this.#options;
+    if (!this.hasWorkers()) return false;
+    const links = source.links.all();
+    const isHopeless = job.tasks.some((task) =>
+      !isCapableWorkerKnown({ links, job, task })
+    );
+    if (!isHopeless) return false;
+    answers.refuse(job, RefusalReason.NoCapableWorker, {
+      retryAfterMilliseconds: UNKNOWN_RETRY_MILLISECONDS,
+      context: { sidecars: links.length },
+    });
+    return true;
+  }
+
+  #refuseIfLate(job: DispatchJob): void {
+    if (!job.isRefusable) return;
+    const { now } = this.#options.collector;
+    const backlog = this.#backlogOf(job);
+    if (canStartInTime(job, now, backlog)) return;
+    this.#refuse(job, RefusalReason.Overloaded);
+  }
+
+  #refuse(job: DispatchJob, reason: RefusalReason): void {
+    const backlog = this.#backlogOf(job);
+    this.#remove(job);
+    this.#options.answers.refuse(job, reason, {
+      retryAfterMilliseconds: retryAfter(backlog),
+      context: {
+        expectedWaitMilliseconds: Math.round(expectedWait(backlog)),
+        servedMillicores: Math.round(backlog.servedMillicores),
+        queuedJobs: this.#queue.size,
+      },
+    });
+  }
+
+  #giveUp(job: DispatchJob, reason: GivenUpReason): void {
+    this.#options.placer.takeBack(job);
+    this.#remove(job);
+    this.#options.answers.giveUp(job, reason);
+  }
+
+  #remove(job: DispatchJob): void {
+    this.#jobs.delete(job.id);
+    this.#queue.remove(job);
+    for (const request of job.requests) this.#byRequest.delete(request);
+  }
+
+  /** Work before a job, and this entry's part of the workers' capacity. */
+  #backlogOf(job: DispatchJob): Backlog {
+    const workAhead = this.#queue.ahead(job).reduce(
+      (sum, other) => sum + other.waitingWork(this.#runTimeOf(other)),
+      0,
+    );
+    return { workAhead, servedMillicores: this.#servedMillicores(job) };
+  }
+
+  #runTimeOf({ route }: DispatchJob): Milliseconds {
+    return this.#options.source.runTimes.of({
+      team: "",
+      kindOfWork: route.name,
+    });
+  }
+
+  /** Capacity of the service in the share in which this entry uses it now. */
+  #servedMillicores(job: DispatchJob): number {
+    const { links, attempts } = this.#options.source;
+    let capacity = 0;
+    let used = 0;
+    let own = 0;
+    for (const { state, address } of links.all()) {
+      const load = state.phase === LinkPhase.Open ? state.load : undefined;
+      if (load?.service !== job.route.service || !load.isTakingWork) continue;
+      capacity += load.capacity.processorMillicores;
+      used += load.capacity.processorMillicores -
+        load.free.processorMillicores;
+      for (const { task } of attempts.at(address)) {
+        own += task.step.resources.processorMillicores;
+      }
+    }
+    return used === 0 ? capacity : capacity * Math.min(1, own / used);
+  }
+
+  #tellGauges(): void {
+    const { collector } = this.#options;
+    collector.add({
+      kind: OutputKind.SetGauge,
+      gauge: Gauge.QueuedJobs,
+      value: this.#queue.size,
+    });
+    collector.add({
+      kind: OutputKind.SetGauge,
+      gauge: Gauge.RunningJobs,
+      value: this.#jobs.size - this.#queue.size,
+    });
+  }
+}
--- /dev/null
+++ b/domain/dispatcher/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Decisions of the entry that runs best-effort jobs.
+ */
+export * from "./dispatcher_decisions.ts";
--- a/domain/model/src/decisions.ts
+++ b/domain/model/src/decisions.ts
@@ -6,8 +6,8 @@
 import type { ProcessInput } from "./process_input.ts";
 import type { ProcessOutput } from "./process_output.ts";
 
-/** A state machine of one process. */
-export interface Decisions {
+/** A state machine of one process, over its closed sets of inputs and outputs. */
+export interface StateMachine<Input, Output> {
   /**
    * Takes one input.
    *
@@ -16,8 +16,11 @@
    * @returns what the adapters must do, in order
    * @throws {InvariantError} when a promise of the system would be broken
    */
-  step(now: Milliseconds, input: ProcessInput): readonly ProcessOutput[];
+  step(now: Milliseconds, input: Input): readonly Output[];
 
   /** When the machine next wants an `AlarmRang` input; undefined for never. */
   nextAlarm(): Milliseconds | undefined;
 }
+
+/** A state machine for work at most once. */
+export type Decisions = StateMachine<ProcessInput, ProcessOutput>;
--- /dev/null
+++ b/domain/model/src/dispatch_output.ts
@@ -0,0 +1,180 @@
+/**
+ * Outputs of the decisions for best-effort work.
+ */
+import type {
+  DispatchReply,
+  DispatchRequest,
+  FleetMember,
+} from "./dispatch_message.ts";
+import type { Milliseconds, RequestIdentifier } from "./identifiers.ts";
+import type { Histogram } from "./metric.ts";
+import type {
+  CountOccurrence,
+  RecordEvent,
+  ReplySent,
+  ReportReadiness,
+  RequestSent,
+  SetGauge,
+  Stop,
+} from "./process_output.ts";
+import type { WorkerCall, WorkerIncarnation } from "./worker_call.ts";
+
+/** Kinds of outputs that only best-effort work has. */
+export enum DispatchOutputKind {
+  AnswerClient = "answer-client",
+  Announce = "announce",
+  CallWorker = "call-worker",
+  ObserveDuration = "observe-duration",
+}
+
+/** States of a job as its client sees them. */
+export enum BestEffortState {
+  Queued = "queued",
+  Running = "running",
+  Completed = "completed",
+  Failed = "failed",
+}
+
+/** Why a job was refused. It has not run and never will. */
+export enum RefusalReason {
+  /** No configuration is known yet. */
+  Starting = "starting",
+  Leaving = "leaving",
+  /** More work waits than can end in time. */
+  Overloaded = "overloaded",
+  /** The time in which it could have met its objective passed while it waited. */
+  WaitedTooLong = "waited-too-long",
+  /** No worker could ever run one of its tasks. */
+  NoCapableWorker = "no-capable-worker",
+  Unsupported = "unsupported",
+}
+
+/** Why nothing can be said of a job that may have run. */
+export enum GivenUpReason {
+  DeadlinePassed = "deadline-passed",
+  Leaving = "leaving",
+}
+
+/** Kinds of answers to client accounts. */
+export enum ClientAnswerKind {
+  Ended = "ended",
+  State = "state",
+  Pending = "pending",
+  Refused = "refused",
+  GivenUp = "given-up",
+  NoSuchRoute = "no-such-route",
+  NoSuchJob = "no-such-job",
+  Cancelled = "cancelled",
+  Malformed = "malformed",
+}
+
+/** The job has ended. */
+export interface EndedAnswer {
+  readonly kind: ClientAnswerKind.Ended;
+  readonly state: BestEffortState.Completed | BestEffortState.Failed;
+}
+
+/** The job is under way. */
+export interface StateAnswer {
+  readonly kind: ClientAnswerKind.State;
+  readonly state: BestEffortState;
+}
+
+/** Jobs of the route that have not begun. */
+export interface PendingAnswer {
+  readonly kind: ClientAnswerKind.Pending;
+  readonly count: number;
+}
+
+/** The job has not run and never will. */
+export interface RefusedAnswer {
+  readonly kind: ClientAnswerKind.Refused;
+  readonly reason: RefusalReason;
+  readonly retryAfterMilliseconds?: Milliseconds;
+}
+
+/** The job may have run in part; nothing of it runs any more. */
+export interface GivenUpAnswer {
+  readonly kind: ClientAnswerKind.GivenUp;
+  readonly reason: GivenUpReason;
+}
+
+/** No route in force takes the request. */
+export interface NoSuchRouteAnswer {
+  readonly kind: ClientAnswerKind.NoSuchRoute;
+}
+
+/** The job is not known. */
+export interface NoSuchJobAnswer {
+  readonly kind: ClientAnswerKind.NoSuchJob;
+}
+
+/** The job was cancelled. */
+export interface CancelledAnswer {
+  readonly kind: ClientAnswerKind.Cancelled;
+}
+
+/** The request cannot be read. */
+export interface MalformedAnswer {
+  readonly kind: ClientAnswerKind.Malformed;
+  readonly detail: string;
+}
+
+/** Any answer to a client account. */
+export type ClientAnswer =
+  | EndedAnswer
+  | StateAnswer
+  | PendingAnswer
+  | RefusedAnswer
+  | GivenUpAnswer
+  | NoSuchRouteAnswer
+  | NoSuchJobAnswer
+  | CancelledAnswer
+  | MalformedAnswer;
+
+/** Answer a client's request, once. */
+export interface AnswerClient {
+  readonly kind: DispatchOutputKind.AnswerClient;
+  readonly request: RequestIdentifier;
+  readonly answer: ClientAnswer;
+  /** Whether the connection ends with this answer, so that the client turns to another entry. */
+  readonly isLast: boolean;
+}
+
+/** Keep a record of this process in the platform's store, or take it out when it leaves for good. */
+export interface Announce {
+  readonly kind: DispatchOutputKind.Announce;
+  readonly member: FleetMember;
+}
+
+/** Call the worker beside this sidecar. */
+export interface CallWorker {
+  readonly kind: DispatchOutputKind.CallWorker;
+  readonly call: RequestIdentifier;
+  readonly worker: WorkerIncarnation["id"];
+  readonly address: string;
+  readonly fencingToken: number;
+  readonly request: WorkerCall;
+}
+
+/** Add a duration to a histogram. */
+export interface ObserveDuration {
+  readonly kind: DispatchOutputKind.ObserveDuration;
+  readonly histogram: Histogram;
+  readonly label: string;
+  readonly milliseconds: Milliseconds;
+}
+
+/** Any output of best-effort work. */
+export type DispatchOutput =
+  | AnswerClient
+  | Announce
+  | CallWorker
+  | ObserveDuration
+  | RequestSent<DispatchRequest>
+  | ReplySent<DispatchReply>
+  | RecordEvent
+  | CountOccurrence
+  | SetGauge
+  | ReportReadiness
+  | Stop;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -28,6 +28,23 @@
   BackendServerAnnounced = 4001,
   BackendServerUnreachable = 4002,
   PeerRequestLost = 5001,
+  SettingsReloaded = 1006,
+  ProcessPaused = 1007,
+  SessionOpened = 2401,
+  SessionLost = 2402,
+  SessionEnded = 2403,
+  MemberLearnt = 2404,
+  JobEnded = 3101,
+  JobRefused = 3102,
+  JobGivenUp = 3103,
+  JobAbandoned = 3104,
+  TaskRetried = 3105,
+  WorkerAnnounced = 4101,
+  WorkerDraining = 4102,
+  WorkerLost = 4103,
+  WorkerReportInvalid = 4104,
+  RunDoubtful = 4105,
+  RunSettled = 4106,
 }
 
 /** Severity of an event. */
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -1,6 +1,15 @@
 /**
  * Counters and gauges. There is a counter for each refusal and retry reason.
  */
+import type {
+  DispatchReplyKind,
+  DispatchRequestKind,
+  InterruptionReason,
+  NotStartedReason,
+  SettlementKind,
+} from "./dispatch_message.ts";
+import type { GivenUpReason, RefusalReason } from "./dispatch_output.ts";
+import type { WorkerCallKind, WorkerRefusalReason } from "./worker_call.ts";
 import type {
   FailureReason,
   NotRunReason,
@@ -9,6 +18,16 @@
 } from "./outcome.ts";
 import type { PeerReplyKind, PeerRequestKind } from "./peer_message.ts";
 
+/** Names of histograms of durations. */
+export enum Histogram {
+  /** From handing in to the answer, by kind of work. */
+  JobDuration = "jobs.duration",
+  /** From handing in to the first task sent to a sidecar, by kind of work. */
+  JobWait = "jobs.wait",
+  /** From the start of a run to its end, by how it ended. */
+  RunDuration = "runs.duration",
+}
+
 /** Names of counters. */
 export enum Counter {
   JobsAccepted = "jobs.accepted",
@@ -23,6 +42,15 @@
   TasksRetried = "tasks.retried",
   MessagesSent = "messages.sent",
   RequestsLost = "messages.lost",
+  JobsRefused = "jobs.refused",
+  JobsGivenUp = "jobs.given_up",
+  JobsAbandoned = "jobs.abandoned",
+  TasksSettled = "tasks.settled",
+  TasksInterrupted = "tasks.interrupted",
+  RunsRefused = "runs.refused",
+  RunsDoubtful = "runs.doubtful",
+  SessionsEnded = "sessions.ended",
+  WorkerCallsMissing = "worker.calls_missing",
 }
 
 /** Names of gauges. */
@@ -31,6 +59,10 @@
   RunningTasks = "tasks.running",
   OwnedShards = "shards.owned",
   ConfigurationOffset = "configuration.offset",
+  ConfigurationVersion = "configuration.version",
+  QueuedJobs = "jobs.queued",
+  RunningJobs = "jobs.running",
+  FreeMillicores = "worker.free_millicores",
   LogOffset = "log.offset",
   Members = "members",
 }
@@ -44,7 +76,24 @@
   | RejectionReason
   | RetryReason
   | PeerRequestKind
-  | PeerReplyKind;
+  | PeerReplyKind
+  | DispatchRequestKind
+  | DispatchReplyKind
+  | RefusalReason
+  | GivenUpReason
+  | SettlementKind
+  | NotStartedReason
+  | InterruptionReason
+  | WorkerRefusalReason
+  | WorkerCallKind
+  | SessionEndReason;
+
+/** Why a session between an entry and a sidecar ended. */
+export enum SessionEndReason {
+  Expired = "expired",
+  GivenUp = "given-up",
+  ProcessPaused = "process-paused",
+}
 
 /** Why a request was rejected before it became a submission. */
 export enum RejectionReason {
--- a/domain/model/src/mod.ts
+++ b/domain/model/src/mod.ts
@@ -1,8 +1,12 @@
 /**
  * Core types of eelgrassfront. Every decision and every adapter speaks in these.
  */
+export * from "./best_effort_job.ts";
 export * from "./configuration.ts";
 export * from "./decisions.ts";
+export * from "./dispatch_input.ts";
+export * from "./dispatch_message.ts";
+export * from "./dispatch_output.ts";
 export * from "./event.ts";
 export * from "./identifiers.ts";
 export * from "./log_record.ts";
@@ -14,4 +18,7 @@
 export * from "./process_input.ts";
 export * from "./process_output.ts";
 export * from "./process_report.ts";
+export * from "./resources.ts";
 export * from "./submission.ts";
+export * from "./work_configuration.ts";
+export * from "./worker_call.ts";
--- a/domain/model/src/output_collector.ts
+++ b/domain/model/src/output_collector.ts
@@ -6,11 +6,16 @@
 import { type EventNumber, type ProcessEvent, Severity } from "./event.ts";
 import type { CountedReason, Counter } from "./metric.ts";
 import { hintFor, type ProcessError } from "./process_error.ts";
-import { OutputKind, type ProcessOutput } from "./process_output.ts";
+import {
+  type CountOccurrence,
+  OutputKind,
+  type ProcessOutput,
+  type RecordEvent,
+} from "./process_output.ts";
 
 /** Outputs of the step in progress, the time of the step, and the request counter. */
-export class OutputCollector {
-  #outputs: ProcessOutput[] = [];
+export class OutputCollector<Output = ProcessOutput> {
+  #outputs: (Output | CountOccurrence | RecordEvent)[] = [];
   #lastRequest = 0;
   #now: Milliseconds = 0;
 
@@ -26,12 +31,12 @@
   }
 
   /** Ends the step and returns its outputs. */
-  finish(): readonly ProcessOutput[] {
+  finish(): readonly (Output | CountOccurrence | RecordEvent)[] {
     return this.#outputs;
   }
 
   /** Adds an output. */
-  add(output: ProcessOutput): void {
+  add(output: Output | CountOccurrence | RecordEvent): void {
     this.#outputs.push(output);
   }
 
--- a/domain/model/src/process_input.ts
+++ b/domain/model/src/process_input.ts
@@ -73,22 +73,28 @@
   readonly reason: RejectionReason;
 }
 
-/** Another process sent a request. */
-export interface PeerRequestArrived {
+/** Another process sent a request of the given vocabulary. */
+export interface RequestArrived<Message> {
   readonly kind: InputKind.PeerRequestArrived;
   readonly from: ProcessIdentifier;
   readonly request: RequestIdentifier;
-  readonly message: PeerRequest;
+  readonly message: Message;
 }
 
-/** Another process answered a request. */
-export interface PeerReplyArrived {
+/** Another process answered a request, in the given vocabulary. */
+export interface ReplyArrived<Message> {
   readonly kind: InputKind.PeerReplyArrived;
   readonly from: ProcessIdentifier;
   readonly request: RequestIdentifier;
-  readonly message: PeerReply;
+  readonly message: Message;
 }
 
+/** Another process sent a request. */
+export type PeerRequestArrived = RequestArrived<PeerRequest>;
+
+/** Another process answered a request. */
+export type PeerReplyArrived = ReplyArrived<PeerReply>;
+
 /** No reply will come; the request may or may not have had an effect. */
 export interface PeerRequestLost {
   readonly kind: InputKind.PeerRequestLost;
--- a/domain/model/src/process_output.ts
+++ b/domain/model/src/process_output.ts
@@ -83,23 +83,29 @@
   readonly report: ProcessReport;
 }
 
-/** Send a request to another process. */
-export interface SendRequest {
+/** Send a request of the given vocabulary to another process. */
+export interface RequestSent<Message> {
   readonly kind: OutputKind.SendRequest;
   readonly request: RequestIdentifier;
   readonly peer: ProcessIdentifier;
   readonly address: string;
-  readonly message: PeerRequest;
+  readonly message: Message;
 }
 
-/** Reply to a request of another process. */
-export interface SendReply {
+/** Reply to a request of another process, in the given vocabulary. */
+export interface ReplySent<Message> {
   readonly kind: OutputKind.SendReply;
   readonly to: ProcessIdentifier;
   readonly request: RequestIdentifier;
-  readonly message: PeerReply;
+  readonly message: Message;
 }
 
+/** Send a request to another process. */
+export type SendRequest = RequestSent<PeerRequest>;
+
+/** Reply to a request of another process. */
+export type SendReply = ReplySent<PeerReply>;
+
 /** Start a task on the backend server. */
 export interface ExecuteTask {
   readonly kind: OutputKind.ExecuteTask;
--- /dev/null
+++ b/domain/worker_guard/src/example.ts
@@ -0,0 +1,21 @@
+/**
+ * A sidecar announces itself with its first step.
+ */
+import { InputKind, Role } from "@eelgrassfront/model";
+import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
+
+const guard = new WorkerGuardDecisions({
+  self: {
+    process: "sidecar-1~a",
+    role: Role.Sidecar,
+    address: "127.0.0.1:7720",
+    availabilityZone: "zone-a",
+  },
+  seeds: [],
+  firstFencingToken: 1,
+  leaseMilliseconds: 1_000,
+  graceMilliseconds: 6_000,
+});
+const outputs = guard.step(0, { kind: InputKind.AlarmRang });
+console.log(outputs.map(({ kind }) => kind).join());
+// prints: announce
--- /dev/null
+++ b/domain/worker_guard/src/guarded_run.ts
@@ -0,0 +1,109 @@
+/**
+ * One attempt at a task as the guard of a worker knows it.
+ */
+import type {
+  InterruptionReason,
+  JobTaskName,
+  Milliseconds,
+  ProcessIdentifier,
+  RequestIdentifier,
+  Resources,
+  RunName,
+  SessionNumber,
+} from "@eelgrassfront/model";
+
+/** Phases of an attempt. */
+export enum RunPhase {
+  /** No room yet. */
+  Waiting = "waiting",
+  /** The worker was told to start it and has not answered. */
+  Starting = "starting",
+  /** The worker's answer to the start is missing. */
+  Doubtful = "doubtful",
+  Running = "running",
+  /** The worker was told to stop it; its end is not listed yet. */
+  Stopping = "stopping",
+}
+
+/** Waits for room. */
+export interface WaitingRun {
+  readonly phase: RunPhase.Waiting;
+  /** Time by which it should start for its job to meet its objective. */
+  readonly startBy: Milliseconds;
+}
+
+/** The start is on its way. */
+export interface StartingRun {
+  readonly phase: RunPhase.Starting;
+  readonly run: number;
+  readonly call: RequestIdentifier;
+  readonly sentAt: Milliseconds;
+}
+
+/** It may run, or may start until the deadline of its start has passed. */
+export interface DoubtfulRun {
+  readonly phase: RunPhase.Doubtful;
+  readonly run: number;
+  readonly since: Milliseconds;
+  /** After this the worker refuses the start, should it still arrive. */
+  readonly startExpiresAt: Milliseconds;
+}
+
+/** It runs. */
+export interface ActiveRun {
+  readonly phase: RunPhase.Running;
+  readonly run: number;
+  readonly startedAt: Milliseconds;
+  readonly percent: number;
+  /** When the share of work done last grew. */
+  readonly progressAt: Milliseconds;
+}
+
+/** It is being stopped. */
+export interface StoppingRun {
+  readonly phase: RunPhase.Stopping;
+  readonly run: number;
+  readonly reason: InterruptionReason;
+  /** When the worker is told again. */
+  readonly nextStopAt: Milliseconds;
+  /** Time at which the worker accepted the stop, so that a later list without the run is its end. */
+  readonly acceptedAt?: Milliseconds;
+}
+
+/** Any phase. */
+export type RunState =
+  | WaitingRun
+  | StartingRun
+  | DoubtfulRun
+  | ActiveRun
+  | StoppingRun;
+
+/** An attempt with its phase. */
+export interface GuardedRun {
+  readonly task: JobTaskName;
+  readonly attempt: number;
+  readonly entry: ProcessIdentifier;
+  readonly session: SessionNumber;
+  readonly content: string;
+  readonly resources: Resources;
+  readonly priority: number;
+  /** The request that hears of the end; a repeated one replaces it. */
+  request: RequestIdentifier;
+  state: RunState;
+}
+
+/** The run at the worker, if the worker was told of it. */
+export function workerRunOf({ task, state }: GuardedRun): RunName | undefined {
+  return state.phase === RunPhase.Waiting
+    ? undefined
+    : { task, run: state.run };
+}
+
+/** Sorts waiting attempts: the most urgent first. */
+export function compareUrgency(left: GuardedRun, right: GuardedRun): number {
+  return left.priority - right.priority || startBy(left) - startBy(right);
+}
+
+function startBy({ state }: GuardedRun): Milliseconds {
+  return state.phase === RunPhase.Waiting ? state.startBy : 0;
+}
--- /dev/null
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -0,0 +1,568 @@
+/**
+ * Decisions of the sidecar that guards a worker. It is the only caller of the worker, so it knows what
+ * runs there; it starts nothing beyond the worker's capacity, keeps the lease of what runs, ends the work
+ * of entries that fall silent, and settles every attempt that it took exactly once.
+ */
+import { FleetDirectory, KnowledgeExchange } from "@eelgrassfront/directory";
+import {
+  assertNever,
+  Counter,
+  type DispatchInput,
+  DispatchInputKind,
+  type DispatchOutput,
+  DispatchOutputKind,
+  type DispatchPeerInput,
+  type DispatchReply,
+  DispatchReplyKind,
+  type DispatchRequest,
+  DispatchRequestKind,
+  EventNumber,
+  type FleetMember,
+  Gauge,
+  InputKind,
+  InterruptionReason,
+  isWithin,
+  type Milliseconds,
+  NotStartedReason,
+  type OpenSession,
+  OutputCollector,
+  OutputKind,
+  type ProcessIdentifier,
+  processName,
+  type RenewSession,
+  type RequestArrived,
+  type RequestIdentifier,
+  type RunTask,
+  SessionEndReason,
+  SettlementKind,
+  Severity,
+  type StateMachine,
+  subtractResources,
+  type TakeBackTask,
+  type TaskSettlement,
+  type WorkerDescription,
+  type WorkerLoad,
+  WorkerPhase,
+} from "@eelgrassfront/model";
+import { EntrySessions } from "./entry_sessions.ts";
+import { type GuardedRun, RunPhase } from "./guarded_run.ts";
+import { LoadWatches } from "./load_watches.ts";
+import { RunConversation } from "./run_conversation.ts";
+import { RunTable } from "./run_table.ts";
+import { WorkerLink } from "./worker_link.ts";
+
+/** What the sidecar needs. */
+export interface WorkerGuardOptions {
+  readonly self: FleetMember;
+  /** Addresses of processes that are asked while the store is away. */
+  readonly seeds: readonly string[];
+  /** Above every token of earlier runs of this process. */
+  readonly firstFencingToken: number;
+  /** The longest lease that the worker grants. */
+  readonly leaseMilliseconds: Milliseconds;
+  /** Time between the request to stop and the forced end of the process. */
+  readonly graceMilliseconds: Milliseconds;
+}
+
+/** Waiting attempts that one sidecar takes; entries keep the rest, which they can still place elsewhere. */
+const MAXIMUM_WAITING = 64;
+/** Wake-ups that show a pause of this process. */
+const TICK_MILLISECONDS: Milliseconds = 200;
+/** A later wake-up means that the process stood still, and that what it finds to read may be stale. */
+const PAUSE_MILLISECONDS: Milliseconds = 500;
+/** Part of the grace period that is left for the last answers. */
+const LEAVING_RESERVE_MILLISECONDS: Milliseconds = 400;
+/** Shortest time to stay after the request to stop, so that answers on their way arrive. */
+const LEAVING_LINGER_MILLISECONDS: Milliseconds = 300;
+
+/** Decisions of a sidecar. */
+export class WorkerGuardDecisions
+  implements StateMachine<DispatchInput, DispatchOutput> {
+  readonly #options: WorkerGuardOptions;
+  readonly #collector = new OutputCollector<DispatchOutput>();
+  readonly #directory = new FleetDirectory();
+  readonly #exchange: KnowledgeExchange;
+  readonly #sessions = new EntrySessions();
+  readonly #link: WorkerLink;
+  readonly #table: RunTable;
+  readonly #conversation: RunConversation;
+  readonly #watches: LoadWatches;
+  #lastStepAt: Milliseconds | undefined;
+  #leavingSince: Milliseconds | undefined;
+  #isStopped = false;
+  #isAnnounced = false;
+
+  constructor(options: WorkerGuardOptions) {
+    this.#options = options;
+    const collector = this.#collector;
+    const load = (entry: ProcessIdentifier) => this.#load(entry);
+    this.#link = new WorkerLink({ ...options, collector });
+    this.#table = new RunTable({ collector, load });
+    this.#conversation = new RunConversation({
+      collector,
+      link: this.#link,
+      table: this.#table,
+      leaseMilliseconds: options.leaseMilliseconds,
+    });
+    this.#watches = new LoadWatches({
+      collector,
+      load,
+      revision: () => this.#table.revision,
+    });
+    this.#exchange = new KnowledgeExchange({
+      ...options,
+      collector,
+      directory: this.#directory,
+      isWanted: ({ process }) => this.#sessions.of(process) === undefined,
+    });
+  }
+
+  step(now: Milliseconds, input: DispatchInput): readonly DispatchOutput[] {
+    this.#collector.begin(now);
+    this.#announceOnce();
+    this.#noticePause();
+    this.#lastStepAt = now;
+    this.#take(input);
+    this.#tick();
+    return this.#collector.finish();
+  }
+
+  nextAlarm(): Milliseconds | undefined {
+    if (this.#isStopped) return undefined;
+    const tickAt = (this.#lastStepAt ?? 0) + TICK_MILLISECONDS;
+    return Math.min(
+      tickAt,
+      this.#exchange.nextAlarm(),
+      this.#sessions.nextExpiry() ?? Infinity,
+      this.#conversation.nextAlarm() ?? Infinity,
+      this.#watches.nextAlarm() ?? Infinity,
+    );
+  }
+
+  #take(input: DispatchInput): void {
+    switch (input.kind) {
+      case InputKind.PeerRequestArrived:
+      case InputKind.PeerReplyArrived:
+      case InputKind.PeerRequestLost:
+        this.#takePeer(input);
+        return;
+      case DispatchInputKind.MembersRead:
+        for (const member of input.members) {
+          this.#directory.learnMember(member);
+        }
+        for (const name of input.removedNames) {
+          this.#directory.removeMember(name);
+        }
+        return;
+      case DispatchInputKind.WorkerReported:
+        this.#takeReport(input.description);
+        return;
+      case DispatchInputKind.WorkerReportInvalid:
+        this.#collector.record(
+          EventNumber.WorkerReportInvalid,
+          "a report that names no worker to use was passed over",
+          {
+            severity: Severity.Warning,
+            context: { detail: input.detail },
+          },
+        );
+        return;
+      case DispatchInputKind.WorkerLeft:
+        if (this.#link.isCurrent(input.worker)) this.#loseWorker();
+        return;
+      case DispatchInputKind.WorkerAnswered:
+        if (!this.#conversation.take(input.call, input.answer)) {
+          this.#loseWorker();
+        }
+        return;
+      case DispatchInputKind.StoreUnavailable:
+        this.#collector.recordError(EventNumber.LogUnavailable, input.error);
+        return;
+      case DispatchInputKind.StoreAvailable:
+        this.#collector.record(
+          EventNumber.LogAvailable,
+          "the platform's store answers again",
+        );
+        return;
+      case DispatchInputKind.SettingsChanged:
+        this.#collector.record(
+          EventNumber.SettingsReloaded,
+          "the settings were read again",
+        );
+        return;
+      case InputKind.DrainAsked:
+        this.#leave();
+        return;
+      case InputKind.AlarmRang:
+      case DispatchInputKind.AnnouncementSettled:
+      case DispatchInputKind.ConfigurationRead:
+        return;
+      case DispatchInputKind.JobHandedIn:
+      case DispatchInputKind.JobStateAsked:
+      case DispatchInputKind.JobCancelAsked:
+      case DispatchInputKind.ClientGone:
+        // Client accounts reach entries only; a sidecar opens no port for them.
+        return;
+      default:
+        assertNever(input);
+    }
+  }
+
+  #takePeer(input: DispatchPeerInput): void {
+    switch (input.kind) {
+      case InputKind.PeerRequestArrived:
+        this.#takeRequest(input);
+        return;
+      case InputKind.PeerReplyArrived:
+        this.#exchange.takeReply(input);
+        return;
+      case InputKind.PeerRequestLost:
+        this.#exchange.lose(input.request);
+        return;
+      default:
+        assertNever(input);
+    }
+  }
+
+  #takeRequest(input: RequestArrived<DispatchRequest>): void {
+    const { message, from, request } = input;
+    switch (message.kind) {
+      case DispatchRequestKind.OpenSession:
+        this.#openSession(input, message);
+        return;
+      case DispatchRequestKind.RenewSession:
+        this.#renewSession(input, message);
+        return;
+      case DispatchRequestKind.RunTask:
+        this.#runTask(input, message);
+        return;
+      case DispatchRequestKind.TakeBackTask:
+        this.#takeBack(input, message);
+        return;
+      case DispatchRequestKind.WatchLoad:
+        this.#watches.add(from, { ...message, request });
+        return;
+      case DispatchRequestKind.ShareKnowledge:
+        this.#exchange.answer(from, request, message);
+        return;
+      default:
+        assertNever(message);
+    }
+  }
+
+  #tick(): void {
+    for (const entry of this.#sessions.expire(this.#collector.now)) {
+      this.#endWork(entry, SessionEndReason.Expired);
+    }
+    this.#conversation.tick();
+    this.#startWaiting();
+    this.#conversation.tick();
+    this.#watches.tick();
+    if (this.#leavingSince === undefined) this.#exchange.tick();
+    this.#leaveFurther();
+  }
+
+  /** After a pause the work of every entry may have been given up, and orders to read may be stale. */
+  #noticePause(): void {
+    const elapsed = this.#collector.now -
+      (this.#lastStepAt ?? this.#collector.now);
+    if (elapsed < PAUSE_MILLISECONDS) return;
+    this.#collector.record(
+      EventNumber.ProcessPaused,
+      "the process stood still; every session ends",
+      { severity: Severity.Warning, context: { milliseconds: elapsed } },
+    );
+    for (const entry of this.#sessions.entries()) {
+      this.#sessions.end(entry);
+      this.#endWork(entry, SessionEndReason.ProcessPaused);
+    }
+  }
+
+  #openSession(
+    { from, request }: RequestArrived<DispatchRequest>,
+    { givenUp }: OpenSession,
+  ): void {
+    const open = this.#sessions.of(from);
+    if (open !== undefined && open <= givenUp) {
+      this.#sessions.end(from);
+      this.#endWork(from, SessionEndReason.GivenUp);
+    }
+    const isFree = this.#table.all().every(({ entry }) =>
+      processName(entry) !== processName(from)
+    );
+    const isReady = isFree && this.#isWorkerKnown();
+    const session = this.#sessions.of(from) ??
+      (isReady ? this.#sessions.open(this.#collector.now, from) : undefined);
+    if (session === undefined) {
+      this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
+      return;
+    }
+    if (session !== open) {
+      this.#collector.record(
+        EventNumber.SessionOpened,
+        "a session was opened",
+        {
+          context: { entry: from, session },
+        },
+      );
+    }
+    this.#grant(from, request, session);
+  }
+
+  #renewSession(
+    { from, request }: RequestArrived<DispatchRequest>,
+    { session }: RenewSession,
+  ): void {
+    const { now } = this.#collector;
+    if (this.#sessions.renew(now, from, session)) {
+      this.#grant(from, request, session);
+      return;
+    }
+    this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
+  }
+
+  #grant(
+    to: ProcessIdentifier,
+    request: RequestIdentifier,
+    session: number,
+  ): void {
+    const load = this.#load(to);
+    this.#reply(to, request, {
+      kind: DispatchReplyKind.SessionGranted,
+      session,
+      ...(load === undefined ? {} : { load }),
+    });
+  }
+
+  #runTask(
+    { from, request }: RequestArrived<DispatchRequest>,
+    message: RunTask,
+  ): void {
+    const waiter = { from, request };
+    this.#sessions.countRequest(from, message.session);
+    const known = this.#table.find(message.task);
+    const isRepeated = known?.entry === from &&
+      known.attempt === message.attempt && known.session === message.session;
+    if (isRepeated) {
+      known.request = request;
+      return;
+    }
+    const settled = this.#table.settlementOf(from, message);
+    if (settled !== undefined) {
+      this.#table.reply(waiter, settled);
+      return;
+    }
+    const reason = this.#reasonNotToRun(from, message, known);
+    if (reason === undefined) {
+      this.#table.add(waiter, message);
+      return;
+    }
+    this.#table.reply(waiter, { kind: SettlementKind.NotStarted, reason });
+  }
+
+  #reasonNotToRun(
+    from: ProcessIdentifier,
+    { session, resources }: RunTask,
+    known: GuardedRun | undefined,
+  ): NotStartedReason | undefined {
+    const { description } = this.#link;
+    const isStale = this.#sessions.of(from) !== session || known !== undefined;
+    if (isStale) return NotStartedReason.StaleSession;
+    if (this.#leavingSince !== undefined) return NotStartedReason.Leaving;
+    if (description === undefined) return NotStartedReason.NoWorker;
+    if (description.phase === WorkerPhase.Draining) {
+      return NotStartedReason.Draining;
+    }
+    if (this.#link.isSilent) return NotStartedReason.WorkerSilent;
+    if (!isWithin(resources, description.capacity)) {
+      return NotStartedReason.TooLarge;
+    }
+    const waiting = this.#table.size - this.#table.atWorker().length;
+    return waiting >= MAXIMUM_WAITING ? NotStartedReason.QueueFull : undefined;
+  }
+
+  #takeBack(
+    { from, request }: RequestArrived<DispatchRequest>,
+    { session, task, attempt }: TakeBackTask,
+  ): void {
+    this.#reply(from, request, { kind: DispatchReplyKind.TakeBackNoted });
+    const run = this.#table.find(task);
+    const isMeant = run?.entry === from && run.session === session &&
+      run.attempt === attempt;
+    if (isMeant) this.#end(run, InterruptionReason.TakenBack);
+  }
+
+  #end(run: GuardedRun, reason: InterruptionReason): void {
+    if (run.state.phase !== RunPhase.Waiting) {
+      this.#conversation.stop(run, reason);
+      return;
+    }
+    this.#table.settle(run, notStarted(NotStartedReason.TakenBack));
+  }
+
+  #endWork(entry: ProcessIdentifier, reason: SessionEndReason): void {
+    const runs = this.#table.all().filter((run) => run.entry === entry);
+    this.#watches.forget(entry);
+    this.#collector.count(Counter.SessionsEnded, reason);
+    this.#collector.record(
+      EventNumber.SessionEnded,
+      "a session ended; its work is stopped",
+      { context: { entry, reason, runs: runs.length } },
+    );
+    for (const run of runs) this.#end(run, InterruptionReason.SessionEnded);
+  }
+
+  #startWaiting(): void {
+    const { description, isTakingWork } = this.#link;
+    if (description === undefined || !isTakingWork) {
+      this.#refuseWaiting();
+      return;
+    }
+    if (!this.#conversation.isCensusTaken) return;
+    for (;;) {
+      const run = this.#table.nextToStart(description.capacity);
+      if (run === undefined) return;
+      this.#conversation.start(run);
+    }
+  }
+
+  #refuseWaiting(): void {
+    const reason = this.#link.description === undefined
+      ? NotStartedReason.NoWorker
+      : this.#link.isSilent
+      ? NotStartedReason.WorkerSilent
+      : NotStartedReason.Draining;
+    for (const run of this.#table.all()) {
+      if (run.state.phase !== RunPhase.Waiting) continue;
+      this.#table.settle(run, notStarted(reason));
+    }
+  }
+
+  #takeReport(description: WorkerDescription): void {
+    const earlier = this.#link.description;
+    const isNewLife = this.#link.report(description);
+    if (isNewLife) {
+      this.#settleLost();
+      this.#conversation.reset();
+      this.#record(EventNumber.WorkerAnnounced, "a worker announced itself");
+    }
+    const isDraining = description.phase === WorkerPhase.Draining &&
+      earlier?.phase !== WorkerPhase.Draining;
+    if (isDraining) {
+      this.#record(
+        EventNumber.WorkerDraining,
+        "the worker leaves; it gets no new work",
+      );
+    }
+    if (isNewLife || earlier?.phase !== description.phase) this.#table.touch();
+  }
+
+  /** The worker's life has ended, and with it everything that ran there. */
+  #loseWorker(): void {
+    this.#record(EventNumber.WorkerLost, "the worker is gone");
+    this.#link.forget();
+    this.#settleLost();
+    this.#conversation.reset();
+    this.#table.touch();
+  }
+
+  #settleLost(): void {
+    for (const run of this.#table.atWorker()) {
+      this.#table.settle(run, {
+        kind: SettlementKind.Interrupted,
+        reason: InterruptionReason.WorkerLost,
+      });
+    }
+  }
+
+  /** Whether it is known what runs at the worker, or that there is no worker. */
+  #isWorkerKnown(): boolean {
+    return this.#link.description === undefined
+      ? this.#table.size === 0
+      : this.#conversation.isCensusTaken;
+  }
+
+  #leave(): void {
+    if (this.#leavingSince !== undefined) return;
+    this.#leavingSince = this.#collector.now;
+    this.#table.touch();
+    this.#collector.record(
+      EventNumber.ProcessLeaving,
+      "the process finishes what runs and takes no new work",
+      { context: { runs: this.#table.size } },
+    );
+    for (const run of this.#table.all()) {
+      if (run.state.phase !== RunPhase.Waiting) continue;
+      this.#table.settle(run, notStarted(NotStartedReason.Leaving));
+    }
+  }
+
+  #leaveFurther(): void {
+    if (this.#leavingSince === undefined || this.#isStopped) return;
+    const elapsed = this.#collector.now - this.#leavingSince;
+    const { graceMilliseconds } = this.#options;
+    const isFinished = this.#table.size === 0 &&
+      elapsed >= LEAVING_LINGER_MILLISECONDS;
+    const isOutOfTime = elapsed >=
+      graceMilliseconds - LEAVING_RESERVE_MILLISECONDS;
+    if (!isFinished && !isOutOfTime) return;
+    this.#isStopped = true;
+    this.#collector.add({ kind: OutputKind.Stop, exitCode: 0 });
+  }
+
+  #announceOnce(): void {
+    if (this.#isAnnounced) return;
+    this.#isAnnounced = true;
+    const member = this.#options.self;
+    this.#collector.add({ kind: DispatchOutputKind.Announce, member });
+  }
+
+  #load(entry: ProcessIdentifier): WorkerLoad | undefined {
+    const { description } = this.#link;
+    if (description === undefined) return undefined;
+    const { capacity } = description;
+    const free = subtractResources(capacity, this.#table.used);
+    this.#collector.add({
+      kind: OutputKind.SetGauge,
+      gauge: Gauge.FreeMillicores,
+      value: free.processorMillicores,
+    });
+    return {
+      revision: this.#table.revision,
+      worker: description.incarnation.id,
+      service: description.service,
+      labels: description.labels,
+      capacity,
+      free,
+      waiting: this.#table.waiting,
+      isTakingWork: this.#link.isTakingWork &&
+        this.#conversation.isCensusTaken && this.#leavingSince === undefined,
+      requestsTaken: this.#sessions.requestsTaken(entry),
+    };
+  }
+
+  #record(number: EventNumber, message: string): void {
+    const { description } = this.#link;
+    this.#collector.record(number, message, {
+      context: {
+        worker: description?.incarnation.id ?? "unknown",
+        bornAt: description?.incarnation.bornAt ?? 0,
+        service: description?.service ?? "unknown",
+        sequence: description?.sequence ?? 0,
+        runs: this.#table.size,
+      },
+    });
+  }
+
+  #reply(
+    to: ProcessIdentifier,
+    request: RequestIdentifier,
+    message: DispatchReply,
+  ): void {
+    this.#collector.add({ kind: OutputKind.SendReply, to, request, message });
+  }
+}
+
+function notStarted(reason: NotStartedReason): TaskSettlement {
+  return { kind: SettlementKind.NotStarted, reason };
+}
--- a/ports/src/port.ts
+++ b/ports/src/port.ts
@@ -4,23 +4,36 @@
  */
 import type {
   AlarmRang,
+  Announce,
   AnswerCaller,
+  AnswerClient,
   AnswerOperator,
   AppendRecord,
   BackendServerInput,
   CallerInput,
+  CallWorker,
+  ClientInput,
   CountOccurrence,
+  DirectoryInput,
+  DispatchPeerInput,
+  DispatchReply,
+  DispatchRequest,
   DrainAsked,
   ExecuteTask,
   Milliseconds,
+  ObserveDuration,
   OperatorInput,
   PeerInput,
   PlatformLogInput,
   ProcessEvent,
+  ReplySent,
   ReportReadiness,
+  RequestSent,
   SendReply,
   SendRequest,
   SetGauge,
+  SettingsChanged,
+  WorkerInput,
 } from "@eelgrassfront/model";
 import type { Stream } from "@most/types";
 
@@ -52,6 +65,24 @@
   AnswerOperator | ReportReadiness
 >;
 
+/** Client accounts of an entry that runs best-effort jobs. */
+export type ClientsPort = Port<ClientInput, AnswerClient | ReportReadiness>;
+
+/** Members and configuration as the platform's store keeps them. */
+export type DirectoryPort = Port<DirectoryInput, Announce>;
+
+/** The worker beside a sidecar. */
+export type WorkerPort = Port<WorkerInput, CallWorker>;
+
+/** Other processes that run best-effort jobs. */
+export type DispatchPeersPort = Port<
+  DispatchPeerInput,
+  RequestSent<DispatchRequest> | ReplySent<DispatchReply>
+>;
+
+/** Changes of the settings. */
+export type SettingsPort = InputPort<SettingsChanged>;
+
 /** Signals of the operating system. */
 export type SignalsPort = InputPort<DrainAsked>;
 
@@ -68,7 +99,7 @@
   record(event: ProcessEvent): void;
 }
 
-/** Counters and gauges. */
+/** Counters, gauges and histograms. */
 export interface MetricsPort extends AsyncDisposable {
-  measure(output: CountOccurrence | SetGauge): void;
+  measure(output: CountOccurrence | SetGauge | ObserveDuration): void;
 }
