--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -134,6 +134,8 @@
     const released = this.#options.attempts.at(link.address);
     for (const attempt of released) {
       this.#end(attempt);
+      // It may have started, so the job can no longer be refused truthfully.
+      attempt.job.hasStarted = true;
       attempt.task.phase = TaskPhase.Ready;
       attempt.task.heldUntil = heldUntil;
       attempt.task.placedAt = link.address;
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -148,7 +148,7 @@
           this.#askForSession(link, link.state);
           break;
         case LinkPhase.Open:
-          if (now - link.state.heardAt >= SILENCE_MILLISECONDS) {
+          if (now >= link.state.heardAt + SILENCE_MILLISECONDS) {
             changes.push(this.#lose(link, "no answer to renewals"));
           } else if (now >= link.state.nextRenewAt) {
             this.#renew(link, link.state);
@@ -285,7 +285,7 @@
   #askForSession(link: WorkerLinkState, state: OpeningLink): void {
     const { now } = this.#options.collector;
     if (state.pending !== undefined) {
-      if (now - state.pendingSince < SILENCE_MILLISECONDS) return;
+      if (now < state.pendingSince + SILENCE_MILLISECONDS) return;
       this.#calls.delete(state.pending);
       this.#askLater(state);
     }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -132,7 +132,7 @@
     const tickAt = (this.#lastStepAt ?? 0) + TICK_MILLISECONDS;
     return Math.min(
       tickAt,
-      this.#exchange.nextAlarm(),
+      this.#leavingSince === undefined ? this.#exchange.nextAlarm() : Infinity,
       this.#sessions.nextExpiry() ?? Infinity,
       this.#conversation.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
--- /dev/null
+++ b/emulator/src/dispatch_run.ts
@@ -0,0 +1,398 @@
+/**
+ * A randomised run of best-effort work: clients that hand jobs in, leave, and hand them in again, and
+ * faults of every kind that overlap, all drawn from one seed.
+ */
+import {
+  type ClientAnswer,
+  ClientAnswerKind,
+  type DispatchInput,
+  type DispatchOutput,
+  InputKind,
+  JobRequestKind,
+  type Milliseconds,
+  type ProcessEvent,
+  type ProcessIdentifier,
+  type Role,
+  type StateMachine,
+  type WorkConfiguration,
+  WorkerPhase,
+} from "@eelgrassfront/model";
+import {
+  DispatchChecker,
+  DispatchRule,
+  type DispatchViolation,
+} from "./dispatch_checker.ts";
+import { DispatchSystem, type DispatchVm } from "./dispatch_system.ts";
+import { NO_NETWORK_FAULTS } from "./fake_network.ts";
+import { NO_WORKER_FAULTS, type WorkerFaults } from "./fake_worker.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { ProcessState } from "./virtual_process.ts";
+
+/** What a run is drawn from. */
+export interface DispatchRunOptions {
+  readonly seed: number;
+  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
+  readonly wrap?: (
+    role: Role,
+    machine: StateMachine<DispatchInput, DispatchOutput>,
+  ) => StateMachine<DispatchInput, DispatchOutput>;
+}
+
+/** What a run showed. */
+export interface DispatchRunReport {
+  readonly seed: number;
+  readonly violations: readonly DispatchViolation[];
+  readonly starts: number;
+  readonly answers: ReadonlyMap<string, number>;
+}
+
+const START_MILLISECONDS: Milliseconds = 3_000;
+const FAULTS_END_MILLISECONDS: Milliseconds = 15_000;
+const HEALED_MILLISECONDS: Milliseconds = 20_000;
+const PROBES_MILLISECONDS: Milliseconds = 24_000;
+const END_MILLISECONDS: Milliseconds = 32_000;
+const RESEND_MILLISECONDS: Milliseconds = 1_300;
+const CLIENT_WAIT_MILLISECONDS: Milliseconds = 4_000;
+const MOST_TRIES = 4;
+const MOST_FAULTS = 10;
+const CAPACITY_MILLICORES = 8_000;
+const HOST = "checks.example";
+
+const CONFIGURATION: WorkConfiguration = {
+  version: 3,
+  routes: ["/fast/", "/slow/"].map((pathPrefix, priority) => ({
+    name: pathPrefix,
+    host: HOST,
+    pathPrefix,
+    service: "service",
+    priority,
+    maximumAttempts: 3,
+    slackFactor: 1.6,
+    latencyAllowanceMilliseconds: 60,
+  })),
+};
+
+/** Runs one seed. */
+export function runDispatch(options: DispatchRunOptions): DispatchRunReport {
+  return new DispatchRun(options).run();
+}
+
+class DispatchRun {
+  readonly #seed: number;
+  readonly #random: SeededRandom;
+  readonly #checker: DispatchChecker;
+  readonly #system: DispatchSystem;
+  #jobs = 0;
+
+  constructor({ seed, onEvent, wrap }: DispatchRunOptions) {
+    this.#seed = seed;
+    this.#random = new SeededRandom(seed + 1_000_003);
+    this.#checker = new DispatchChecker(() => this.#system.time);
+    this.#system = new DispatchSystem({
+      seed,
+      entries: 3,
+      sidecars: 4,
+      capacityMillicores: CAPACITY_MILLICORES,
+      observer: this.#checker,
+      runMilliseconds: Number,
+      ...(onEvent === undefined ? {} : { onEvent }),
+      ...(wrap === undefined ? {} : { wrap }),
+    });
+  }
+
+  run(): DispatchRunReport {
+    const { time } = this.#system;
+    this.#system.publish(CONFIGURATION);
+    const gap = this.#random.pick([15, 40, 120]) ?? 40;
+    for (let at = START_MILLISECONDS; at < HEALED_MILLISECONDS; at += gap) {
+      time.after(at + this.#random.between(0, gap), () => this.#handIn());
+    }
+    const faults = 1 + this.#random.below(MOST_FAULTS);
+    for (let index = 0; index < faults; index += 1) {
+      const at = this.#random.between(1_000, FAULTS_END_MILLISECONDS - 5_000);
+      time.after(at, () => this.#strike());
+    }
+    time.after(FAULTS_END_MILLISECONDS, () => this.#heal());
+    time.after(PROBES_MILLISECONDS, () => this.#probe());
+    this.#system.runUntil(END_MILLISECONDS);
+    this.#checker.finish();
+    return {
+      seed: this.#seed,
+      violations: this.#checker.violations,
+      starts: this.#checker.starts,
+      answers: this.#checker.answers,
+    };
+  }
+
+  #handIn(): void {
+    this.#jobs += 1;
+    const id = `job${this.#jobs}`;
+    const millicores = 500 + this.#random.below(3_000);
+    const runMilliseconds = this.#random.between(20, 900);
+    const isLeaving = this.#random.happens(0.05);
+    this.#checker.handIn(id, { millicores });
+    this.#try({
+      id,
+      millicores,
+      runMilliseconds,
+      tasks: 1 + this.#random.below(6),
+      leavesAfter: isLeaving ? this.#random.between(1, 800) : undefined,
+      triesLeft: MOST_TRIES,
+    });
+  }
+
+  #try(job: RunJob): void {
+    const { time } = this.#system;
+    const entry = this.#random.pick(this.#system.entries);
+    if (entry === undefined) return;
+    const attempt = { isAnswered: false, process: entry.process };
+    const request = this.#submit(entry, job, (answer) => {
+      attempt.isAnswered = true;
+      this.#checker.answer(job.id, answer);
+      if (answer.kind === ClientAnswerKind.GivenUp) this.#tryAgain(job);
+    });
+    if (request === undefined) {
+      this.#checker.loseAnswer(job.id);
+      this.#tryAgain(job);
+      return;
+    }
+    if (job.leavesAfter !== undefined) {
+      time.after(job.leavesAfter, () => {
+        if (attempt.isAnswered) return;
+        attempt.isAnswered = true;
+        this.#checker.leave(job.id);
+        this.#system.leave(entry, request);
+      });
+    }
+    this.#watchAttempt(entry, job, request, attempt);
+  }
+
+  /** Finds that the entry has died, or that the client has waited long enough. */
+  #watchAttempt(
+    entry: DispatchVm,
+    job: RunJob,
+    request: number,
+    attempt: ClientAttempt,
+  ): void {
+    const { time } = this.#system;
+    const startedAt = time.now;
+    const look = (): void => {
+      if (attempt.isAnswered) return;
+      if (attempt.process.state === ProcessState.Ended) {
+        this.#checker.loseAnswer(job.id);
+        this.#tryAgain(job);
+        return;
+      }
+      if (time.now - startedAt < CLIENT_WAIT_MILLISECONDS + 100) {
+        time.after(20, look);
+        return;
+      }
+      if (attempt.process.state === ProcessState.Running) {
+        const waited = Math.round(time.now - startedAt);
+        this.#checker.report(
+          DispatchRule.EveryRequestAnswered,
+          `${job.id} after ${waited} ms`,
+        );
+      }
+      this.#checker.leave(job.id);
+      this.#system.leave(entry, request);
+    };
+    time.after(20, look);
+  }
+
+  #tryAgain(job: RunJob): void {
+    if (job.triesLeft <= 1) return;
+    const next = { ...job, triesLeft: job.triesLeft - 1 };
+    this.#system.time.after(RESEND_MILLISECONDS, () => this.#try(next));
+  }
+
+  #submit(
+    entry: DispatchVm,
+    { id, millicores, runMilliseconds, tasks }: RunJob,
+    onAnswer: (answer: ClientAnswer) => void,
+  ): number | undefined {
+    const step = {
+      taskCount: tasks,
+      resources: {
+        processorMillicores: millicores,
+        memoryMegabytes: 64,
+        accelerators: 0,
+      },
+      estimatedMilliseconds: runMilliseconds,
+      dependsOn: [],
+    };
+    const prefix = tasks > 3 ? "/slow/" : "/fast/";
+    return this.#system.submit(
+      entry,
+      { host: HOST, path: `${prefix}${id}` },
+      {
+        kind: JobRequestKind.Runnable,
+        job: { content: String(runMilliseconds), steps: [step] },
+      },
+      CLIENT_WAIT_MILLISECONDS,
+      onAnswer,
+    );
+  }
+
+  #strike(): void {
+    const strikes = [
+      () => this.#killOne(this.#system.entries),
+      () => this.#killOne(this.#system.sidecars),
+      () => this.#killAll(),
+      () => this.#pauseOne(this.#system.entries),
+      () => this.#pauseOne(this.#system.sidecars),
+      () => this.#cutPair(),
+      () => this.#crashWorker(),
+      () => this.#drainWorker(),
+      () => this.#stopOne(this.#system.entries),
+      () => this.#stopOne(this.#system.sidecars),
+      () => this.#spoilWorkers({ lostAnswers: 0.1 }),
+      () => this.#spoilWorkers({ lateOrders: 0.1 }),
+      () => this.#spoilWorkers({ failures: 0.6 }),
+      () => this.#spoilWorkers({ standstills: 0.5 }),
+      () => this.#loseMessages(),
+      () => this.#loseStore(),
+    ];
+    this.#random.pick(strikes)?.();
+  }
+
+  #killOne(vms: readonly DispatchVm[]): void {
+    const vm = this.#random.pick(vms);
+    if (vm !== undefined) this.#kill(vm, this.#random.between(100, 3_000));
+  }
+
+  #killAll(): void {
+    for (const vm of this.#allVms()) {
+      this.#kill(vm, this.#random.between(400, 1_200));
+    }
+  }
+
+  #kill(vm: DispatchVm, downMilliseconds: Milliseconds): void {
+    if (vm.process.state === ProcessState.Ended) return;
+    this.#system.kill(vm);
+    this.#system.time.after(downMilliseconds, () => this.#restart(vm));
+  }
+
+  #restart(vm: DispatchVm): void {
+    if (vm.process.state === ProcessState.Ended) this.#system.restart(vm);
+  }
+
+  /** Asks a process to stop, and starts it again when it has. */
+  #stopOne(vms: readonly DispatchVm[]): void {
+    const vm = this.#random.pick(vms);
+    if (vm === undefined) return;
+    vm.process.take({ kind: InputKind.DrainAsked });
+    this.#system.time.after(6_500, () => this.#restart(vm));
+  }
+
+  #pauseOne(vms: readonly DispatchVm[]): void {
+    const vm = this.#random.pick(vms);
+    if (vm === undefined) return;
+    vm.process.pause();
+    const paused = vm.process;
+    this.#system.time.after(
+      this.#random.between(100, 4_000),
+      () => paused.resume(),
+    );
+  }
+
+  #cutPair(): void {
+    const entry = this.#random.pick(this.#system.entries);
+    const sidecar = this.#random.pick(this.#system.sidecars);
+    if (entry === undefined || sidecar === undefined) return;
+    const direction = this.#random.below(3);
+    const { network } = this.#system;
+    if (direction !== 0) network.cut(`${entry.name}~`, `${sidecar.name}~`);
+    if (direction !== 1) network.cut(`${sidecar.name}~`, `${entry.name}~`);
+    this.#system.time.after(
+      this.#random.between(100, 5_000),
+      () => network.healAll(),
+    );
+  }
+
+  #crashWorker(): void {
+    const vm = this.#random.pick(this.#system.sidecars);
+    if (vm?.worker?.isAlive !== true) return;
+    vm.worker.crash();
+    const isSameName = this.#random.happens(0.5);
+    this.#system.time.after(this.#random.between(50, 3_000), () => {
+      if (vm.worker?.isAlive !== true) this.#system.startWorker(vm, isSameName);
+    });
+  }
+
+  #drainWorker(): void {
+    const vm = this.#random.pick(this.#system.sidecars);
+    const worker = vm?.worker;
+    if (vm === undefined || worker?.isAlive !== true) return;
+    this.#system.drain(vm, WorkerPhase.Draining);
+    this.#checker.drain(worker);
+    this.#system.time.after(2_500, () => {
+      if (vm.worker !== worker) return;
+      if (worker.isAlive) worker.crash();
+      this.#system.startWorker(vm, false);
+    });
+  }
+
+  #spoilWorkers(faults: Partial<WorkerFaults>): void {
+    const spoiled = this.#system.sidecars
+      .filter(() => this.#random.happens(0.5))
+      .flatMap(({ worker }) => worker === undefined ? [] : [worker]);
+    for (const worker of spoiled) {
+      worker.faults = { ...worker.faults, ...faults };
+    }
+  }
+
+  #loseMessages(): void {
+    this.#system.network.faults = {
+      ...NO_NETWORK_FAULTS,
+      lossProbability: this.#random.between(0, 0.05),
+    };
+  }
+
+  #loseStore(): void {
+    this.#system.isStoreAway = true;
+  }
+
+  #heal(): void {
+    this.#system.isStoreAway = false;
+    this.#system.network.healAll();
+    this.#system.network.faults = NO_NETWORK_FAULTS;
+    for (const { worker } of this.#system.sidecars) {
+      if (worker !== undefined) worker.faults = NO_WORKER_FAULTS;
+    }
+  }
+
+  #probe(): void {
+    for (const entry of this.#system.entries) {
+      const id = `probe-${entry.name}`;
+      this.#checker.handIn(id, { millicores: 500 });
+      const job = { id, millicores: 500, runMilliseconds: 50, tasks: 2 };
+      let outcome = "no answer";
+      this.#submit(entry, { ...job, triesLeft: 1 }, (answer) => {
+        outcome = answer.kind;
+      });
+      this.#system.time.after(5_000, () => {
+        if (outcome === ClientAnswerKind.Ended) return;
+        this.#checker.report(DispatchRule.Recovery, `${entry.name}: ${outcome}`);
+      });
+    }
+  }
+
+  #allVms(): readonly DispatchVm[] {
+    return [...this.#system.entries, ...this.#system.sidecars];
+  }
+}
+
+interface RunJob {
+  readonly id: string;
+  readonly millicores: number;
+  readonly runMilliseconds: Milliseconds;
+  readonly tasks: number;
+  readonly leavesAfter?: Milliseconds | undefined;
+  readonly triesLeft: number;
+}
+
+interface ClientAttempt {
+  isAnswered: boolean;
+  readonly process: { readonly state: ProcessState };
+}
--- /dev/null
+++ b/emulator/src/dispatch_system.ts
@@ -0,0 +1,470 @@
+/**
+ * A fleet for best-effort work in virtual time: the real decisions of entries and sidecars, with fakes for
+ * the network, the store, the workers and the clients.
+ */
+import { DispatcherDecisions } from "@eelgrassfront/dispatcher";
+import {
+  type AnswerClient,
+  assertNever,
+  type ClientAnswer,
+  type DispatchInput,
+  DispatchInputKind,
+  type DispatchOutput,
+  DispatchOutputKind,
+  type DispatchReply,
+  type DispatchRequest,
+  ErrorTag,
+  type FleetMember,
+  InputKind,
+  type JobRequest,
+  type Milliseconds,
+  OutputKind,
+  PeerReplyKind,
+  type ProcessEvent,
+  type ProcessIdentifier,
+  processIdentifier,
+  processName,
+  type ReplySent,
+  type RequestIdentifier,
+  type RequestSent,
+  Role,
+  type StateMachine,
+  Step,
+  type WorkConfiguration,
+} from "@eelgrassfront/model";
+import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
+import { FakeNetwork, LOSS_NOTICE_MILLISECONDS } from "./fake_network.ts";
+import { FakeWorker, type WorkerObserver } from "./fake_worker.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { ProcessState, VirtualProcess } from "./virtual_process.ts";
+import { VirtualTime } from "./virtual_time.ts";
+
+type DispatchProcess = VirtualProcess<DispatchInput, DispatchOutput>;
+
+/** Size and seed of a fleet. */
+export interface DispatchSystemOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly sidecars: number;
+  readonly capacityMillicores: number;
+  readonly observer: WorkerObserver;
+  readonly runMilliseconds: (content: string) => Milliseconds;
+  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
+  /** Replaces decisions, for mutations. */
+  readonly wrap?: (
+    role: Role,
+    machine: StateMachine<DispatchInput, DispatchOutput>,
+  ) => StateMachine<DispatchInput, DispatchOutput>;
+}
+
+/** One VM: its process and, beside a sidecar, its worker. */
+export interface DispatchVm {
+  readonly name: string;
+  readonly role: Role;
+  process: DispatchProcess;
+  worker: FakeWorker | undefined;
+  lives: number;
+}
+
+interface Outstanding {
+  readonly from: DispatchProcess;
+  readonly request: RequestIdentifier;
+}
+
+const NETWORK_DELAY_MILLISECONDS: Milliseconds = 0.5;
+const REPORT_MILLISECONDS: Milliseconds = 1_500;
+const LEASE_MILLISECONDS: Milliseconds = 1_000;
+const GRACE_MILLISECONDS: Milliseconds = 6_000;
+const STORE_DELAY_MILLISECONDS: Milliseconds = 4;
+const SLOWEST_CLOCK = 0.98;
+const MOST_ACTIONS_AT_ONCE = 100_000;
+
+/** A fleet in virtual time. */
+export class DispatchSystem {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandom;
+  readonly network: FakeNetwork;
+  readonly entries: DispatchVm[] = [];
+  readonly sidecars: DispatchVm[] = [];
+  /** Whether the store answers. */
+  isStoreAway = false;
+  readonly #options: DispatchSystemOptions;
+  readonly #members = new Map<string, FleetMember>();
+  readonly #outstanding = new Map<string, Outstanding>();
+  readonly #answers = new Map<string, (answer: AnswerClient) => void>();
+  #configuration: WorkConfiguration | undefined;
+  #lastRequest = 0;
+
+  constructor(options: DispatchSystemOptions) {
+    this.#options = options;
+    this.random = new SeededRandom(options.seed);
+    this.network = new FakeNetwork({
+      time: this.time,
+      random: this.random,
+      delayMilliseconds: NETWORK_DELAY_MILLISECONDS,
+    });
+    for (let index = 0; index < options.sidecars; index += 1) {
+      this.sidecars.push(this.#addVm(Role.Sidecar, index));
+    }
+    for (let index = 0; index < options.entries; index += 1) {
+      this.entries.push(this.#addVm(Role.Entry, index));
+    }
+  }
+
+  /** Runs up to a moment. */
+  runUntil(moment: Milliseconds): void {
+    this.time.runUntil(moment, MOST_ACTIONS_AT_ONCE);
+  }
+
+  /** Puts a configuration in force; every entry that the store serves reads it. */
+  publish(configuration: WorkConfiguration): void {
+    this.#configuration = configuration;
+    this.#tellStore(() => ({
+      kind: DispatchInputKind.ConfigurationRead,
+      configuration,
+    }), Role.Entry);
+  }
+
+  /** Hands a job in. Undefined when the entry does not run. */
+  submit(
+    entry: DispatchVm,
+    target: { readonly host: string; readonly path: string },
+    body: JobRequest,
+    deadlineMilliseconds: Milliseconds,
+    onAnswer: (answer: ClientAnswer) => void,
+  ): RequestIdentifier | undefined {
+    if (entry.process.state === ProcessState.Ended) return undefined;
+    this.#lastRequest += 1;
+    const request = this.#lastRequest;
+    const key = `${entry.process.identifier} ${request}`;
+    this.#answers.set(key, ({ answer }) => onAnswer(answer));
+    entry.process.take({
+      kind: DispatchInputKind.JobHandedIn,
+      request,
+      target,
+      body,
+      deadlineMilliseconds,
+    });
+    return request;
+  }
+
+  /** The client of a request leaves. */
+  leave(entry: DispatchVm, request: RequestIdentifier): void {
+    this.#answers.delete(`${entry.process.identifier} ${request}`);
+    entry.process.take({ kind: DispatchInputKind.ClientGone, request });
+  }
+
+  /** Kills the process of a VM; its connections break. */
+  kill(vm: DispatchVm): void {
+    vm.process.kill();
+    for (const [key, { from, request }] of this.#outstanding) {
+      if (!key.startsWith(`${vm.process.identifier} `)) continue;
+      this.#outstanding.delete(key);
+      this.time.after(
+        LOSS_NOTICE_MILLISECONDS,
+        () => from.take(lost(vm.process.identifier, request)),
+      );
+    }
+  }
+
+  /** Starts the process of a VM again. */
+  restart(vm: DispatchVm): void {
+    vm.lives += 1;
+    vm.process = this.#newProcess(vm.role, vm.name, vm.lives);
+    if (vm.worker?.isAlive === true) this.#report(vm);
+  }
+
+  /** Gives a sidecar's VM another life of its worker, under the same identifier or another. */
+  startWorker(vm: DispatchVm, isSameName: boolean): void {
+    const life = isSameName ? "" : `-${Math.round(this.time.now)}`;
+    vm.worker = this.#newWorker(`worker-${vm.name}${life}`);
+    this.#report(vm);
+  }
+
+  /** The worker of a VM says that it leaves. */
+  drain(vm: DispatchVm, phase: FakeWorker["phase"]): void {
+    if (vm.worker === undefined) return;
+    vm.worker.phase = phase;
+    this.#report(vm);
+  }
+
+  #addVm(role: Role, index: number): DispatchVm {
+    const name = `${role}-${index + 1}`;
+    const vm: DispatchVm = {
+      name,
+      role,
+      process: this.#newProcess(role, name, 0),
+      worker: undefined,
+      lives: 0,
+    };
+    if (role === Role.Sidecar) {
+      vm.worker = this.#newWorker(`worker-${name}`);
+      this.#reportAgain(vm);
+    }
+    return vm;
+  }
+
+  #newProcess(role: Role, name: string, life: number): DispatchProcess {
+    const identifier = processIdentifier(name, String(life));
+    const machine = this.#newDecisions(role, identifier);
+    const process: DispatchProcess = new VirtualProcess<
+      DispatchInput,
+      DispatchOutput
+    >({
+      identifier,
+      decisions: this.#options.wrap?.(role, machine) ?? machine,
+      time: this.time,
+      perform: (output) => this.#perform(process, output),
+      alarm: () => ({ kind: InputKind.AlarmRang }),
+    });
+    this.time.after(0, () => {
+      process.take({ kind: InputKind.AlarmRang });
+      this.#readStore(process, role);
+    });
+    return process;
+  }
+
+  #newDecisions(
+    role: Role,
+    identifier: ProcessIdentifier,
+  ): StateMachine<DispatchInput, DispatchOutput> {
+    const self = {
+      process: identifier,
+      role,
+      address: processName(identifier),
+      availabilityZone: "zone-a",
+    };
+    const seeds = ["entry-1", "entry-2", "entry-3"];
+    const graceMilliseconds = GRACE_MILLISECONDS;
+    switch (role) {
+      case Role.Entry:
+        return new DispatcherDecisions({ self, seeds, graceMilliseconds });
+      case Role.Sidecar:
+        return new WorkerGuardDecisions({
+          self,
+          seeds,
+          graceMilliseconds,
+          leaseMilliseconds: LEASE_MILLISECONDS,
+          firstFencingToken: Math.floor(this.time.now) + 1,
+        });
+      default:
+        return assertNever(role);
+    }
+  }
+
+  #newWorker(id: string): FakeWorker {
+    const { capacityMillicores, observer, runMilliseconds } = this.#options;
+    return new FakeWorker({
+      id,
+      bornAt: this.time.now,
+      service: "service",
+      capacityMillicores,
+      time: this.time,
+      random: this.random,
+      observer,
+      clockRate: this.random.between(SLOWEST_CLOCK, 1),
+      runMilliseconds,
+    });
+  }
+
+  #reportAgain(vm: DispatchVm): void {
+    this.#report(vm);
+    this.time.after(REPORT_MILLISECONDS, () => this.#reportAgain(vm));
+  }
+
+  #report(vm: DispatchVm): void {
+    const { worker } = vm;
+    if (worker?.isAlive !== true) return;
+    this.time.after(1, () => {
+      if (!worker.isAlive) return;
+      const description = worker.describe();
+      vm.process.take({ kind: DispatchInputKind.WorkerReported, description });
+    });
+  }
+
+  #readStore(process: DispatchProcess, role: Role): void {
+    if (this.isStoreAway) {
+      this.time.after(500, () => this.#readStore(process, role));
+      return;
+    }
+    process.take({
+      kind: DispatchInputKind.MembersRead,
+      members: [...this.#members.values()],
+      removedNames: [],
+    });
+    if (role !== Role.Entry || this.#configuration === undefined) return;
+    process.take({
+      kind: DispatchInputKind.ConfigurationRead,
+      configuration: this.#configuration,
+    });
+  }
+
+  #tellStore(input: () => DispatchInput, role?: Role): void {
+    if (this.isStoreAway) {
+      this.time.after(500, () => this.#tellStore(input, role));
+      return;
+    }
+    for (const vm of [...this.entries, ...this.sidecars]) {
+      if (role !== undefined && vm.role !== role) continue;
+      this.time.after(STORE_DELAY_MILLISECONDS, () => vm.process.take(input()));
+    }
+  }
+
+  #perform(process: DispatchProcess, output: DispatchOutput): void {
+    switch (output.kind) {
+      case DispatchOutputKind.AnswerClient: {
+        const key = `${process.identifier} ${output.request}`;
+        const answer = this.#answers.get(key);
+        this.#answers.delete(key);
+        answer?.(output);
+        return;
+      }
+      case DispatchOutputKind.Announce:
+        this.#members.set(processName(output.member.process), output.member);
+        this.#tellStore(() => ({
+          kind: DispatchInputKind.MembersRead,
+          members: [output.member],
+          removedNames: [],
+        }));
+        return;
+      case DispatchOutputKind.CallWorker:
+        this.#findVm(process)?.worker?.call(
+          output,
+          (answer) =>
+            process.take({
+              kind: DispatchInputKind.WorkerAnswered,
+              call: output.call,
+              answer,
+            }),
+        );
+        return;
+      case OutputKind.SendRequest:
+        this.#request(process, output);
+        return;
+      case OutputKind.SendReply:
+        this.#reply(process, output);
+        return;
+      case OutputKind.RecordEvent:
+        this.#options.onEvent?.(process.identifier, output.event);
+        return;
+      case OutputKind.Stop:
+        process.kill();
+        return;
+      case DispatchOutputKind.ObserveDuration:
+      case OutputKind.CountOccurrence:
+      case OutputKind.SetGauge:
+      case OutputKind.ReportReadiness:
+        return;
+      default:
+        assertNever(output);
+    }
+  }
+
+  #request(
+    from: DispatchProcess,
+    { address, peer, request, message }: RequestSent<DispatchRequest>,
+  ): void {
+    const to = this.#findByName(address);
+    const onLost = () => from.take(lost(peer, request));
+    if (to === undefined || to.process.state === ProcessState.Ended) {
+      this.time.after(LOSS_NOTICE_MILLISECONDS, onLost);
+      return;
+    }
+    const receiver = to.process;
+    this.network.send({
+      from: nameOf(from),
+      to: nameOf(receiver),
+      onLost,
+      deliver: () => {
+        if (receiver.state === ProcessState.Ended) {
+          onLost();
+          return;
+        }
+        if (receiver.identifier !== peer) {
+          this.#deliverReply(receiver, from, request, {
+            kind: PeerReplyKind.OtherIncarnation,
+            current: receiver.identifier,
+          });
+          return;
+        }
+        const key = outstandingKey(receiver.identifier, from.identifier, request);
+        this.#outstanding.set(key, { from, request });
+        receiver.take({
+          kind: InputKind.PeerRequestArrived,
+          from: from.identifier,
+          request,
+          message,
+        });
+      },
+    });
+  }
+
+  #reply(
+    from: DispatchProcess,
+    { to, request, message }: ReplySent<DispatchReply>,
+  ): void {
+    const key = outstandingKey(from.identifier, to, request);
+    const outstanding = this.#outstanding.get(key);
+    this.#outstanding.delete(key);
+    if (outstanding === undefined) return;
+    this.#deliverReply(from, outstanding.from, request, message);
+  }
+
+  #deliverReply(
+    from: DispatchProcess,
+    to: DispatchProcess,
+    request: RequestIdentifier,
+    message: DispatchReply,
+  ): void {
+    this.network.send({
+      from: nameOf(from),
+      to: nameOf(to),
+      onLost: () => to.take(lost(from.identifier, request)),
+      deliver: () =>
+        to.take({
+          kind: InputKind.PeerReplyArrived,
+          from: from.identifier,
+          request,
+          message,
+        }),
+    });
+  }
+
+  #findVm({ identifier }: DispatchProcess): DispatchVm | undefined {
+    return this.#findByName(processName(identifier));
+  }
+
+  #findByName(name: string): DispatchVm | undefined {
+    return [...this.entries, ...this.sidecars].find((vm) => vm.name === name);
+  }
+}
+
+/** Cuts are between VMs, whatever run of their process sends. */
+function nameOf({ identifier }: DispatchProcess): ProcessIdentifier {
+  return processIdentifier(processName(identifier), "");
+}
+
+function outstandingKey(
+  receiver: ProcessIdentifier,
+  sender: ProcessIdentifier,
+  request: RequestIdentifier,
+): string {
+  return `${receiver} ${sender} ${request}`;
+}
+
+function lost(
+  peer: ProcessIdentifier,
+  request: RequestIdentifier,
+): DispatchInput {
+  return {
+    kind: InputKind.PeerRequestLost,
+    peer,
+    request,
+    error: {
+      tag: ErrorTag.ConnectionLost,
+      step: Step.CallPeer,
+      peer,
+      detail: "the connection ended",
+    },
+  };
+}
--- /dev/null
+++ b/emulator/src/fake_worker.ts
@@ -0,0 +1,327 @@
+/**
+ * A worker in virtual time: leases on its own clock, fencing, run numbers, ends that are listed until they
+ * are noted, orders that are carried out late, answers that are lost, crashes and new lives.
+ */
+import {
+  assertNever,
+  type CallWorker,
+  ErrorTag,
+  type ListedRun,
+  type Milliseconds,
+  type RunEnd,
+  RunEndKind,
+  type RunName,
+  jobTaskKey,
+  Step,
+  type WorkerAnswer,
+  WorkerAnswerKind,
+  type WorkerCall,
+  WorkerCallKind,
+  type WorkerDescription,
+  WorkerPhase,
+  WorkerRefusalReason,
+} from "@eelgrassfront/model";
+import type { SeededRandom } from "./seeded_random.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+/** Faults of a worker's answers. */
+export interface WorkerFaults {
+  /** Share of calls that are carried out and not answered. */
+  readonly lostAnswers: number;
+  /** Share of calls that are not answered and carried out seconds later. */
+  readonly lateOrders: number;
+  /** Share of runs that fail. */
+  readonly failures: number;
+  /** Share of runs that never end. */
+  readonly standstills: number;
+}
+
+/** A worker without faults. */
+export const NO_WORKER_FAULTS: WorkerFaults = {
+  lostAnswers: 0,
+  lateOrders: 0,
+  failures: 0,
+  standstills: 0,
+};
+
+/** Told of what happens on workers. */
+export interface WorkerObserver {
+  readonly onStart: (worker: FakeWorker, run: RunName) => void;
+  readonly onEnd: (worker: FakeWorker, run: RunName) => void;
+}
+
+/** What a worker needs. */
+export interface FakeWorkerOptions {
+  readonly id: string;
+  readonly bornAt: Milliseconds;
+  readonly service: string;
+  readonly capacityMillicores: number;
+  readonly time: VirtualTime;
+  readonly random: SeededRandom;
+  readonly observer: WorkerObserver;
+  /** Share of true time by which the worker's clock runs, at most 2% slow. */
+  readonly clockRate: number;
+  /** Run time of a task whose content is this text. */
+  readonly runMilliseconds: (content: string) => Milliseconds;
+}
+
+interface Run {
+  readonly name: RunName;
+  readonly startedAt: Milliseconds;
+  readonly endsAt: Milliseconds;
+}
+
+const LONGEST_LEASE_MILLISECONDS: Milliseconds = 1_000;
+const ANSWER_MILLISECONDS: Milliseconds = 0.5;
+/** Time after which the sidecar's adapter gives a call up. */
+const CALL_LIMIT_MILLISECONDS: Milliseconds = 150;
+const SHORTEST_LATENESS_MILLISECONDS: Milliseconds = 2_000;
+const LONGEST_LATENESS_MILLISECONDS: Milliseconds = 12_000;
+
+/** A worker in virtual time. */
+export class FakeWorker {
+  faults: WorkerFaults = NO_WORKER_FAULTS;
+  phase: WorkerPhase = WorkerPhase.Ready;
+  readonly options: FakeWorkerOptions;
+  readonly #running = new Map<string, Run>();
+  readonly #newestRuns = new Map<string, number>();
+  #ends: RunEnd[] = [];
+  #lastEnd = 0;
+  #fence = 0;
+  #leaseUntil: Milliseconds = 0;
+  #sequence = 0;
+  #isAlive = true;
+  #waiters: (() => void)[] = [];
+
+  constructor(options: FakeWorkerOptions) {
+    this.options = options;
+  }
+
+  /** Whether this life goes on. */
+  get isAlive(): boolean {
+    return this.#isAlive;
+  }
+
+  /** The worker's own clock. */
+  get clock(): Milliseconds {
+    const { time, bornAt, clockRate } = this.options;
+    return (time.now - bornAt) * clockRate;
+  }
+
+  /** Runs that the worker works on. */
+  get running(): readonly RunName[] {
+    return [...this.#running.values()].map(({ name }) => name);
+  }
+
+  /** What the worker says of itself. */
+  describe(): WorkerDescription {
+    this.#sequence += 1;
+    const { id, bornAt, service, capacityMillicores } = this.options;
+    return {
+      incarnation: { id, bornAt: bornAt + 1 },
+      service,
+      address: id,
+      phase: this.phase,
+      capacity: {
+        processorMillicores: capacityMillicores,
+        memoryMegabytes: 1_000_000,
+        accelerators: 0,
+      },
+      labels: [],
+      sequence: this.#sequence,
+      clock: this.clock,
+    };
+  }
+
+  /** Ends this life: everything that runs is gone. */
+  crash(): void {
+    this.#isAlive = false;
+    for (const { name } of this.#running.values()) {
+      this.options.observer.onEnd(this, name);
+    }
+    this.#running.clear();
+  }
+
+  /** Takes a call; the answer comes when it is made or given up. */
+  call(output: CallWorker, answer: (answer: WorkerAnswer) => void): void {
+    const { time, random } = this.options;
+    const { request, fencingToken } = output;
+    const limit = CALL_LIMIT_MILLISECONDS +
+      (request.kind === WorkerCallKind.Hold ? request.waitMilliseconds : 0);
+    if (!this.#isAlive) {
+      time.after(ANSWER_MILLISECONDS, () => answer(gone(output)));
+      return;
+    }
+    if (output.worker !== this.options.id) {
+      const other = refused(WorkerRefusalReason.OtherIncarnation);
+      time.after(ANSWER_MILLISECONDS, () => answer(other));
+      return;
+    }
+    if (random.happens(this.faults.lateOrders)) {
+      const lateness = random.between(
+        SHORTEST_LATENESS_MILLISECONDS,
+        LONGEST_LATENESS_MILLISECONDS,
+      );
+      time.after(lateness, () => this.#carryOut(request, fencingToken));
+      time.after(limit, () => answer(missing(output)));
+      return;
+    }
+    const isLost = random.happens(this.faults.lostAnswers);
+    time.after(ANSWER_MILLISECONDS / 2, () => {
+      const result = this.#carryOut(request, fencingToken);
+      if (isLost) {
+        time.after(limit, () => answer(missing(output)));
+        return;
+      }
+      const reply = () =>
+        time.after(ANSWER_MILLISECONDS / 2, () =>
+          answer(
+            result.kind === WorkerAnswerKind.Listed ? this.#list() : result,
+          ));
+      const waits = request.kind === WorkerCallKind.Hold &&
+        request.waitMilliseconds > 0 && this.#ends.length === 0 &&
+        result.kind === WorkerAnswerKind.Listed;
+      if (waits) this.#waitForEnd(request.waitMilliseconds, reply);
+      else reply();
+    });
+  }
+
+  #carryOut(request: WorkerCall, fencingToken: number): WorkerAnswer {
+    if (!this.#isAlive) return refused(WorkerRefusalReason.OtherIncarnation);
+    if (fencingToken < this.#fence) return refused(WorkerRefusalReason.Fenced);
+    this.#fence = fencingToken;
+    switch (request.kind) {
+      case WorkerCallKind.Start:
+        return this.#start(request.run, request.content, request.leaseUntil);
+      case WorkerCallKind.Stop:
+        this.#stop(request.run);
+        return { kind: WorkerAnswerKind.Accepted, clock: this.clock };
+      case WorkerCallKind.Hold:
+        if (request.leaseUntil !== undefined) this.#extend(request.leaseUntil);
+        this.#ends = this.#ends.filter(({ number }) =>
+          number > request.notedEnds
+        );
+        return this.#list();
+      default:
+        return assertNever(request);
+    }
+  }
+
+  #start(
+    name: RunName,
+    content: string,
+    leaseUntil: Milliseconds,
+  ): WorkerAnswer {
+    const key = jobTaskKey(name.task);
+    if (leaseUntil < this.clock) return refused(WorkerRefusalReason.TooLate);
+    this.#extend(leaseUntil);
+    const accepted = { kind: WorkerAnswerKind.Accepted, clock: this.clock };
+    if (this.#running.get(key)?.name.run === name.run) {
+      return accepted as WorkerAnswer;
+    }
+    if (name.run <= (this.#newestRuns.get(key) ?? 0)) {
+      return refused(WorkerRefusalReason.Superseded);
+    }
+    this.#newestRuns.set(key, name.run);
+    const { time, random, observer, runMilliseconds } = this.options;
+    const isStandingStill = random.happens(this.faults.standstills);
+    const duration = isStandingStill ? Infinity : runMilliseconds(content);
+    const run = { name, startedAt: time.now, endsAt: time.now + duration };
+    this.#running.set(key, run);
+    observer.onStart(this, name);
+    const kind = random.happens(this.faults.failures)
+      ? RunEndKind.Failed
+      : RunEndKind.Completed;
+    if (!isStandingStill) time.after(duration, () => this.#end(run, kind));
+    return accepted as WorkerAnswer;
+  }
+
+  #stop(name: RunName): void {
+    const key = jobTaskKey(name.task);
+    const newest = this.#newestRuns.get(key) ?? 0;
+    this.#newestRuns.set(key, Math.max(newest, name.run));
+    const run = this.#running.get(key);
+    if (run?.name.run === name.run) this.#end(run, RunEndKind.Stopped);
+  }
+
+  #end(run: Run, kind: RunEndKind): void {
+    const key = jobTaskKey(run.name.task);
+    if (!this.#isAlive || this.#running.get(key) !== run) return;
+    this.#running.delete(key);
+    this.#lastEnd += 1;
+    this.#ends.push({ number: this.#lastEnd, run: run.name, kind });
+    this.options.observer.onEnd(this, run.name);
+    for (const wake of this.#waiters.splice(0)) wake();
+  }
+
+  #extend(leaseUntil: Milliseconds): void {
+    const longest = this.clock + LONGEST_LEASE_MILLISECONDS;
+    this.#leaseUntil = Math.max(
+      this.#leaseUntil,
+      Math.min(leaseUntil, longest),
+    );
+    const { time, clockRate } = this.options;
+    time.after((this.#leaseUntil - this.clock) / clockRate + 1, () => {
+      if (!this.#isAlive || this.clock < this.#leaseUntil) return;
+      for (const run of [...this.#running.values()]) {
+        this.#end(run, RunEndKind.LeaseExpired);
+      }
+    });
+  }
+
+  #list(): WorkerAnswer {
+    const { time, bornAt } = this.options;
+    const running = [...this.#running.values()].map((run): ListedRun => ({
+      run: run.name,
+      percent: Math.floor(
+        100 * (time.now - run.startedAt) / (run.endsAt - run.startedAt),
+      ),
+    }));
+    return {
+      kind: WorkerAnswerKind.Listed,
+      bornAt: bornAt + 1,
+      clock: this.clock,
+      running,
+      ended: this.#ends,
+    };
+  }
+
+  #waitForEnd(milliseconds: Milliseconds, act: () => void): void {
+    let isDone = false;
+    const once = () => {
+      if (isDone) return;
+      isDone = true;
+      act();
+    };
+    this.#waiters.push(once);
+    this.options.time.after(milliseconds, once);
+  }
+}
+
+function refused(reason: WorkerRefusalReason): WorkerAnswer {
+  return { kind: WorkerAnswerKind.Refused, reason };
+}
+
+function missing({ worker }: CallWorker): WorkerAnswer {
+  return {
+    kind: WorkerAnswerKind.Missing,
+    error: {
+      tag: ErrorTag.TimedOut,
+      step: Step.ExecuteTask,
+      peer: worker,
+      detail: "no answer in time",
+    },
+  };
+}
+
+function gone({ worker }: CallWorker): WorkerAnswer {
+  return {
+    kind: WorkerAnswerKind.Gone,
+    error: {
+      tag: ErrorTag.Unreachable,
+      step: Step.ExecuteTask,
+      peer: worker,
+      detail: "connection refused",
+    },
+  };
+}
--- a/emulator/src/virtual_process.ts
+++ b/emulator/src/virtual_process.ts
@@ -3,22 +3,22 @@
  * what arrives waits.
  */
 import type {
-  Decisions,
   Milliseconds,
   ProcessIdentifier,
   ProcessInput,
   ProcessOutput,
+  StateMachine,
 } from "@eelgrassfront/model";
 import type { VirtualTime } from "./virtual_time.ts";
 
 /** What a process needs. */
-export interface VirtualProcessOptions {
+export interface VirtualProcessOptions<Input, Output> {
   readonly identifier: ProcessIdentifier;
-  readonly decisions: Decisions;
+  readonly decisions: StateMachine<Input, Output>;
   readonly time: VirtualTime;
-  readonly perform: (output: ProcessOutput) => void;
-  readonly alarm: () => ProcessInput;
-  readonly onInput?: (input: ProcessInput) => void;
+  readonly perform: (output: Output) => void;
+  readonly alarm: () => Input;
+  readonly onInput?: (input: Input) => void;
 }
 
 /** Whether a process runs. */
@@ -29,15 +29,15 @@
 }
 
 /** Decisions with a virtual clock. */
-export class VirtualProcess {
+export class VirtualProcess<Input = ProcessInput, Output = ProcessOutput> {
   readonly identifier: ProcessIdentifier;
-  readonly #options: VirtualProcessOptions;
+  readonly #options: VirtualProcessOptions<Input, Output>;
   #state: ProcessState = ProcessState.Running;
-  #waiting: ProcessInput[] = [];
+  #waiting: Input[] = [];
   #deferred: (() => void)[] = [];
   #alarmAt: Milliseconds | undefined;
 
-  constructor(options: VirtualProcessOptions) {
+  constructor(options: VirtualProcessOptions<Input, Output>) {
     this.#options = options;
     this.identifier = options.identifier;
   }
@@ -48,7 +48,7 @@
   }
 
   /** Gives the process an input. */
-  take(input: ProcessInput): void {
+  take(input: Input): void {
     switch (this.#state) {
       case ProcessState.Running:
         this.#step(input);
@@ -104,7 +104,7 @@
     this.#armAlarm();
   }
 
-  #step(input: ProcessInput): void {
+  #step(input: Input): void {
     const { decisions, time, perform, onInput } = this.#options;
     onInput?.(input);
     for (const output of decisions.step(time.now, input)) perform(output);
--- a/measure/src/child_process.ts
+++ b/measure/src/child_process.ts
@@ -2,6 +2,7 @@
  * One child process of a test rig: its identifier, its output, and its end.
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import type { Readable } from "node:stream";
 
 /** What to start. */
 export interface ChildOptions {
@@ -9,7 +10,11 @@
   /** Script that Node runs. */
   readonly script: string;
   readonly args: readonly string[];
-  /** Told of each line on standard error. */
+  /** Arguments of Node itself. */
+  readonly nodeArguments?: readonly string[];
+  /** Variables beside those of the rig. */
+  readonly environment?: Readonly<Record<string, string>>;
+  /** Told of each line of output. */
   readonly onLine?: (name: string, line: string) => void;
 }
 
@@ -21,13 +26,20 @@
 
   constructor(options: ChildOptions) {
     this.name = options.name;
-    this.#process = spawn(process.execPath, [options.script, ...options.args], {
-      stdio: ["ignore", "ignore", "pipe"],
-    });
+    const { script, args, nodeArguments = [] } = options;
+    this.#process = spawn(
+      process.execPath,
+      [...nodeArguments, script, ...args],
+      {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, ...options.environment },
+      },
+    );
     this.#exited = new Promise((resolve) => {
       this.#process.once("exit", (code) => resolve(code ?? undefined));
     });
-    this.#watchLines(options);
+    this.#watchLines(options, this.#process.stderr);
+    this.#watchLines(options, this.#process.stdout);
   }
 
   /** Process identifier. */
@@ -54,9 +66,12 @@
     await this.#exited;
   }
 
-  #watchLines({ name, onLine }: ChildOptions): void {
+  #watchLines(
+    { name, onLine }: ChildOptions,
+    stream: Readable | null,
+  ): void {
     let rest = "";
-    this.#process.stderr?.on("data", (chunk: Buffer) => {
+    stream?.on("data", (chunk: Buffer) => {
       const lines = `${rest}${chunk.toString("utf8")}`.split("\n");
       rest = lines.pop() ?? "";
       for (const line of lines) onLine?.(name, line);
--- /dev/null
+++ b/measure/src/platform_system.ts
@@ -0,0 +1,298 @@
+/**
+ * A small deployment of the users' platform on loopback: the bundled daemon as real processes, each on a
+ * loopback address of its own, with stand-ins for the store and the workers in the rig's process.
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import {
+  type KeyedTopic,
+  StoreServer,
+} from "@eelgrassfront/stand-in-platform-store";
+import {
+  PlatformWorker,
+  type RunObserver,
+} from "@eelgrassfront/stand-in-platform-worker";
+import { request } from "undici";
+import { Child } from "./child_process.ts";
+import { RunLedger } from "./run_ledger.ts";
+
+/** Size of the deployment. */
+export interface PlatformSystemOptions {
+  readonly entries: number;
+  readonly workers: number;
+  /** Distinguishes the addresses of systems that run at once, from 1 to 250. */
+  readonly network: number;
+  readonly workerMillicores?: number;
+  readonly nodeArguments?: readonly string[];
+  readonly onLine?: (name: string, line: string) => void;
+}
+
+const BUNDLE = fileURLToPath(
+  new URL("../../target/eelgrassfront.mjs", import.meta.url),
+);
+const CLIENT_PORT = 8_161;
+const READY_PORT = 8_167;
+const CONTROL_PORT = 8_166;
+const FIRST_PEER_PORT = 7_720;
+const LAST_PEER_PORT = 7_735;
+const REPORT_MILLISECONDS = 300;
+const MAXIMUM_HOLD_MILLISECONDS = 1_000;
+const GRACE_SECONDS = 6;
+const READY_POLL_MILLISECONDS = 20;
+const SERVICE = "checks";
+const HOST = "checks.example";
+const PREFIX = "/scan/";
+
+const DEADLINE_MILLISECONDS = "5000";
+
+/** A request of a client. */
+export interface ClientCall {
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+/** What a client got. */
+export interface ClientResponse {
+  readonly status: number;
+  readonly body: unknown;
+  readonly retryAfter?: string;
+}
+
+/** One VM with its process. */
+export interface SystemVm {
+  readonly name: string;
+  readonly host: string;
+  readonly role: "entry" | "sidecar";
+  child: Child;
+}
+
+/** A running deployment. */
+export class PlatformSystem implements AsyncDisposable {
+  readonly ledger: RunLedger;
+  readonly store: StoreServer;
+  readonly entries: SystemVm[] = [];
+  readonly sidecars: SystemVm[] = [];
+  readonly workers: PlatformWorker[] = [];
+  readonly #options: PlatformSystemOptions;
+  readonly #folder: string;
+  #version = 0;
+
+  private constructor(
+    options: PlatformSystemOptions,
+    store: StoreServer,
+    folder: string,
+  ) {
+    this.#options = options;
+    this.store = store;
+    this.#folder = folder;
+    this.ledger = new RunLedger();
+  }
+
+  /** Starts a deployment and waits until every entry takes work. */
+  static async start(options: PlatformSystemOptions): Promise<PlatformSystem> {
+    const store = await StoreServer.listen();
+    const folder = await mkdtemp(join(tmpdir(), "eelgrassfront-"));
+    const system = new PlatformSystem(options, store, folder);
+    system.publish();
+    for (let index = 0; index < options.workers; index += 1) {
+      await system.addWorker();
+    }
+    for (let index = 0; index < options.entries; index += 1) {
+      system.entries.push(await system.#startVm("entry", index));
+    }
+    await Promise.all(
+      system.entries.map((entry) => system.waitUntilReady(entry)),
+    );
+    return system;
+  }
+
+  /** Publishes a version of the configuration with the usual route and others. */
+  publish(furtherPrefixes: readonly string[] = []): number {
+    this.#version += 3;
+    const routes = [PREFIX, ...furtherPrefixes].map((pathPrefix) => ({
+      name: `route${pathPrefix}`,
+      host: HOST,
+      pathPrefix,
+      kind: "non_idempotent",
+      timeoutMs: 1_500,
+      targetLatencyMs: 60,
+      priority: 0,
+      service: SERVICE,
+      maxAttempts: 3,
+      slackFactor: 1.6,
+    }));
+    const configuration = { version: this.#version, routes, services: [] };
+    this.#operators().append(
+      "config",
+      Buffer.from(JSON.stringify(configuration)),
+    );
+    return this.#version;
+  }
+
+  /** Adds a sidecar with its worker. */
+  async addWorker(): Promise<void> {
+    const index = this.sidecars.length;
+    const vm = await this.#startVm("sidecar", index);
+    this.sidecars.push(vm);
+    this.workers.push(await this.#startWorker(vm, index, 0));
+  }
+
+  /** Crashes the worker beside a sidecar and starts its next life. */
+  async replaceWorker(index: number, life: number): Promise<void> {
+    const vm = this.sidecars[index];
+    if (vm === undefined) return;
+    await this.workers[index]?.[Symbol.asyncDispose]();
+    this.workers[index] = await this.#startWorker(vm, index, life);
+  }
+
+  /** Starts the process of a VM again. */
+  restart(vm: SystemVm): void {
+    vm.child = this.#startChild(vm.role, vm.name);
+  }
+
+  /** Waits until an entry takes work. */
+  async waitUntilReady({ host }: SystemVm): Promise<void> {
+    for (;;) {
+      if (await isReady(host)) return;
+      await new Promise((resolve) =>
+        setTimeout(resolve, READY_POLL_MILLISECONDS)
+      );
+    }
+  }
+
+  /** Hands a job in at an entry. */
+  submit(
+    entry: SystemVm,
+    id: string,
+    job: object,
+    signal?: AbortSignal,
+  ): Promise<ClientResponse> {
+    return this.call(entry, {
+      method: "POST",
+      path: `${PREFIX}${id}`,
+      body: JSON.stringify(job),
+      ...(signal === undefined ? {} : { signal }),
+    });
+  }
+
+  /**
+   * Makes a request of a client.
+   *
+   * @throws when the connection fails
+   */
+  async call(
+    { host }: SystemVm,
+    { method, path, body, signal }: ClientCall,
+  ): Promise<ClientResponse> {
+    const response = await request(`http://${host}:${CLIENT_PORT}${path}`, {
+      method,
+      headers: {
+        host: HOST,
+        "content-type": "application/json",
+        "deadline-ms": DEADLINE_MILLISECONDS,
+      },
+      ...(body === undefined ? {} : { body }),
+      ...(signal === undefined ? {} : { signal }),
+    });
+    const text = await response.body.text();
+    const retryAfter = response.headers["retry-after"];
+    return {
+      status: response.statusCode,
+      body: text === "" ? {} : JSON.parse(text),
+      ...(typeof retryAfter === "string" ? { retryAfter } : {}),
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const vms = [...this.entries, ...this.sidecars];
+    await Promise.all(vms.map(({ child }) => child[Symbol.asyncDispose]()));
+    for (const worker of this.workers) await worker[Symbol.asyncDispose]();
+    await this.store[Symbol.asyncDispose]();
+    await rm(this.#folder, { recursive: true });
+  }
+
+  #operators(): KeyedTopic {
+    return this.store.topic("keyed.op");
+  }
+
+  async #startVm(
+    role: "entry" | "sidecar",
+    index: number,
+  ): Promise<SystemVm> {
+    const name = `${role}-${index + 1}`;
+    const offset = role === "entry" ? 1 : 100;
+    const host = `127.${this.#options.network}.0.${offset + index}`;
+    await writeFile(
+      join(this.#folder, name),
+      JSON.stringify(this.#settingsOf(role, name, host)),
+    );
+    return { name, host, role, child: this.#startChild(role, name) };
+  }
+
+  #startChild(role: "entry" | "sidecar", name: string): Child {
+    const { nodeArguments, onLine } = this.#options;
+    return new Child({
+      name,
+      script: BUNDLE,
+      args: [role],
+      environment: { EELGRASSFRONT_CONFIG: join(this.#folder, name) },
+      ...(nodeArguments === undefined ? {} : { nodeArguments }),
+      ...(onLine === undefined ? {} : { onLine }),
+    });
+  }
+
+  #settingsOf(role: "entry" | "sidecar", name: string, host: string): object {
+    const listen = role === "entry"
+      ? {
+        frontend: `${host}:${CLIENT_PORT}`,
+        ready: `${host}:${READY_PORT}`,
+        control: `${host}:${CONTROL_PORT}`,
+      }
+      : { control: `${host}:${CONTROL_PORT}` };
+    return {
+      nodeName: name,
+      ip: host,
+      zone: "zone-a",
+      listen,
+      portRange: [FIRST_PEER_PORT, LAST_PEER_PORT],
+      serves: role === "entry" ? ["frontend", "control_plane"] : ["side"],
+      seeds: [`127.${this.#options.network}.0.1:${CONTROL_PORT}`],
+      bounds: { maxHoldMs: MAXIMUM_HOLD_MILLISECONDS, graceS: GRACE_SECONDS },
+      platform: { address: `127.0.0.1:${this.store.port}` },
+    };
+  }
+
+  async #startWorker(
+    vm: SystemVm,
+    index: number,
+    life: number,
+  ): Promise<PlatformWorker> {
+    const worker = `i-${index + 1}-${life}`;
+    const capacity = this.#options.workerMillicores ?? 8_000;
+    const observer: RunObserver = this.ledger.observerOf(worker);
+    return await PlatformWorker.listen({
+      id: worker,
+      service: SERVICE,
+      zone: "zone-a",
+      reportAddress: `${vm.host}:${CONTROL_PORT}`,
+      capacity: { cpu: capacity, memMb: 100_000 },
+      reportMilliseconds: REPORT_MILLISECONDS,
+      observer,
+    });
+  }
+}
+
+async function isReady(host: string): Promise<boolean> {
+  try {
+    const response = await fetch(`http://${host}:${READY_PORT}/readyz`);
+    await response.arrayBuffer();
+    return response.ok;
+  } catch {
+    // The process does not listen yet.
+    return false;
+  }
+}
--- a/stand-ins/loopback_server/src/loopback_server.ts
+++ b/stand-ins/loopback_server/src/loopback_server.ts
@@ -44,11 +44,16 @@
   ): Promise<void>;
 }
 
-/** Reads the body of a request as JSON. */
-export async function readJson(request: IncomingMessage): Promise<unknown> {
+/** Reads the body of a request. */
+export async function readBytes(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
-  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  return Buffer.concat(chunks);
+}
+
+/** Reads the body of a request as JSON. */
+export async function readJson(request: IncomingMessage): Promise<unknown> {
+  return JSON.parse((await readBytes(request)).toString("utf8"));
 }
 
 /** Answers with JSON. */
