--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -98,7 +98,11 @@
     this.#options = options;
     const collector = this.#collector;
     const directory = this.#directory;
-    this.#links = new WorkerLinks({ collector, directory });
+    this.#links = new WorkerLinks({
+      collector,
+      directory,
+      isHungry: () => this.#desk.isHungry,
+    });
     this.#exchange = new KnowledgeExchange({
       ...options,
       collector,
@@ -111,6 +115,7 @@
       links: this.#links,
       attempts: this.#attempts,
       runTimes,
+      availabilityZone: options.self.availabilityZone,
     });
     this.#answers = new JobAnswers({
       collector,
@@ -255,7 +260,7 @@
     const deadline = deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
     this.#desk.admit(
       new DispatchJob({
-        id: target.path.slice(route.pathPrefix.length),
+        id: target.path.slice(route.requestPrefix.length),
         job,
         route,
         configurationVersion: version,
@@ -277,7 +282,7 @@
   #tellState({ request, target }: JobStateAsked): void {
     const found = this.#routeOf(request, target);
     if (found === undefined) return;
-    const id = target.path.slice(found.route.pathPrefix.length);
+    const id = target.path.slice(found.route.requestPrefix.length);
     if (id === "") {
       const count = this.#desk.countPending(found.route.name);
       this.#answers.answer(request, { kind: ClientAnswerKind.Pending, count });
@@ -297,7 +302,7 @@
   #cancel({ request, target }: JobCancelAsked): void {
     const found = this.#routeOf(request, target);
     if (found === undefined) return;
-    const id = target.path.slice(found.route.pathPrefix.length);
+    const id = target.path.slice(found.route.requestPrefix.length);
     const isKnown = this.#desk.cancel(id);
     this.#answers.answer(request, {
       kind: isKnown ? ClientAnswerKind.Cancelled : ClientAnswerKind.NoSuchJob,
--- a/domain/dispatcher/src/job_desk.ts
+++ b/domain/dispatcher/src/job_desk.ts
@@ -54,6 +54,7 @@
   readonly #jobs = new Map<string, DispatchJob>();
   readonly #byRequest = new Map<RequestIdentifier, DispatchJob>();
   readonly #queue = new JobQueue();
+  readonly #toldGauges = new Map<Gauge, number>();
 
   constructor(options: JobDeskOptions) {
     this.#options = options;
@@ -64,6 +65,11 @@
     return this.#jobs.size;
   }
 
+  /** Whether jobs wait for room. */
+  get isHungry(): boolean {
+    return this.#queue.size > 0;
+  }
+
   /** Finds a job that is not answered. */
   find(id: string): DispatchJob | undefined {
     return this.#jobs.get(id);
@@ -289,10 +295,12 @@
     let used = 0;
     let own = 0;
     for (const { state, address } of links.all()) {
-      const load = state.phase === LinkPhase.Open ? state.load : undefined;
-      if (load?.service !== job.route.service || !load.isTakingWork) continue;
-      capacity += load.capacity.processorMillicores;
-      used += load.capacity.processorMillicores -
+      if (state.phase !== LinkPhase.Open) continue;
+      const { profile, load } = state;
+      if (profile === undefined || load?.isTakingWork !== true) continue;
+      if (profile.service !== job.route.service) continue;
+      capacity += profile.capacity.processorMillicores;
+      used += profile.capacity.processorMillicores -
         load.free.processorMillicores;
       for (const { task } of attempts.at(address)) {
         own += task.step.resources.processorMillicores;
@@ -302,16 +310,13 @@
   }
 
   #tellGauges(): void {
-    const { collector } = this.#options;
-    collector.add({
-      kind: OutputKind.SetGauge,
-      gauge: Gauge.QueuedJobs,
-      value: this.#queue.size,
-    });
-    collector.add({
-      kind: OutputKind.SetGauge,
-      gauge: Gauge.RunningJobs,
-      value: this.#jobs.size - this.#queue.size,
-    });
+    this.#tellGauge(Gauge.QueuedJobs, this.#queue.size);
+    this.#tellGauge(Gauge.RunningJobs, this.#jobs.size - this.#queue.size);
+  }
+
+  #tellGauge(gauge: Gauge, value: number): void {
+    if (this.#toldGauges.get(gauge) === value) return;
+    this.#toldGauges.set(gauge, value);
+    this.#options.collector.add({ kind: OutputKind.SetGauge, gauge, value });
   }
 }
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -55,6 +55,7 @@
   readonly links: WorkerLinks;
   readonly attempts: AttemptBook;
   readonly runTimes: RunTimeEstimates;
+  readonly availabilityZone: string;
 }
 
 /** Places tasks. */
@@ -76,6 +77,7 @@
         attempts,
         job,
         task,
+        availabilityZone: this.#options.availabilityZone,
       });
       if (choice === undefined) return false;
       this.#send(job, task, choice);
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -8,7 +8,7 @@
   isWithin,
   type Milliseconds,
   subtractResources,
-  type WorkerLoad,
+  type WorkerProfile,
 } from "@eelgrassfront/model";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
 import { type AttemptBook, PlacementKind } from "./attempt_book.ts";
@@ -17,6 +17,12 @@
 /** Tasks of one entry that may wait at one sidecar. */
 const WAITING_PER_WORKER = 1;
 
+/**
+ * How much more a worker in another availability zone must have free to be chosen: the room of two or
+ * three tasks, so that traffic between zones is spent only where it evens out the load.
+ */
+const OTHER_ZONE_MILLICORES = 8_000;
+
 /** A worker for a task. */
 export interface WorkerChoice {
   readonly link: WorkerLinkState;
@@ -31,13 +37,15 @@
   readonly attempts: AttemptBook;
   readonly job: DispatchJob;
   readonly task: DispatchTask;
+  /** Availability zone of the entry. */
+  readonly availabilityZone: string;
 }
 
 interface Candidate {
   readonly link: WorkerLinkState;
   readonly session: number;
-  readonly load: WorkerLoad;
-  readonly freeMillicores: number;
+  /** Processor time that is free, less what another availability zone costs. */
+  readonly preference: number;
   readonly hasRoom: boolean;
 }
 
@@ -61,8 +69,8 @@
   { links, job, task }: Pick<WorkerChoiceOptions, "links" | "job" | "task">,
 ): boolean {
   return links.some(({ state }) => {
-    const load = state.phase === LinkPhase.Open ? state.load : undefined;
-    return load !== undefined && isSuitable(load, job, task);
+    const profile = state.phase === LinkPhase.Open ? state.profile : undefined;
+    return profile !== undefined && isSuitable(profile, job, task);
   });
 }
 
@@ -72,9 +80,10 @@
   const meanRate = mean(open.map(({ failures }) => failures.rate));
   return open.flatMap((link): readonly Candidate[] => {
     const { state } = link;
-    if (state.phase !== LinkPhase.Open || state.load === undefined) return [];
-    const { load } = state;
-    if (!load.isTakingWork || !isSuitable(load, job, task)) return [];
+    if (state.phase !== LinkPhase.Open) return [];
+    const { load, profile } = state;
+    if (load === undefined || profile === undefined) return [];
+    if (!load.isTakingWork || !isSuitable(profile, job, task)) return [];
     if (isCrowded(options, link.address)) return [];
     const { failures } = link;
     const isOutlier = failures.isOutlier(meanRate);
@@ -83,27 +92,27 @@
       subtractResources(load.free, load.waiting),
       attempts.unconfirmed(link.address, load.requestsTaken),
     );
-    const { resources } = task.step;
+    const isNear = link.availabilityZone === options.availabilityZone;
     return [{
       link,
       session: state.session,
-      load,
-      freeMillicores: free.processorMillicores,
-      hasRoom: isWithin(resources, free),
+      preference: free.processorMillicores -
+        (isNear ? 0 : OTHER_ZONE_MILLICORES),
+      hasRoom: isWithin(task.step.resources, free),
     }];
   });
 }
 
 function isSuitable(
-  load: WorkerLoad,
+  { service, labels, capacity }: WorkerProfile,
   job: DispatchJob,
   { step }: DispatchTask,
 ): boolean {
   const { requiredLabel } = step;
   const hasLabel = requiredLabel === undefined ||
-    load.labels.includes(requiredLabel);
-  return load.service === job.route.service && hasLabel &&
-    isWithin(step.resources, load.capacity);
+    labels.includes(requiredLabel);
+  return service === job.route.service && hasLabel &&
+    isWithin(step.resources, capacity);
 }
 
 /** Whether the worker already has as many tasks of the step as may run together. */
@@ -130,7 +139,7 @@
   let best: Candidate | undefined;
   for (const candidate of pool) {
     const isBetter = best === undefined ||
-      candidate.freeMillicores > best.freeMillicores;
+      candidate.preference > best.preference;
     if (isBetter) best = candidate;
   }
   return best;
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -21,9 +21,11 @@
   type ReplyArrived,
   type RequestIdentifier,
   Role,
+  type SessionGranted,
   type SessionNumber,
   Severity,
   type WorkerLoad,
+  type WorkerProfile,
 } from "@eelgrassfront/model";
 import { FailureRecord } from "@eelgrassfront/placement";
 
@@ -35,6 +37,10 @@
 const SHORTEST_OPEN_MILLISECONDS: Milliseconds = 100;
 const LONGEST_OPEN_MILLISECONDS: Milliseconds = 1_000;
 
+/** How often an entry wants to hear of changed loads: while its jobs wait, and while there is room. */
+const HUNGRY_WATCH_MILLISECONDS: Milliseconds = 10;
+const CALM_WATCH_MILLISECONDS: Milliseconds = 50;
+
 /** Phases of a link. */
 export enum LinkPhase {
   /** No session; one is asked for. */
@@ -57,6 +63,9 @@
   readonly session: SessionNumber;
   heardAt: Milliseconds;
   nextRenewAt: Milliseconds;
+  /** The worker that the sidecar guards; absent while none is known. */
+  profile: WorkerProfile | undefined;
+  /** Its latest load; absent when it is of another worker than the profile. */
   load: WorkerLoad | undefined;
   watch: RequestIdentifier | undefined;
 }
@@ -96,6 +105,8 @@
 export interface WorkerLinksOptions {
   readonly collector: OutputCollector<DispatchOutput>;
   readonly directory: FleetDirectory;
+  /** Whether jobs wait for room. */
+  readonly isHungry: () => boolean;
 }
 
 enum CallPurpose {
@@ -143,20 +154,11 @@
     const { now } = this.#options.collector;
     const changes: LinkChange[] = [];
     for (const link of this.#links.values()) {
-      switch (link.state.phase) {
-        case LinkPhase.Opening:
-          this.#askForSession(link, link.state);
-          break;
-        case LinkPhase.Open:
-          if (now >= link.state.heardAt + SILENCE_MILLISECONDS) {
-            changes.push(this.#lose(link, "no answer to renewals"));
-          } else if (now >= link.state.nextRenewAt) {
-            this.#renew(link, link.state);
-          }
-          break;
-        default:
-          assertNever(link.state);
-      }
+      const { state } = link;
+      const isSilent = state.phase === LinkPhase.Open &&
+        now >= state.heardAt + SILENCE_MILLISECONDS;
+      if (isSilent) changes.push(this.#lose(link, "no answer to renewals"));
+      this.#sendDue(link);
     }
     return changes;
   }
@@ -190,7 +192,7 @@
     const { message } = input;
     switch (message.kind) {
       case DispatchReplyKind.SessionGranted:
-        return this.#takeGrant(link, message.session, message.load);
+        return this.#takeGrant(link, message);
       case DispatchReplyKind.SessionPending:
         return this.#takePending(link, call);
       case DispatchReplyKind.LoadTold:
@@ -236,7 +238,10 @@
     const { state } = link;
     if (state.phase !== LinkPhase.Open) return;
     state.heardAt = this.#options.collector.now;
-    if (load === undefined) {
+    if (load === undefined || load.worker !== state.profile?.worker) {
+      // Another worker than the known one: the next renewal tells what it is.
+      const isNews = load !== undefined && state.load !== undefined;
+      if (isNews) state.nextRenewAt = this.#options.collector.now;
       state.load = undefined;
       return;
     }
@@ -262,6 +267,22 @@
       .map((link) => this.#lose(link, reason));
   }
 
+  #sendDue(link: WorkerLinkState): void {
+    const { state } = link;
+    switch (state.phase) {
+      case LinkPhase.Opening:
+        this.#askForSession(link, state);
+        return;
+      case LinkPhase.Open:
+        if (this.#options.collector.now >= state.nextRenewAt) {
+          this.#renew(link, state);
+        }
+        return;
+      default:
+        assertNever(state);
+    }
+  }
+
   #adoptMembers(): void {
     const { directory, collector } = this.#options;
     for (const member of directory.membersOf(Role.Sidecar)) {
@@ -317,18 +338,21 @@
     state.watch = this.#send(link, CallPurpose.Watch, state.session, {
       kind: DispatchRequestKind.WatchLoad,
       knownRevision: state.load?.revision ?? -1,
+      intervalMilliseconds: this.#options.isHungry()
+        ? HUNGRY_WATCH_MILLISECONDS
+        : CALM_WATCH_MILLISECONDS,
     });
   }
 
   #takeGrant(
     link: WorkerLinkState,
-    session: SessionNumber,
-    load: WorkerLoad | undefined,
+    { session, profile, load }: SessionGranted,
   ): readonly LinkChange[] {
     const { state } = link;
     const { now } = this.#options.collector;
     if (state.phase === LinkPhase.Open) {
       if (state.session !== session) return [];
+      state.profile = profile;
       this.takeLoad(link, load);
       return this.#cut.delete(link.address)
         ? [{ kind: LinkChangeKind.Resumed, link }]
@@ -345,6 +369,7 @@
       session,
       heardAt: now,
       nextRenewAt: now + RENEW_MILLISECONDS,
+      profile,
       load,
       watch: undefined,
     };
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -67,6 +67,8 @@
 export interface WatchLoad {
   readonly kind: DispatchRequestKind.WatchLoad;
   readonly knownRevision: number;
+  /** Shortest time between two answers: an entry whose jobs wait wants to hear sooner. */
+  readonly intervalMilliseconds: Milliseconds;
 }
 
 /** A member of the fleet. */
@@ -103,14 +105,19 @@
   | WatchLoad
   | ShareKnowledge;
 
+/** What stays the same over one life of a worker. */
+export interface WorkerProfile {
+  readonly worker: string;
+  readonly service: string;
+  readonly labels: readonly string[];
+  readonly capacity: Resources;
+}
+
 /** Load of the worker beside a sidecar. */
 export interface WorkerLoad {
   /** Rises with each change, within one run of the sidecar. */
   readonly revision: number;
   readonly worker: string;
-  readonly service: string;
-  readonly labels: readonly string[];
-  readonly capacity: Resources;
   /** What running work leaves; what waits is not taken off. */
   readonly free: Resources;
   /** What the waiting tasks need together. */
@@ -198,6 +205,8 @@
 export interface SessionGranted {
   readonly kind: DispatchReplyKind.SessionGranted;
   readonly session: SessionNumber;
+  /** Absent while no worker is known. */
+  readonly profile?: WorkerProfile;
   readonly load?: WorkerLoad;
 }
 
--- a/domain/model/src/work_configuration.ts
+++ b/domain/model/src/work_configuration.ts
@@ -9,7 +9,7 @@
   readonly name: string;
   readonly host: string;
   /** Requests whose path begins so belong to the route; the longest prefix counts. */
-  readonly pathPrefix: string;
+  readonly requestPrefix: string;
   /** Service whose workers run the tasks. */
   readonly service: string;
   /** Urgency: 0 comes first. */
@@ -36,9 +36,9 @@
 ): WorkRoute | undefined {
   let found: WorkRoute | undefined;
   for (const route of configuration.routes) {
-    if (route.host !== host || !path.startsWith(route.pathPrefix)) continue;
+    if (route.host !== host || !path.startsWith(route.requestPrefix)) continue;
     const isLonger = found === undefined ||
-      route.pathPrefix.length > found.pathPrefix.length;
+      route.requestPrefix.length > found.requestPrefix.length;
     if (isLonger) found = route;
   }
   return found;
--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -13,12 +13,10 @@
   type WorkerLoad,
 } from "@eelgrassfront/model";
 
-/** Shortest time between two answers to one entry; several round trips. */
-const INTERVAL_MILLISECONDS: Milliseconds = 10;
-
 interface Watch {
   readonly request: RequestIdentifier;
   readonly knownRevision: number;
+  readonly intervalMilliseconds: Milliseconds;
 }
 
 /** What the watches need. */
@@ -55,7 +53,7 @@
   tick(): void {
     const { now } = this.#options.collector;
     for (const [entry, watch] of this.#watches) {
-      if (!this.#isChanged(watch) || now < this.#dueAt(entry)) continue;
+      if (!this.#isChanged(watch) || now < this.#dueAt(entry, watch)) continue;
       this.#tell(entry, watch);
       this.#watches.delete(entry);
     }
@@ -65,7 +63,7 @@
   nextAlarm(): Milliseconds | undefined {
     const times = [...this.#watches]
       .filter(([, watch]) => this.#isChanged(watch))
-      .map(([entry]) => this.#dueAt(entry));
+      .map(([entry, watch]) => this.#dueAt(entry, watch));
     return times.length === 0 ? undefined : Math.min(...times);
   }
 
@@ -73,8 +71,11 @@
     return knownRevision !== this.#options.revision();
   }
 
-  #dueAt(entry: ProcessIdentifier): Milliseconds {
-    return (this.#toldAt.get(entry) ?? -Infinity) + INTERVAL_MILLISECONDS;
+  #dueAt(
+    entry: ProcessIdentifier,
+    { intervalMilliseconds }: Watch,
+  ): Milliseconds {
+    return (this.#toldAt.get(entry) ?? -Infinity) + intervalMilliseconds;
   }
 
   #tell(entry: ProcessIdentifier, { request }: Watch): void {
--- a/domain/worker_guard/src/run_conversation.ts
+++ b/domain/worker_guard/src/run_conversation.ts
@@ -50,6 +50,8 @@
 /** How long run numbers are remembered: longer than a client repeats a request. */
 const RUN_NUMBER_HORIZON_MILLISECONDS: Milliseconds = 60_000;
 const MAXIMUM_RUN_NUMBERS = 20_000;
+/** Pause after a list of runs that was refused or did not come. */
+const FAILED_HOLD_MILLISECONDS: Milliseconds = 20;
 /** Factor by which a worker's clock may run slow. */
 const CLOCK_DRIFT = 1.02;
 
@@ -86,6 +88,8 @@
   /** When the lease of everything at the worker has certainly lapsed. */
   #leaseLapsesAt: Milliseconds = 0;
   #nextCensusAt: Milliseconds = 0;
+  /** Not before this time the runs are asked for again, after a call that failed. */
+  #nextHoldAt: Milliseconds = 0;
 
   constructor(options: RunConversationOptions) {
     this.#options = options;
@@ -105,6 +109,7 @@
     this.#holdCall = undefined;
     this.#isCensusTaken = false;
     this.#nextCensusAt = 0;
+    this.#nextHoldAt = 0;
     this.#leaseLapsesAt = 0;
   }
 
@@ -149,8 +154,12 @@
     const times = table.atWorker().flatMap(({ state }) =>
       state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
     );
-    if (!this.#isCensusTaken && this.#holdCall === undefined) {
-      times.push(this.#nextCensusAt);
+    if (this.#holdCall === undefined && this.#isHoldWanted()) {
+      times.push(
+        this.#isCensusTaken
+          ? this.#nextHoldAt
+          : Math.max(this.#nextHoldAt, this.#nextCensusAt),
+      );
     }
     if (link.isSilent && table.atWorker().length > 0) {
       times.push(this.#leaseLapsesAt);
@@ -163,8 +172,13 @@
     const pending = this.#calls.get(call);
     if (pending === undefined) return true;
     this.#calls.delete(call);
-    if (call === this.#holdCall) this.#holdCall = undefined;
     const { link, collector } = this.#options;
+    if (call === this.#holdCall) {
+      this.#holdCall = undefined;
+      const isListed = answer.kind === WorkerAnswerKind.Listed;
+      const pause = isListed ? 0 : FAILED_HOLD_MILLISECONDS;
+      this.#nextHoldAt = collector.now + pause;
+    }
     switch (answer.kind) {
       case WorkerAnswerKind.Accepted:
         link.hear();
@@ -232,13 +246,13 @@
   #hold(): void {
     const { collector, link, table, leaseMilliseconds } = this.#options;
     if (this.#holdCall !== undefined) return;
-    const isRunning = table.atWorker().length > 0;
-    const isCensusDue = !this.#isCensusTaken &&
-      collector.now >= this.#nextCensusAt;
-    const isNoteDue = this.#notedEnds > this.#acknowledgedEnds;
-    if (!isRunning && !isCensusDue && !isNoteDue) return;
+    if (collector.now < this.#nextHoldAt) return;
+    if (!this.#isHoldWanted()) return;
+    const isEarly = !this.#isCensusTaken &&
+      collector.now < this.#nextCensusAt;
+    if (isEarly) return;
     const noted = this.#notedEnds;
-    const isRenewed = isRunning && this.#isCensusTaken;
+    const isRenewed = this.#isCensusTaken && table.atWorker().length > 0;
     this.#holdCall = link.call({
       kind: WorkerCallKind.Hold,
       ...(isRenewed ? { leaseUntil: link.leaseUntil() } : {}),
@@ -252,6 +266,11 @@
     this.#calls.set(this.#holdCall, { kind, sentAt, noted });
   }
 
+  #isHoldWanted(): boolean {
+    return !this.#isCensusTaken || this.#options.table.atWorker().length > 0 ||
+      this.#notedEnds > this.#acknowledgedEnds;
+  }
+
   #accept({ kind, run: name }: PendingCall): void {
     const run = this.#findRun(name);
     if (run === undefined) return;
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -23,6 +23,7 @@
   InterruptionReason,
   isWithin,
   type Milliseconds,
+  NO_RESOURCES,
   NotStartedReason,
   type OpenSession,
   OutputCollector,
@@ -43,6 +44,7 @@
   type WorkerDescription,
   type WorkerLoad,
   WorkerPhase,
+  type WorkerProfile,
 } from "@eelgrassfront/model";
 import { EntrySessions } from "./entry_sessions.ts";
 import { type GuardedRun, RunPhase } from "./guarded_run.ts";
@@ -91,6 +93,7 @@
   #leavingSince: Milliseconds | undefined;
   #isStopped = false;
   #isAnnounced = false;
+  #toldFreeMillicores = 0;
 
   constructor(options: WorkerGuardOptions) {
     this.#options = options;
@@ -258,6 +261,7 @@
     this.#startWaiting();
     this.#conversation.tick();
     this.#watches.tick();
+    this.#tellGauge();
     if (this.#leavingSince === undefined) this.#exchange.tick();
     this.#leaveFurther();
   }
@@ -327,9 +331,11 @@
     session: number,
   ): void {
     const load = this.#load(to);
+    const { description } = this.#link;
     this.#reply(to, request, {
       kind: DispatchReplyKind.SessionGranted,
       session,
+      ...(description === undefined ? {} : { profile: profileOf(description) }),
       ...(load === undefined ? {} : { load }),
     });
   }
@@ -522,17 +528,9 @@
     if (description === undefined) return undefined;
     const { capacity } = description;
     const free = subtractResources(capacity, this.#table.used);
-    this.#collector.add({
-      kind: OutputKind.SetGauge,
-      gauge: Gauge.FreeMillicores,
-      value: free.processorMillicores,
-    });
     return {
       revision: this.#table.revision,
       worker: description.incarnation.id,
-      service: description.service,
-      labels: description.labels,
-      capacity,
       free,
       waiting: this.#table.waiting,
       isTakingWork: this.#link.isTakingWork &&
@@ -541,6 +539,16 @@
     };
   }
 
+  #tellGauge(): void {
+    const { capacity } = this.#link.description ?? { capacity: NO_RESOURCES };
+    const value = capacity.processorMillicores -
+      this.#table.used.processorMillicores;
+    if (value === this.#toldFreeMillicores) return;
+    this.#toldFreeMillicores = value;
+    const gauge = Gauge.FreeMillicores;
+    this.#collector.add({ kind: OutputKind.SetGauge, gauge, value });
+  }
+
   #record(number: EventNumber, message: string): void {
     const { description } = this.#link;
     this.#collector.record(number, message, {
@@ -566,3 +574,8 @@
 function notStarted(reason: NotStartedReason): TaskSettlement {
   return { kind: SettlementKind.NotStarted, reason };
 }
+
+function profileOf(description: WorkerDescription): WorkerProfile {
+  const { incarnation, service, labels, capacity } = description;
+  return { worker: incarnation.id, service, labels, capacity };
+}
--- a/emulator/src/dispatch_run.ts
+++ b/emulator/src/dispatch_run.ts
@@ -60,10 +60,10 @@
 
 const CONFIGURATION: WorkConfiguration = {
   version: 3,
-  routes: ["/fast/", "/slow/"].map((pathPrefix, priority) => ({
-    name: pathPrefix,
+  routes: ["/fast/", "/slow/"].map((requestPrefix, priority) => ({
+    name: requestPrefix,
     host: HOST,
-    pathPrefix,
+    requestPrefix,
     service: "service",
     priority,
     maximumAttempts: 3,
@@ -176,8 +176,11 @@
   ): void {
     const { time } = this.#system;
     const startedAt = time.now;
+    let hasPaused = false;
     const look = (): void => {
       if (attempt.isAnswered) return;
+      // A process that stands still takes the request, and counts its time, when it goes on.
+      hasPaused ||= attempt.process.state === ProcessState.Paused;
       if (attempt.process.state === ProcessState.Ended) {
         this.#checker.loseAnswer(job.id);
         this.#tryAgain(job);
@@ -187,7 +190,7 @@
         time.after(20, look);
         return;
       }
-      if (attempt.process.state === ProcessState.Running) {
+      if (!hasPaused) {
         const waited = Math.round(time.now - startedAt);
         this.#checker.report(
           DispatchRule.EveryRequestAnswered,
@@ -197,7 +200,7 @@
       this.#checker.leave(job.id);
       this.#system.leave(entry, request);
     };
-    time.after(20, look);
+    look();
   }
 
   #tryAgain(job: RunJob): void {
@@ -373,7 +376,10 @@
       });
       this.#system.time.after(5_000, () => {
         if (outcome === ClientAnswerKind.Ended) return;
-        this.#checker.report(DispatchRule.Recovery, `${entry.name}: ${outcome}`);
+        this.#checker.report(
+          DispatchRule.Recovery,
+          `${entry.name}: ${outcome}`,
+        );
       });
     }
   }
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -387,7 +387,11 @@
           });
           return;
         }
-        const key = outstandingKey(receiver.identifier, from.identifier, request);
+        const key = outstandingKey(
+          receiver.identifier,
+          from.identifier,
+          request,
+        );
         this.#outstanding.set(key, { from, request });
         receiver.take({
           kind: InputKind.PeerRequestArrived,
--- a/emulator/src/soak.ts
+++ b/emulator/src/soak.ts
@@ -1,27 +1,45 @@
 /**
- * Runs many seeds of the randomised run: `npm run soak -- --seeds 1000 --from 1`. Prints each failing
+ * Runs many seeds of the randomised run: `npm run soak -- --seeds 1000 --from 1`, with
+ * `--work best-effort` those of best-effort work. Prints each failing
  * seed and, as the last line, the totals as JSON. The exit code is 1 when any seed failed.
  */
 import { parseArgs } from "node:util";
-import { runRandomized, type RunReport } from "./randomized_run.ts";
+import { runDispatch } from "./dispatch_run.ts";
+import { runRandomized } from "./randomized_run.ts";
 
 const DEFAULT_SEEDS = "1000";
 const DEFAULT_FIRST_SEED = "1";
 
+/** Kinds of work that are played. */
+enum SoakedWork {
+  AtMostOnce = "at-most-once",
+  BestEffort = "best-effort",
+}
+
+/** What both kinds of runs tell. */
+interface SoakReport {
+  readonly seed: number;
+  readonly starts: number;
+  readonly answers: ReadonlyMap<string, number>;
+  readonly violations: readonly {
+    readonly rule: string;
+    readonly at: number;
+    readonly detail: string;
+  }[];
+}
+
 /** Totals of many runs. */
 class Totals {
   readonly #failedSeeds: number[] = [];
   readonly #answers = new Map<string, number>();
   #starts = 0;
-  #requests = 0;
 
   get hasFailed(): boolean {
     return this.#failedSeeds.length > 0;
   }
 
-  add(report: RunReport): void {
+  add(report: SoakReport): void {
     this.#starts += report.starts;
-    this.#requests += report.requests;
     for (const [kind, count] of report.answers) {
       this.#answers.set(kind, (this.#answers.get(kind) ?? 0) + count);
     }
@@ -32,24 +50,36 @@
     return {
       failedSeeds: this.#failedSeeds,
       starts: this.#starts,
-      requests: this.#requests,
       answers: Object.fromEntries(this.#answers),
     };
   }
 }
 
+function runnerOf(work: string): (seed: number) => SoakReport {
+  switch (work) {
+    case SoakedWork.AtMostOnce:
+      return (seed) => runRandomized({ seed });
+    case SoakedWork.BestEffort:
+      return (seed) => runDispatch({ seed });
+    default:
+      throw new RangeError(`unknown work ${work}`);
+  }
+}
+
 function main(): void {
   const { values } = parseArgs({
     options: {
       seeds: { type: "string", default: DEFAULT_SEEDS },
       from: { type: "string", default: DEFAULT_FIRST_SEED },
+      work: { type: "string", default: SoakedWork.AtMostOnce },
     },
   });
   const seeds = Number(values.seeds);
   const from = Number(values.from);
+  const run = runnerOf(values.work);
   const totals = new Totals();
   for (let seed = from; seed < from + seeds; seed += 1) {
-    const report = runRandomized({ seed });
+    const report = run(seed);
     totals.add(report);
     for (const { rule, at, detail } of report.violations) {
       console.log(`seed ${seed} at ${at.toFixed(1)} ms: ${rule}: ${detail}`);
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -59,6 +59,7 @@
           "it",
           "up",
           "do",
+          "vm",
         ],
       }],
     },
--- a/measure/src/local_system.ts
+++ b/measure/src/local_system.ts
@@ -10,7 +10,7 @@
 import { fileURLToPath } from "node:url";
 import { type Configuration, LogRecordKind } from "@eelgrassfront/model";
 import { request } from "undici";
-import { Child } from "./child_process.ts";
+import { Child } from "@eelgrassfront/stand-in-child-process";
 import { LOCAL_CONFIGURATION } from "./local_configuration.ts";
 import { entrySettings, sidecarSettings } from "./local_settings.ts";
 
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -32,6 +32,9 @@
 
 const sources = packageSources();
 
+/** The translations of zod's messages are never shown, and would cost start time and memory. */
+const EMPTY = "empty";
+
 await build({
   entryPoints: [join(root, "daemon", "src", "dispatch_main.ts")],
   outfile: join(root, "target", "eelgrassfront.mjs"),
@@ -52,6 +55,13 @@
       setup.onResolve({ filter: /^@eelgrassfront\// }, ({ path }) => ({
         path: sources.get(path),
       }));
+      setup.onResolve(
+        { filter: /^\.\.\/locales\/index\.js$/ },
+        () => ({ path: "zod-locales", namespace: EMPTY }),
+      );
+      setup.onLoad({ filter: /.*/, namespace: EMPTY }, () => ({
+        contents: "export {};",
+      }));
     },
   }],
 });
--- /dev/null
+++ b/stand-ins/child_process/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * A child process of a test rig.
+ */
+export * from "./child_process.ts";
--- a/measure/src/platform_system.ts
+++ b/stand-ins/platform_system/src/platform_system.ts
@@ -15,7 +15,7 @@
   type RunObserver,
 } from "@eelgrassfront/stand-in-platform-worker";
 import { request } from "undici";
-import { Child } from "./child_process.ts";
+import { Child } from "@eelgrassfront/stand-in-child-process";
 import { RunLedger } from "./run_ledger.ts";
 
 /** Size of the deployment. */
@@ -30,7 +30,7 @@
 }
 
 const BUNDLE = fileURLToPath(
-  new URL("../../target/eelgrassfront.mjs", import.meta.url),
+  new URL("../../../target/eelgrassfront.mjs", import.meta.url),
 );
 const CLIENT_PORT = 8_161;
 const READY_PORT = 8_167;
--- a/stand-ins/platform_worker/src/platform_worker.ts
+++ b/stand-ins/platform_worker/src/platform_worker.ts
@@ -143,7 +143,8 @@
       writeJson(response, 421, {});
       return;
     }
-    switch (request.url) {
+    const { url = "" } = request;
+    switch (url) {
       case "/run-start":
         this.#start(body, response);
         return;
