perf(dispatcher): watch loads only while jobs wait, and adopt members only when they change

Cause: a sidecar answered a watch of each entry on every change of its load, and every step of an entry walked all members.

--- a/domain/directory/src/fleet_directory.ts
+++ b/domain/directory/src/fleet_directory.ts
@@ -14,6 +14,12 @@
 export class FleetDirectory {
   readonly #members = new Map<string, FleetMember>();
   #configuration: WorkConfiguration | undefined;
+  #membersRevision = 0;
+
+  /** Rises with each change of the members. */
+  get membersRevision(): number {
+    return this.#membersRevision;
+  }
 
   /** The configuration in force. */
   get configuration(): WorkConfiguration | undefined {
@@ -36,9 +42,11 @@
   learnMember(member: FleetMember): boolean {
     const name = processName(member.process);
     const known = this.#members.get(name);
-    this.#members.set(name, member);
-    return known?.process !== member.process ||
+    const isNews = known?.process !== member.process ||
       known.address !== member.address;
+    if (isNews) this.#membersRevision += 1;
+    this.#members.set(name, member);
+    return isNews;
   }
 
   /** Takes a member that a peer told of; what is known of the same name goes first. */
@@ -49,6 +57,7 @@
 
   /** Forgets a member. */
   removeMember(name: string): boolean {
+    this.#membersRevision += 1;
     return this.#members.delete(name);
   }
 
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -37,9 +37,11 @@
 const SHORTEST_OPEN_MILLISECONDS: Milliseconds = 100;
 const LONGEST_OPEN_MILLISECONDS: Milliseconds = 1_000;
 
-/** How often an entry wants to hear of changed loads: while its jobs wait, and while there is room. */
-const HUNGRY_WATCH_MILLISECONDS: Milliseconds = 10;
-const CALM_WATCH_MILLISECONDS: Milliseconds = 50;
+/**
+ * How often an entry wants to hear of changed loads while its jobs wait: several round trips. While there
+ * is room the loads that come with renewals and settlements are enough.
+ */
+const WATCH_MILLISECONDS: Milliseconds = 10;
 
 /** Phases of a link. */
 export enum LinkPhase {
@@ -126,6 +128,8 @@
   readonly #options: WorkerLinksOptions;
   readonly #links = new Map<string, WorkerLinkState>();
   readonly #calls = new Map<RequestIdentifier, PendingCall>();
+  #adoptedRevision = -1;
+  #isRemovalPending = false;
   /** Links whose connection was cut since the last renewal that was answered. */
   readonly #cut = new Set<string>();
 
@@ -277,6 +281,7 @@
         if (this.#options.collector.now >= state.nextRenewAt) {
           this.#renew(link, state);
         }
+        this.#watch(link, state);
         return;
       default:
         assertNever(state);
@@ -285,17 +290,24 @@
 
   #adoptMembers(): void {
     const { directory, collector } = this.#options;
-    for (const member of directory.membersOf(Role.Sidecar)) {
+    // A link to a member that has left stays until its session is lost.
+    const isSettled = this.#adoptedRevision === directory.membersRevision &&
+      !this.#isRemovalPending;
+    if (isSettled) return;
+    this.#adoptedRevision = directory.membersRevision;
+    this.#isRemovalPending = false;
+    const members = directory.membersOf(Role.Sidecar);
+    for (const member of members) {
       const known = this.#links.get(member.address);
       if (known === undefined) this.#links.set(member.address, newLink(member));
     }
-    const addresses = new Set(
-      directory.membersOf(Role.Sidecar).map(({ address }) => address),
-    );
+    const addresses = new Set(members.map(({ address }) => address));
     for (const [address, link] of this.#links) {
-      const isGone = !addresses.has(address) &&
-        link.state.phase === LinkPhase.Opening;
-      if (!isGone) continue;
+      if (addresses.has(address)) continue;
+      if (link.state.phase === LinkPhase.Open) {
+        this.#isRemovalPending = true;
+        continue;
+      }
       this.#links.delete(address);
       collector.record(EventNumber.MemberRemoved, "a sidecar has left", {
         context: { member: link.process, address },
@@ -331,16 +343,14 @@
       kind: DispatchRequestKind.RenewSession,
       session,
     });
-    if (state.watch === undefined) this.#watch(link, state);
   }
 
   #watch(link: WorkerLinkState, state: OpenLink): void {
+    if (state.watch !== undefined || !this.#options.isHungry()) return;
     state.watch = this.#send(link, CallPurpose.Watch, state.session, {
       kind: DispatchRequestKind.WatchLoad,
       knownRevision: state.load?.revision ?? -1,
-      intervalMilliseconds: this.#options.isHungry()
-        ? HUNGRY_WATCH_MILLISECONDS
-        : CALM_WATCH_MILLISECONDS,
+      intervalMilliseconds: WATCH_MILLISECONDS,
     });
   }
 
@@ -374,7 +384,6 @@
       watch: undefined,
     };
     link.state = opened;
-    this.#watch(link, opened);
     this.#options.collector.record(
       EventNumber.SessionOpened,
       "a session with a sidecar is open",
@@ -411,8 +420,8 @@
   ): void {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return;
+    state.watch = undefined;
     this.takeLoad(link, load);
-    this.#watch(link, state);
   }
 
   /** Another run of the sidecar answered. It opens a session only when nothing of earlier runs is left. */
