fix(worker-guard): resolve an order without an answer at once, and keep work while no worker is known

Change: a look at the runs follows each unanswered order and each stop; a worker that left calls unanswered is asked every 30 ms; jobs are kept up to 1.5 s while no worker is known; sidecars keep the configuration for starting entries; the backlog counts the job's own work and what waits at sidecars.

--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -108,6 +108,22 @@
   return await shared.finish(running);
 }
 
+/** An entry finds a connection to the store that fell silent before the next version is due. */
+const ENTRY_CONFIGURATION_WAIT_MILLISECONDS = 1_000;
+/** A sidecar keeps the configuration only for entries that start while the store is away. */
+const SIDECAR_CONFIGURATION_WAIT_MILLISECONDS = 5_000;
+
+function configurationWait(role: Role): number {
+  switch (role) {
+    case Role.Entry:
+      return ENTRY_CONFIGURATION_WAIT_MILLISECONDS;
+    case Role.Sidecar:
+      return SIDECAR_CONFIGURATION_WAIT_MILLISECONDS;
+    default:
+      return assertNever(role);
+  }
+}
+
 type DispatchPeers = TrpcPeers<DispatchRequest, DispatchReply>;
 
 interface OpenedPorts extends DispatchPorts {
@@ -181,7 +197,7 @@
     }),
     directory: new StoreDirectory({
       client: store,
-      readsConfiguration: self.role === Role.Entry,
+      configurationWaitMilliseconds: configurationWait(self.role),
     }),
     signals: new ProcessSignals(),
     settings: new SettingsWatch(),
--- a/domain/directory/src/knowledge_exchange.ts
+++ b/domain/directory/src/knowledge_exchange.ts
@@ -94,6 +94,9 @@
         knowledge: directory.knowledgeFor(message.configurationVersion),
       },
     });
+    const isBehind =
+      message.configurationVersion > directory.configurationVersion;
+    if (isBehind) this.#ask(from, message.sender.address);
     return isNewer;
   }
 
--- a/domain/dispatcher/src/dispatcher_test.ts
+++ b/domain/dispatcher/src/dispatcher_test.ts
@@ -61,6 +61,39 @@
   expect(rig.answerTo(1)).toEqual(undefined);
 });
 
+test("while no worker is known a job is kept, and placed when one is", () => {
+  const rig = Rig.ready(["only"], { only: CAPACITY_MILLICORES }, false);
+  rig.handIn(1, { id: "a", tasks: 2, millicores: 1_000 });
+  expect(rig.answerTo(1)).toEqual(undefined);
+  rig.at(1_000);
+  rig.at(1_050);
+  expect(rig.placedAt()).toEqual(["only", "only"]);
+});
+
+test("while no worker is known a job is not kept for ever", () => {
+  const rig = Rig.ready(["only"], { only: CAPACITY_MILLICORES }, false);
+  rig.handIn(1, { id: "a", tasks: 2, millicores: 1_000 });
+  rig.at(1_600, { isAnswered: false });
+  expect(rig.answerTo(1)?.kind).toEqual(ClientAnswerKind.Refused);
+});
+
+test("no task waits at a sidecar where another waits", () => {
+  const rig = Rig.ready(["only"], { only: 0 });
+  rig.handIn(1, { id: "a", tasks: 4, millicores: 1_000 });
+  expect(rig.placedAt()).toEqual(["only"]);
+});
+
+test("a worker whose tasks stand still gets none for a while", () => {
+  const rig = Rig.ready(["one", "two"], { one: 8_000, two: 7_000 });
+  rig.handIn(1, { id: "a", tasks: 1, millicores: 1_000 });
+  rig.settleAll({
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.NoProgress,
+  });
+  rig.handIn(2, { id: "b", tasks: 1, millicores: 1_000 });
+  expect(rig.placedAt()).toEqual(["one", "two", "two"]);
+});
+
 test("a job whose tasks were at a lost sidecar is never refused as not run", () => {
   const rig = Rig.ready(["only"], { only: CAPACITY_MILLICORES });
   rig.handIn(1, { id: "a", tasks: 1, millicores: 1_000 });
@@ -130,7 +163,8 @@
     kind: SettlementKind.NotStarted,
     reason: NotStartedReason.Draining,
   }, { isTakingWork: false });
-  rig.at(1_000);
+  // A job is kept for a while when no worker takes work; its refusal after that must still be true.
+  rig.at(1_600, { isAnswered: false });
   expect(rig.answerTo(1)?.kind).toEqual(ClientAnswerKind.Refused);
 });
 
@@ -215,6 +249,7 @@
   static ready(
     sidecars: readonly string[],
     free: Readonly<Record<string, number>>,
+    isOpen = true,
   ): Rig {
     const rig = new Rig();
     for (const name of sidecars) rig.#free.set(name, free[name] ?? 0);
@@ -244,7 +279,7 @@
       })),
       removedNames: [],
     });
-    rig.#answerSessions({});
+    rig.#answerSessions({ isAnswered: isOpen });
     return rig;
   }
 
@@ -252,10 +287,13 @@
     return this.#entry.nextAlarm();
   }
 
+  /** Goes on to a time in steps in which no pause of the process shows. */
   at(now: number, answering: Answering = {}): void {
-    this.#now = now;
-    this.step({ kind: InputKind.AlarmRang });
-    this.#answerSessions(answering);
+    do {
+      this.#now = Math.min(now, this.#now + 200);
+      this.step({ kind: InputKind.AlarmRang });
+      this.#answerSessions(answering);
+    } while (this.#now < now);
   }
 
   step(input: DispatchInput): void {
--- a/domain/dispatcher/src/job_desk.ts
+++ b/domain/dispatcher/src/job_desk.ts
@@ -45,9 +45,23 @@
 
 /** Time between two looks for room while jobs wait and nothing else happens. */
 const RETRY_MILLISECONDS: Milliseconds = 20;
+/**
+ * How long a job is kept while no worker is known, as after a restart of the fleet: sessions open sooner,
+ * and a job that is refused meanwhile is lost to its client for longer.
+ */
+const UNKNOWN_FLEET_MILLISECONDS: Milliseconds = 1_500;
 /** Retry-After where nothing is known of the load: the time of a restart. */
 const UNKNOWN_RETRY_MILLISECONDS: Milliseconds = 1_000;
 
+interface ServiceUsage {
+  /** Thousandths of a core that this entry can expect. */
+  readonly servedMillicores: number;
+  /** What the tasks need that wait at sidecars, of all entries. */
+  readonly waitingMillicores: number;
+  /** Part of the used capacity that works for this entry, from 0 to 1. */
+  readonly share: number;
+}
+
 /** The jobs of an entry. */
 export class JobDesk {
   readonly #options: JobDeskOptions;
@@ -217,8 +231,10 @@
 
   #refuseLate(): void {
     const { now } = this.#options.collector;
+    const patience = this.hasWorkers() ? 0 : UNKNOWN_FLEET_MILLISECONDS;
     for (const job of [...this.#queue.jobs]) {
-      const isLate = job.isRefusable && now > job.startBy;
+      const isLate = job.isRefusable && now > job.startBy &&
+        now > job.arrivedAt + patience;
       if (isLate) this.#refuse(job, RefusalReason.WaitedTooLong);
     }
   }
@@ -240,7 +256,7 @@
   }
 
   #refuseIfLate(job: DispatchJob): void {
-    if (!job.isRefusable) return;
+    if (!job.isRefusable || !this.hasWorkers()) return;
     const { now } = this.#options.collector;
     const backlog = this.#backlogOf(job);
     if (canStartInTime(job, now, backlog)) return;
@@ -272,13 +288,19 @@
     for (const request of job.requests) this.#byRequest.delete(request);
   }
 
-  /** Work before a job, and this entry's part of the workers' capacity. */
+  /**
+   * Work until the last task of a job has started, and this entry's part of the workers' capacity. The
+   * job's own work counts: its client waits for its last task.
+   */
   #backlogOf(job: DispatchJob): Backlog {
-    const workAhead = this.#queue.ahead(job).reduce(
+    const ahead = this.#queue.ahead(job).filter((other) => other !== job);
+    const workAhead = [...ahead, job].reduce(
       (sum, other) => sum + other.waitingWork(this.#runTimeOf(other)),
       0,
     );
-    return { workAhead, servedMillicores: this.#servedMillicores(job) };
+    const { servedMillicores, waitingMillicores, share } = this.#usageOf(job);
+    const waitingWork = waitingMillicores * this.#runTimeOf(job) * share;
+    return { workAhead: workAhead + waitingWork, servedMillicores };
   }
 
   #runTimeOf({ route }: DispatchJob): Milliseconds {
@@ -288,12 +310,13 @@
     });
   }
 
-  /** Capacity of the service in the share in which this entry uses it now. */
-  #servedMillicores(job: DispatchJob): number {
+  /** How the workers of a job's service are used, and this entry's share of it. */
+  #usageOf(job: DispatchJob): ServiceUsage {
     const { links, attempts } = this.#options.source;
     let capacity = 0;
     let used = 0;
     let own = 0;
+    let waitingMillicores = 0;
     for (const { state, address } of links.all()) {
       if (state.phase !== LinkPhase.Open) continue;
       const { profile, load } = state;
@@ -302,11 +325,13 @@
       capacity += profile.capacity.processorMillicores;
       used += profile.capacity.processorMillicores -
         load.free.processorMillicores;
+      waitingMillicores += load.waiting.processorMillicores;
       for (const { task } of attempts.at(address)) {
         own += task.step.resources.processorMillicores;
       }
     }
-    return used === 0 ? capacity : capacity * Math.min(1, own / used);
+    const share = used === 0 ? 1 : Math.min(1, own / used);
+    return { servedMillicores: capacity * share, waitingMillicores, share };
   }
 
   #tellGauges(): void {
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -37,6 +37,8 @@
 
 /** Time for which a sidecar that refused a task gets none: a few round trips. */
 const REFUSED_PAUSE_MILLISECONDS: Milliseconds = 30;
+/** Time for which a worker whose tasks stand still gets none: longer than a trial takes to show it again. */
+const STALLED_PAUSE_MILLISECONDS: Milliseconds = 2_000;
 /**
  * Time after the loss of a sidecar in which its tasks may still run: the session that it may have renewed
  * last, or the longest lease if the sidecar died, with the worker's clock running slow.
@@ -205,12 +207,18 @@
         return;
       case SettlementKind.Interrupted:
         task.avoidedAddress = link.address;
-        if (isWorkersFault(settlement.reason)) link.failures.fail(now);
+        if (isWorkersFault(settlement.reason)) {
+          link.failures.fail(now);
+          link.avoidUntil = now + STALLED_PAUSE_MILLISECONDS;
+        }
         return;
       case SettlementKind.NotStarted:
         task.avoidedAddress = link.address;
         if (settlement.reason !== NotStartedReason.TakenBack) {
-          link.avoidUntil = now + REFUSED_PAUSE_MILLISECONDS;
+          link.avoidUntil = Math.max(
+            link.avoidUntil,
+            now + REFUSED_PAUSE_MILLISECONDS,
+          );
         }
         return;
       default:
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -1,8 +1,8 @@
 /**
  * Which worker gets the next task: the one with the most processor time free, among those that may run
  * it. A worker that fails far more than its peers gets a trickle. When nothing is free a task may wait at
- * one worker, one task of an entry at each, so that room is used the moment it comes free and the choice
- * among the entries' waiting tasks is made there.
+ * a worker where none waits, so that room is used the moment it comes free; what waits at the entry can
+ * still be placed elsewhere, overtaken by what is more urgent, or refused.
  */
 import {
   isWithin,
@@ -14,9 +14,6 @@
 import { type AttemptBook, PlacementKind } from "./attempt_book.ts";
 import { LinkPhase, type WorkerLinkState } from "./worker_links.ts";
 
-/** Tasks of one entry that may wait at one sidecar. */
-const WAITING_PER_WORKER = 1;
-
 /**
  * How much more a worker in another availability zone must have free to be chosen: the room of two or
  * three tasks, so that traffic between zones is spent only where it evens out the load.
@@ -47,6 +44,7 @@
   /** Processor time that is free, less what another availability zone costs. */
   readonly preference: number;
   readonly hasRoom: boolean;
+  readonly isNothingWaiting: boolean;
 }
 
 /** Chooses a worker; undefined when the task must wait at the entry. */
@@ -57,8 +55,8 @@
   const withRoom = candidates.filter(({ hasRoom }) => hasRoom);
   const best = freest(withRoom, options.task.avoidedAddress);
   if (best !== undefined) return choiceOf(best, PlacementKind.Immediate);
-  const toWaitAt = candidates.filter(({ link }) =>
-    options.attempts.countWaiting(link.address) < WAITING_PER_WORKER
+  const toWaitAt = candidates.filter(({ link, isNothingWaiting }) =>
+    isNothingWaiting && options.attempts.countWaiting(link.address) === 0
   );
   const next = freest(toWaitAt, options.task.avoidedAddress);
   return next === undefined ? undefined : choiceOf(next, PlacementKind.MayWait);
@@ -99,6 +97,7 @@
       preference: free.processorMillicores -
         (isNear ? 0 : OTHER_ZONE_MILLICORES),
       hasRoom: isWithin(task.step.resources, free),
+      isNothingWaiting: load.waiting.processorMillicores === 0,
     }];
   });
 }
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -34,8 +34,8 @@
 /** Silence after which a sidecar is lost: two renewals without an answer. */
 const SILENCE_MILLISECONDS: Milliseconds = 450;
 /** Time between attempts to open a session; a sidecar that is gone is asked ever more rarely. */
-const SHORTEST_OPEN_MILLISECONDS: Milliseconds = 100;
-const LONGEST_OPEN_MILLISECONDS: Milliseconds = 1_000;
+const SHORTEST_OPEN_MILLISECONDS: Milliseconds = 50;
+const LONGEST_OPEN_MILLISECONDS: Milliseconds = 500;
 
 /**
  * How often an entry wants to hear of changed loads while its jobs wait: several round trips. While there
@@ -70,6 +70,8 @@
   /** Its latest load; absent when it is of another worker than the profile. */
   load: WorkerLoad | undefined;
   watch: RequestIdentifier | undefined;
+  /** Another worker than the known one, for whose profile the session was renewed. */
+  askedFor: string | undefined;
 }
 
 /** A sidecar as an entry knows it. */
@@ -244,7 +246,9 @@
     state.heardAt = this.#options.collector.now;
     if (load === undefined || load.worker !== state.profile?.worker) {
       // Another worker than the known one: the next renewal tells what it is.
-      const isNews = load !== undefined && state.load !== undefined;
+      const worker = load?.worker;
+      const isNews = worker !== undefined && worker !== state.askedFor;
+      state.askedFor = worker;
       if (isNews) state.nextRenewAt = this.#options.collector.now;
       state.load = undefined;
       return;
@@ -382,6 +386,7 @@
       profile,
       load,
       watch: undefined,
+      askedFor: undefined,
     };
     link.state = opened;
     this.#options.collector.record(
--- a/domain/worker_guard/src/run_conversation.ts
+++ b/domain/worker_guard/src/run_conversation.ts
@@ -39,14 +39,16 @@
 
 /** How long a list of runs may wait for an end: a lease is renewed four times in its time. */
 const HOLD_WAIT_MILLISECONDS: Milliseconds = 200;
+/** The same for a worker that left calls unanswered a moment ago: an end is told by the next list. */
+const DOUBTFUL_HOLD_WAIT_MILLISECONDS: Milliseconds = 30;
 /** Time between two orders to stop the same run. */
 const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
 /** Starts under rising run numbers before an attempt is given back. */
 const MAXIMUM_START_ORDERS = 4;
 /** Run numbers are skipped when a worker knows newer ones from an earlier run of this process. */
 const RUN_NUMBER_STEP = 8;
-/** Time in which the share of work done must grow; a sound task needs at most a tenth of it. */
-const STALL_MILLISECONDS: Milliseconds = 1_000;
+/** Time in which the share of work done must grow; a task of seconds on a slow worker needs half of it. */
+const STALL_MILLISECONDS: Milliseconds = 500;
 /** How long run numbers are remembered: longer than a client repeats a request. */
 const RUN_NUMBER_HORIZON_MILLISECONDS: Milliseconds = 60_000;
 const MAXIMUM_RUN_NUMBERS = 20_000;
@@ -257,7 +259,11 @@
       kind: WorkerCallKind.Hold,
       ...(isRenewed ? { leaseUntil: link.leaseUntil() } : {}),
       notedEnds: noted,
-      waitMilliseconds: isRenewed ? HOLD_WAIT_MILLISECONDS : 0,
+      waitMilliseconds: !isRenewed
+        ? 0
+        : link.isUnreliable
+        ? DOUBTFUL_HOLD_WAIT_MILLISECONDS
+        : HOLD_WAIT_MILLISECONDS,
     });
     if (this.#holdCall === undefined) return;
     if (isRenewed) this.#extendLapse(leaseMilliseconds);
@@ -266,6 +272,16 @@
     this.#calls.set(this.#holdCall, { kind, sentAt, noted });
   }
 
+  /** Asks at once what runs, beside a list that waits for an end. */
+  #look(): void {
+    const { collector, link } = this.#options;
+    const noted = this.#notedEnds;
+    const kind = WorkerCallKind.Hold;
+    const call = link.call({ kind, notedEnds: noted, waitMilliseconds: 0 });
+    if (call === undefined) return;
+    this.#calls.set(call, { kind, sentAt: collector.now, noted });
+  }
+
   #isHoldWanted(): boolean {
     return !this.#isCensusTaken || this.#options.table.atWorker().length > 0 ||
       this.#notedEnds > this.#acknowledgedEnds;
@@ -283,6 +299,7 @@
       case WorkerCallKind.Stop:
         if (run.state.phase !== RunPhase.Stopping) return;
         run.state = { ...run.state, acceptedAt: run.state.acceptedAt ?? now };
+        this.#look();
         return;
       case WorkerCallKind.Hold:
         return;
@@ -338,6 +355,7 @@
       since: collector.now,
       startExpiresAt: sentAt + leaseMilliseconds * CLOCK_DRIFT,
     };
+    this.#look();
   }
 
   #list({ sentAt, noted }: PendingCall, answer: RunsListed): boolean {
@@ -401,7 +419,7 @@
           break;
         case RunPhase.Doubtful:
           if (item !== undefined) this.#noteRunning(run);
-          else if (askedAt > state.since) {
+          else if (askedAt >= state.since) {
             this.stop(run, InterruptionReason.WorkerLost);
           }
           break;
@@ -413,7 +431,7 @@
           break;
         case RunPhase.Stopping: {
           const isAfterStop = state.acceptedAt !== undefined &&
-            askedAt > state.acceptedAt;
+            askedAt >= state.acceptedAt;
           if (item === undefined && isAfterStop) {
             this.#settle(run, interrupted(state.reason));
           }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -196,9 +196,12 @@
       case InputKind.DrainAsked:
         this.#leave();
         return;
+      case DispatchInputKind.ConfigurationRead:
+        // Kept for entries that start while the store is away.
+        this.#directory.learnConfiguration(input.configuration);
+        return;
       case InputKind.AlarmRang:
       case DispatchInputKind.AnnouncementSettled:
-      case DispatchInputKind.ConfigurationRead:
         return;
       case DispatchInputKind.JobHandedIn:
       case DispatchInputKind.JobStateAsked:
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -143,41 +143,45 @@
   const rig = Rig.ready();
   rig.runTask(10, { job: "a", millicores: 1_000 });
   const [start] = rig.takeCalls("start");
-  rig.at(150);
+  rig.at(60);
   rig.answer(start, MISSING);
-  rig.answerHold({});
-  rig.at(160);
   rig.answerHold({ running: ["a"] });
   expect(rig.takeCalls("stop")).toEqual([]);
   rig.answerHold({ ended: [{ job: "a", kind: RunEndKind.Completed }] });
   expect(rig.settlementOf(10)?.kind).toEqual(SettlementKind.Completed);
 });
 
-test("a start without an answer that is not listed is stopped, and given back only then", () => {
+test("a start without an answer that is not listed is stopped at once, and given back only then", () => {
   const rig = Rig.ready();
   rig.runTask(10, { job: "a", millicores: 1_000 });
   const [start] = rig.takeCalls("start");
-  rig.at(150);
+  rig.at(60);
   rig.answer(start, MISSING);
   rig.answerHold({});
-  rig.at(160);
-  rig.answerHold({});
-  rig.at(165);
-  rig.answerHold({});
   const [stop] = rig.takeCalls("stop");
-  rig.at(170);
   rig.answerHold({});
   expect(rig.settlementOf(10)).toEqual(undefined);
-  rig.at(180);
-  rig.answer(stop, { kind: WorkerAnswerKind.Accepted, clock: 180 });
-  rig.answerHold({});
-  rig.at(190);
-  rig.answerHold({});
-  rig.at(195);
+  rig.at(61);
+  rig.answer(stop, { kind: WorkerAnswerKind.Accepted, clock: 61 });
   rig.answerHold({});
   expect(rig.settlementOf(10)?.kind).toEqual(SettlementKind.Interrupted);
 });
 
+test("a worker that left a call unanswered is asked for its runs more often for a while", () => {
+  const rig = Rig.ready();
+  rig.runTask(10, { job: "a", millicores: 1_000 });
+  rig.acceptStarts();
+  const [hold] = rig.takeCalls("hold");
+  rig.at(100);
+  rig.answer(hold, MISSING);
+  rig.at(130);
+  const [next] = rig.takeCalls("hold");
+  const request = next?.request;
+  const isShort = request !== undefined && "waitMilliseconds" in request &&
+    request.waitMilliseconds <= 50;
+  expect(isShort).toEqual(true);
+});
+
 test("a refused fencing token is raised, and the start repeated", () => {
   const rig = Rig.ready();
   rig.runTask(10, { job: "a", millicores: 1_000 });
@@ -384,9 +388,11 @@
     }
   }
 
-  /** Answers the list of runs that is on its way. */
+  /** Answers the list of runs that was asked for last. */
   answerHold({ running = [], ended = [] }: ListSketch): void {
-    const [call] = this.takeCalls("hold");
+    const asked = this.takeCalls("hold");
+    const call = asked.at(-1);
+    this.#calls.push(...asked.slice(0, -1));
     this.answer(call, {
       kind: WorkerAnswerKind.Listed,
       bornAt: this.#bornAt,
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -19,7 +19,9 @@
 } from "@eelgrassfront/model";
 
 /** Calls without an answer, one after the other, after which a worker counts as silent. */
-const MISSES_UNTIL_SILENT = 2;
+const MISSES_UNTIL_SILENT = 4;
+/** Time after a call without an answer in which the next ones may go unanswered too. */
+const UNRELIABLE_MILLISECONDS: Milliseconds = 5_000;
 /** Distance by which a refused fencing token is raised: more than a clock is ever stepped back. */
 const FENCE_STEP = 60_000;
 
@@ -45,6 +47,7 @@
   #reading: ClockReading | undefined;
   #fencingToken: number;
   #misses = 0;
+  #unreliableUntil: Milliseconds = 0;
   /** Lives that are known to have ended. */
   #newestEndedBirth: Milliseconds = 0;
 
@@ -68,6 +71,11 @@
     return this.#misses >= MISSES_UNTIL_SILENT;
   }
 
+  /** Whether the worker left a call unanswered a moment ago. */
+  get isUnreliable(): boolean {
+    return this.#options.collector.now < this.#unreliableUntil;
+  }
+
   /** Takes a report. Returns whether it is of a life that was not known. */
   report(description: WorkerDescription): boolean {
     const { bornAt } = description.incarnation;
@@ -113,6 +121,8 @@
   /** Counts a call without an answer. */
   miss(): void {
     this.#misses += 1;
+    this.#unreliableUntil = this.#options.collector.now +
+      UNRELIABLE_MILLISECONDS;
   }
 
   /** Raises the fencing token after the worker refused it. */
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -122,7 +122,7 @@
     this.#tellStore(() => ({
       kind: DispatchInputKind.ConfigurationRead,
       configuration,
-    }), Role.Entry);
+    }));
   }
 
   /** Hands a job in. Undefined when the entry does not run. */
@@ -219,7 +219,7 @@
     });
     this.time.after(0, () => {
       process.take({ kind: InputKind.AlarmRang });
-      this.#readStore(process, role);
+      this.#readStore(process);
     });
     return process;
   }
@@ -282,9 +282,9 @@
     });
   }
 
-  #readStore(process: DispatchProcess, role: Role): void {
+  #readStore(process: DispatchProcess): void {
     if (this.isStoreAway) {
-      this.time.after(500, () => this.#readStore(process, role));
+      this.time.after(500, () => this.#readStore(process));
       return;
     }
     process.take({
@@ -292,20 +292,19 @@
       members: [...this.#members.values()],
       removedNames: [],
     });
-    if (role !== Role.Entry || this.#configuration === undefined) return;
+    if (this.#configuration === undefined) return;
     process.take({
       kind: DispatchInputKind.ConfigurationRead,
       configuration: this.#configuration,
     });
   }
 
-  #tellStore(input: () => DispatchInput, role?: Role): void {
+  #tellStore(input: () => DispatchInput): void {
     if (this.isStoreAway) {
-      this.time.after(500, () => this.#tellStore(input, role));
+      this.time.after(500, () => this.#tellStore(input));
       return;
     }
     for (const vm of [...this.entries, ...this.sidecars]) {
-      if (role !== undefined && vm.role !== role) continue;
       this.time.after(STORE_DELAY_MILLISECONDS, () => vm.process.take(input()));
     }
   }
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -74,7 +74,7 @@
 const LONGEST_LEASE_MILLISECONDS: Milliseconds = 1_000;
 const ANSWER_MILLISECONDS: Milliseconds = 0.5;
 /** Time after which the sidecar's adapter gives a call up. */
-const CALL_LIMIT_MILLISECONDS: Milliseconds = 150;
+const CALL_LIMIT_MILLISECONDS: Milliseconds = 60;
 const SHORTEST_LATENESS_MILLISECONDS: Milliseconds = 2_000;
 const LONGEST_LATENESS_MILLISECONDS: Milliseconds = 12_000;
 
