refactor(worker-guard): give requests of entries, run numbers and settlements modules of their own

Change: moved without a change of behaviour; the inputs of the store stand once in domain/directory; a field that nothing read is gone. Figures: the tests of the three packages pass as before.

--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -4,7 +4,11 @@
  * entry is lost, before a client hands the job in again.
  */
 import { RunTimeEstimates } from "@eelgrassfront/admission";
-import { FleetDirectory, KnowledgeExchange } from "@eelgrassfront/directory";
+import {
+  FleetDirectory,
+  KnowledgeExchange,
+  takeDirectoryInput,
+} from "@eelgrassfront/directory";
 import {
   assertNever,
   BestEffortState,
@@ -31,7 +35,6 @@
   type Milliseconds,
   OutputCollector,
   OutputKind,
-  type ProcessError,
   RefusalReason,
   type ReplyArrived,
   type RequestArrived,
@@ -40,7 +43,6 @@
   type RunnableJobRequest,
   Severity,
   type StateMachine,
-  type WorkConfiguration,
   type WorkRoute,
 } from "@eelgrassfront/model";
 import { AttemptBook, type TaskAttempt } from "./attempt_book.ts";
@@ -169,14 +171,13 @@
         this.#desk.abandon(input.request);
         return;
       case DispatchInputKind.ConfigurationRead:
-        this.#learnConfiguration(input.configuration);
-        return;
       case DispatchInputKind.MembersRead:
-        for (const member of input.members) {
-          this.#directory.learnMember(member);
-        }
-        for (const name of input.removedNames) {
-          this.#directory.removeMember(name);
+      case DispatchInputKind.StoreAvailable:
+      case DispatchInputKind.StoreUnavailable:
+      case DispatchInputKind.AnnouncementSettled:
+      case DispatchInputKind.SettingsChanged:
+        if (takeDirectoryInput(input, this.#directory, this.#collector)) {
+          this.#tellOfConfiguration();
         }
         return;
       case InputKind.PeerRequestArrived:
@@ -184,26 +185,10 @@
       case InputKind.PeerRequestLost:
         this.#takePeer(input);
         return;
-      case DispatchInputKind.StoreUnavailable:
-        this.#loseStore(input.error);
-        return;
-      case DispatchInputKind.StoreAvailable:
-        this.#collector.record(
-          EventNumber.LogAvailable,
-          "the platform's store answers again",
-        );
-        return;
-      case DispatchInputKind.SettingsChanged:
-        this.#collector.record(
-          EventNumber.SettingsReloaded,
-          "the settings were read again",
-        );
-        return;
       case InputKind.DrainAsked:
         this.#leave();
         return;
       case InputKind.AlarmRang:
-      case DispatchInputKind.AnnouncementSettled:
         return;
       case DispatchInputKind.WorkerReported:
       case DispatchInputKind.WorkerReportInvalid:
@@ -429,12 +414,6 @@
     }
   }
 
-  #learnConfiguration(configuration: WorkConfiguration): void {
-    if (this.#directory.learnConfiguration(configuration)) {
-      this.#tellOfConfiguration();
-    }
-  }
-
   #tellOfConfiguration(): void {
     const { configurationVersion: version, configuration } = this.#directory;
     this.#collector.add({
@@ -449,10 +428,6 @@
     );
   }
 
-  #loseStore(error: ProcessError): void {
-    this.#collector.recordError(EventNumber.LogUnavailable, error);
-  }
-
   /** After a pause every sidecar has ended this entry's work, or is about to. */
   #noticePause(): void {
     const { now } = this.#collector;
--- a/domain/dispatcher/src/job_desk.ts
+++ b/domain/dispatcher/src/job_desk.ts
@@ -26,7 +26,8 @@
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
 import { isCapableWorkerKnown } from "./worker_choice.ts";
-import { LinkPhase, type WorkerLinks } from "./worker_links.ts";
+import { LinkPhase } from "./worker_link_state.ts";
+import type { WorkerLinks } from "./worker_links.ts";
 
 /** What the backlog is computed from. */
 export interface BacklogSource {
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -29,11 +29,8 @@
   TaskPhase,
 } from "./dispatch_job.ts";
 import { chooseWorker, type WorkerChoice } from "./worker_choice.ts";
-import {
-  LinkPhase,
-  type WorkerLinks,
-  type WorkerLinkState,
-} from "./worker_links.ts";
+import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
+import type { WorkerLinks } from "./worker_links.ts";
 
 /** Time for which a sidecar that refused a task gets none: a few round trips. */
 const REFUSED_PAUSE_MILLISECONDS: Milliseconds = 30;
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -12,7 +12,7 @@
 } from "@eelgrassfront/model";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
 import { type AttemptBook, PlacementKind } from "./attempt_book.ts";
-import { LinkPhase, type WorkerLinkState } from "./worker_links.ts";
+import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
 
 /**
  * How much more a worker in another availability zone must have free to be chosen: the room of two or
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -12,7 +12,6 @@
   type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
-  type FleetMember,
   type Milliseconds,
   type OutputCollector,
   OutputKind,
@@ -25,16 +24,22 @@
   type SessionNumber,
   Severity,
   type WorkerLoad,
-  type WorkerProfile,
 } from "@eelgrassfront/model";
-import { FailureRecord } from "@eelgrassfront/placement";
+import {
+  LinkPhase,
+  newLink,
+  type OpeningLink,
+  openingLink,
+  type OpenLink,
+  SHORTEST_OPEN_MILLISECONDS,
+  type WorkerLinkState,
+} from "./worker_link_state.ts";
 
 /** Time between renewals: a third of a session's time. */
 const RENEW_MILLISECONDS: Milliseconds = 200;
 /** Silence after which a sidecar is lost: two renewals without an answer. */
 const SILENCE_MILLISECONDS: Milliseconds = 450;
-/** Time between attempts to open a session; a sidecar that is gone is asked ever more rarely. */
-const SHORTEST_OPEN_MILLISECONDS: Milliseconds = 50;
+/** A sidecar that is gone is asked for a session ever more rarely, but so often still. */
 const LONGEST_OPEN_MILLISECONDS: Milliseconds = 500;
 
 /**
@@ -43,52 +48,6 @@
  */
 const WATCH_MILLISECONDS: Milliseconds = 10;
 
-/** Phases of a link. */
-export enum LinkPhase {
-  /** No session; one is asked for. */
-  Opening = "opening",
-  Open = "open",
-}
-
-/** A link without a session. */
-export interface OpeningLink {
-  readonly phase: LinkPhase.Opening;
-  nextAskAt: Milliseconds;
-  interval: Milliseconds;
-  pending: RequestIdentifier | undefined;
-  pendingSince: Milliseconds;
-}
-
-/** A link with a session. */
-export interface OpenLink {
-  readonly phase: LinkPhase.Open;
-  readonly session: SessionNumber;
-  heardAt: Milliseconds;
-  nextRenewAt: Milliseconds;
-  /** The worker that the sidecar guards; absent while none is known. */
-  profile: WorkerProfile | undefined;
-  /** Its latest load; absent when it is of another worker than the profile. */
-  load: WorkerLoad | undefined;
-  watch: RequestIdentifier | undefined;
-  /** Another worker than the known one, for whose profile the session was renewed. */
-  askedFor: string | undefined;
-}
-
-/** A sidecar as an entry knows it. */
-export interface WorkerLinkState {
-  readonly address: string;
-  process: ProcessIdentifier;
-  availabilityZone: string;
-  state: OpeningLink | OpenLink;
-  /** Newest session that was given up at the present run of the sidecar. */
-  givenUp: SessionNumber;
-  readonly failures: FailureRecord;
-  /** Before this time nothing is placed there, after a refusal. */
-  avoidUntil: Milliseconds;
-  /** Requests to run tasks that were sent in the session. */
-  requestsSent: number;
-}
-
 /** What happened to a link. */
 export enum LinkChangeKind {
   /** The session was given up; its work ends by itself. */
@@ -478,26 +437,3 @@
     return request;
   }
 }
-
-function newLink(member: FleetMember): WorkerLinkState {
-  return {
-    address: member.address,
-    process: member.process,
-    availabilityZone: member.availabilityZone,
-    state: openingLink(),
-    givenUp: 0,
-    failures: new FailureRecord(),
-    avoidUntil: 0,
-    requestsSent: 0,
-  };
-}
-
-function openingLink(): OpeningLink {
-  return {
-    phase: LinkPhase.Opening,
-    nextAskAt: 0,
-    interval: SHORTEST_OPEN_MILLISECONDS,
-    pending: undefined,
-    pendingSince: 0,
-  };
-}
--- a/domain/worker_guard/src/guarded_run.ts
+++ b/domain/worker_guard/src/guarded_run.ts
@@ -45,8 +45,6 @@
   readonly phase: RunPhase.Doubtful;
   readonly run: number;
   readonly since: Milliseconds;
-  /** After this the worker refuses the start, should it still arrive. */
-  readonly startExpiresAt: Milliseconds;
 }
 
 /** It runs. */
--- a/domain/worker_guard/src/run_conversation.ts
+++ b/domain/worker_guard/src/run_conversation.ts
@@ -21,10 +21,8 @@
   type OutputCollector,
   type RequestIdentifier,
   type RunEnd,
-  RunEndKind,
   type RunName,
   type RunsListed,
-  SettlementKind,
   Severity,
   type TaskSettlement,
   type WorkerAnswer,
@@ -32,9 +30,11 @@
   WorkerCallKind,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
-import { RecentMap } from "@eelgrassfront/retention";
 import { type GuardedRun, RunPhase, workerRunOf } from "./guarded_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
+import { type PendingCall, runKey } from "./pending_call.ts";
+import { RunNumbers } from "./run_numbers.ts";
+import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** How long a list of runs may wait for an end: a lease is renewed four times in its time. */
@@ -45,25 +45,13 @@
 const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
 /** Starts under rising run numbers before an attempt is given back. */
 const MAXIMUM_START_ORDERS = 4;
-/** Run numbers are skipped when a worker knows newer ones from an earlier run of this process. */
-const RUN_NUMBER_STEP = 8;
 /** Time in which the share of work done must grow; a task of seconds on a slow worker needs half of it. */
 const STALL_MILLISECONDS: Milliseconds = 500;
-/** How long run numbers are remembered: longer than a client repeats a request. */
-const RUN_NUMBER_HORIZON_MILLISECONDS: Milliseconds = 60_000;
-const MAXIMUM_RUN_NUMBERS = 20_000;
 /** Pause after a list of runs that was refused or did not come. */
 const FAILED_HOLD_MILLISECONDS: Milliseconds = 20;
 /** Factor by which a worker's clock may run slow. */
 const CLOCK_DRIFT = 1.02;
 
-interface PendingCall {
-  readonly kind: WorkerCallKind;
-  readonly run?: RunName;
-  readonly sentAt: Milliseconds;
-  readonly noted?: number;
-}
-
 /** What the conversation needs. */
 export interface RunConversationOptions {
   readonly collector: OutputCollector<DispatchOutput>;
@@ -77,11 +65,7 @@
   readonly #options: RunConversationOptions;
   readonly #calls = new Map<RequestIdentifier, PendingCall>();
   readonly #startOrders = new Map<string, number>();
-  readonly #runNumbers = new RecentMap<string, number>({
-    horizonMilliseconds: RUN_NUMBER_HORIZON_MILLISECONDS,
-    maximumWeight: MAXIMUM_RUN_NUMBERS,
-    weigh: () => 1,
-  });
+  readonly #runNumbers = new RunNumbers();
   #notedEnds = 0;
   #acknowledgedEnds = 0;
   #holdCall: RequestIdentifier | undefined;
@@ -118,7 +102,7 @@
   /** Starts an attempt for which there is room. */
   start(run: GuardedRun): void {
     this.#options.table.occupy(run);
-    this.#orderStart(run, this.#nextRunNumber(run));
+    this.#orderStart(run, this.#runNumbers.newest(run.task) + 1);
   }
 
   /** Stops an attempt that the worker was told of. */
@@ -213,7 +197,7 @@
     const { collector, link, leaseMilliseconds } = this.#options;
     const key = jobTaskKey(run.task);
     this.#startOrders.set(key, (this.#startOrders.get(key) ?? 0) + 1);
-    this.#runNumbers.set(collector.now, key, number);
+    this.#runNumbers.note(collector.now, { task: run.task, run: number });
     const call = link.call({
       kind: WorkerCallKind.Start,
       run: { task: run.task, run: number },
@@ -325,21 +309,22 @@
       reason === WorkerRefusalReason.Superseded;
     if (isRepeatable && orders < MAXIMUM_START_ORDERS) {
       const isSuperseded = reason === WorkerRefusalReason.Superseded;
-      const number = this.#runNumbers.get(key) ?? 0;
-      this.#orderStart(run, number + (isSuperseded ? RUN_NUMBER_STEP : 0));
+      this.#orderStart(
+        run,
+        isSuperseded
+          ? this.#runNumbers.afterSuperseded(run.task)
+          : this.#runNumbers.newest(run.task),
+      );
       return;
     }
-    this.#settle(run, {
-      kind: SettlementKind.NotStarted,
-      reason: NotStartedReason.WorkerRefused,
-    });
+    this.#settle(run, notStarted(NotStartedReason.WorkerRefused));
   }
 
-  #doubt({ kind, run: name, sentAt }: PendingCall): void {
+  #doubt({ kind, run: name }: PendingCall): void {
     const run = this.#findRun(name);
     if (kind !== WorkerCallKind.Start || run === undefined) return;
     if (run.state.phase !== RunPhase.Starting) return;
-    const { collector, leaseMilliseconds } = this.#options;
+    const { collector } = this.#options;
     collector.count(Counter.RunsDoubtful);
     collector.record(
       EventNumber.RunDoubtful,
@@ -353,7 +338,6 @@
       phase: RunPhase.Doubtful,
       run: run.state.run,
       since: collector.now,
-      startExpiresAt: sentAt + leaseMilliseconds * CLOCK_DRIFT,
     };
     this.#look();
   }
@@ -377,33 +361,8 @@
     if (number <= this.#notedEnds) return;
     this.#notedEnds = number;
     const run = this.#findRun(name);
-    if (run !== undefined) this.#settle(run, this.#settlementOf(run, kind));
-  }
-
-  #settlementOf(run: GuardedRun, kind: RunEndKind): TaskSettlement {
-    const { now } = this.#options.collector;
-    const { state } = run;
-    const startedAt = state.phase === RunPhase.Running ? state.startedAt : now;
-    const runMilliseconds = now - startedAt;
-    switch (kind) {
-      case RunEndKind.Completed:
-        return { kind: SettlementKind.Completed, runMilliseconds };
-      case RunEndKind.Failed:
-        return { kind: SettlementKind.Failed, runMilliseconds };
-      case RunEndKind.LeaseExpired:
-        return {
-          kind: SettlementKind.Interrupted,
-          reason: InterruptionReason.LeaseExpired,
-        };
-      case RunEndKind.Stopped:
-        return {
-          kind: SettlementKind.Interrupted,
-          reason: state.phase === RunPhase.Stopping
-            ? state.reason
-            : InterruptionReason.WorkerLost,
-        };
-      default:
-        return assertNever(kind);
+    if (run !== undefined) {
+      this.#settle(run, settlementOf(run, kind, this.#options.collector.now));
     }
   }
 
@@ -479,7 +438,7 @@
       return known === undefined || workerRunOf(known)?.run !== run;
     });
     for (const { run } of strangers) {
-      this.#runNumbers.set(collector.now, jobTaskKey(run.task), run.run);
+      this.#runNumbers.note(collector.now, run);
       const call = link.call({ kind: WorkerCallKind.Stop, run });
       if (call === undefined) return;
       const sentAt = collector.now;
@@ -526,10 +485,6 @@
     table.settle(run, settlement);
   }
 
-  #nextRunNumber({ task }: GuardedRun): number {
-    return (this.#runNumbers.get(jobTaskKey(task)) ?? 0) + 1;
-  }
-
   #findRun(name: RunName | undefined): GuardedRun | undefined {
     if (name === undefined) return undefined;
     const run = this.#options.table.find(name.task);
@@ -537,11 +492,3 @@
     return workerRunOf(run)?.run === name.run ? run : undefined;
   }
 }
-
-function interrupted(reason: InterruptionReason): TaskSettlement {
-  return { kind: SettlementKind.Interrupted, reason };
-}
-
-function runKey({ task, run }: RunName): string {
-  return `${jobTaskKey(task)} ${run}`;
-}
--- /dev/null
+++ b/domain/worker_guard/src/run_settlement.ts
@@ -0,0 +1,49 @@
+/**
+ * What the end of a run, as its worker lists it, means for the attempt.
+ */
+import {
+  assertNever,
+  InterruptionReason,
+  type Milliseconds,
+  type NotStartedReason,
+  RunEndKind,
+  SettlementKind,
+  type TaskSettlement,
+} from "@eelgrassfront/model";
+import { type GuardedRun, RunPhase } from "./guarded_run.ts";
+
+/** The settlement of an attempt whose run ended so. */
+export function settlementOf(
+  { state }: GuardedRun,
+  kind: RunEndKind,
+  now: Milliseconds,
+): TaskSettlement {
+  const startedAt = state.phase === RunPhase.Running ? state.startedAt : now;
+  const runMilliseconds = now - startedAt;
+  switch (kind) {
+    case RunEndKind.Completed:
+      return { kind: SettlementKind.Completed, runMilliseconds };
+    case RunEndKind.Failed:
+      return { kind: SettlementKind.Failed, runMilliseconds };
+    case RunEndKind.LeaseExpired:
+      return interrupted(InterruptionReason.LeaseExpired);
+    case RunEndKind.Stopped:
+      return interrupted(
+        state.phase === RunPhase.Stopping
+          ? state.reason
+          : InterruptionReason.WorkerLost,
+      );
+    default:
+      return assertNever(kind);
+  }
+}
+
+/** The settlement of an attempt that was ended from outside. */
+export function interrupted(reason: InterruptionReason): TaskSettlement {
+  return { kind: SettlementKind.Interrupted, reason };
+}
+
+/** The settlement of an attempt that did not start and never will. */
+export function notStarted(reason: NotStartedReason): TaskSettlement {
+  return { kind: SettlementKind.NotStarted, reason };
+}
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -3,17 +3,18 @@
  * runs there; it starts nothing beyond the worker's capacity, keeps the lease of what runs, ends the work
  * of entries that fall silent, and settles every attempt that it took exactly once.
  */
-import { FleetDirectory, KnowledgeExchange } from "@eelgrassfront/directory";
+import {
+  FleetDirectory,
+  KnowledgeExchange,
+  takeDirectoryInput,
+} from "@eelgrassfront/directory";
 import {
   assertNever,
-  Counter,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
   DispatchOutputKind,
   type DispatchPeerInput,
-  type DispatchReply,
-  DispatchReplyKind,
   type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
@@ -21,35 +22,28 @@
   Gauge,
   InputKind,
   InterruptionReason,
-  isWithin,
   type Milliseconds,
   NO_RESOURCES,
   NotStartedReason,
-  type OpenSession,
   OutputCollector,
   OutputKind,
   type ProcessIdentifier,
-  processName,
-  type RenewSession,
   type RequestArrived,
-  type RequestIdentifier,
-  type RunTask,
   SessionEndReason,
   SettlementKind,
   Severity,
   type StateMachine,
   subtractResources,
-  type TakeBackTask,
-  type TaskSettlement,
   type WorkerDescription,
   type WorkerLoad,
   WorkerPhase,
-  type WorkerProfile,
 } from "@eelgrassfront/model";
+import { EntryRequests } from "./entry_requests.ts";
 import { EntrySessions } from "./entry_sessions.ts";
-import { type GuardedRun, RunPhase } from "./guarded_run.ts";
+import { RunPhase } from "./guarded_run.ts";
 import { LoadWatches } from "./load_watches.ts";
 import { RunConversation } from "./run_conversation.ts";
+import { notStarted } from "./run_settlement.ts";
 import { RunTable } from "./run_table.ts";
 import { WorkerLink } from "./worker_link.ts";
 
@@ -66,8 +60,6 @@
   readonly graceMilliseconds: Milliseconds;
 }
 
-/** Waiting attempts that one sidecar takes; entries keep the rest, which they can still place elsewhere. */
-const MAXIMUM_WAITING = 64;
 /** Wake-ups that show a pause of this process. */
 const TICK_MILLISECONDS: Milliseconds = 200;
 /** A later wake-up means that the process stood still, and that what it finds to read may be stale. */
@@ -89,6 +81,7 @@
   readonly #table: RunTable;
   readonly #conversation: RunConversation;
   readonly #watches: LoadWatches;
+  readonly #requests: EntryRequests;
   #lastStepAt: Milliseconds | undefined;
   #leavingSince: Milliseconds | undefined;
   #isStopped = false;
@@ -112,6 +105,16 @@
       load,
       revision: () => this.#table.revision,
     });
+    this.#requests = new EntryRequests({
+      collector,
+      load,
+      sessions: this.#sessions,
+      link: this.#link,
+      table: this.#table,
+      conversation: this.#conversation,
+      watches: this.#watches,
+      isLeaving: () => this.#leavingSince !== undefined,
+    });
     this.#exchange = new KnowledgeExchange({
       ...options,
       collector,
@@ -149,13 +152,14 @@
       case InputKind.PeerRequestLost:
         this.#takePeer(input);
         return;
+      case DispatchInputKind.ConfigurationRead:
       case DispatchInputKind.MembersRead:
-        for (const member of input.members) {
-          this.#directory.learnMember(member);
-        }
-        for (const name of input.removedNames) {
-          this.#directory.removeMember(name);
-        }
+      case DispatchInputKind.StoreAvailable:
+      case DispatchInputKind.StoreUnavailable:
+      case DispatchInputKind.AnnouncementSettled:
+      case DispatchInputKind.SettingsChanged:
+        // The configuration is kept for entries that start while the store is away.
+        takeDirectoryInput(input, this.#directory, this.#collector);
         return;
       case DispatchInputKind.WorkerReported:
         this.#takeReport(input.description);
@@ -178,30 +182,10 @@
           this.#loseWorker();
         }
         return;
-      case DispatchInputKind.StoreUnavailable:
-        this.#collector.recordError(EventNumber.LogUnavailable, input.error);
-        return;
-      case DispatchInputKind.StoreAvailable:
-        this.#collector.record(
-          EventNumber.LogAvailable,
-          "the platform's store answers again",
-        );
-        return;
-      case DispatchInputKind.SettingsChanged:
-        this.#collector.record(
-          EventNumber.SettingsReloaded,
-          "the settings were read again",
-        );
-        return;
       case InputKind.DrainAsked:
         this.#leave();
         return;
-      case DispatchInputKind.ConfigurationRead:
-        // Kept for entries that start while the store is away.
-        this.#directory.learnConfiguration(input.configuration);
-        return;
       case InputKind.AlarmRang:
-      case DispatchInputKind.AnnouncementSettled:
         return;
       case DispatchInputKind.JobHandedIn:
       case DispatchInputKind.JobStateAsked:
@@ -232,33 +216,16 @@
 
   #takeRequest(input: RequestArrived<DispatchRequest>): void {
     const { message, from, request } = input;
-    switch (message.kind) {
-      case DispatchRequestKind.OpenSession:
-        this.#openSession(input, message);
-        return;
-      case DispatchRequestKind.RenewSession:
-        this.#renewSession(input, message);
-        return;
-      case DispatchRequestKind.RunTask:
-        this.#runTask(input, message);
-        return;
-      case DispatchRequestKind.TakeBackTask:
-        this.#takeBack(input, message);
-        return;
-      case DispatchRequestKind.WatchLoad:
-        this.#watches.add(from, { ...message, request });
-        return;
-      case DispatchRequestKind.ShareKnowledge:
-        this.#exchange.answer(from, request, message);
-        return;
-      default:
-        assertNever(message);
+    if (message.kind === DispatchRequestKind.ShareKnowledge) {
+      this.#exchange.answer(from, request, message);
+      return;
     }
+    this.#requests.take({ from, request }, message);
   }
 
   #tick(): void {
     for (const entry of this.#sessions.expire(this.#collector.now)) {
-      this.#endWork(entry, SessionEndReason.Expired);
+      this.#requests.endWork(entry, SessionEndReason.Expired);
     }
     this.#conversation.tick();
     this.#startWaiting();
@@ -281,146 +248,10 @@
     );
     for (const entry of this.#sessions.entries()) {
       this.#sessions.end(entry);
-      this.#endWork(entry, SessionEndReason.ProcessPaused);
+      this.#requests.endWork(entry, SessionEndReason.ProcessPaused);
     }
   }
 
-  #openSession(
-    { from, request }: RequestArrived<DispatchRequest>,
-    { givenUp }: OpenSession,
-  ): void {
-    const open = this.#sessions.of(from);
-    if (open !== undefined && open <= givenUp) {
-      this.#sessions.end(from);
-      this.#endWork(from, SessionEndReason.GivenUp);
-    }
-    const isFree = this.#table.all().every(({ entry }) =>
-      processName(entry) !== processName(from)
-    );
-    const isReady = isFree && this.#isWorkerKnown();
-    const session = this.#sessions.of(from) ??
-      (isReady ? this.#sessions.open(this.#collector.now, from) : undefined);
-    if (session === undefined) {
-      this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
-      return;
-    }
-    if (session !== open) {
-      this.#collector.record(
-        EventNumber.SessionOpened,
-        "a session was opened",
-        {
-          context: { entry: from, session },
-        },
-      );
-    }
-    this.#grant(from, request, session);
-  }
-
-  #renewSession(
-    { from, request }: RequestArrived<DispatchRequest>,
-    { session }: RenewSession,
-  ): void {
-    const { now } = this.#collector;
-    if (this.#sessions.renew(now, from, session)) {
-      this.#grant(from, request, session);
-      return;
-    }
-    this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
-  }
-
-  #grant(
-    to: ProcessIdentifier,
-    request: RequestIdentifier,
-    session: number,
-  ): void {
-    const load = this.#load(to);
-    const { description } = this.#link;
-    this.#reply(to, request, {
-      kind: DispatchReplyKind.SessionGranted,
-      session,
-      ...(description === undefined ? {} : { profile: profileOf(description) }),
-      ...(load === undefined ? {} : { load }),
-    });
-  }
-
-  #runTask(
-    { from, request }: RequestArrived<DispatchRequest>,
-    message: RunTask,
-  ): void {
-    const waiter = { from, request };
-    this.#sessions.countRequest(from, message.session);
-    const known = this.#table.find(message.task);
-    const isRepeated = known?.entry === from &&
-      known.attempt === message.attempt && known.session === message.session;
-    if (isRepeated) {
-      known.request = request;
-      return;
-    }
-    const settled = this.#table.settlementOf(from, message);
-    if (settled !== undefined) {
-      this.#table.reply(waiter, settled);
-      return;
-    }
-    const reason = this.#reasonNotToRun(from, message, known);
-    if (reason === undefined) {
-      this.#table.add(waiter, message);
-      return;
-    }
-    this.#table.reply(waiter, { kind: SettlementKind.NotStarted, reason });
-  }
-
-  #reasonNotToRun(
-    from: ProcessIdentifier,
-    { session, resources }: RunTask,
-    known: GuardedRun | undefined,
-  ): NotStartedReason | undefined {
-    const { description } = this.#link;
-    const isStale = this.#sessions.of(from) !== session || known !== undefined;
-    if (isStale) return NotStartedReason.StaleSession;
-    if (this.#leavingSince !== undefined) return NotStartedReason.Leaving;
-    if (description === undefined) return NotStartedReason.NoWorker;
-    if (description.phase === WorkerPhase.Draining) {
-      return NotStartedReason.Draining;
-    }
-    if (this.#link.isSilent) return NotStartedReason.WorkerSilent;
-    if (!isWithin(resources, description.capacity)) {
-      return NotStartedReason.TooLarge;
-    }
-    const waiting = this.#table.size - this.#table.atWorker().length;
-    return waiting >= MAXIMUM_WAITING ? NotStartedReason.QueueFull : undefined;
-  }
-
-  #takeBack(
-    { from, request }: RequestArrived<DispatchRequest>,
-    { session, task, attempt }: TakeBackTask,
-  ): void {
-    this.#reply(from, request, { kind: DispatchReplyKind.TakeBackNoted });
-    const run = this.#table.find(task);
-    const isMeant = run?.entry === from && run.session === session &&
-      run.attempt === attempt;
-    if (isMeant) this.#end(run, InterruptionReason.TakenBack);
-  }
-
-  #end(run: GuardedRun, reason: InterruptionReason): void {
-    if (run.state.phase !== RunPhase.Waiting) {
-      this.#conversation.stop(run, reason);
-      return;
-    }
-    this.#table.settle(run, notStarted(NotStartedReason.TakenBack));
-  }
-
-  #endWork(entry: ProcessIdentifier, reason: SessionEndReason): void {
-    const runs = this.#table.all().filter((run) => run.entry === entry);
-    this.#watches.forget(entry);
-    this.#collector.count(Counter.SessionsEnded, reason);
-    this.#collector.record(
-      EventNumber.SessionEnded,
-      "a session ended; its work is stopped",
-      { context: { entry, reason, runs: runs.length } },
-    );
-    for (const run of runs) this.#end(run, InterruptionReason.SessionEnded);
-  }
-
   #startWaiting(): void {
     const { description, isTakingWork } = this.#link;
     if (description === undefined || !isTakingWork) {
@@ -484,13 +315,6 @@
     }
   }
 
-  /** Whether it is known what runs at the worker, or that there is no worker. */
-  #isWorkerKnown(): boolean {
-    return this.#link.description === undefined
-      ? this.#table.size === 0
-      : this.#conversation.isCensusTaken;
-  }
-
   #leave(): void {
     if (this.#leavingSince !== undefined) return;
     this.#leavingSince = this.#collector.now;
@@ -564,21 +388,4 @@
       },
     });
   }
-
-  #reply(
-    to: ProcessIdentifier,
-    request: RequestIdentifier,
-    message: DispatchReply,
-  ): void {
-    this.#collector.add({ kind: OutputKind.SendReply, to, request, message });
-  }
-}
-
-function notStarted(reason: NotStartedReason): TaskSettlement {
-  return { kind: SettlementKind.NotStarted, reason };
-}
-
-function profileOf(description: WorkerDescription): WorkerProfile {
-  const { incarnation, service, labels, capacity } = description;
-  return { worker: incarnation.id, service, labels, capacity };
 }
