perf(dispatcher): bound the sidecars that an entry uses and the bytes of its sessions

Change: a sidecar serves five entries, chosen by rendezvous hashing, three of them in its zone; a label that no selected worker has opens sessions with all. The reply to a renewal leaves out what the entry knows, calls on a connection name sender and receiver once, pings are sent only into silence, renewals are aligned. Fleet states carry members only if their digests differ; a sidecar whose announcement is stored contacts entries only while none has a session with it; members are read in batches.

--- a/adapters/peers_trpc/src/peer_session.ts
+++ b/adapters/peers_trpc/src/peer_session.ts
@@ -11,7 +11,13 @@
 const callSchema = zod.object({
   id: zod.number(),
   method: zod.literal("mutation"),
-  params: zod.object({ path: zod.string(), input: zod.unknown() }),
+  params: zod.object({
+    path: zod.string(),
+    input: zod.looseObject({
+      from: zod.string().optional(),
+      to: zod.string().optional(),
+    }),
+  }),
 });
 
 type ReceivedCall = zod.infer<typeof callSchema>;
@@ -21,6 +27,8 @@
   readonly #writer: FrameWriter;
   readonly #context: PeerContext;
   readonly #ended = new AbortController();
+  /** Sender and receiver in the latest call that contained them; later calls may leave them out. */
+  #identifiers: object = {};
 
   constructor(socket: WebSocket, context: PeerContext) {
     this.#writer = new FrameWriter(socket);
@@ -33,7 +41,12 @@
   #receive(socket: WebSocket, frame: string): void {
     try {
       for (const message of parseFrame(frame)) {
-        void this.#serve(callSchema.parse(message));
+        const call = callSchema.parse(message);
+        const { from, to } = call.params.input;
+        if (from !== undefined && to !== undefined) {
+          this.#identifiers = { from, to };
+        }
+        void this.#serve(call, { ...this.#identifiers, ...call.params.input });
       }
     } catch {
       // Disconnects a peer that violates the protocol. Its calls are lost; it may connect again.
@@ -41,8 +54,10 @@
     }
   }
 
-  async #serve({ id, method, params }: ReceivedCall): Promise<void> {
-    const { path, input } = params;
+  async #serve(
+    { id, method, params: { path } }: ReceivedCall,
+    input: object,
+  ): Promise<void> {
     try {
       const data: unknown = await callTRPCProcedure({
         router: peerRouter,
--- a/adapters/peers_trpc/src/persistent_connection.ts
+++ b/adapters/peers_trpc/src/persistent_connection.ts
@@ -3,10 +3,11 @@
  * end of the turn of the event loop. tRPC's own links wait for a timer before they send, which takes
  * longer than the round trip, and tRPC's own client costs ten times as much as the procedure it calls.
  */
+import type { ProcessIdentifier } from "@eelgrassfront/model";
 import { WebSocket } from "ws";
 import * as zod from "zod";
 import { FrameWriter, parseFrame } from "./frame_writer.ts";
-import type { PeerArguments, PeerResult } from "./peer_router.ts";
+import type { PeerEnvelope, PeerResult } from "./peer_router.ts";
 
 /** Address of a peer, and the key that it requires. */
 export interface PersistentConnectionOptions {
@@ -47,6 +48,8 @@
   readonly #calls = new Map<number, CallHandlers>();
   readonly #onClosed: () => void;
   #lastCallId = 0;
+  /** Receiver of the previous call; a call to the same process leaves both identifiers out. */
+  #lastReceiver: ProcessIdentifier | undefined;
   /** Checks since the last message or pong was received. */
   #silentChecks = 0;
   #isUsed = true;
@@ -73,7 +76,7 @@
   }
 
   /** Sends a call. */
-  send(input: PeerArguments, call: CallHandlers): void {
+  send(input: PeerEnvelope, call: CallHandlers): void {
     if (this.#isClosed) {
       call.fail(CONNECTION_ENDED);
       return;
@@ -82,14 +85,21 @@
     const id = this.#lastCallId;
     this.#calls.set(id, call);
     this.#isUsed = true;
-    const parameters = { path: "deliver", input };
+    const { from: _, to, ...content } = input;
+    const isSameReceiver = to === this.#lastReceiver;
+    this.#lastReceiver = to;
+    const parameters = {
+      path: "deliver",
+      input: isSameReceiver ? content : input,
+    };
     this.#writer.write({ id, method: "mutation", params: parameters });
   }
 
   /**
    * Closes the connection when nothing was received for several checks, or when no call has used it
-   * since the last check; otherwise sends a ping. One check without data is not enough: timers run
-   * before reads, so that after a stall of this process the pong may have arrived and not been read.
+   * since the last check; otherwise sends a ping if nothing was received since the last check. One check
+   * without data is not enough: timers run before reads, so that after a stall of this process the pong may
+   * have arrived and not been read.
    */
   check(): void {
     const isIdle = !this.#isUsed && this.#calls.size === 0;
@@ -97,9 +107,11 @@
       this.close(PEER_SILENT);
       return;
     }
+    const isSilent = this.#silentChecks > 0;
     this.#silentChecks += 1;
     this.#isUsed = false;
-    if (this.#socket.readyState === WebSocket.OPEN) this.#socket.ping();
+    const isOpen = this.#socket.readyState === WebSocket.OPEN;
+    if (isSilent && isOpen) this.#socket.ping();
   }
 
   /** Closes the connection; its calls fail. */
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -61,6 +61,26 @@
   });
 });
 
+test("calls to two incarnations at one address reach only the one that each names", async () => {
+  await using callee = await TestPeer.listen(CALLEE);
+  await using caller = await TestPeer.listen(CALLER);
+  const earlier: ProcessIdentifier = "callee~0";
+  caller.call(callee.address, 1);
+  caller.call(callee.address, 2, earlier);
+  caller.call(callee.address, 3, earlier);
+  caller.call(callee.address, 4);
+  const arrived = await callee.receive(2);
+  expect(arrived.map(({ request }: { request?: number }) => request))
+    .toEqual([1, 4]);
+  const replies = await caller.receive(2);
+  const kinds = replies.map((input) =>
+    input.kind === InputKind.PeerReplyArrived &&
+    [input.request, input.from, input.message.kind]
+  );
+  const mismatch = PeerReplyKind.IncarnationMismatch;
+  expect(kinds).toEqual([[2, earlier, mismatch], [3, earlier, mismatch]]);
+});
+
 test("a process with another key is rejected", async () => {
   await using callee = await TestPeer.listen(CALLEE);
   await using caller = await TestPeer.listen(CALLER, { sharedKey: "other" });
@@ -155,11 +175,15 @@
     return peer;
   }
 
-  call(address: string, request: number): void {
+  call(
+    address: string,
+    request: number,
+    peer: ProcessIdentifier = CALLEE,
+  ): void {
     this.#peers.perform({
       kind: OutputKind.SendRequest,
       request,
-      peer: CALLEE,
+      peer,
       address,
       message: HEARTBEAT,
     });
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -120,12 +120,23 @@
  */
 const SIDECAR_CONFIGURATION_WAIT_MILLISECONDS = 5_000;
 
-function configurationWait(role: Role): number {
+/** Pause between two reads of the members; an entry needs a new sidecar within a fraction of a second. */
+const ENTRY_MEMBERS_PAUSE_MILLISECONDS = 50;
+/** The same for a sidecar, which contacts entries only while no entry has a session with it. */
+const SIDECAR_MEMBERS_PAUSE_MILLISECONDS = 2_000;
+
+function storeReadsOf(role: Role) {
   switch (role) {
     case Role.Entry:
-      return ENTRY_CONFIGURATION_WAIT_MILLISECONDS;
+      return {
+        configurationWaitMilliseconds: ENTRY_CONFIGURATION_WAIT_MILLISECONDS,
+        membersPauseMilliseconds: ENTRY_MEMBERS_PAUSE_MILLISECONDS,
+      };
     case Role.Sidecar:
-      return SIDECAR_CONFIGURATION_WAIT_MILLISECONDS;
+      return {
+        configurationWaitMilliseconds: SIDECAR_CONFIGURATION_WAIT_MILLISECONDS,
+        membersPauseMilliseconds: SIDECAR_MEMBERS_PAUSE_MILLISECONDS,
+      };
     default:
       return assertNever(role);
   }
@@ -204,7 +215,7 @@
     }),
     directory: new StoreDirectory({
       client: store,
-      configurationWaitMilliseconds: configurationWait(self.role),
+      ...storeReadsOf(self.role),
       ...(self.role === Role.Sidecar ? { workerVm: settings.vmName } : {}),
     }),
     signals: new ProcessSignals(),
--- a/domain/directory/src/directory_inputs.ts
+++ b/domain/directory/src/directory_inputs.ts
@@ -46,7 +46,7 @@
       return false;
     case DispatchInputKind.AnnouncementStored:
     case DispatchInputKind.SavedWorkerRead:
-      // No role acts on a stored announcement. The sidecar itself handles the saved record of its worker.
+      // The sidecar itself handles these.
       return false;
     default:
       return assertNever(input);
--- a/domain/directory/src/fleet_directory.ts
+++ b/domain/directory/src/fleet_directory.ts
@@ -4,18 +4,26 @@
  * the store or from the process itself counts.
  */
 import {
+  type ExchangeFleetState,
   type FleetMember,
   type FleetState,
   processName,
   type Role,
   type WorkConfiguration,
 } from "@eelgrassfront/model";
+import { stableHash } from "@eelgrassfront/ownership";
 
 /** Members and configuration known to one process. */
 export class FleetDirectory {
   readonly #members = new Map<string, FleetMember>();
   #configuration: WorkConfiguration | undefined;
   #membersRevision = 0;
+  #membersDigest = 0;
+
+  /** Digest of all members, equal in processes that know the same ones. */
+  get membersDigest(): number {
+    return this.#membersDigest;
+  }
 
   /** Number that increases with each change of the members. */
   get membersRevision(): number {
@@ -45,9 +53,12 @@
     const known = this.#members.get(name);
     const isNew = known?.process !== member.process ||
       known.address !== member.address;
-    if (isNew) this.#membersRevision += 1;
+    if (!isNew) return false;
+    this.#membersRevision += 1;
+    this.#toggleInDigest(known);
+    this.#toggleInDigest(member);
     this.#members.set(name, member);
-    return isNew;
+    return true;
   }
 
   /** Adds a member that a peer reported, unless its name is already known. Returns whether it was added. */
@@ -59,6 +70,7 @@
   /** Removes a member by its name. Returns whether the member was known. */
   removeMember(name: string): boolean {
     this.#membersRevision += 1;
+    this.#toggleInDigest(this.#members.get(name));
     return this.#members.delete(name);
   }
 
@@ -67,12 +79,25 @@
     return [...this.#members.values()].filter((member) => member.role === role);
   }
 
-  /** Returns all members, and the configuration if it is newer than the peer's version. */
-  stateFor(configurationVersion: number): FleetState {
-    const members = [...this.#members.values()];
+  /**
+   * Returns what a peer lacks: all members if its digest of them differs, and the configuration if it is newer
+   * than the peer's version.
+   */
+  stateFor(
+    { configurationVersion, membersDigest }: ExchangeFleetState,
+  ): FleetState {
+    const members = membersDigest === this.#membersDigest
+      ? []
+      : [...this.#members.values()];
     const isNewer = this.configurationVersion > configurationVersion;
     return this.#configuration === undefined || !isNewer
       ? { members }
       : { configuration: this.#configuration, members };
   }
+
+  /** Adds a member to the digest, or takes it out again. */
+  #toggleInDigest(member: FleetMember | undefined): void {
+    if (member === undefined) return;
+    this.#membersDigest ^= stableHash(`${member.process} ${member.address}`);
+  }
 }
--- a/domain/directory/src/fleet_state_exchange.ts
+++ b/domain/directory/src/fleet_state_exchange.ts
@@ -30,16 +30,20 @@
   readonly collector: OutputCollector<DispatchOutput>;
   /** Addresses that are contacted even if no member is known there. */
   readonly seeds: readonly string[];
-  /** Returns whether to contact an entry; a sidecar skips the entries that have a session with it. */
-  readonly shouldContact: (entry: FleetMember) => boolean;
+  /** Whether peers are contacted; a sidecar that the fleet knows leaves this to the entries. */
+  readonly isNeeded: () => boolean;
 }
 
 /** Interval of rounds: a quarter of the shortest time within which a new version must be in force. */
 const ROUND_MILLISECONDS: Milliseconds = 500;
 /** Maximum number of entries that are contacted in one round, besides seeds. */
 const PEERS_PER_ROUND = 3;
+/** Delay of the first round, in which the store usually provides the fleet state. */
+const FIRST_ROUND_MILLISECONDS: Milliseconds = 200;
 /** Number of rounds that contact the seeds after a start or an isolation: the seeds may be starting too. */
 const SEED_ROUNDS = 20;
+/** Among these rounds, one in this number contacts a seed although entries are known. */
+const ROUNDS_PER_SEED = 4;
 /** Process name that does not exist, so that the receiver replies with its own identity. */
 const UNKNOWN_PROCESS_NAME = "unknown";
 
@@ -47,7 +51,7 @@
 export class FleetStateExchange {
   readonly #options: FleetStateExchangeOptions;
   readonly #pending = new Map<RequestIdentifier, string>();
-  #nextRoundAt: Milliseconds = 0;
+  #nextRoundAt: Milliseconds | undefined;
   #rounds = 0;
 
   constructor(options: FleetStateExchangeOptions) {
@@ -56,26 +60,39 @@
 
   /** Returns the time of the next round. */
   nextAlarm(): Milliseconds {
-    return this.#nextRoundAt;
+    return this.#nextRoundAt ?? 0;
   }
 
   /** Starts a round if one is due. */
   tick(): void {
-    const { collector } = this.#options;
+    const { collector, isNeeded } = this.#options;
+    this.#nextRoundAt ??= collector.now + FIRST_ROUND_MILLISECONDS;
     if (collector.now < this.#nextRoundAt) return;
     this.#nextRoundAt = collector.now + ROUND_MILLISECONDS;
+    if (!isNeeded()) return;
     this.#rounds += 1;
     const entries = this.#selectEntries();
     for (const entry of entries) this.#send(entry.process, entry.address);
-    if (this.#rounds > SEED_ROUNDS) return;
     const known = new Set(entries.map(({ address }) => address));
-    for (const address of this.#options.seeds) {
-      const isSelf = address === this.#options.self.address;
-      if (isSelf || known.has(address)) continue;
+    for (const address of this.#selectSeeds(entries.length > 0)) {
+      if (known.has(address)) continue;
       this.#send(processIdentifier(UNKNOWN_PROCESS_NAME, ""), address);
     }
   }
 
+  /** All seeds until an entry is known; then one from time to time, since parts of the fleet may be apart. */
+  #selectSeeds(isEntryKnown: boolean): readonly string[] {
+    const { self } = this.#options;
+    if (this.#rounds > SEED_ROUNDS) return [];
+    const seeds = this.#options.seeds.filter((address) =>
+      address !== self.address
+    );
+    if (!isEntryKnown) return seeds;
+    if (this.#rounds % ROUNDS_PER_SEED !== 0) return [];
+    const turn = Math.floor(this.#rounds / ROUNDS_PER_SEED) % seeds.length;
+    return seeds.slice(turn, turn + 1);
+  }
+
   /**
    * Applies the state that a peer sent, and replies to the peer. Returns whether a newer configuration came
    * into force.
@@ -95,7 +112,7 @@
       request,
       message: {
         kind: DispatchReplyKind.FleetStateExchanged,
-        knowledge: directory.stateFor(message.configurationVersion),
+        knowledge: directory.stateFor(message),
       },
     });
     const isBehind =
@@ -133,9 +150,9 @@
   }
 
   #selectEntries(): readonly FleetMember[] {
-    const { directory, self, shouldContact } = this.#options;
+    const { directory, self } = this.#options;
     const entries = directory.membersOf(Role.Entry).filter((entry) =>
-      entry.address !== self.address && shouldContact(entry)
+      entry.address !== self.address
     );
     if (entries.length <= PEERS_PER_ROUND) return entries;
     const first = (this.#rounds * PEERS_PER_ROUND) % entries.length;
@@ -156,6 +173,7 @@
         kind: DispatchRequestKind.ExchangeFleetState,
         sender: self,
         configurationVersion: directory.configurationVersion,
+        membersDigest: directory.membersDigest,
       },
     });
   }
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -102,15 +102,17 @@
     const collector = this.#collector;
     const directory = this.#directory;
     this.#links = new WorkerLinks({
+      self: options.self,
       collector,
       directory,
       hasWaitingJobs: () => this.#scheduler.hasWaitingJobs,
+      holdsAttempts: (address) => this.#attempts.hasAny(address),
     });
     this.#exchange = new FleetStateExchange({
       ...options,
       collector,
       directory,
-      shouldContact: () => true,
+      isNeeded: () => true,
     });
     const runTimes = this.#runTimes;
     this.#placer = new TaskPlacer({
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -31,6 +31,7 @@
   readonly tasks: number;
   readonly millicores: number;
   readonly prefix?: string;
+  readonly requiredLabel?: string;
 }
 
 /** Which sidecars reply: all unless `isUp` is false, but never the one at the address `except`. */
@@ -55,6 +56,7 @@
   readonly #answers: AnswerClient[] = [];
   readonly #requests: OutgoingRequest<DispatchRequest>[] = [];
   readonly #placements: string[] = [];
+  readonly #renewals: string[] = [];
   readonly #free = new Map<string, number>();
   readonly #slowness = new Map<string, number>();
   #revision = 1;
@@ -98,6 +100,20 @@
     return harness;
   }
 
+  /** Reports other entries of the same zone, so that the sidecars are shared among them. */
+  learnEntries(count: number): void {
+    this.step({
+      kind: DispatchInputKind.MembersRead,
+      members: Array.from({ length: count }, (_, index) => ({
+        process: `entry-${index + 2}~a` as const,
+        role: Role.Entry,
+        address: `entry-${index + 2}`,
+        availabilityZone: "zone-a",
+      })),
+      removedNames: [],
+    });
+  }
+
   /** Sets the free capacity that a sidecar reports from its next load on. */
   setFree(address: string, millicores: number): void {
     this.#free.set(address, millicores);
@@ -127,7 +143,7 @@
 
   submit(
     request: number,
-    { id, tasks, millicores, prefix = "/scan/" }: JobParameters,
+    { id, tasks, millicores, prefix = "/scan/", requiredLabel }: JobParameters,
   ): void {
     this.step({
       kind: DispatchInputKind.JobSubmitted,
@@ -147,6 +163,7 @@
             },
             estimatedMilliseconds: 300,
             dependsOn: [],
+            ...(requiredLabel === undefined ? {} : { requiredLabel }),
           }],
         },
       },
@@ -167,6 +184,11 @@
     }
   }
 
+  /** Returns the addresses of the sessions that were renewed since the last call. */
+  takeRenewals(): ReadonlySet<string> {
+    return new Set(this.#renewals.splice(0));
+  }
+
   placementAddresses(): readonly string[] {
     return this.#placements;
   }
@@ -277,6 +299,9 @@
     }
     if (output.kind !== OutputKind.SendRequest) return;
     this.#requests.push(output);
+    if (output.message.kind === DispatchRequestKind.RenewSession) {
+      this.#renewals.push(output.address);
+    }
     if (output.message.kind === DispatchRequestKind.RunTask) {
       this.#placements.push(output.address);
     }
--- a/domain/dispatcher/src/dispatcher_test.ts
+++ b/domain/dispatcher/src/dispatcher_test.ts
@@ -310,3 +310,53 @@
   harness.runTo(3_000);
   expect(harness.hasStopped).toEqual(true);
 });
+
+/** Sidecars and entries of a fleet in which each entry uses some of the sidecars. */
+const MANY_SIDECARS = Array.from({ length: 40 }, (_, index) => `side-${index}`);
+const OTHER_ENTRIES = 19;
+
+test("an entry of a large fleet keeps sessions with its share of the sidecars", () => {
+  const harness = DispatcherHarness.ready(MANY_SIDECARS, {});
+  harness.learnEntries(OTHER_ENTRIES);
+  harness.takeRenewals();
+  harness.runTo(400);
+  const renewed = harness.takeRenewals();
+  expect(renewed.size).toBeGreaterThanOrEqual(1);
+  expect(renewed.size).toBeLessThanOrEqual(MANY_SIDECARS.length / 2);
+});
+
+test("a session with tasks is renewed after its sidecar has passed to other entries", () => {
+  const free = Object.fromEntries(MANY_SIDECARS.map((name) => [name, 1_000]));
+  const harness = DispatcherHarness.ready(MANY_SIDECARS, free);
+  harness.submit(1, { id: "a", tasks: 40, millicores: 1_000 });
+  harness.learnEntries(OTHER_ENTRIES);
+  harness.runTo(1_000);
+  harness.takeRenewals();
+  harness.runTo(1_400);
+  expect(harness.takeRenewals().size).toEqual(MANY_SIDECARS.length);
+  expect(harness.placementAddresses().length).toEqual(MANY_SIDECARS.length);
+});
+
+test("a job with a label that no selected worker has waits for the other workers", () => {
+  const harness = DispatcherHarness.ready(MANY_SIDECARS, {});
+  harness.learnEntries(OTHER_ENTRIES);
+  harness.runTo(200);
+  harness.submit(1, {
+    id: "a",
+    tasks: 1,
+    millicores: 1_000,
+    requiredLabel: "rare",
+  });
+  expect(harness.answerTo(1)).toEqual(undefined);
+  harness.runTo(400);
+  harness.submit(2, {
+    id: "b",
+    tasks: 1,
+    millicores: 1_000,
+    requiredLabel: "rare",
+  });
+  const answer = harness.answerTo(2);
+  expect(answer?.kind === ClientAnswerKind.Refused && answer.reason).toEqual(
+    JobRefusalReason.NoCapableWorker,
+  );
+});
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -24,6 +24,7 @@
 } from "./job_admission.ts";
 import type { JobAnswers } from "./job_answers.ts";
 import { JobQueue } from "./job_queue.ts";
+import { ENTRIES_PER_SIDECAR } from "./sidecar_selection.ts";
 import type { TaskPlacer } from "./task_placer.ts";
 import { isCapableWorkerKnown } from "./worker_choice.ts";
 import { LinkPhase } from "./worker_link_state.ts";
@@ -246,6 +247,14 @@
       !isCapableWorkerKnown({ links, job, task })
     );
     if (!isUnrunnable) return false;
+    // A label may be rare, so a worker that is not in use may have it.
+    const isLabelled = job.tasks.some(({ step }) =>
+      step.requiredLabel !== undefined
+    );
+    if (isLabelled && source.links.hasUnknownWorkers) {
+      source.links.useAll();
+      return false;
+    }
     answers.answerRefused(job, JobRefusalReason.NoCapableWorker, {
       retryAfterMilliseconds: DEFAULT_RETRY_AFTER_MILLISECONDS,
       context: { sidecars: links.length },
@@ -311,8 +320,8 @@
 
   /**
    * Returns the capacity that this entry can expect from the workers of a job's service, in millicores:
-   * proportional to its part of the used capacity, and at least an even share among the entries, so that an
-   * entry without running tasks does not refuse every job.
+   * proportional to its part of the used capacity, and at least an even share among the entries that each
+   * sidecar serves, so that an entry without running tasks does not refuse every job.
    */
   #servedMillicores(job: DispatchJob): number {
     const { links, attempts, entryCount } = this.#options.source;
@@ -331,7 +340,8 @@
         own += task.step.resources.processorMillicores;
       }
     }
-    const evenShare = 1 / Math.max(1, entryCount());
+    const sharing = Math.min(ENTRIES_PER_SIDECAR, entryCount());
+    const evenShare = 1 / Math.max(1, sharing);
     const share = used === 0 ? 1 : Math.min(1, Math.max(evenShare, own / used));
     return capacity * share;
   }
--- a/domain/dispatcher/src/task_attempt_index.ts
+++ b/domain/dispatcher/src/task_attempt_index.ts
@@ -69,6 +69,11 @@
     this.#byAddress.get(attempt.address)?.delete(attempt);
   }
 
+  /** Returns whether a sidecar holds attempts. */
+  hasAny(address: string): boolean {
+    return (this.#byAddress.get(address)?.size ?? 0) > 0;
+  }
+
   /** Returns the attempts at one sidecar. */
   atSidecar(address: string): readonly TaskAttempt[] {
     return [...this.#byAddress.get(address) ?? []];
--- /dev/null
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -0,0 +1,136 @@
+/**
+ * The links of an entry to the sidecars that it knows, and the selection of those that it uses. A link that is
+ * no longer selected, or whose sidecar was removed, is kept until no task of the entry is left there.
+ */
+import type { FleetDirectory } from "@eelgrassfront/directory";
+import {
+  type DispatchOutput,
+  EventNumber,
+  type FleetMember,
+  type Milliseconds,
+  type OutputCollector,
+  Role,
+} from "@eelgrassfront/model";
+import { selectSidecars } from "./sidecar_selection.ts";
+import {
+  LinkPhase,
+  newLink,
+  newOpeningLink,
+  UNUSED_LINK,
+  type WorkerLinkState,
+} from "./worker_link_state.ts";
+
+/** How long an entry uses every sidecar after a job that none of the selected ones can run. */
+const WIDENED_MILLISECONDS: Milliseconds = 5_000;
+
+/** The directory that lists the sidecars, and the attempts that keep a link in use. */
+export interface WorkerLinkSetOptions {
+  readonly self: FleetMember;
+  readonly collector: OutputCollector<DispatchOutput>;
+  readonly directory: FleetDirectory;
+  /** Whether the sidecar at an address holds attempts of this entry. */
+  readonly holdsAttempts: (address: string) => boolean;
+}
+
+/** Selects the links that an entry uses. */
+export class WorkerLinkSet {
+  readonly #options: WorkerLinkSetOptions;
+  readonly #links = new Map<string, WorkerLinkState>();
+  readonly #used = new Set<WorkerLinkState>();
+  #selected: ReadonlySet<string> = new Set();
+  #membersRevision = -1;
+  #isReleasePending = false;
+  #widenedUntil: Milliseconds = 0;
+  #isWidened = false;
+
+  constructor(options: WorkerLinkSetOptions) {
+    this.#options = options;
+  }
+
+  /** The links in use, with or without a session. */
+  get used(): ReadonlySet<WorkerLinkState> {
+    return this.#used;
+  }
+
+  /** Whether known sidecars are not in use. */
+  get isPartial(): boolean {
+    return this.#used.size < this.#links.size;
+  }
+
+  /** Returns the link to an address. */
+  find(address: string): WorkerLinkState | undefined {
+    return this.#links.get(address);
+  }
+
+  /** Uses every sidecar for some time, because no selected one can run a job. */
+  useAll(): void {
+    this.#widenedUntil = this.#options.collector.now + WIDENED_MILLISECONDS;
+  }
+
+  /** Ends the session of a link. A link that is still selected requests a new one. */
+  close(link: WorkerLinkState): void {
+    if (link.state.phase === LinkPhase.Open) link.givenUp = link.state.session;
+    if (this.#selected.has(link.address)) {
+      link.state = newOpeningLink();
+      return;
+    }
+    link.state = UNUSED_LINK;
+    this.#used.delete(link);
+  }
+
+  /** Brings the links up to date with the members of the fleet. */
+  update(): void {
+    const { directory, collector } = this.#options;
+    const isWidened = collector.now < this.#widenedUntil;
+    const hasChanged = this.#membersRevision !== directory.membersRevision ||
+      this.#isWidened !== isWidened;
+    if (!hasChanged && !this.#isReleasePending) return;
+    this.#membersRevision = directory.membersRevision;
+    this.#isWidened = isWidened;
+    if (hasChanged) this.#select();
+    this.#isReleasePending = false;
+    for (const link of [...this.#used]) this.#releaseUnselected(link);
+  }
+
+  #select(): void {
+    const { directory, self } = this.#options;
+    const sidecars = directory.membersOf(Role.Sidecar);
+    const addresses = new Set(sidecars.map(({ address }) => address));
+    const entries = directory.membersOf(Role.Entry);
+    this.#selected = this.#isWidened
+      ? addresses
+      : selectSidecars({ self, entries, sidecars });
+    for (const member of sidecars) {
+      const link = this.#links.get(member.address) ?? newLink(member);
+      this.#links.set(member.address, link);
+      const isSelected = this.#selected.has(member.address);
+      if (!isSelected || link.state.phase !== LinkPhase.Unused) continue;
+      link.state = newOpeningLink();
+      this.#used.add(link);
+    }
+    for (const link of this.#links.values()) {
+      if (!addresses.has(link.address)) this.#remove(link);
+    }
+  }
+
+  /** Removes the link to a member that has left, unless it is still in use. */
+  #remove(link: WorkerLinkState): void {
+    if (link.state.phase === LinkPhase.Open) return;
+    this.#links.delete(link.address);
+    this.#used.delete(link);
+    this.#options.collector.record(
+      EventNumber.MemberRemoved,
+      "a sidecar was removed",
+      { context: { member: link.process, address: link.address } },
+    );
+  }
+
+  #releaseUnselected(link: WorkerLinkState): void {
+    const { address, state } = link;
+    if (this.#selected.has(address)) return;
+    const isInUse = state.phase === LinkPhase.Open &&
+      this.#options.holdsAttempts(address);
+    if (isInUse) this.#isReleasePending = true;
+    else this.close(link);
+  }
+}
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -1,5 +1,5 @@
 /**
- * State of an entry's link to a sidecar: either without a session, or with a session and the load that the
+ * State of an entry's link to a sidecar: unused, without a session, or with a session and the load that the
  * sidecar reported last.
  */
 import type {
@@ -18,11 +18,21 @@
 
 /** Phases of a link. */
 export enum LinkPhase {
+  /** The entry does not use the sidecar. */
+  Unused = "unused",
   /** There is no session; the entry requests one. */
   Opening = "opening",
   Open = "open",
 }
 
+/** A link to a sidecar that the entry does not use. */
+export interface UnusedLink {
+  readonly phase: LinkPhase.Unused;
+}
+
+/** State of every unused link. */
+export const UNUSED_LINK: UnusedLink = { phase: LinkPhase.Unused };
+
 /** A link without a session. */
 export interface OpeningLink {
   readonly phase: LinkPhase.Opening;
@@ -53,7 +63,7 @@
   readonly address: string;
   process: ProcessIdentifier;
   availabilityZone: string;
-  state: OpeningLink | OpenLink;
+  state: UnusedLink | OpeningLink | OpenLink;
   /** Newest session that was given up with the present incarnation of the sidecar; 0 for none. */
   givenUp: SessionNumber;
   readonly detector: OutlierDetector;
@@ -65,13 +75,13 @@
   requestsSent: number;
 }
 
-/** Returns a link without a session to a newly discovered sidecar. */
+/** Returns an unused link to a newly discovered sidecar. */
 export function newLink(member: FleetMember): WorkerLinkState {
   return {
     address: member.address,
     process: member.process,
     availabilityZone: member.availabilityZone,
-    state: newOpeningLink(),
+    state: UNUSED_LINK,
     givenUp: 0,
     detector: new OutlierDetector(),
     avoidUntil: 0,
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -1,5 +1,5 @@
 /**
- * Sessions of an entry with all sidecars. A sidecar that does not reply to renewals counts as lost: the entry
+ * Sessions of an entry with the sidecars that it uses. A sidecar that does not reply to renewals counts as lost: the entry
  * gives up the session and stops renewing it, so the sidecar ends the session's tasks. These tasks may be
  * placed again once they have certainly ended, or once the sidecar confirms their end by granting a new
  * session.
@@ -13,6 +13,7 @@
   type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
+  type FleetMember,
   type IncomingReply,
   type Milliseconds,
   type OutputCollector,
@@ -20,24 +21,25 @@
   PeerReplyKind,
   type ProcessIdentifier,
   type RequestIdentifier,
-  Role,
   type SessionGranted,
   type SessionNumber,
+  type SessionRenewed,
   Severity,
   type WorkerLoad,
 } from "@eelgrassfront/model";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
   LinkPhase,
-  newLink,
-  newOpeningLink,
   type OpeningLink,
   type OpenLink,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
+import { WorkerLinkSet } from "./worker_link_set.ts";
 
 /** Interval of renewals: a third of the duration of a session. */
 const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 200;
+/** Renewals are due at multiples of this time, so that one wake-up of the process sends several. */
+const RENEWAL_ALIGNMENT_MILLISECONDS: Milliseconds = 50;
 /** Time without a reply after which a sidecar counts as lost: two unanswered renewals. */
 const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 450;
 /** Longest interval between attempts to open a session; the interval doubles up to this bound. */
@@ -65,12 +67,15 @@
   readonly link: WorkerLinkState;
 }
 
-/** The directory that lists the sidecars, and the demand for load reports. */
+/** The directory that lists the sidecars, the attempts there, and the demand for load reports. */
 export interface WorkerLinksOptions {
+  readonly self: FleetMember;
   readonly collector: OutputCollector<DispatchOutput>;
   readonly directory: FleetDirectory;
   /** Whether jobs wait for free capacity, so that load changes must be known soon. */
   readonly hasWaitingJobs: () => boolean;
+  /** Whether the sidecar at an address holds attempts of this entry. */
+  readonly holdsAttempts: (address: string) => boolean;
 }
 
 enum CallPurpose {
@@ -85,28 +90,41 @@
   readonly session: SessionNumber;
 }
 
-/** Opens, renews and gives up the sessions with all sidecars. */
+/** Opens, renews and gives up the sessions with the sidecars in use. */
 export class WorkerLinks {
   readonly #options: WorkerLinksOptions;
-  readonly #links = new Map<string, WorkerLinkState>();
+  readonly #links: WorkerLinkSet;
   readonly #calls = new Map<RequestIdentifier, PendingCall>();
-  #membersRevision = -1;
-  #isRemovalPending = false;
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
+    this.#links = new WorkerLinkSet(options);
   }
 
-  /** Returns all links. */
+  /** Returns the links in use. */
   all(): readonly WorkerLinkState[] {
-    return [...this.#links.values()];
+    return [...this.#links.used];
   }
 
   /** Returns the link to an address. */
   find(address: string): WorkerLinkState | undefined {
-    return this.#links.get(address);
+    return this.#links.find(address);
+  }
+
+  /** Whether there are sidecars that were not asked for a session yet, so that their workers are unknown. */
+  get hasUnknownWorkers(): boolean {
+    return this.#links.isPartial ||
+      this.all().some(({ state }) =>
+        state.phase === LinkPhase.Opening &&
+        state.retryInterval === INITIAL_OPEN_INTERVAL_MILLISECONDS
+      );
+  }
+
+  /** Opens sessions with every sidecar for some time, because no selected one can run a job. */
+  useAll(): void {
+    this.#links.useAll();
   }
 
   /** Returns whether this object sent a request and the request has no reply yet. */
@@ -116,10 +134,10 @@
 
   /** Sends due requests. Returns the links whose session was lost. */
   tick(): readonly LinkChange[] {
-    this.#updateLinks();
+    this.#links.update();
     const { now } = this.#options.collector;
     const changes: LinkChange[] = [];
-    for (const link of this.#links.values()) {
+    for (const link of this.all()) {
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
         now >= state.lastReplyAt + REPLY_TIMEOUT_MILLISECONDS;
@@ -133,6 +151,8 @@
   nextAlarm(): Milliseconds | undefined {
     const times = this.all().map(({ state }) => {
       switch (state.phase) {
+        case LinkPhase.Unused:
+          return Infinity;
         case LinkPhase.Opening:
           return state.pendingRequest === undefined
             ? state.nextOpenAt
@@ -153,12 +173,14 @@
   handleReply(input: IncomingReply<DispatchReply>): readonly LinkChange[] {
     const call = this.#calls.get(input.request);
     this.#calls.delete(input.request);
-    const link = this.#links.get(call?.address ?? "");
+    const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return [];
     const { message } = input;
     switch (message.kind) {
       case DispatchReplyKind.SessionGranted:
         return this.#handleGranted(link, message);
+      case DispatchReplyKind.SessionRenewed:
+        return this.#handleRenewed(link, message);
       case DispatchReplyKind.SessionPending:
         return this.#handlePending(link, call);
       case DispatchReplyKind.LoadReported:
@@ -180,7 +202,7 @@
   handleLostRequest(request: RequestIdentifier): void {
     const call = this.#calls.get(request);
     this.#calls.delete(request);
-    const link = this.#links.get(call?.address ?? "");
+    const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return;
     this.handleConnectionLoss(link);
     const { state } = link;
@@ -225,7 +247,7 @@
     address: string,
     current: ProcessIdentifier,
   ): readonly LinkChange[] {
-    const link = this.#links.get(address);
+    const link = this.#links.find(address);
     return link === undefined
       ? []
       : this.#handleIncarnationMismatch(link, current);
@@ -241,6 +263,8 @@
   #sendDue(link: WorkerLinkState): void {
     const { state } = link;
     switch (state.phase) {
+      case LinkPhase.Unused:
+        return;
       case LinkPhase.Opening:
         this.#openSession(link, state);
         return;
@@ -255,33 +279,6 @@
     }
   }
 
-  #updateLinks(): void {
-    const { directory, collector } = this.#options;
-    // The link to a removed member is kept until its session is lost.
-    const isUpToDate = this.#membersRevision === directory.membersRevision &&
-      !this.#isRemovalPending;
-    if (isUpToDate) return;
-    this.#membersRevision = directory.membersRevision;
-    this.#isRemovalPending = false;
-    const members = directory.membersOf(Role.Sidecar);
-    for (const member of members) {
-      const known = this.#links.get(member.address);
-      if (known === undefined) this.#links.set(member.address, newLink(member));
-    }
-    const addresses = new Set(members.map(({ address }) => address));
-    for (const [address, link] of this.#links) {
-      if (addresses.has(address)) continue;
-      if (link.state.phase === LinkPhase.Open) {
-        this.#isRemovalPending = true;
-        continue;
-      }
-      this.#links.delete(address);
-      collector.record(EventNumber.MemberRemoved, "a sidecar was removed", {
-        context: { member: link.process, address },
-      });
-    }
-  }
-
   #openSession(link: WorkerLinkState, state: OpeningLink): void {
     const { now } = this.#options.collector;
     if (state.pendingRequest !== undefined) {
@@ -307,12 +304,13 @@
   }
 
   #renew(link: WorkerLinkState, state: OpenLink): void {
-    state.nextRenewAt = this.#options.collector.now +
-      RENEWAL_INTERVAL_MILLISECONDS;
-    const { session } = state;
+    state.nextRenewAt = nextRenewal(this.#options.collector.now);
+    const { session, profile, load } = state;
     this.#send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
+      ...(profile === undefined ? {} : { knownWorker: profile.worker }),
+      ...(load === undefined ? {} : { knownRevision: load.revision }),
     });
   }
 
@@ -335,10 +333,9 @@
       if (state.session !== session) return [];
       state.profile = profile;
       this.updateLoad(link, load);
-      return this.#interrupted.delete(link.address)
-        ? [{ kind: LinkChangeKind.Resumed, link }]
-        : [];
+      return this.#resume(link);
     }
+    if (state.phase === LinkPhase.Unused) return [];
     if (session <= link.givenUp) {
       this.#scheduleOpen(state);
       return [];
@@ -349,7 +346,7 @@
       phase: LinkPhase.Open,
       session,
       lastReplyAt: now,
-      nextRenewAt: now + RENEWAL_INTERVAL_MILLISECONDS,
+      nextRenewAt: nextRenewal(now),
       profile,
       load,
       watch: undefined,
@@ -370,11 +367,30 @@
     return [{ kind: LinkChangeKind.Opened, link }];
   }
 
+  #handleRenewed(
+    link: WorkerLinkState,
+    { session, load }: SessionRenewed,
+  ): readonly LinkChange[] {
+    const { state } = link;
+    if (state.phase !== LinkPhase.Open || state.session !== session) return [];
+    state.lastReplyAt = this.#options.collector.now;
+    if (load !== undefined) this.updateLoad(link, load);
+    return this.#resume(link);
+  }
+
+  /** Continues a session whose connection was lost. */
+  #resume(link: WorkerLinkState): readonly LinkChange[] {
+    return this.#interrupted.delete(link.address)
+      ? [{ kind: LinkChangeKind.Resumed, link }]
+      : [];
+  }
+
   #handlePending(
     link: WorkerLinkState,
     { purpose, session }: PendingCall,
   ): readonly LinkChange[] {
     const { state } = link;
+    if (state.phase === LinkPhase.Unused) return [];
     if (state.phase === LinkPhase.Opening) {
       // The sidecar replies, so the request is repeated at the initial interval, without backoff.
       state.retryInterval = INITIAL_OPEN_INTERVAL_MILLISECONDS;
@@ -410,13 +426,13 @@
     const changes = link.state.phase === LinkPhase.Open
       ? [this.#giveUp(link, "the sidecar was restarted")]
       : [];
+    this.#links.close(link);
     link.givenUp = 0;
-    link.state = newOpeningLink();
     return changes;
   }
 
   #giveUp(link: WorkerLinkState, reason: string): LinkChange {
-    if (link.state.phase === LinkPhase.Open) link.givenUp = link.state.session;
+    this.#links.close(link);
     this.#interrupted.delete(link.address);
     this.#options.collector.record(
       EventNumber.SessionLost,
@@ -430,7 +446,6 @@
         },
       },
     );
-    link.state = newOpeningLink();
     return { kind: LinkChangeKind.Lost, link };
   }
 
@@ -453,3 +468,8 @@
     return request;
   }
 }
+
+function nextRenewal(now: Milliseconds): Milliseconds {
+  const due = now + RENEWAL_INTERVAL_MILLISECONDS;
+  return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
+}
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -37,6 +37,10 @@
 export interface RenewSession {
   readonly kind: DispatchRequestKind.RenewSession;
   readonly session: SessionNumber;
+  /** Worker whose profile the entry has; absent if it has none. The reply leaves out what the entry knows. */
+  readonly knownWorker?: string;
+  /** Revision of the load that the entry has. */
+  readonly knownRevision?: number;
 }
 
 /**
@@ -83,7 +87,7 @@
   readonly availabilityZone: string;
 }
 
-/** Members and configuration as one process knows them. */
+/** What one process knows of members and configuration, as far as the receiver may not know it. */
 export interface FleetState {
   readonly configuration?: WorkConfiguration;
   readonly members: readonly FleetMember[];
@@ -98,6 +102,8 @@
   readonly sender: FleetMember;
   /** Version of the configuration in force at the sender; 0 for none. */
   readonly configurationVersion: number;
+  /** Digest of the members that the sender knows. */
+  readonly membersDigest: number;
   /**
    * The receiver adopts this version if it is newer. Senders leave the field out: a receiver that is
    * behind requests the version itself.
@@ -209,6 +215,7 @@
 /** Kinds of replies. */
 export enum DispatchReplyKind {
   SessionGranted = "session-granted",
+  SessionRenewed = "session-renewed",
   SessionPending = "session-pending",
   TaskSettled = "task-settled",
   CancellationAcknowledged = "take-back-noted",
@@ -226,6 +233,14 @@
   readonly load?: WorkerLoad;
 }
 
+/** The session continues, and the worker is still the one that the entry knows. */
+export interface SessionRenewed {
+  readonly kind: DispatchReplyKind.SessionRenewed;
+  readonly session: SessionNumber;
+  /** Absent if the entry has the latest load. */
+  readonly load?: WorkerLoad;
+}
+
 /**
  * Work of an earlier session is still being stopped, the worker is not known yet, or the session to
  * renew is not open.
@@ -272,6 +287,7 @@
 /** Any reply between entries and sidecars. */
 export type DispatchReply =
   | SessionGranted
+  | SessionRenewed
   | SessionPending
   | TaskSettled
   | CancellationAcknowledged
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -120,14 +120,24 @@
 
   #renewSession(
     { from, request }: RunWaiter,
-    { session }: RenewSession,
+    { session, knownWorker, knownRevision }: RenewSession,
   ): void {
-    const { now } = this.#options.collector;
-    if (this.#options.sessions.renew(now, from, session)) {
+    const { collector, sessions, link } = this.#options;
+    if (!sessions.renew(collector.now, from, session)) {
+      this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
+      return;
+    }
+    const load = this.#options.load(from);
+    const worker = link.description?.incarnation.id;
+    if (load === undefined || worker !== knownWorker) {
       this.#grant(from, request, session);
       return;
     }
-    this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
+    this.#reply(from, request, {
+      kind: DispatchReplyKind.SessionRenewed,
+      session,
+      ...(load.revision === knownRevision ? {} : { load }),
+    });
   }
 
   #grant(
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -89,6 +89,8 @@
   #drainingSince: Milliseconds | undefined;
   #isStopped = false;
   #isAnnounced = false;
+  /** Whether every entry that reads the store knows this process. */
+  #isAnnouncementStored = false;
   #reportedFreeMillicores = 0;
 
   constructor(options: WorkerGuardOptions) {
@@ -125,8 +127,7 @@
       ...options,
       collector,
       directory: this.#directory,
-      shouldContact: ({ process }) =>
-        this.#sessions.find(process) === undefined,
+      isNeeded: () => !this.#isAnnouncementStored || this.#sessions.size === 0,
     });
   }
 
@@ -163,11 +164,13 @@
       case DispatchInputKind.MembersRead:
       case DispatchInputKind.StoreAvailable:
       case DispatchInputKind.StoreUnavailable:
-      case DispatchInputKind.AnnouncementStored:
       case DispatchInputKind.SettingsChanged:
         // Entries that start while the store is unavailable get the configuration from this process.
         handleDirectoryInput(input, this.#directory, this.#collector);
         return;
+      case DispatchInputKind.AnnouncementStored:
+        this.#isAnnouncementStored = true;
+        return;
       case DispatchInputKind.SavedWorkerRead:
         this.#useSavedWorker(input.description);
         return;
@@ -399,7 +402,7 @@
       revision: this.#table.revision,
       worker: description.incarnation.id,
       free,
-      slowness: this.#runController.slowness,
+      slowness: roundSlowness(this.#runController.slowness),
       isTakingWork: this.#link.isTakingWork &&
         this.#runController.isReconciled && this.#drainingSince === undefined,
       requestsTaken: this.#sessions.requestsTaken(entry),
@@ -429,3 +432,8 @@
     });
   }
 }
+
+/** Rounds to two decimals, which is finer than the estimate and shorter in messages. */
+function roundSlowness(slowness: number): number {
+  return Math.round(slowness * 100) / 100;
+}
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -14,6 +14,7 @@
   InputKind,
   OutputKind,
   type ProcessIdentifier,
+  type RenewSession,
   Role,
   type RunEnd,
   type RunEndKind,
@@ -168,10 +169,18 @@
     this.#sessions.set(entry, reply.session);
   }
 
-  renewSession(entry: ProcessIdentifier): void {
+  renewSession(
+    entry: ProcessIdentifier,
+    request = 1_000 + this.#now,
+    known: Pick<RenewSession, "knownWorker" | "knownRevision"> = {},
+  ): void {
     const session = this.#sessions.get(entry) ?? 0;
     const kind = DispatchRequestKind.RenewSession;
-    this.#request(entry, 1_000 + this.#now, { kind, session });
+    this.#request(entry, request, { kind, session, ...known });
+  }
+
+  messagesTo(request: number): readonly DispatchReply[] {
+    return this.#replies.get(request) ?? [];
   }
 
   runTask(
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -81,6 +81,28 @@
   expect(harness.startedJobs()).toEqual(["a", "c"]);
 });
 
+test("the reply to a renewal contains only what the entry does not know", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.renewSession(ENTRY, 20);
+  const [full] = harness.messagesTo(20);
+  expect(full?.kind).toEqual(DispatchReplyKind.SessionGranted);
+  if (full?.kind !== DispatchReplyKind.SessionGranted) return;
+  const known = {
+    knownWorker: full.profile?.worker ?? "",
+    knownRevision: full.load?.revision ?? 0,
+  };
+  harness.renewSession(ENTRY, 21, known);
+  const kind = DispatchReplyKind.SessionRenewed;
+  const { session } = full;
+  expect(harness.messagesTo(21)).toEqual([{ kind, session }]);
+  harness.runTask(10, { job: "a", millicores: 5_000 });
+  harness.renewSession(ENTRY, 22, known);
+  const [changed] = harness.messagesTo(22);
+  expect(changed?.kind).toEqual(kind);
+  if (changed?.kind !== kind) return;
+  expect(changed.load?.free.processorMillicores).toEqual(3_000);
+});
+
 test("a worker gets no new tasks after it has reported that it is draining", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
