feat(worker-guard): offer freed capacity to the most urgent waiting entry

Change: a watch says what its entry would place first and how urgent that is. A sidecar offers freed capacity to one entry, hides it from the others, and passes it on when it is not used within 20 ms.

--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -105,7 +105,7 @@
       self: options.self,
       collector,
       directory,
-      hasWaitingJobs: () => this.#scheduler.hasWaitingJobs,
+      waitingDemand: () => this.#scheduler.waitingDemand(),
       holdsAttempts: (address) => this.#attempts.hasAny(address),
     });
     this.#exchange = new FleetStateExchange({
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -12,6 +12,7 @@
   type OutputCollector,
   OutputKind,
   type RequestIdentifier,
+  type WaitingDemand,
 } from "@eelgrassfront/model";
 import { ArrivalRates } from "./arrival_rates.ts";
 import type { TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -76,9 +77,20 @@
     return this.#jobs.size;
   }
 
-  /** Whether jobs wait for free capacity. */
-  get hasWaitingJobs(): boolean {
-    return this.#queue.size > 0;
+  /** Returns the task that waits first for free capacity. */
+  waitingDemand(): WaitingDemand | undefined {
+    const { now } = this.#options.collector;
+    for (const job of this.#queue.jobs) {
+      const [task] = job.readyTasks(now);
+      if (task === undefined) continue;
+      return {
+        resources: task.step.resources,
+        priority: job.route.priority,
+        hasStarted: job.mayHaveStarted,
+        slackMilliseconds: Math.round(job.startBy - now),
+      };
+    }
+    return undefined;
   }
 
   /** Returns an unanswered job. */
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -42,6 +42,12 @@
   pendingSince: Milliseconds;
 }
 
+/** A request to watch the load for a waiting job. */
+export interface LoadWatch {
+  readonly request: RequestIdentifier;
+  readonly priority: number;
+}
+
 /** A link with a session. */
 export interface OpenLink {
   readonly phase: LinkPhase.Open;
@@ -53,7 +59,7 @@
   /** Latest load of the worker; absent when it was reported for another worker than the profile's. */
   load: WorkerLoad | undefined;
   /** Pending request to watch the load; absent while there is none. */
-  watch: RequestIdentifier | undefined;
+  watch: LoadWatch | undefined;
   /** Worker whose load was reported without a profile; the session was renewed early to get its profile. */
   unprofiledWorker: string | undefined;
 }
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -25,6 +25,7 @@
   type SessionNumber,
   type SessionRenewed,
   Severity,
+  type WaitingDemand,
   type WorkerLoad,
 } from "@eelgrassfront/model";
 import {
@@ -72,8 +73,8 @@
   readonly self: FleetMember;
   readonly collector: OutputCollector<DispatchOutput>;
   readonly directory: FleetDirectory;
-  /** Whether jobs wait for free capacity, so that load changes must be known soon. */
-  readonly hasWaitingJobs: () => boolean;
+  /** The task that waits first for free capacity, so that load changes must be known soon. */
+  readonly waitingDemand: () => WaitingDemand | undefined;
   /** Whether the sidecar at an address holds attempts of this entry. */
   readonly holdsAttempts: (address: string) => boolean;
 }
@@ -137,12 +138,13 @@
     this.#links.update();
     const { now } = this.#options.collector;
     const changes: LinkChange[] = [];
+    const demand = this.#options.waitingDemand();
     for (const link of this.all()) {
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
         now >= state.lastReplyAt + REPLY_TIMEOUT_MILLISECONDS;
       if (isLost) changes.push(this.#giveUp(link, "no answer to renewals"));
-      this.#sendDue(link);
+      this.#sendDue(link, demand);
     }
     return changes;
   }
@@ -184,7 +186,7 @@
       case DispatchReplyKind.SessionPending:
         return this.#handlePending(link, call);
       case DispatchReplyKind.LoadReported:
-        this.#handleLoadReport(link, call, message.load);
+        this.#handleLoadReport(link, call, input.request, message.load);
         return [];
       case DispatchReplyKind.TaskSettled:
       case DispatchReplyKind.CancellationAcknowledged:
@@ -260,7 +262,7 @@
       .map((link) => this.#giveUp(link, reason));
   }
 
-  #sendDue(link: WorkerLinkState): void {
+  #sendDue(link: WorkerLinkState, demand: WaitingDemand | undefined): void {
     const { state } = link;
     switch (state.phase) {
       case LinkPhase.Unused:
@@ -272,7 +274,7 @@
         if (this.#options.collector.now >= state.nextRenewAt) {
           this.#renew(link, state);
         }
-        this.#watch(link, state);
+        if (demand !== undefined) this.#watch(link, state, demand);
         return;
       default:
         assertNever(state);
@@ -314,13 +316,18 @@
     });
   }
 
-  #watch(link: WorkerLinkState, state: OpenLink): void {
-    if (state.watch !== undefined || !this.#options.hasWaitingJobs()) return;
-    state.watch = this.#send(link, CallPurpose.Watch, state.session, {
+  /** Watches the load for a waiting task, unless it is watched for one that is as urgent. */
+  #watch(link: WorkerLinkState, state: OpenLink, demand: WaitingDemand): void {
+    const { watch, load, session } = state;
+    const isWatched = watch !== undefined && watch.priority <= demand.priority;
+    if (isWatched || load?.isTakingWork !== true) return;
+    const request = this.#send(link, CallPurpose.Watch, session, {
       kind: DispatchRequestKind.WatchLoad,
-      knownRevision: state.load?.revision ?? -1,
+      knownRevision: load.revision,
       intervalMilliseconds: WATCH_INTERVAL_MILLISECONDS,
+      demand,
     });
+    state.watch = { request, priority: demand.priority };
   }
 
   #handleGranted(
@@ -408,11 +415,12 @@
   #handleLoadReport(
     link: WorkerLinkState,
     { session }: PendingCall,
+    request: RequestIdentifier,
     load: WorkerLoad | undefined,
   ): void {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return;
-    state.watch = undefined;
+    if (state.watch?.request === request) state.watch = undefined;
     this.updateLoad(link, load);
   }
 
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -67,15 +67,27 @@
   readonly attempt: number;
 }
 
+/** The task that an entry would place first, and the urgency of its job. */
+export interface WaitingDemand {
+  readonly resources: Resources;
+  /** Priority of the kind of work; 0 is the most urgent. */
+  readonly priority: number;
+  /** Whether other tasks of the job have started. */
+  readonly hasStarted: boolean;
+  /** Time until the job must start to meet its objective. */
+  readonly slackMilliseconds: Milliseconds;
+}
+
 /**
- * An entry with waiting jobs subscribes to the load. The sidecar replies once the revision of the
- * load differs from the one that the entry knows.
+ * An entry with waiting jobs subscribes to the load. The sidecar replies once it offers free
+ * capacity to the entry.
  */
 export interface WatchLoad {
   readonly kind: DispatchRequestKind.WatchLoad;
   readonly knownRevision: number;
   /** Shortest time between two replies to the entry. */
   readonly intervalMilliseconds: Milliseconds;
+  readonly demand: WaitingDemand;
 }
 
 /** A member of the fleet. */
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -161,6 +161,7 @@
   ): void {
     const waiter = { from, request };
     this.#options.sessions.countRequest(from, message.session);
+    this.#options.watches.endOffer(from);
     const known = this.#options.table.find(message.task);
     const isRepeated = known?.entry === from &&
       known.attempt === message.attempt && known.session === message.session;
--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -1,35 +1,65 @@
 /**
- * Watches of entries on the worker's load. Each entry gets at most one reply per interval, so that a busy
- * worker sends no more updates than its entries can use.
+ * Watches of entries with waiting jobs on the worker's load. Capacity that becomes free is offered to one of
+ * them at a time, the one whose job is most urgent, and hidden from the others until the entry uses it or
+ * the offer expires. Several entries thus neither compete for the same capacity nor serve a less urgent job of
+ * one before a more urgent job of another.
  */
 import {
+  addResources,
   type DispatchOutput,
   DispatchReplyKind,
+  isWithin,
   type Milliseconds,
+  NO_RESOURCES,
   type OutputCollector,
   OutputKind,
   type ProcessIdentifier,
   type RequestIdentifier,
+  type Resources,
+  subtractResources,
+  type WaitingDemand,
   type WorkerLoad,
 } from "@eelgrassfront/model";
 
-interface Watch {
+/** Time for which offered capacity is hidden from other entries: a few round trips between zones. */
+const OFFER_MILLISECONDS: Milliseconds = 20;
+
+/** A watch as an entry requests it. */
+export interface RequestedWatch {
   readonly request: RequestIdentifier;
   readonly knownRevision: number;
   readonly intervalMilliseconds: Milliseconds;
+  readonly demand: WaitingDemand;
+}
+
+interface Watch extends RequestedWatch {
+  /** Latest start of the waiting job that meets its objective. */
+  readonly startBy: Milliseconds;
+}
+
+interface Offer {
+  readonly resources: Resources;
+  readonly expiresAt: Milliseconds;
 }
 
 /** Sources of the load and of its revision. */
 export interface LoadWatchesOptions {
   readonly collector: OutputCollector<DispatchOutput>;
   readonly revision: () => number;
+  /** Raises the revision, because capacity is no longer hidden from some entries. */
+  readonly raiseRevision: () => void;
+  /** Free resources of the worker; absent while it gets no tasks. */
+  readonly free: () => Resources | undefined;
   readonly load: (entry: ProcessIdentifier) => WorkerLoad | undefined;
 }
 
-/** Answers the open watches, at most one for each entry, when the load changes. */
+/** Offers free capacity to the entries that wait for it, at most one watch for each entry. */
 export class LoadWatches {
   readonly #options: LoadWatchesOptions;
   readonly #watches = new Map<ProcessIdentifier, Watch>();
+  readonly #offers = new Map<ProcessIdentifier, Offer>();
+  /** Watches whose entry got an offer and no reply yet. */
+  readonly #unanswered = new Map<ProcessIdentifier, Watch>();
   readonly #repliedAt = new Map<ProcessIdentifier, Milliseconds>();
 
   constructor(options: LoadWatchesOptions) {
@@ -37,37 +67,92 @@
   }
 
   /** Adds a watch; it replaces and answers an earlier one of the same entry. */
-  add(entry: ProcessIdentifier, watch: Watch): void {
+  add(entry: ProcessIdentifier, requested: RequestedWatch): void {
     const earlier = this.#watches.get(entry);
     if (earlier !== undefined) this.#reply(entry, earlier);
-    this.#watches.set(entry, watch);
+    const { now } = this.#options.collector;
+    const startBy = now + requested.demand.slackMilliseconds;
+    this.#watches.set(entry, { ...requested, startBy });
   }
 
-  /** Drops the watch of an entry. */
+  /** Drops the watch and the offer of an entry. */
   remove(entry: ProcessIdentifier): void {
     this.#watches.delete(entry);
+    this.#unanswered.delete(entry);
     this.#repliedAt.delete(entry);
+    this.endOffer(entry);
   }
 
-  /** Answers the watches whose entry knows an outdated load and whose interval has passed. */
-  tick(): void {
+  /** Ends the offer to an entry, because the entry has used it or has left. */
+  endOffer(entry: ProcessIdentifier): void {
+    this.#offers.delete(entry);
+  }
+
+  /** Resources that are offered to other entries than the given one. */
+  offeredToOthers(entry: ProcessIdentifier): Resources {
+    let sum = NO_RESOURCES;
+    for (const [other, { resources }] of this.#offers) {
+      if (other !== entry) sum = addResources(sum, resources);
+    }
+    return sum;
+  }
+
+  /** Offers free capacity to the most urgent watches that it suffices for. */
+  offerCapacity(): void {
+    this.#expireOffers();
+    if (this.#watches.size === 0) return;
+    const free = this.#options.free();
+    if (free === undefined) return;
     const { now } = this.#options.collector;
-    for (const [entry, watch] of this.#watches) {
-      if (!this.#isChanged(watch) || now < this.#dueAt(entry, watch)) continue;
-      this.#reply(entry, watch);
+    const expiresAt = now + OFFER_MILLISECONDS;
+    const byUrgency = [...this.#watches].sort(([, left], [, right]) =>
+      compareWatches(left, right)
+    );
+    for (const [entry, watch] of byUrgency) {
+      if (!this.#isDue(entry, watch)) continue;
+      const { resources } = watch.demand;
+      const left = subtractResources(free, this.offeredToOthers(entry));
+      if (!isWithin(resources, left)) continue;
+      this.#offers.set(entry, { resources, expiresAt });
       this.#watches.delete(entry);
+      this.#unanswered.set(entry, watch);
     }
   }
 
-  /** When the next answer is due. */
+  /** Offers free capacity and answers the watches of the entries that got an offer. */
+  tick(): void {
+    this.offerCapacity();
+    for (const [entry, watch] of this.#unanswered) this.#reply(entry, watch);
+    this.#unanswered.clear();
+  }
+
+  /** When an offer expires or the next watch may be answered. */
   nextAlarm(): Milliseconds | undefined {
-    const times = [...this.#watches]
-      .filter(([, watch]) => this.#isChanged(watch))
-      .map(([entry, watch]) => this.#dueAt(entry, watch));
+    const { now } = this.#options.collector;
+    const times = [...this.#offers.values()].map(({ expiresAt }) => expiresAt);
+    for (const [entry, watch] of this.#watches) {
+      const dueAt = this.#dueAt(entry, watch);
+      if (dueAt > now && this.#isNews(watch)) times.push(dueAt);
+    }
     return times.length === 0 ? undefined : Math.min(...times);
   }
 
-  #isChanged({ knownRevision }: Watch): boolean {
+  #expireOffers(): void {
+    const { now } = this.#options.collector;
+    for (const [entry, { expiresAt }] of this.#offers) {
+      if (now < expiresAt) continue;
+      this.#offers.delete(entry);
+      this.#options.raiseRevision();
+    }
+  }
+
+  #isDue(entry: ProcessIdentifier, watch: Watch): boolean {
+    return this.#isNews(watch) &&
+      this.#options.collector.now >= this.#dueAt(entry, watch);
+  }
+
+  /** Whether the load has changed since the entry learnt it. */
+  #isNews({ knownRevision }: Watch): boolean {
     return knownRevision !== this.#options.revision();
   }
 
@@ -93,3 +178,10 @@
     });
   }
 }
+
+/** Compares two watches in the order in which entries serve jobs; negative when the left one goes first. */
+function compareWatches(left: Watch, right: Watch): number {
+  return left.demand.priority - right.demand.priority ||
+    Number(right.demand.hasStarted) - Number(left.demand.hasStarted) ||
+    left.startBy - right.startBy;
+}
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -30,6 +30,7 @@
   OutputCollector,
   OutputKind,
   type ProcessIdentifier,
+  type Resources,
   SessionEndReason,
   SettlementKind,
   Severity,
@@ -111,7 +112,9 @@
     this.#watches = new LoadWatches({
       collector,
       load,
+      free: () => this.#isTakingWork() ? this.#freeResources() : undefined,
       revision: () => this.#table.revision,
+      raiseRevision: () => this.#table.raiseRevision(),
     });
     this.#requests = new EntryRequestHandler({
       collector,
@@ -396,23 +399,33 @@
   #load(entry: ProcessIdentifier): WorkerLoad | undefined {
     const { description } = this.#link;
     if (description === undefined) return undefined;
-    const { capacity } = description;
-    const free = subtractResources(capacity, this.#table.used);
+    // What is offered to an entry must not appear as free in a settlement to another one.
+    this.#watches.offerCapacity();
     return {
       revision: this.#table.revision,
       worker: description.incarnation.id,
-      free,
+      free: subtractResources(
+        this.#freeResources(),
+        this.#watches.offeredToOthers(entry),
+      ),
       slowness: roundSlowness(this.#runController.slowness),
-      isTakingWork: this.#link.isTakingWork &&
-        this.#runController.isReconciled && this.#drainingSince === undefined,
+      isTakingWork: this.#isTakingWork(),
       requestsTaken: this.#sessions.requestsTaken(entry),
     };
   }
 
-  #updateGauge(): void {
+  #isTakingWork(): boolean {
+    return this.#link.isTakingWork && this.#runController.isReconciled &&
+      this.#drainingSince === undefined;
+  }
+
+  #freeResources(): Resources {
     const { capacity } = this.#link.description ?? { capacity: NO_RESOURCES };
-    const value = capacity.processorMillicores -
-      this.#table.used.processorMillicores;
+    return subtractResources(capacity, this.#table.used);
+  }
+
+  #updateGauge(): void {
+    const value = this.#freeResources().processorMillicores;
     if (value === this.#reportedFreeMillicores) return;
     this.#reportedFreeMillicores = value;
     const gauge = Gauge.FreeMillicores;
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -179,6 +179,31 @@
     this.#request(entry, request, { kind, session, ...known });
   }
 
+  watchLoad(
+    entry: ProcessIdentifier,
+    request: number,
+    { priority, slack = 100 }: {
+      readonly priority: number;
+      readonly slack?: number;
+    },
+  ): void {
+    this.#request(entry, request, {
+      kind: DispatchRequestKind.WatchLoad,
+      knownRevision: -1,
+      intervalMilliseconds: 20,
+      demand: {
+        resources: {
+          processorMillicores: CAPACITY_MILLICORES,
+          memoryMegabytes: 1,
+          accelerators: 0,
+        },
+        priority,
+        hasStarted: false,
+        slackMilliseconds: slack,
+      },
+    });
+  }
+
   messagesTo(request: number): readonly DispatchReply[] {
     return this.#replies.get(request) ?? [];
   }
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -5,6 +5,7 @@
  */
 import { test } from "node:test";
 import {
+  type DispatchReply,
   DispatchReplyKind,
   ErrorTag,
   InputKind,
@@ -20,7 +21,12 @@
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
-import { BORN_AT, ENTRY, WorkerGuardHarness } from "./worker_guard_harness.ts";
+import {
+  BORN_AT,
+  CAPACITY_MILLICORES,
+  ENTRY,
+  WorkerGuardHarness,
+} from "./worker_guard_harness.ts";
 
 const OTHER_ENTRY: ProcessIdentifier = "entry-2~a";
 const ACCEPTED: WorkerAnswer = { kind: WorkerAnswerKind.Accepted };
@@ -103,6 +109,58 @@
   expect(changed.load?.free.processorMillicores).toEqual(3_000);
 });
 
+/** Fills the worker for `ENTRY`, lets two entries wait for its capacity, and completes the task. */
+function freeCapacityForTwo(
+  harness: WorkerGuardHarness,
+  priorities: { readonly entry: number; readonly other: number },
+): void {
+  harness.openSession(OTHER_ENTRY, 2);
+  harness.runTask(10, { job: "a", millicores: CAPACITY_MILLICORES });
+  harness.acceptStarts();
+  harness.watchLoad(ENTRY, 31, { priority: priorities.entry, slack: 50 });
+  harness.watchLoad(OTHER_ENTRY, 32, { priority: priorities.other });
+  harness.advanceTo(100);
+  harness.answerPoll({ ended: [{ job: "a", kind: RunEndKind.Completed }] });
+}
+
+function freeIn(message: DispatchReply | undefined): number | undefined {
+  return message !== undefined && "load" in message
+    ? message.load?.free.processorMillicores
+    : undefined;
+}
+
+test("freed capacity is offered to the entry with the most urgent job and hidden from the others", () => {
+  const harness = WorkerGuardHarness.ready();
+  freeCapacityForTwo(harness, { entry: 1, other: 0 });
+  expect(freeIn(harness.messagesTo(32)[0])).toEqual(CAPACITY_MILLICORES);
+  expect(harness.messagesTo(31)).toEqual([]);
+  expect(freeIn(harness.messagesTo(10)[0])).toEqual(0);
+});
+
+test("among jobs of one priority freed capacity goes to the one that must start first", () => {
+  const harness = WorkerGuardHarness.ready();
+  freeCapacityForTwo(harness, { entry: 0, other: 0 });
+  expect(freeIn(harness.messagesTo(31)[0])).toEqual(CAPACITY_MILLICORES);
+  expect(harness.messagesTo(32)).toEqual([]);
+});
+
+test("capacity that an entry does not use is offered to the next", () => {
+  const harness = WorkerGuardHarness.ready();
+  freeCapacityForTwo(harness, { entry: 1, other: 0 });
+  harness.advanceTo(130);
+  expect(freeIn(harness.messagesTo(31)[0])).toEqual(CAPACITY_MILLICORES);
+});
+
+test("an entry that has used its offer holds no capacity back from the others", () => {
+  const harness = WorkerGuardHarness.ready();
+  freeCapacityForTwo(harness, { entry: 1, other: 0 });
+  harness.runTask(11, { job: "b", millicores: 1_000, entry: OTHER_ENTRY });
+  harness.renewSession(ENTRY, 33);
+  expect(freeIn(harness.messagesTo(33)[0])).toEqual(
+    CAPACITY_MILLICORES - 1_000,
+  );
+});
+
 test("a worker gets no new tasks after it has reported that it is draining", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
--- a/emulator/src/dispatch_run.ts
+++ b/emulator/src/dispatch_run.ts
@@ -22,7 +22,8 @@
   DispatchRule,
   type DispatchViolation,
 } from "./dispatch_checker.ts";
-import { DispatchSystem, type DispatchVm } from "./dispatch_system.ts";
+import { DispatchSystem } from "./dispatch_system.ts";
+import type { DispatchVm } from "./dispatch_vm.ts";
 import { NO_NETWORK_FAULTS } from "./fake_network.ts";
 import { NO_WORKER_FAULTS, type WorkerFaults } from "./fake_worker.ts";
 import { SeededRandom } from "./seeded_random.ts";
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -22,7 +22,6 @@
   type OutgoingRequest,
   OutputKind,
   PeerReplyKind,
-  type ProcessEvent,
   type ProcessIdentifier,
   processIdentifier,
   processName,
@@ -34,39 +33,18 @@
   type WorkerDescription,
 } from "@eelgrassfront/model";
 import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
+import {
+  type DispatchProcess,
+  type DispatchSystemOptions,
+  type DispatchVm,
+  zoneOf,
+} from "./dispatch_vm.ts";
 import { FakeNetwork, LOSS_DETECTION_MILLISECONDS } from "./fake_network.ts";
-import { FakeWorker, type WorkerObserver } from "./fake_worker.ts";
+import { FakeWorker } from "./fake_worker.ts";
 import { SeededRandom } from "./seeded_random.ts";
 import { ProcessState, VirtualProcess } from "./virtual_process.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
-type DispatchProcess = VirtualProcess<DispatchInput, DispatchOutput>;
-
-/** Options of a `DispatchSystem`. */
-export interface DispatchSystemOptions {
-  readonly seed: number;
-  readonly entries: number;
-  readonly sidecars: number;
-  readonly capacityMillicores: number;
-  readonly observer: WorkerObserver;
-  readonly runMilliseconds: (content: string) => Milliseconds;
-  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
-  /** Wraps the state machine of a process, so that tests can disable a mechanism. */
-  readonly wrapDecisions?: (
-    role: Role,
-    machine: StateMachine<DispatchInput, DispatchOutput>,
-  ) => StateMachine<DispatchInput, DispatchOutput>;
-}
-
-/** One VM: its process and, for a sidecar, its worker. */
-export interface DispatchVm {
-  readonly name: string;
-  readonly role: Role;
-  process: DispatchProcess;
-  worker: FakeWorker | undefined;
-  incarnations: number;
-}
-
 interface OutstandingRequest {
   readonly from: DispatchProcess;
   readonly request: RequestIdentifier;
@@ -236,7 +214,7 @@
       process: identifier,
       role,
       address: processName(identifier),
-      availabilityZone: "zone-a",
+      availabilityZone: zoneOf(identifier, this.#options.zones),
     };
     const seeds = ["entry-1", "entry-2", "entry-3"];
     const graceMilliseconds = GRACE_MILLISECONDS;
--- /dev/null
+++ b/emulator/src/dispatch_vm.ts
@@ -0,0 +1,51 @@
+/**
+ * VMs of an emulated deployment for best-effort work, and the options of the deployment.
+ */
+import {
+  type DispatchInput,
+  type DispatchOutput,
+  type Milliseconds,
+  type ProcessEvent,
+  type ProcessIdentifier,
+  processName,
+  type Role,
+  type StateMachine,
+} from "@eelgrassfront/model";
+import type { FakeWorker, WorkerObserver } from "./fake_worker.ts";
+import type { VirtualProcess } from "./virtual_process.ts";
+
+/** The process on a VM. */
+export type DispatchProcess = VirtualProcess<DispatchInput, DispatchOutput>;
+
+/** Options of a `DispatchSystem`. */
+export interface DispatchSystemOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly sidecars: number;
+  /** Number of availability zones over which the VMs are spread; 1 by default. */
+  readonly zones?: number;
+  readonly capacityMillicores: number;
+  readonly observer: WorkerObserver;
+  readonly runMilliseconds: (content: string) => Milliseconds;
+  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
+  /** Wraps the state machine of a process, so that tests can disable a mechanism. */
+  readonly wrapDecisions?: (
+    role: Role,
+    machine: StateMachine<DispatchInput, DispatchOutput>,
+  ) => StateMachine<DispatchInput, DispatchOutput>;
+}
+
+/** One VM: its process and, for a sidecar, its worker. */
+export interface DispatchVm {
+  readonly name: string;
+  readonly role: Role;
+  process: DispatchProcess;
+  worker: FakeWorker | undefined;
+  incarnations: number;
+}
+
+/** Returns the availability zone of a process: the VMs of a role are spread by their number. */
+export function zoneOf(identifier: ProcessIdentifier, zones = 1): string {
+  const number = Number(processName(identifier).split("-").at(-1));
+  return `zone-${number % zones}`;
+}
--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -35,6 +35,15 @@
   readonly slowWorkers?: readonly SlowWorkers[];
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
   readonly countFrom?: Milliseconds;
+  /** Size of the fleet; that of the users' smallest deployments by default. */
+  readonly fleet?: FleetSize;
+}
+
+/** Number of processes, spread evenly over the availability zones. */
+export interface FleetSize {
+  readonly entries: number;
+  readonly workers: number;
+  readonly zones: number;
 }
 
 /** Results of the jobs of one kind of work. */
@@ -49,9 +58,9 @@
   refusedWaitMilliseconds: Milliseconds;
 }
 
-const ENTRIES = 3;
-/** Number of workers in the users' fleet. */
+/** Number of workers in the users' smallest deployments. */
 export const WORKERS = 11;
+const SMALL_FLEET: FleetSize = { entries: 3, workers: WORKERS, zones: 3 };
 /** Capacity of each worker. Two thirds of the users' workers have 32 cores, one third 48 faster ones. */
 export const WORKER_MILLICORES = 36_000;
 const START_MILLISECONDS: Milliseconds = 3_000;
@@ -103,10 +112,12 @@
   constructor(load: PlayedLoad) {
     this.#load = load;
     this.#outcomes = createOutcomes(load.kinds);
+    const { fleet = SMALL_FLEET } = load;
     this.#system = new DispatchSystem({
       seed: load.seed,
-      entries: ENTRIES,
-      sidecars: WORKERS,
+      entries: fleet.entries,
+      sidecars: fleet.workers,
+      zones: fleet.zones,
       capacityMillicores: WORKER_MILLICORES,
       observer: { onStart: () => {}, onEnd: () => {} },
       runMilliseconds: Number,
