fix(dispatcher): read what arrived during a stall before a session is given up

Change: after a gap of 100 ms between two steps an entry declares no sidecar lost for 50 ms; after one of 300 ms a sidecar lets no session expire for 20. Conclusion: closes the case of a process that was only slow to read; a pause of half a second or more still gives up all sessions.

--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -136,6 +136,13 @@
     } while (this.#now < now);
   }
 
+  /** Stalls the process, then lets its timer run before it reads what the sidecars have sent. */
+  stallUntil(now: number): void {
+    this.#now = now;
+    this.step({ kind: InputKind.AlarmFired });
+    this.#answerSessions({});
+  }
+
   step(input: DispatchInput): void {
     const outputs = this.#entry.step(this.#now, input);
     for (const output of outputs) this.#handleOutput(output);
--- a/domain/dispatcher/src/dispatcher_test.ts
+++ b/domain/dispatcher/src/dispatcher_test.ts
@@ -360,3 +360,25 @@
     JobRefusalReason.NoCapableWorker,
   );
 });
+
+test("a stall of the entry does not make its sidecars appear lost", () => {
+  const harness = DispatcherHarness.ready(["one"], { one: 8_000 });
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  harness.runTo(200);
+  harness.stallUntil(660);
+  harness.runTo(860);
+  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 500 });
+  expect(harness.answerTo(1)?.kind).toEqual(ClientAnswerKind.Ended);
+  expect(harness.placementAddresses()).toEqual(["one"]);
+  expect(harness.sent(DispatchRequestKind.OpenSession)).toEqual([]);
+});
+
+test("a sidecar that does not reply after a stall of the entry counts as lost", () => {
+  const harness = DispatcherHarness.ready(["one"], { one: 8_000 });
+  harness.runTo(200);
+  harness.runTo(640, { isUp: false });
+  harness.runTo(900, { isUp: false });
+  harness.takeRenewals();
+  harness.runTo(1_400, { isUp: false });
+  expect([...harness.takeRenewals()]).toEqual([]);
+});
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -43,6 +43,10 @@
 const RENEWAL_ALIGNMENT_MILLISECONDS: Milliseconds = 50;
 /** Time without a reply after which a sidecar counts as lost: two unanswered renewals. */
 const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 450;
+/** Gap between two steps after which replies may be waiting to be read: timers run before reads. */
+const STALL_MILLISECONDS: Milliseconds = 100;
+/** Time in which the replies that arrived during a stall of this process are read. */
+const READ_MILLISECONDS: Milliseconds = 50;
 /** Longest interval between attempts to open a session; the interval doubles up to this bound. */
 const MAXIMUM_OPEN_INTERVAL_MILLISECONDS: Milliseconds = 500;
 
@@ -98,6 +102,9 @@
   readonly #calls = new Map<RequestIdentifier, PendingCall>();
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
+  #tickedAt: Milliseconds | undefined;
+  /** Time before which no sidecar counts as lost, since its replies may not have been read. */
+  #readUntil: Milliseconds = 0;
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
@@ -137,12 +144,16 @@
   tick(): readonly LinkChange[] {
     this.#links.update();
     const { now } = this.#options.collector;
+    if (now - (this.#tickedAt ?? now) > STALL_MILLISECONDS) {
+      this.#readUntil = now + READ_MILLISECONDS;
+    }
+    this.#tickedAt = now;
     const changes: LinkChange[] = [];
     const demand = this.#options.waitingDemand();
     for (const link of this.all()) {
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
-        now >= state.lastReplyAt + REPLY_TIMEOUT_MILLISECONDS;
+        now >= this.#lostAt(state);
       if (isLost) changes.push(this.#giveUp(link, "no answer to renewals"));
       this.#sendDue(link, demand);
     }
@@ -160,10 +171,7 @@
             ? state.nextOpenAt
             : state.pendingSince + REPLY_TIMEOUT_MILLISECONDS;
         case LinkPhase.Open:
-          return Math.min(
-            state.nextRenewAt,
-            state.lastReplyAt + REPLY_TIMEOUT_MILLISECONDS,
-          );
+          return Math.min(state.nextRenewAt, this.#lostAt(state));
         default:
           return assertNever(state);
       }
@@ -262,6 +270,11 @@
       .map((link) => this.#giveUp(link, reason));
   }
 
+  /** When a sidecar counts as lost unless it replies. */
+  #lostAt({ lastReplyAt }: OpenLink): Milliseconds {
+    return Math.max(lastReplyAt + REPLY_TIMEOUT_MILLISECONDS, this.#readUntil);
+  }
+
   #sendDue(link: WorkerLinkState, demand: WaitingDemand | undefined): void {
     const { state } = link;
     switch (state.phase) {
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -67,6 +67,10 @@
 const TICK_MILLISECONDS: Milliseconds = 200;
 /** A longer gap between two steps means that the process was paused and that queued messages may be stale. */
 const PAUSE_MILLISECONDS: Milliseconds = 500;
+/** A shorter gap that is longer than the timer's: renewals may be waiting to be read, as timers run before reads. */
+const STALL_MILLISECONDS: Milliseconds = 300;
+/** Time in which the renewals that arrived during a stall of this process are read. */
+const READ_MILLISECONDS: Milliseconds = 20;
 /** Part of the grace period that is reserved for sending the last replies. */
 const DRAIN_RESERVE_MILLISECONDS: Milliseconds = 400;
 /** Shortest time between the request to stop and the exit, so that replies in transit still arrive. */
@@ -87,6 +91,8 @@
   readonly #watches: LoadWatches;
   readonly #requests: EntryRequestHandler;
   #lastStepAt: Milliseconds | undefined;
+  /** Time before which no session expires, since its renewal may not have been read. */
+  #readUntil: Milliseconds = 0;
   #drainingSince: Milliseconds | undefined;
   #isStopped = false;
   #isAnnounced = false;
@@ -150,7 +156,7 @@
     return Math.min(
       tickAt,
       this.#drainingSince === undefined ? this.#exchange.nextAlarm() : Infinity,
-      this.#sessions.nextExpiry() ?? Infinity,
+      Math.max(this.#sessions.nextExpiry() ?? Infinity, this.#readUntil),
       this.#runController.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
     );
@@ -243,9 +249,7 @@
   }
 
   #tick(): void {
-    for (const entry of this.#sessions.expire(this.#collector.now)) {
-      this.#requests.stopRuns(entry, SessionEndReason.Expired);
-    }
+    this.#expireSessions();
     this.#savedWorkerCheck.tick();
     this.#runController.tick();
     this.#startWaitingRuns();
@@ -256,10 +260,21 @@
     this.#stopWhenDrained();
   }
 
+  #expireSessions(): void {
+    const { now } = this.#collector;
+    if (now < this.#readUntil) return;
+    for (const entry of this.#sessions.expire(now)) {
+      this.#requests.stopRuns(entry, SessionEndReason.Expired);
+    }
+  }
+
   /** Ends all sessions after a pause: entries may have given them up, and queued requests may be stale. */
   #detectPause(): void {
     const elapsed = this.#collector.now -
       (this.#lastStepAt ?? this.#collector.now);
+    if (elapsed >= STALL_MILLISECONDS) {
+      this.#readUntil = this.#collector.now + READ_MILLISECONDS;
+    }
     if (elapsed < PAUSE_MILLISECONDS) return;
     this.#collector.record(
       EventNumber.ProcessPaused,
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -270,6 +270,20 @@
   expect(harness.repliesTo(13)).toEqual([DispatchReplyKind.SessionGranted]);
 });
 
+test("a stall of the sidecar does not end a session whose renewal waits to be read", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.advanceTo(190);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.advanceTo(620);
+  harness.renewSession(ENTRY);
+  harness.advanceTo(650);
+  harness.advanceTo(800);
+  expect(harness.takeCalls("stop")).toEqual([]);
+  harness.advanceTo(1_000);
+  harness.advanceTo(1_240);
+  expect(harness.takeCalls("stop").length).toEqual(1);
+});
+
 test("requests that were queued during a pause of the process start nothing", () => {
   const harness = WorkerGuardHarness.ready();
   harness.setNow(3_000);
