fix(peers-trpc): reject messages in an unknown form before the state machine

Cause: a request between processes was checked by its kind only; run-task, share-knowledge or take-back-task without their fields ended the process that got them with a TypeError (exit 70), and all that ran there with it. Change: requests and replies of best-effort work are checked by schemas; a bad one is an error at its sender and event 5002, limited in rate, at its receiver.

--- /dev/null
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -0,0 +1,181 @@
+/**
+ * Schemas of the messages of best-effort work between processes. A message that a faulty or newer peer sends in
+ * another form is rejected before it reaches the state machine, where it would end the process. Unknown fields
+ * are kept, since a newer version may have sent them.
+ */
+import {
+  DispatchReplyKind,
+  DispatchRequestKind,
+  InterruptionReason,
+  NotStartedReason,
+  PeerReplyKind,
+  Role,
+  SettlementKind,
+} from "@eelgrassfront/model";
+import * as zod from "zod";
+
+const count = zod.number().int().nonnegative();
+const amount = zod.number().finite();
+const processIdentifier = zod.string().regex(/^[^~]*~.*$/);
+
+const resources = zod.looseObject({
+  processorMillicores: amount,
+  memoryMegabytes: amount,
+  accelerators: amount,
+});
+
+const task = zod.looseObject({ job: zod.string(), step: count, index: count });
+
+const member = zod.looseObject({
+  process: processIdentifier,
+  role: zod.enum(Role),
+  address: zod.string().min(1),
+  availabilityZone: zod.string(),
+});
+
+const route = zod.looseObject({
+  name: zod.string(),
+  host: zod.string(),
+  requestPrefix: zod.string(),
+  service: zod.string(),
+  healthPath: zod.string().optional(),
+  priority: amount,
+  maximumAttempts: amount,
+  slackFactor: amount,
+  latencyAllowanceMilliseconds: amount,
+});
+
+const configuration = zod.looseObject({
+  version: count,
+  routes: zod.array(route),
+});
+
+const requestSchema = zod.discriminatedUnion("kind", [
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.OpenSession),
+    givenUp: count,
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.RenewSession),
+    session: count,
+    knownWorker: zod.string().optional(),
+    knownRevision: count.optional(),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.RunTask),
+    session: count,
+    task,
+    attempt: count,
+    content: zod.string(),
+    resources,
+    expectedMilliseconds: amount,
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.CancelTaskAttempt),
+    session: count,
+    task,
+    attempt: count,
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.WatchLoad),
+    knownRevision: zod.number().int(),
+    intervalMilliseconds: amount,
+    demand: zod.looseObject({
+      resources,
+      priority: amount,
+      hasStarted: zod.boolean(),
+      slackMilliseconds: amount,
+    }),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.ExchangeFleetState),
+    sender: member,
+    configurationVersion: count,
+    membersDigest: zod.number().int(),
+    configuration: configuration.optional(),
+  }),
+]);
+
+const load = zod.looseObject({
+  revision: count,
+  worker: zod.string(),
+  free: resources,
+  slowness: amount,
+  isTakingWork: zod.boolean(),
+  requestsTaken: count,
+});
+
+const profile = zod.looseObject({
+  worker: zod.string(),
+  service: zod.string(),
+  labels: zod.array(zod.string()),
+  capacity: resources,
+});
+
+const settlement = zod.discriminatedUnion("kind", [
+  zod.looseObject({
+    kind: zod.literal(SettlementKind.Completed),
+    runMilliseconds: amount,
+  }),
+  zod.looseObject({
+    kind: zod.literal(SettlementKind.Failed),
+    runMilliseconds: amount,
+  }),
+  zod.looseObject({
+    kind: zod.literal(SettlementKind.NotStarted),
+    reason: zod.enum(NotStartedReason),
+  }),
+  zod.looseObject({
+    kind: zod.literal(SettlementKind.Interrupted),
+    reason: zod.enum(InterruptionReason),
+  }),
+]);
+
+const replySchema = zod.discriminatedUnion("kind", [
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.SessionGranted),
+    session: count,
+    profile: profile.optional(),
+    load: load.optional(),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.SessionRenewed),
+    session: count,
+    load: load.optional(),
+  }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.SessionPending) }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.TaskSettled),
+    settlement,
+    load: load.optional(),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.CancellationAcknowledged),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.LoadReported),
+    load: load.optional(),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.FleetStateExchanged),
+    knowledge: zod.looseObject({
+      configuration: configuration.optional(),
+      members: zod.array(member),
+    }),
+  }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.Misdirected) }),
+  zod.looseObject({
+    kind: zod.literal(PeerReplyKind.IncarnationMismatch),
+    current: processIdentifier,
+  }),
+]);
+
+/** Whether a value is a request between entries and sidecars. */
+export function isDispatchRequest(value: unknown): boolean {
+  return requestSchema.safeParse(value).success;
+}
+
+/** Whether a value is a reply between entries and sidecars. */
+export function isDispatchReply(value: unknown): boolean {
+  return replySchema.safeParse(value).success;
+}
--- a/adapters/peers_trpc/src/mod.ts
+++ b/adapters/peers_trpc/src/mod.ts
@@ -2,3 +2,7 @@
  * Calls between processes by tRPC over persistent connections.
  */
 export * from "./trpc_peers.ts";
+export {
+  isDispatchReply,
+  isDispatchRequest,
+} from "./dispatch_message_schema.ts";
--- a/adapters/peers_trpc/src/peer_router.ts
+++ b/adapters/peers_trpc/src/peer_router.ts
@@ -21,8 +21,8 @@
 
 /** Handlers that `TrpcPeers` passes to the procedures. */
 export interface PeerContext {
-  /** Whether this process accepts requests of a kind. */
-  readonly isRequestKind: (kind: string) => boolean;
+  /** Whether this process accepts a request. */
+  readonly isRequest: (message: PeerMessage) => boolean;
   /** Passes a request to the decisions; resolves with their reply. */
   readonly accept: (envelope: PeerEnvelope) => Promise<PeerMessage>;
 }
@@ -34,7 +34,6 @@
   typeof value === "object" && value !== null && "kind" in value &&
   typeof value.kind === "string"
 );
-// Peers are authenticated by the shared key, so the envelope is checked and its content is trusted.
 const envelopeSchema = zod.object({
   from: identifier,
   to: identifier,
@@ -52,7 +51,7 @@
   deliver: trpc.procedure
     .input(envelopeSchema)
     .mutation(({ ctx, input }) => {
-      if (ctx.isRequestKind(input.message.kind)) return ctx.accept(input);
+      if (ctx.isRequest(input.message)) return ctx.accept(input);
       throw new TRPCError({ code: "BAD_REQUEST" });
     }),
 });
--- a/adapters/peers_trpc/src/trpc_peers.ts
+++ b/adapters/peers_trpc/src/trpc_peers.ts
@@ -38,8 +38,12 @@
   readonly port: number;
   /** Key that every process of the fleet holds. */
   readonly sharedKey: string;
-  /** Kinds of the requests that this process accepts. */
-  readonly requestKinds: readonly string[];
+  /** Whether this process accepts a request. A rejected request is an error at its sender. */
+  readonly isRequest: (message: PeerMessage) => boolean;
+  /** Whether a reply can be handled; the call counts as lost otherwise. All replies by default. */
+  readonly isReply?: (message: PeerMessage) => boolean;
+  /** Called with a description of each message that was rejected. */
+  readonly onRejected?: (detail: string) => void;
   /** Time without any received data after which a connection is closed and its calls are lost. */
   readonly silenceMilliseconds: Milliseconds;
 }
@@ -81,9 +85,8 @@
       verifyClient: ({ req }: { readonly req: IncomingMessage }) =>
         this.#isAuthorized(req.headers.authorization),
     });
-    const requestKinds = new Set(options.requestKinds);
     const context: PeerContext = {
-      isRequestKind: (kind) => requestKinds.has(kind),
+      isRequest: (message) => this.#isRequest(message),
       accept: (envelope) => this.#accept(envelope),
     };
     this.#server.on("connection", (socket) => new PeerSession(socket, context));
@@ -157,7 +160,7 @@
         kind: InputKind.PeerRequestArrived,
         from,
         request,
-        // The router accepts only `requestKinds`, and peers are authenticated by the shared key.
+        // The router has checked the message with `isRequest`.
         message: message as PeerMessage as Request,
       });
     });
@@ -174,17 +177,34 @@
     const { request, peer, address, message } = output;
     const envelope = { from: this.#options.self, to: peer, request, message };
     this.#connectionTo(address).send(envelope, {
-      succeed: (reply) =>
-        this.#emit({
-          kind: InputKind.PeerReplyArrived,
-          from: peer,
-          request,
-          message: reply as PeerMessage as Reply,
-        }),
+      succeed: (reply) => this.#handleReply(output, reply),
       fail: (detail) => this.#reportLost(output, detail),
     });
   }
 
+  #handleReply(output: OutgoingRequest<Request>, reply: PeerMessage): void {
+    const { peer, request } = output;
+    const { isReply = () => true, onRejected } = this.#options;
+    if (!isReply(reply)) {
+      onRejected?.(`reply "${reply.kind}" from ${peer}`);
+      this.#reportLost(output, "the reply has an unknown form");
+      return;
+    }
+    this.#emit({
+      kind: InputKind.PeerReplyArrived,
+      from: peer,
+      request,
+      message: reply as Reply,
+    });
+  }
+
+  #isRequest(message: PeerMessage): boolean {
+    const { isRequest, onRejected } = this.#options;
+    if (isRequest(message)) return true;
+    onRejected?.(`request "${message.kind}"`);
+    return false;
+  }
+
   #reportLost(
     { peer, request, address }: OutgoingRequest<Request>,
     detail: string,
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -18,7 +18,7 @@
 import { newDefaultScheduler } from "@most/scheduler";
 import { expect } from "earl";
 import { WebSocketServer } from "ws";
-import { TrpcPeers } from "./trpc_peers.ts";
+import { TrpcPeers, type TrpcPeersOptions } from "./trpc_peers.ts";
 
 const SILENCE_MILLISECONDS = 100;
 const STALL_MILLISECONDS = 30;
@@ -29,6 +29,7 @@
   logOffset: 1,
   configurationOffset: 0,
 };
+const REQUEST_KINDS = new Set<string>(Object.values(PeerRequestKind));
 const CALLER: ProcessIdentifier = "caller~1";
 const CALLEE: ProcessIdentifier = "callee~1";
 
@@ -81,6 +82,37 @@
   expect(kinds).toEqual([[2, earlier, mismatch], [3, earlier, mismatch]]);
 });
 
+test("a request in an unknown form is lost at its sender, and the next one is served", async () => {
+  const rejected: string[] = [];
+  let isFirst = true;
+  await using callee = await TestPeer.listen(CALLEE, {
+    isRequest: () => {
+      const isAccepted = !isFirst;
+      isFirst = false;
+      return isAccepted;
+    },
+    onRejected: (detail) => rejected.push(detail),
+  });
+  await using caller = await TestPeer.listen(CALLER);
+  caller.call(callee.address, 1);
+  const [lost] = await caller.receive(1);
+  expect(lost?.kind).toEqual(InputKind.PeerRequestLost);
+  expect(rejected).toEqual(['request "heartbeat"']);
+  caller.call(callee.address, 2);
+  const [arrived] = await callee.receive(1);
+  expect(arrived?.kind).toEqual(InputKind.PeerRequestArrived);
+});
+
+test("a reply in an unknown form is lost at the caller", async () => {
+  await using callee = await TestPeer.listen(CALLEE);
+  await using caller = await TestPeer.listen(CALLER, { isReply: () => false });
+  caller.call(callee.address, 1);
+  const [request] = await callee.receive(1);
+  if (request !== undefined) callee.reply(request);
+  const [input] = await caller.receive(1);
+  expect(input?.kind).toEqual(InputKind.PeerRequestLost);
+});
+
 test("a process with another key is rejected", async () => {
   await using callee = await TestPeer.listen(CALLEE);
   await using caller = await TestPeer.listen(CALLER, { sharedKey: "other" });
@@ -138,7 +170,10 @@
   while (performance.now() < end);
 }
 
-interface TestPeerOptions {
+interface TestPeerOptions extends
+  Partial<
+    Pick<TrpcPeersOptions, "isRequest" | "isReply" | "onRejected">
+  > {
   readonly sharedKey?: string;
   readonly silenceMilliseconds?: number;
 }
@@ -166,7 +201,7 @@
       host: "127.0.0.1",
       port,
       sharedKey: "key",
-      requestKinds: Object.values(PeerRequestKind),
+      isRequest: ({ kind }) => REQUEST_KINDS.has(kind),
       silenceMilliseconds: LONG_MILLISECONDS,
       ...options,
     });
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -118,6 +118,12 @@
     meaning: "A request to another process was lost.",
     action: "Check the peer if the event repeats.",
   },
+  [EventNumber.PeerMessageInvalid]: {
+    meaning:
+      "A message of another process had an unknown form and was rejected. The sender is told that its request is lost.",
+    action:
+      "Check the versions of both processes, and that only processes of the fleet reach the port for peers.",
+  },
   [EventNumber.SettingsReloaded]: {
     meaning:
       "The process received SIGHUP, which announces a change of the settings file; it does not read the file again.",
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -12,7 +12,6 @@
   assertNever,
   type DispatchReply,
   type DispatchRequest,
-  DispatchRequestKind,
   EventNumber,
   type FleetMember,
   type ProcessIdentifier,
@@ -20,7 +19,11 @@
   Role,
   Severity,
 } from "@eelgrassfront/model";
-import { TrpcPeers } from "@eelgrassfront/peers-trpc";
+import {
+  isDispatchReply,
+  isDispatchRequest,
+  TrpcPeers,
+} from "@eelgrassfront/peers-trpc";
 import {
   ClientListener,
   formatHostAddress,
@@ -30,6 +33,7 @@
   StoreDirectory,
   WorkerChannel,
 } from "@eelgrassfront/platform";
+import type { JournalPort } from "@eelgrassfront/ports";
 import { ProcessSignals } from "@eelgrassfront/signals";
 import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
 import { DispatchLoop, type DispatchPorts } from "./dispatch_loop.ts";
@@ -203,6 +207,7 @@
 ): Promise<SharedPorts> {
   const { host, port } = settings.peers;
   const store = new StoreClient(settings.storeAddress);
+  const journal = new RateLimitedJournal(self.process);
   const ports = {
     clock: new MonotonicClock(),
     peers: await TrpcPeers.listen<DispatchRequest, DispatchReply>({
@@ -210,7 +215,9 @@
       host,
       port,
       sharedKey: SHARED_KEY,
-      requestKinds: Object.values(DispatchRequestKind),
+      isRequest: isDispatchRequest,
+      isReply: isDispatchReply,
+      onRejected: (detail) => recordRejectedMessage(journal, detail),
       silenceMilliseconds: PEER_SILENCE_MILLISECONDS,
     }),
     directory: new StoreDirectory({
@@ -220,8 +227,17 @@
     }),
     signals: new ProcessSignals(),
     settings: new SettingsWatcher(),
-    journal: new RateLimitedJournal(self.process),
+    journal,
     metrics: await PrometheusMetrics.listen({ host, port: METRICS_PORT }),
   };
   return new SharedPorts(self.process, ports, store);
 }
+
+function recordRejectedMessage(journal: JournalPort, detail: string): void {
+  journal.record({
+    number: EventNumber.PeerMessageInvalid,
+    severity: Severity.Warning,
+    message: "rejected a message in an unknown form",
+    context: { detail },
+  });
+}
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -156,6 +156,8 @@
   }
 }
 
+const REQUEST_KINDS = new Set<string>(Object.values(PeerRequestKind));
+
 interface OpenedPorts {
   readonly clock: MonotonicClock;
   readonly peers: TrpcPeers;
@@ -177,7 +179,7 @@
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
-      requestKinds: Object.values(PeerRequestKind),
+      isRequest: ({ kind }) => REQUEST_KINDS.has(kind),
       silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -28,6 +28,7 @@
   BackendServerAnnounced = 4001,
   BackendServerUnreachable = 4002,
   PeerRequestLost = 5001,
+  PeerMessageInvalid = 5002,
   SettingsReloaded = 1006,
   ProcessPaused = 1007,
   SessionOpened = 2401,
