fix(dispatcher): confirm a slow worker before its tasks are moved

Cause: a job that runs longer than its kind of work makes all of its workers appear slow, but their sidecars report it one after the other, and one whose load had not changed otherwise reported it to nobody. Change: a changed slowness raises the revision of the load; tasks are moved only when half of the other workers have replied 200 ms later. Ruled out: moving nothing before a whole renewal of all peers, which leaves the tasks on a worker that is slow for twice as long.

--- a/domain/dispatcher/src/dispatcher_test.ts
+++ b/domain/dispatcher/src/dispatcher_test.ts
@@ -132,6 +132,23 @@
   expect(harness.placementAddresses()).toEqual(["one", "two"]);
 });
 
+test("a worker that reports before its peers that a job runs long keeps its tasks", () => {
+  const free = { one: 3_000, two: 2_000, three: 1_000 };
+  const harness = DispatcherHarness.ready(Object.keys(free), free);
+  harness.submit(1, { id: "a", tasks: 3, millicores: 1_000 });
+  harness.runTo(180);
+  harness.setSlowness("one", 5);
+  harness.settleAll({
+    kind: SettlementKind.NotStarted,
+    reason: NotStartedReason.InsufficientCapacity,
+  });
+  for (const name of Object.keys(free)) harness.setSlowness(name, 5);
+  harness.runTo(199);
+  harness.runTo(260);
+  harness.runTo(460);
+  expect(harness.sent(DispatchRequestKind.CancelTaskAttempt)).toEqual([]);
+});
+
 test("a job that more urgent work would delay past its objective is refused at once", () => {
   const harness = DispatcherHarness.ready(["only"], {
     only: CAPACITY_MILLICORES,
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -48,6 +48,8 @@
 const PROBE_INTERVAL_MILLISECONDS: Milliseconds = 2_000;
 /** Time in which a probe task shows the worker's present speed: two polls of the worker's runs. */
 const PROBE_MILLISECONDS: Milliseconds = 400;
+/** Longest interval at which a sidecar observes the progress of its runs. */
+const OBSERVATION_MILLISECONDS: Milliseconds = 200;
 /** Interval of the search for tasks to reschedule: a fraction of the shortest tasks worth rescheduling. */
 const RESCHEDULING_INTERVAL_MILLISECONDS: Milliseconds = 50;
 /** Remaining time that justifies rescheduling, in expected run times; above 1 since estimates are rough. */
@@ -80,6 +82,8 @@
   readonly #options: TaskPlacerOptions;
   #lastAttempt = 0;
   #nextReschedulingAt: Milliseconds = 0;
+  /** Whether a worker appears slow and the replies of its peers are awaited. */
+  #isConfirmationPending = false;
 
   constructor(options: TaskPlacerOptions) {
     this.#options = options;
@@ -113,19 +117,49 @@
   /** Cancels attempts at slow workers if their tasks end sooner when restarted at a typical worker. */
   rescheduleFromSlowWorkers(): void {
     const { collector, links, attempts } = this.#options;
-    if (collector.now < this.#nextReschedulingAt) return;
+    const isDue = collector.now >= this.#nextReschedulingAt;
+    if (!isDue && !this.#isConfirmationPending) return;
     this.#nextReschedulingAt = collector.now +
       RESCHEDULING_INTERVAL_MILLISECONDS;
+    this.#isConfirmationPending = false;
     const all = links.all();
     const median = medianSlowness(all);
     for (const link of all) {
-      if (!isSlowWorker(link, median)) continue;
+      if (!this.#isConfirmedSlow(link, all, median)) continue;
       for (const attempt of attempts.atSidecar(link.address)) {
         if (this.#shouldReschedule(link, attempt)) this.#cancel(attempt);
       }
     }
   }
 
+  /**
+   * Whether a worker is still slow after most of its peers have observed the same time. Where a job runs longer
+   * than its kind usually does, all its workers appear slow, but they report it one after the other.
+   */
+  #isConfirmedSlow(
+    link: WorkerLinkState,
+    all: readonly WorkerLinkState[],
+    median: number,
+  ): boolean {
+    const { state } = link;
+    if (state.phase !== LinkPhase.Open || !isSlowWorker(link, median)) {
+      link.slowSince = undefined;
+      return false;
+    }
+    link.slowSince ??= state.lastReplyAt;
+    const observedAt = link.slowSince + OBSERVATION_MILLISECONDS;
+    let peers = 0;
+    let replied = 0;
+    for (const { state: peer } of all) {
+      if (peer.phase !== LinkPhase.Open || peer === state) continue;
+      peers += 1;
+      if (peer.lastReplyAt >= observedAt) replied += 1;
+    }
+    const isConfirmed = 2 * replied >= peers;
+    if (!isConfirmed) this.#isConfirmationPending = true;
+    return isConfirmed;
+  }
+
   #shouldReschedule(
     { state }: WorkerLinkState,
     { job, sentAt, isProbe, isCancelRequested }: TaskAttempt,
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -77,6 +77,8 @@
   avoidUntil: Milliseconds;
   /** Time of the next probe task while the worker is slow; nothing is placed there before. */
   nextProbeAt: Milliseconds;
+  /** Since when the worker counts as slow; undefined while it does not. */
+  slowSince: Milliseconds | undefined;
   /** Number of requests to run tasks that were sent in the session. */
   requestsSent: number;
 }
@@ -92,6 +94,7 @@
     detector: new OutlierDetector(),
     avoidUntil: 0,
     nextProbeAt: 0,
+    slowSince: undefined,
     requestsSent: 0,
   };
 }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -71,6 +71,8 @@
 const STALL_MILLISECONDS: Milliseconds = 300;
 /** Time in which the renewals that arrived during a stall of this process are read. */
 const READ_MILLISECONDS: Milliseconds = 20;
+/** Change of the slowness that entries are told, as a fraction. */
+const SLOWNESS_CHANGE = 0.1;
 /** Part of the grace period that is reserved for sending the last replies. */
 const DRAIN_RESERVE_MILLISECONDS: Milliseconds = 400;
 /** Shortest time between the request to stop and the exit, so that replies in transit still arrive. */
@@ -99,6 +101,7 @@
   /** Whether every entry that reads the store knows this process. */
   #isAnnouncementStored = false;
   #reportedFreeMillicores = 0;
+  #reportedSlowness = 1;
 
   constructor(options: WorkerGuardOptions) {
     this.#options = options;
@@ -254,12 +257,22 @@
     this.#runController.tick();
     this.#startWaitingRuns();
     this.#runController.tick();
+    this.#reportSlowness();
     this.#watches.tick();
     this.#updateGauge();
     if (this.#drainingSince === undefined) this.#exchange.tick();
     this.#stopWhenDrained();
   }
 
+  /** Makes a changed slowness part of a new load, so that the next renewals report it. */
+  #reportSlowness(): void {
+    const { slowness } = this.#runController;
+    const change = Math.abs(slowness / this.#reportedSlowness - 1);
+    if (change < SLOWNESS_CHANGE) return;
+    this.#reportedSlowness = slowness;
+    this.#table.raiseRevision();
+  }
+
   #expireSessions(): void {
     const { now } = this.#collector;
     if (now < this.#readUntil) return;
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -161,6 +161,26 @@
   );
 });
 
+test("a renewal reports a slowness that has changed while no task started or ended", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.renewSession(ENTRY, 20);
+  const [before] = harness.messagesTo(20);
+  if (before?.kind !== DispatchReplyKind.SessionGranted) return;
+  const known = {
+    knownWorker: before.profile?.worker ?? "",
+    knownRevision: before.load?.revision ?? 0,
+  };
+  harness.advanceTo(190);
+  harness.answerPoll({ running: ["a"], percent: 10 });
+  harness.renewSession(ENTRY, 21, known);
+  const [after] = harness.messagesTo(21);
+  expect(after?.kind).toEqual(DispatchReplyKind.SessionRenewed);
+  if (after?.kind !== DispatchReplyKind.SessionRenewed) return;
+  expect(after.load?.slowness ?? 0).toBeGreaterThan(2);
+});
+
 test("a worker gets no new tasks after it has reported that it is draining", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
