perf(dispatcher): place nothing at a silent sidecar, and search workers less often

Entries opened a new connection for most exchanges of fleet state, computed the median slowness for each task, and searched all workers after every input while nothing had changed. A dead sidecar got tasks until it counted as lost. Change: connections between peers stay open for 32 checks without a call; averages over the workers are computed once a job; a placement that failed is tried again when a load has changed or after 20 ms; a sidecar that leaves a renewal unanswered for 100 ms gets no tasks, and keeps what it runs.

--- a/adapters/peers_trpc/src/persistent_connection.ts
+++ b/adapters/peers_trpc/src/persistent_connection.ts
@@ -26,8 +26,11 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 const CONNECTION_ENDED = "the connection ended";
+const CONNECTION_IDLE = "the connection was not used";
 const PEER_SILENT = "the peer did not respond";
 const MAXIMUM_SILENT_CHECKS = 3;
+/** Checks without a call after which a connection is closed; a new handshake costs as much as many calls. */
+const MAXIMUM_IDLE_CHECKS = 32;
 const MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024;
 
 const responseSchema = zod.union([
@@ -50,9 +53,10 @@
   #lastCallId = 0;
   /** Receiver of the previous call; a call to the same process leaves both identifiers out. */
   #lastReceiver: ProcessIdentifier | undefined;
-  /** Checks since the last message or pong was received. */
+  /** Checks since the last message or pong was received while calls waited for it. */
   #silentChecks = 0;
-  #isUsed = true;
+  /** Checks since the last call. */
+  #idleChecks = 0;
   #isClosed = false;
 
   constructor(options: PersistentConnectionOptions) {
@@ -84,7 +88,7 @@
     this.#lastCallId += 1;
     const id = this.#lastCallId;
     this.#calls.set(id, call);
-    this.#isUsed = true;
+    this.#idleChecks = 0;
     const { from: _, to, ...content } = input;
     const isSameReceiver = to === this.#lastReceiver;
     this.#lastReceiver = to;
@@ -96,20 +100,27 @@
   }
 
   /**
-   * Closes the connection when nothing was received for several checks, or when no call has used it
-   * since the last check; otherwise sends a ping if nothing was received since the last check. One check
+   * Closes the connection when nothing was received for several checks although calls wait, or when no call
+   * has used it for many; otherwise sends a ping if nothing was received since the last check. One check
    * without data is not enough: timers run before reads, so that after a stall of this process the pong may
    * have arrived and not been read.
    */
   check(): void {
-    const isIdle = !this.#isUsed && this.#calls.size === 0;
-    if (isIdle || this.#silentChecks >= MAXIMUM_SILENT_CHECKS) {
+    this.#idleChecks += 1;
+    if (this.#idleChecks > MAXIMUM_IDLE_CHECKS && this.#calls.size === 0) {
+      this.close(CONNECTION_IDLE);
+      return;
+    }
+    if (this.#calls.size === 0) {
+      this.#silentChecks = 0;
+      return;
+    }
+    if (this.#silentChecks >= MAXIMUM_SILENT_CHECKS) {
       this.close(PEER_SILENT);
       return;
     }
     const isSilent = this.#silentChecks > 0;
     this.#silentChecks += 1;
-    this.#isUsed = false;
     const isOpen = this.#socket.readyState === WebSocket.OPEN;
     if (isSilent && isOpen) this.#socket.ping();
   }
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -150,6 +150,35 @@
   expect(input?.kind).toEqual(InputKind.PeerReplyArrived);
 });
 
+test("a connection that is not used for several checks serves the next call", async () => {
+  const server = new WebSocketServer({ host: "127.0.0.1", port: 0 });
+  await once(server, "listening");
+  let connections = 0;
+  server.on("connection", (socket) => {
+    connections += 1;
+    socket.on("message", (frame) => socket.send(replyTo(String(frame))));
+  });
+  await using caller = await TestPeer.listen(CALLER, {
+    silenceMilliseconds: SILENCE_MILLISECONDS,
+  });
+  for (const request of [1, 2]) {
+    caller.call(addressOf(server), request);
+    await caller.receive(1);
+    await new Promise((resolve) =>
+      setTimeout(resolve, 2 * SILENCE_MILLISECONDS)
+    );
+  }
+  server.close();
+  expect(connections).toEqual(1);
+});
+
+/** Returns the frame with the reply to the call in a frame. */
+function replyTo(frame: string): string {
+  const { id } = JSON.parse(frame);
+  const data = { kind: PeerReplyKind.HeartbeatAnswered };
+  return JSON.stringify({ id, result: { type: "data", data } });
+}
+
 test("a stall of this process does not make a live peer appear silent", async () => {
   await using callee = await TestPeer.listen(CALLEE);
   await using caller = await TestPeer.listen(CALLER, {
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -52,11 +52,8 @@
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
 import { RUN_AFTER_LOSS_MILLISECONDS, TaskPlacer } from "./task_placer.ts";
-import {
-  type LinkChange,
-  LinkChangeKind,
-  WorkerLinks,
-} from "./worker_links.ts";
+import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
+import { WorkerLinks } from "./worker_links.ts";
 
 /** Identity and limits of an entry. */
 export interface DispatcherOptions {
--- a/domain/dispatcher/src/dispatcher_test.ts
+++ b/domain/dispatcher/src/dispatcher_test.ts
@@ -214,6 +214,18 @@
   expect(harness.placementAddresses()).toEqual(["one", "two"]);
 });
 
+test("nothing is placed at a sidecar that leaves a renewal unanswered, before it counts as lost", () => {
+  const harness = DispatcherHarness.ready(["one", "two"], {
+    one: 8_000,
+    two: 7_000,
+  });
+  for (let now = 0; now <= 350; now += 50) {
+    harness.runTo(now, { except: "one" });
+  }
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  expect(harness.placementAddresses()).toEqual(["two"]);
+});
+
 test("the next alarm is always later than the alarm that fired", () => {
   const harness = DispatcherHarness.ready(["only"], {
     only: CAPACITY_MILLICORES,
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -47,7 +47,7 @@
   readonly source: BacklogSource;
 }
 
-/** Interval of placement attempts while jobs wait and no other input arrives. */
+/** Longest interval of placement attempts while jobs wait and no load changes. */
 const PLACEMENT_INTERVAL_MILLISECONDS: Milliseconds = 20;
 /**
  * Shortest time for which a job is kept while no worker accepts work, as after a restart of the fleet.
@@ -59,6 +59,13 @@
 /** Retry time of a job that no known worker can run: the time that a restart takes. */
 const DEFAULT_RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
 
+/** A placement that found no worker, which stays so until a load changes or the time has passed. */
+interface BlockedPlacement {
+  readonly job: DispatchJob;
+  readonly loadRevision: number;
+  readonly until: Milliseconds;
+}
+
 /** Schedules the jobs of an entry. */
 export class JobScheduler {
   readonly #options: JobSchedulerOptions;
@@ -67,6 +74,8 @@
   readonly #queue = new JobQueue();
   readonly #arrivalRates = new ArrivalRates();
   readonly #lastGauges = new Map<Gauge, number>();
+  /** The last placement that found no worker; undefined while none is known to fail. */
+  #blocked: BlockedPlacement | undefined;
 
   constructor(options: JobSchedulerOptions) {
     this.#options = options;
@@ -224,13 +233,33 @@
   }
 
   #placeWaiting(): void {
+    if (this.#isStillBlocked()) return;
     for (const job of [...this.#queue.jobs]) {
-      if (!this.#options.placer.place(job)) return;
+      if (!this.#options.placer.place(job)) {
+        this.#recordBlocked(job);
+        return;
+      }
       const isHeld = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
       if (!isHeld) this.#queue.remove(job);
     }
   }
 
+  #isStillBlocked(): boolean {
+    if (this.#blocked === undefined) return false;
+    const { job, loadRevision, until } = this.#blocked;
+    return job === this.#queue.jobs[0] && this.#options.collector.now < until &&
+      loadRevision === this.#options.source.links.loadRevision;
+  }
+
+  #recordBlocked(job: DispatchJob): void {
+    const { collector, source } = this.#options;
+    this.#blocked = {
+      job,
+      loadRevision: source.links.loadRevision,
+      until: collector.now + PLACEMENT_INTERVAL_MILLISECONDS,
+    };
+  }
+
   #enforceDeadlines(): void {
     const { now } = this.#options.collector;
     for (const job of [...this.#jobs.values()]) {
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -32,6 +32,7 @@
   isSlowWorker,
   medianSlowness,
   type WorkerChoice,
+  workerStatistics,
 } from "./worker_choice.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
 import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
@@ -91,11 +92,17 @@
 
   /** Places the ready tasks of a job until no worker is found for one. Returns whether all are placed. */
   place(job: DispatchJob): boolean {
-    const { collector, links, attempts } = this.#options;
-    for (const task of job.readyTasks(collector.now)) {
+    const { collector, attempts } = this.#options;
+    const { now } = collector;
+    const ready = job.readyTasks(now);
+    if (ready.length === 0) return true;
+    const links = this.#options.links.all();
+    const statistics = workerStatistics(now, links);
+    for (const task of ready) {
       const choice = chooseWorker({
-        now: collector.now,
-        links: links.all(),
+        now,
+        links,
+        statistics,
         attempts,
         job,
         task,
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -24,6 +24,11 @@
  * below 2, by their speed and by the actual run time of their tasks.
  */
 const SLOW_FACTOR = 2.5;
+/**
+ * Time without a reply to a renewal after which nothing is placed at a sidecar: many round trips, and far
+ * shorter than the time after which it counts as lost.
+ */
+const SILENCE_MILLISECONDS: Milliseconds = 100;
 
 /** The worker chosen for a task. */
 export interface WorkerChoice {
@@ -32,10 +37,17 @@
   readonly isSlow: boolean;
 }
 
+/** Averages over the workers in use, by which outliers are recognised. */
+export interface WorkerStatistics {
+  readonly medianSlowness: number;
+  readonly meanFailureRate: number;
+}
+
 /** The task, the known workers and the attempts that they hold. */
 export interface WorkerChoiceOptions {
   readonly now: Milliseconds;
   readonly links: readonly WorkerLinkState[];
+  readonly statistics: WorkerStatistics;
   readonly attempts: TaskAttemptIndex;
   readonly job: DispatchJob;
   readonly task: DispatchTask;
@@ -68,6 +80,20 @@
   });
 }
 
+/** Returns the averages over the workers that may get tasks. */
+export function workerStatistics(
+  now: Milliseconds,
+  links: readonly WorkerLinkState[],
+): WorkerStatistics {
+  const rates = links
+    .filter(({ avoidUntil }) => now >= avoidUntil)
+    .map(({ detector }) => detector.failureRate);
+  return {
+    medianSlowness: medianSlowness(links),
+    meanFailureRate: mean(rates),
+  };
+}
+
 /** Returns the median of the workers' run times as multiples of the expected ones; 1 if no load is known. */
 export function medianSlowness(links: readonly WorkerLinkState[]): number {
   const known = links
@@ -90,38 +116,50 @@
 }
 
 function findCandidates(options: WorkerChoiceOptions): readonly Candidate[] {
-  const { now, links, attempts, job, task } = options;
-  const allowed = links.filter(({ avoidUntil }) => now >= avoidUntil);
-  const median = medianSlowness(links);
-  const meanRate = mean(
-    allowed.map(({ detector }) => detector.failureRate),
+  const candidates: Candidate[] = [];
+  for (const link of options.links) {
+    const candidate = candidateAt(options, link);
+    if (candidate !== undefined) candidates.push(candidate);
+  }
+  return candidates;
+}
+
+/** Returns a worker as a candidate, or undefined when it gets no task now. */
+function candidateAt(
+  options: WorkerChoiceOptions,
+  link: WorkerLinkState,
+): Candidate | undefined {
+  const { now, statistics, attempts, job, task } = options;
+  const { state, detector } = link;
+  if (now < link.avoidUntil || state.phase !== LinkPhase.Open) return undefined;
+  const { load, profile } = state;
+  if (load?.isTakingWork !== true || profile === undefined) return undefined;
+  const isSilent = state.unansweredSince !== undefined &&
+    now >= state.unansweredSince + SILENCE_MILLISECONDS;
+  if (isSilent) return undefined;
+  const { resources } = task.step;
+  // Most links of a busy fleet are excluded here, before the costlier conditions.
+  if (!isWithin(resources, load.free)) return undefined;
+  if (!isCapable(profile, job, task)) return undefined;
+  const free = subtractResources(
+    load.free,
+    attempts.unreportedResources(link.address, load.requestsTaken),
   );
-  return allowed.flatMap((link): readonly Candidate[] => {
-    const { state } = link;
-    if (state.phase !== LinkPhase.Open) return [];
-    const { load, profile } = state;
-    if (load === undefined || profile === undefined) return [];
-    if (!load.isTakingWork || !isCapable(profile, job, task)) return [];
-    if (isAtStepLimit(options, link.address)) return [];
-    const { detector } = link;
-    const isOutlier = detector.isOutlier(meanRate);
-    if (isOutlier && !detector.isProbeTaskDue(now, job.tasks.length)) return [];
-    const isSlow = isSlowWorker(link, median);
-    if (isSlow && now < link.nextProbeAt) return [];
-    const free = subtractResources(
-      load.free,
-      attempts.unreportedResources(link.address, load.requestsTaken),
-    );
-    if (!isWithin(task.step.resources, free)) return [];
-    const isNear = link.availabilityZone === options.availabilityZone;
-    return [{
-      link,
-      session: state.session,
-      isSlow,
-      preference: free.processorMillicores -
-        (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES),
-    }];
-  });
+  if (!isWithin(resources, free)) return undefined;
+  if (isAtStepLimit(options, link.address)) return undefined;
+  const isProbed = !detector.isOutlier(statistics.meanFailureRate) ||
+    detector.isProbeTaskDue(now, job.tasks.length);
+  if (!isProbed) return undefined;
+  const isSlow = isSlowWorker(link, statistics.medianSlowness);
+  if (isSlow && now < link.nextProbeAt) return undefined;
+  const isNear = link.availabilityZone === options.availabilityZone;
+  return {
+    link,
+    session: state.session,
+    isSlow,
+    preference: free.processorMillicores -
+      (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES),
+  };
 }
 
 function isCapable(
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -54,6 +54,8 @@
   readonly session: SessionNumber;
   lastReplyAt: Milliseconds;
   nextRenewAt: Milliseconds;
+  /** When the first renewal without a reply was sent; undefined while there is none. */
+  unansweredSince: Milliseconds | undefined;
   /** Profile of the sidecar's worker; absent while no worker is known. */
   profile: WorkerProfile | undefined;
   /** Latest load of the worker; absent when it was reported for another worker than the profile's. */
@@ -83,6 +85,22 @@
   requestsSent: number;
 }
 
+/** Kinds of changes of a link. */
+export enum LinkChangeKind {
+  /** The session was given up; the sidecar ends its tasks. */
+  Lost = "lost",
+  /** A new session was granted: all tasks of earlier sessions have ended. */
+  Opened = "opened",
+  /** The session continues after a connection loss; unanswered requests must be sent again. */
+  Resumed = "resumed",
+}
+
+/** A change of one link. */
+export interface LinkChange {
+  readonly kind: LinkChangeKind;
+  readonly link: WorkerLinkState;
+}
+
 /** Returns an unused link to a newly discovered sidecar. */
 export function newLink(member: FleetMember): WorkerLinkState {
   return {
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -30,6 +30,8 @@
 } from "@eelgrassfront/model";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
+  type LinkChange,
+  LinkChangeKind,
   LinkPhase,
   type OpeningLink,
   type OpenLink,
@@ -56,22 +58,6 @@
  */
 const WATCH_INTERVAL_MILLISECONDS: Milliseconds = 20;
 
-/** Kinds of changes of a link. */
-export enum LinkChangeKind {
-  /** The session was given up; the sidecar ends its tasks. */
-  Lost = "lost",
-  /** A new session was granted: all tasks of earlier sessions have ended. */
-  Opened = "opened",
-  /** The session continues after a connection loss; unanswered requests must be sent again. */
-  Resumed = "resumed",
-}
-
-/** A change of one link. */
-export interface LinkChange {
-  readonly kind: LinkChangeKind;
-  readonly link: WorkerLinkState;
-}
-
 /** The directory that lists the sidecars, the attempts there, and the demand for load reports. */
 export interface WorkerLinksOptions {
   readonly self: FleetMember;
@@ -103,6 +89,7 @@
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
   #tickedAt: Milliseconds | undefined;
+  #loadRevision = 0;
   /** Time before which no sidecar counts as lost, since its replies may not have been read. */
   #readUntil: Milliseconds = 0;
 
@@ -130,6 +117,11 @@
       );
   }
 
+  /** Rises whenever a load may have changed, so that a task may be placed where none could be before. */
+  get loadRevision(): number {
+    return this.#loadRevision;
+  }
+
   /** Opens sessions with every sidecar for some time, because no selected one can run a job. */
   useAll(): void {
     this.#links.useAll();
@@ -235,7 +227,7 @@
   updateLoad(link: WorkerLinkState, load: WorkerLoad | undefined): void {
     const { state } = link;
     if (state.phase !== LinkPhase.Open) return;
-    state.lastReplyAt = this.#options.collector.now;
+    this.#recordReply(state);
     if (load === undefined || load.worker !== state.profile?.worker) {
       // A load of another worker: the reply to the next renewal carries that worker's profile.
       const worker = load?.worker;
@@ -275,6 +267,12 @@
     return Math.max(lastReplyAt + REPLY_TIMEOUT_MILLISECONDS, this.#readUntil);
   }
 
+  #recordReply(state: OpenLink): void {
+    this.#loadRevision += 1;
+    state.lastReplyAt = this.#options.collector.now;
+    state.unansweredSince = undefined;
+  }
+
   #sendDue(link: WorkerLinkState, demand: WaitingDemand | undefined): void {
     const { state } = link;
     switch (state.phase) {
@@ -319,7 +317,9 @@
   }
 
   #renew(link: WorkerLinkState, state: OpenLink): void {
-    state.nextRenewAt = nextRenewal(this.#options.collector.now);
+    const { now } = this.#options.collector;
+    state.nextRenewAt = nextRenewal(now);
+    state.unansweredSince ??= now;
     const { session, profile, load } = state;
     this.#send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
@@ -361,12 +361,14 @@
       return [];
     }
     link.requestsSent = 0;
+    this.#loadRevision += 1;
     this.#interrupted.delete(link.address);
     const opened: OpenLink = {
       phase: LinkPhase.Open,
       session,
       lastReplyAt: now,
       nextRenewAt: nextRenewal(now),
+      unansweredSince: undefined,
       profile,
       load,
       watch: undefined,
@@ -393,7 +395,7 @@
   ): readonly LinkChange[] {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return [];
-    state.lastReplyAt = this.#options.collector.now;
+    this.#recordReply(state);
     if (load !== undefined) this.updateLoad(link, load);
     return this.#resume(link);
   }
