fix(worker-guard): end all sessions after a suspension of the VM

Cause: while a VM is suspended the process's steady clock stands still, so a sidecar took sessions that its entries had given up for valid, and started what was queued in its sockets once the worker had told it its present clock. Change: the worker's clock running ahead of the sidecar's by half a second counts as a pause. Readings that were delayed on their way are behind, and not used. Ruled out: the time of day, which also jumps without a suspension; the uptime of the VM, which costs three system calls a step. Conclusion: an entry needs none, since sidecars end its sessions meanwhile. The processes of at-most-once work are not covered.

--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -252,6 +252,7 @@
   }
 
   #tick(): void {
+    this.#detectSuspension();
     this.#expireSessions();
     this.#savedWorkerCheck.tick();
     this.#runController.tick();
@@ -288,11 +289,23 @@
     if (elapsed >= STALL_MILLISECONDS) {
       this.#readUntil = this.#collector.now + READ_MILLISECONDS;
     }
-    if (elapsed < PAUSE_MILLISECONDS) return;
+    if (elapsed >= PAUSE_MILLISECONDS) this.#endSessions(elapsed);
+  }
+
+  /** The same after a suspension of the VM, which only the worker's clock shows. */
+  #detectSuspension(): void {
+    const suspended = this.#link.takeSuspension();
+    if (suspended >= PAUSE_MILLISECONDS) this.#endSessions(suspended);
+  }
+
+  #endSessions(pauseMilliseconds: Milliseconds): void {
     this.#collector.record(
       EventNumber.ProcessPaused,
       "the process was paused; all sessions are ended",
-      { severity: Severity.Warning, context: { milliseconds: elapsed } },
+      {
+        severity: Severity.Warning,
+        context: { milliseconds: pauseMilliseconds },
+      },
     );
     for (const entry of this.#sessions.entries()) {
       this.#sessions.end(entry);
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -72,6 +72,8 @@
   readonly #replies = new Map<number, DispatchReply[]>();
   readonly #sessions = new Map<ProcessIdentifier, number>();
   #now = 0;
+  /** How far the worker's clock is ahead of the sidecar's. */
+  #clockAhead = 0;
   #sequence = 0;
   #lastEnd = 0;
   #bornAt = BORN_AT;
@@ -120,6 +122,11 @@
     this.step({ kind: InputKind.AlarmFired });
   }
 
+  /** Suspends the sidecar's VM: its own clock stands still, and the worker's goes on. */
+  suspend(milliseconds: number): void {
+    this.#clockAhead += milliseconds;
+  }
+
   step(input: DispatchInput): void {
     for (const output of this.#guard.step(this.#now, input)) this.#add(output);
   }
@@ -132,7 +139,7 @@
   ): void {
     this.#bornAt = bornAt;
     this.#sequence += 1;
-    const description = { ...this.#describe(phase), clock: this.#now };
+    const description = { ...this.#describe(phase), clock: this.#workerClock };
     this.step({ kind: DispatchInputKind.WorkerReported, description });
   }
 
@@ -142,6 +149,10 @@
     this.step({ kind: DispatchInputKind.SavedWorkerRead, description });
   }
 
+  get #workerClock(): number {
+    return this.#now + this.#clockAhead;
+  }
+
   #describe(phase: WorkerPhase): WorkerDescription {
     return {
       incarnation: { id: "i-1", bornAt: this.#bornAt },
@@ -236,7 +247,10 @@
   /** Accepts every pending start call. */
   acceptStarts(): void {
     for (const call of this.takeCalls("start")) {
-      this.answer(call, { kind: WorkerAnswerKind.Accepted, clock: this.#now });
+      this.answer(call, {
+        kind: WorkerAnswerKind.Accepted,
+        clock: this.#workerClock,
+      });
     }
   }
 
@@ -248,7 +262,7 @@
     this.answer(call, {
       kind: WorkerAnswerKind.Listed,
       bornAt: this.#bornAt,
-      clock: this.#now,
+      clock: this.#workerClock,
       running: running.map((job) => ({ run: runOf(job), percent })),
       ended: ended.map(({ job, kind }): RunEnd => {
         this.#lastEnd += 1;
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -17,6 +17,7 @@
   Step,
   type WorkerAnswer,
   WorkerAnswerKind,
+  WorkerCallKind,
   WorkerPhase,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
@@ -304,6 +305,43 @@
   expect(harness.takeCalls("stop").length).toEqual(1);
 });
 
+test("requests that were queued during a suspension of the VM start nothing", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.advanceTo(150);
+  harness.renewSession(ENTRY);
+  harness.suspend(3_000);
+  harness.report();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  expect(harness.startedJobs()).toEqual([]);
+  expect(harness.settlementOf(10)).toEqual({
+    kind: SettlementKind.NotStarted,
+    reason: NotStartedReason.StaleSession,
+  });
+});
+
+test("a start call that is sent after a suspension of the VM names a time that has passed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.advanceTo(150);
+  harness.suspend(3_000);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  const [request] = harness.takeCalls("start").map((call) => call.request);
+  const leaseUntil = request?.kind === WorkerCallKind.Start
+    ? request.leaseUntil
+    : Infinity;
+  expect(leaseUntil).toBeLessThan(3_000);
+});
+
+test("a report that was delayed on its way ends no session", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.advanceTo(190);
+  harness.suspend(-3_000);
+  harness.report();
+  harness.suspend(3_000);
+  harness.report();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  expect(harness.startedJobs()).toEqual(["a"]);
+});
+
 test("requests that were queued during a pause of the process start nothing", () => {
   const harness = WorkerGuardHarness.ready();
   harness.setNow(3_000);
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -17,6 +17,7 @@
   type WorkerIncarnation,
   WorkerPhase,
 } from "@eelgrassfront/model";
+import { WorkerClock } from "./worker_clock.ts";
 
 /** Consecutive unanswered calls after which a worker counts as unresponsive. */
 const UNANSWERED_CALLS_UNTIL_UNRESPONSIVE = 4;
@@ -29,12 +30,6 @@
 /** Increment after a refused token; exceeds any backward step of the clock that first tokens come from. */
 const FENCING_TOKEN_INCREMENT = 60_000;
 
-/** The worker's clock in its latest answer and the local time of the answer. */
-interface ClockReading {
-  readonly clock: Milliseconds;
-  readonly readAt: Milliseconds;
-}
-
 /** First fencing token and longest lease of calls to a worker. */
 export interface WorkerLinkOptions {
   readonly collector: OutputCollector<DispatchOutput>;
@@ -49,7 +44,7 @@
   readonly #options: WorkerLinkOptions;
   #description: WorkerDescription | undefined;
   #isConfirmed = true;
-  #reading: ClockReading | undefined;
+  #clock = new WorkerClock();
   #fencingToken: number;
   #unansweredCalls = 0;
   #unreliableUntil: Milliseconds = 0;
@@ -113,6 +108,7 @@
     if (isSame && description.sequence < known.sequence) return false;
     this.#description = description;
     this.#isConfirmed = true;
+    if (!isSame) this.#clock = new WorkerClock();
     this.recordClock(description.clock);
     if (isSame) return false;
     this.#unansweredCalls = 0;
@@ -126,7 +122,7 @@
     const ended = this.#description?.incarnation.bornAt ?? 0;
     this.#latestEndedBornAt = Math.max(this.#latestEndedBornAt, ended);
     this.#description = undefined;
-    this.#reading = undefined;
+    this.#clock = new WorkerClock();
     this.#unansweredCalls = 0;
   }
 
@@ -143,7 +139,15 @@
   /** Records the worker's clock from an answer. */
   recordClock(clock: Milliseconds | undefined): void {
     if (clock === undefined) return;
-    this.#reading = { clock, readAt: this.#options.collector.now };
+    this.#clock.record(this.#options.collector.now, clock);
+  }
+
+  /**
+   * Returns for how long the sidecar's VM was suspended before the latest readings of the worker's clock, at
+   * most; a suspension does not show on the sidecar's own clock.
+   */
+  takeSuspension(): Milliseconds {
+    return this.#clock.takeSuspension();
   }
 
   /** Records an unanswered call. */
@@ -187,9 +191,7 @@
   /** End of the longest lease from now, on the worker's clock. */
   leaseUntil(): Milliseconds {
     const { collector, leaseMilliseconds } = this.#options;
-    const reading = this.#reading ?? { clock: 0, readAt: collector.now };
-    const clock = reading.clock + (collector.now - reading.readAt);
-    return Math.floor(clock + leaseMilliseconds);
+    return Math.floor(this.#clock.at(collector.now) + leaseMilliseconds);
   }
 
   /** Calls the worker. Returns the call's identifier; undefined when no worker is known. */
