fix(peers-trpc): reject messages of at-most-once work in an unknown form

Cause: requests of work that runs at most once were checked by their kind only, and replies not at all, so that one without its fields ended the process that got it with a TypeError, and all that ran there with it.

--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema_test.ts
@@ -14,6 +14,7 @@
   SettlementKind,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
+import { damaged } from "./damaged_message.ts";
 import {
   isDispatchReply,
   isDispatchRequest,
@@ -111,33 +112,17 @@
 /** Fields that a sender may leave out. */
 const OPTIONAL = new Set(["profile", "load"]);
 
-/** Returns copies of a message in which one field, at any depth, is missing or has another type. */
-function damaged(value: object): readonly object[] {
-  return Object.entries(value).flatMap(([name, field]) => {
-    const { [name as never]: _, ...rest } = value;
-    const isNested = typeof field === "object" && !Array.isArray(field);
-    return [
-      ...(OPTIONAL.has(name) ? [] : [rest]),
-      { ...value, [name]: Symbol("other type") },
-      { ...value, [name]: null },
-      ...(isNested
-        ? damaged(field).map((inner) => ({ ...value, [name]: inner }))
-        : []),
-    ];
-  });
-}
-
 for (const request of REQUESTS) {
   test(`a request "${request.kind}" is accepted, and rejected with a damaged field`, () => {
     expect(isDispatchRequest(request)).toEqual(true);
-    expect(damaged(request).filter(isDispatchRequest)).toEqual([]);
+    expect(damaged(request, OPTIONAL).filter(isDispatchRequest)).toEqual([]);
   });
 }
 
 for (const reply of REPLIES) {
   test(`a reply "${reply.kind}" is accepted, and rejected with a damaged field`, () => {
     expect(isDispatchReply(reply)).toEqual(true);
-    expect(damaged(reply).filter(isDispatchReply)).toEqual([]);
+    expect(damaged(reply, OPTIONAL).filter(isDispatchReply)).toEqual([]);
   });
 }
 
--- a/adapters/peers_trpc/src/mod.ts
+++ b/adapters/peers_trpc/src/mod.ts
@@ -6,3 +6,4 @@
   isDispatchReply,
   isDispatchRequest,
 } from "./dispatch_message_schema.ts";
+export { PeerMessageSchema } from "./peer_message_schema.ts";
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -33,10 +33,10 @@
   StoreDirectory,
   WorkerChannel,
 } from "@eelgrassfront/platform";
-import type { JournalPort } from "@eelgrassfront/ports";
 import { ProcessSignals } from "@eelgrassfront/signals";
 import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
 import { DispatchLoop, type DispatchPorts } from "./dispatch_loop.ts";
+import { recordRejectedMessage } from "./rejected_message.ts";
 
 const INCARNATION_BYTES = 6;
 /** Port on which every process serves its metrics; the deploy file contains the same number. */
@@ -232,12 +232,3 @@
   };
   return new SharedPorts(self.process, ports, store);
 }
-
-function recordRejectedMessage(journal: JournalPort, detail: string): void {
-  journal.record({
-    number: EventNumber.PeerMessageInvalid,
-    severity: Severity.Warning,
-    message: "rejected a message in an unknown form",
-    context: { detail },
-  });
-}
--- a/daemon/src/process_factory.ts
+++ b/daemon/src/process_factory.ts
@@ -13,14 +13,13 @@
 import {
   assertNever,
   EventNumber,
-  PeerRequestKind,
   type ProcessIdentifier,
   processIdentifier,
   Role,
   Severity,
 } from "@eelgrassfront/model";
 import { HttpOperators } from "@eelgrassfront/operators-http";
-import { TrpcPeers } from "@eelgrassfront/peers-trpc";
+import { PeerMessageSchema, TrpcPeers } from "@eelgrassfront/peers-trpc";
 import { HttpPlatformLog } from "@eelgrassfront/platform-log-http";
 import { formatAddress } from "@eelgrassfront/settings-ini";
 import { SidecarDecisions } from "@eelgrassfront/sidecar";
@@ -31,6 +30,7 @@
   SidecarSettings,
 } from "./daemon_settings.ts";
 import { ProcessLoop } from "./process_loop.ts";
+import { recordRejectedMessage } from "./rejected_message.ts";
 
 const INCARNATION_BYTES = 6;
 
@@ -156,8 +156,6 @@
   }
 }
 
-const REQUEST_KINDS = new Set<string>(Object.values(PeerRequestKind));
-
 interface OpenedPorts {
   readonly clock: MonotonicClock;
   readonly peers: TrpcPeers;
@@ -173,13 +171,17 @@
   settings: DaemonSettings,
 ): Promise<SharedPorts> {
   const { operators, peers, platform_log: log, metrics } = settings;
+  const journal = new RoarrJournal(self);
+  const schema = new PeerMessageSchema();
   const opened = {
     clock: new MonotonicClock(),
     peers: await TrpcPeers.listen({
       self,
       ...peers.listen,
       sharedKey: peers.shared_key,
-      isRequest: ({ kind }) => REQUEST_KINDS.has(kind),
+      isRequest: (message) => schema.isRequest(message),
+      isReply: (message) => schema.isReply(message),
+      onRejected: (detail) => recordRejectedMessage(journal, detail),
       silenceMilliseconds: settings.timing.removal,
     }),
     platformLog: new HttpPlatformLog({
@@ -191,7 +193,7 @@
       token: operators.token,
     }),
     signals: new ProcessSignals(),
-    journal: new RoarrJournal(self),
+    journal,
   };
   if (metrics === undefined) return new SharedPorts(opened);
   const { receiver } = metrics;
