fix(worker-guard): let the timeout of calls follow the worker's response times

Cause: KNOWN-RED's tests on a machine with a load of 16 on 8 cores: two logs show start calls without an answer after 15 ms (event 4105), a list that overtook the start, a stop, and the task started again elsewhere (7 and 8 starts in place of 6). The worker was only slow to answer. Change: a call counts as unanswered after the mean response time and four mean deviations, between 15 and 60 ms, 60 before the first response, twice the time after each unanswered call. The state machine decides it, the adapter keeps it. A deployment of the stand-ins reserves its own loopback addresses, so that two runs at once no longer disturb each other.

--- a/domain/model/src/dispatch_output.ts
+++ b/domain/model/src/dispatch_output.ts
@@ -171,6 +171,8 @@
   readonly address: string;
   readonly fencingToken: number;
   readonly request: WorkerCall;
+  /** Time after which the call counts as unanswered. */
+  readonly timeoutMilliseconds: Milliseconds;
 }
 
 /** Add a duration to a histogram. */
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -170,18 +170,16 @@
     }
     switch (answer.kind) {
       case WorkerAnswerKind.Accepted:
-        link.recordAnswer();
-        link.recordClock(answer.clock);
+        link.recordAnswer(answer.clock);
+        link.recordResponse(collector.now - pending.sentAt);
         this.#onAccepted(pending);
         return true;
       case WorkerAnswerKind.Refused:
-        link.recordAnswer();
-        link.recordClock(answer.clock);
+        link.recordAnswer(answer.clock);
         collector.count(Counter.RunsRefused, answer.reason);
         return this.#onRefused(pending, answer.reason);
       case WorkerAnswerKind.Listed:
-        link.recordAnswer();
-        link.recordClock(answer.clock);
+        link.recordAnswer(answer.clock);
         return this.#onListed(pending, answer);
       case WorkerAnswerKind.Unanswered:
         link.recordUnanswered();
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -6,6 +6,7 @@
  * slow, so the estimate may be too late; the worker then shortens the lease to the longest that it grants.
  */
 import {
+  assertNever,
   type CallWorker,
   type DispatchOutput,
   DispatchOutputKind,
@@ -13,10 +14,12 @@
   type OutputCollector,
   type RequestIdentifier,
   type WorkerCall,
+  WorkerCallKind,
   type WorkerDescription,
   type WorkerIncarnation,
   WorkerPhase,
 } from "@eelgrassfront/model";
+import { ResponseTimes } from "./response_times.ts";
 import { WorkerClock } from "./worker_clock.ts";
 
 /** Consecutive unanswered calls after which a worker counts as unresponsive. */
@@ -45,6 +48,7 @@
   #description: WorkerDescription | undefined;
   #isConfirmed = true;
   #clock = new WorkerClock();
+  #responseTimes = new ResponseTimes();
   #fencingToken: number;
   #unansweredCalls = 0;
   #unreliableUntil: Milliseconds = 0;
@@ -108,8 +112,11 @@
     if (isSame && description.sequence < known.sequence) return false;
     this.#description = description;
     this.#isConfirmed = true;
-    if (!isSame) this.#clock = new WorkerClock();
-    this.recordClock(description.clock);
+    if (!isSame) {
+      this.#clock = new WorkerClock();
+      this.#responseTimes = new ResponseTimes();
+    }
+    this.#recordClock(description.clock);
     if (isSame) return false;
     this.#unansweredCalls = 0;
     // Calls to the previous incarnation may still be in transit; the new one refuses their lower token.
@@ -131,13 +138,13 @@
     return this.#description?.incarnation.id === worker;
   }
 
-  /** Records that the worker answered a call. */
-  recordAnswer(): void {
+  /** Records that the worker answered a call, and its clock if the answer contains it. */
+  recordAnswer(clock: Milliseconds | undefined): void {
     this.#unansweredCalls = 0;
+    this.#recordClock(clock);
   }
 
-  /** Records the worker's clock from an answer. */
-  recordClock(clock: Milliseconds | undefined): void {
+  #recordClock(clock: Milliseconds | undefined): void {
     if (clock === undefined) return;
     this.#clock.record(this.#options.collector.now, clock);
   }
@@ -150,8 +157,14 @@
     return this.#clock.takeSuspension();
   }
 
+  /** Records the time in which the worker answered a call that does not wait. */
+  recordResponse(elapsed: Milliseconds): void {
+    this.#responseTimes.recordResponse(elapsed);
+  }
+
   /** Records an unanswered call. */
   recordUnanswered(): void {
+    this.#responseTimes.recordUnanswered();
     this.#unansweredCalls += 1;
     this.#unreliableUntil = this.#options.collector.now +
       UNRELIABLE_MILLISECONDS;
@@ -205,8 +218,23 @@
       address: this.#description.address,
       fencingToken: this.#fencingToken,
       request,
+      timeoutMilliseconds: waitOf(request) + this.#responseTimes.timeout,
     };
     collector.add(output);
     return output.call;
   }
 }
+
+/** Returns how long the worker may hold back the answer to a call. */
+function waitOf(call: WorkerCall): Milliseconds {
+  switch (call.kind) {
+    case WorkerCallKind.PollRuns:
+      return call.waitMilliseconds;
+    case WorkerCallKind.Start:
+    case WorkerCallKind.Stop:
+    case WorkerCallKind.CheckHealth:
+      return 0;
+    default:
+      return assertNever(call);
+  }
+}
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -74,8 +74,6 @@
 
 const MAXIMUM_LEASE_MILLISECONDS: Milliseconds = 1_000;
 const ANSWER_MILLISECONDS: Milliseconds = 0.5;
-/** Time after which the sidecar's adapter abandons a call; a long poll adds its waiting time. */
-const CALL_TIMEOUT_MILLISECONDS: Milliseconds = 15;
 const MINIMUM_CALL_DELAY_MILLISECONDS: Milliseconds = 2_000;
 const MAXIMUM_CALL_DELAY_MILLISECONDS: Milliseconds = 12_000;
 
@@ -148,9 +146,7 @@
   /** Handles a call of the sidecar; `answer` is called once, with the reply or after the timeout. */
   call(output: CallWorker, answer: (answer: WorkerAnswer) => void): void {
     const { time, random } = this.options;
-    const { request, fencingToken } = output;
-    const timeout = CALL_TIMEOUT_MILLISECONDS +
-      (request.kind === WorkerCallKind.PollRuns ? request.waitMilliseconds : 0);
+    const { request, fencingToken, timeoutMilliseconds: timeout } = output;
     if (!this.#isAlive) {
       time.after(ANSWER_MILLISECONDS, () => answer(connectionRefused(output)));
       return;
--- a/stand-ins/platform_system/src/platform_system.ts
+++ b/stand-ins/platform_system/src/platform_system.ts
@@ -16,14 +16,13 @@
 } from "@eelgrassfront/stand-in-platform-worker";
 import { request } from "undici";
 import { Child } from "@eelgrassfront/stand-in-child-process";
+import { LoopbackNetwork } from "./loopback_network.ts";
 import { RunRecorder } from "./run_recorder.ts";
 
 /** Size and addresses of a deployment. */
 export interface PlatformSystemOptions {
   readonly entries: number;
   readonly workers: number;
-  /** Second octet of the loopback addresses, from 1 to 250; it separates deployments that run in parallel. */
-  readonly network: number;
   readonly workerMillicores?: number;
   readonly nodeArguments?: readonly string[];
   readonly onLine?: (name: string, line: string) => void;
@@ -78,15 +77,18 @@
   readonly sidecars: SystemVm[] = [];
   readonly workers: PlatformWorker[] = [];
   readonly #options: PlatformSystemOptions;
+  readonly #network: LoopbackNetwork;
   readonly #folder: string;
   #version = 0;
 
   private constructor(
     options: PlatformSystemOptions,
+    network: LoopbackNetwork,
     store: StoreServer,
     folder: string,
   ) {
     this.#options = options;
+    this.#network = network;
     this.store = store;
     this.#folder = folder;
     this.recorder = new RunRecorder();
@@ -94,9 +96,10 @@
 
   /** Starts a deployment and waits until every entry is ready. */
   static async start(options: PlatformSystemOptions): Promise<PlatformSystem> {
+    const network = await LoopbackNetwork.reserve();
     const store = await StoreServer.listen();
     const folder = await mkdtemp(join(tmpdir(), "eelgrassfront-"));
-    const system = new PlatformSystem(options, store, folder);
+    const system = new PlatformSystem(options, network, store, folder);
     system.publish();
     for (let index = 0; index < options.workers; index += 1) {
       await system.addWorker();
@@ -212,6 +215,7 @@
     await Promise.all(vms.map(({ child }) => child[Symbol.asyncDispose]()));
     for (const worker of this.workers) await worker[Symbol.asyncDispose]();
     await this.store[Symbol.asyncDispose]();
+    await this.#network[Symbol.asyncDispose]();
     await rm(this.#folder, { recursive: true });
   }
 
@@ -225,7 +229,7 @@
   ): Promise<SystemVm> {
     const name = `${role}-${index + 1}`;
     const offset = role === "entry" ? 1 : 100;
-    const host = `127.${this.#options.network}.0.${offset + index}`;
+    const host = this.#network.address(offset + index);
     await writeFile(
       join(this.#folder, name),
       JSON.stringify(this.#settingsOf(role, name, host)),
@@ -260,7 +264,7 @@
       listen,
       portRange: [FIRST_PEER_PORT, LAST_PEER_PORT],
       serves: role === "entry" ? ["frontend", "control_plane"] : ["side"],
-      seeds: [`127.${this.#options.network}.0.1:${CONTROL_PORT}`],
+      seeds: [`${this.#network.address(1)}:${CONTROL_PORT}`],
       bounds: { maxHoldMs: MAXIMUM_HOLD_MILLISECONDS, graceS: GRACE_SECONDS },
       platform: { address: `127.0.0.1:${this.store.port}` },
     };
