fix(worker-guard): wait longer for the first response of a worker

Cause: with a load of 13 on 8 cores the first start calls after the start of all processes took more than 60 ms, and a task was stopped and started again (7 starts in place of 6, two logs). Change: 200 ms before the first response.

--- a/domain/worker_guard/src/response_times.ts
+++ b/domain/worker_guard/src/response_times.ts
@@ -7,8 +7,10 @@
 
 /** Shortest timeout: a part of what the objective of the shortest tasks leaves for a second start. */
 const MINIMUM_TIMEOUT_MILLISECONDS: Milliseconds = 15;
-/** Longest timeout, and the timeout before the first response. */
+/** Longest timeout after the first response. */
 const MAXIMUM_TIMEOUT_MILLISECONDS: Milliseconds = 60;
+/** Timeout before the first response, which a worker that has just started gives late. */
+const INITIAL_TIMEOUT_MILLISECONDS: Milliseconds = 200;
 const MEAN_WEIGHT = 1 / 8;
 const DEVIATION_WEIGHT = 1 / 4;
 const DEVIATIONS = 4;
@@ -22,7 +24,7 @@
 
   /** Time after which a call that does not wait counts as unanswered. */
   get timeout(): Milliseconds {
-    if (this.#mean === undefined) return MAXIMUM_TIMEOUT_MILLISECONDS;
+    if (this.#mean === undefined) return INITIAL_TIMEOUT_MILLISECONDS;
     const expected = this.#mean + DEVIATIONS * this.#deviation;
     return Math.min(
       MAXIMUM_TIMEOUT_MILLISECONDS,
