--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -36,6 +36,11 @@
   readonly slowWorkers?: readonly SlowWorkers[];
   /** Probability that a worker leaves a call unanswered and executes it seconds later; 0 by default. */
   readonly delayedCalls?: number;
+  /** Sidecars that are killed and do not return; time since the start of the load. */
+  readonly lostSidecars?: {
+    readonly count: number;
+    readonly at: Milliseconds;
+  };
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
   readonly countFrom?: Milliseconds;
   /** Size of the fleet; that of the users' smallest deployments by default. */
@@ -130,6 +135,7 @@
     }).start();
     for (const slow of slowWorkers) this.#slowDown(slow);
     time.after(START_MILLISECONDS, () => this.#delayCalls());
+    this.#loseSidecars();
     this.#system.runUntil(
       START_MILLISECONDS + durationMilliseconds + DRAIN_MILLISECONDS,
     );
@@ -144,6 +150,15 @@
     }
   }
 
+  #loseSidecars(): void {
+    const { lostSidecars: lost } = this.#load;
+    if (lost === undefined) return;
+    const { time, sidecars } = this.#system;
+    time.after(START_MILLISECONDS + lost.at, () => {
+      for (const vm of sidecars.slice(0, lost.count)) this.#system.kill(vm);
+    });
+  }
+
   #slowDown({ count, from, until, factor }: SlowWorkers): void {
     const { time, sidecars } = this.#system;
     for (const { worker } of sidecars.slice(0, count)) {
--- a/emulator/src/load_player_test.ts
+++ b/emulator/src/load_player_test.ts
@@ -68,6 +68,16 @@
   expect(mostUrgent ?? 0).toBeGreaterThanOrEqual(URGENT_SHARE);
 });
 
+test("200 ms after three of eleven sidecars are lost, jobs are served as on a calm day", () => {
+  const outcomes = outcomesOf({
+    durationMilliseconds: 3_600,
+    kinds: kindsAtUtilisation(0.4),
+    lostSidecars: { count: 3, at: 3 * SECOND },
+    countFrom: 3 * SECOND + 200,
+  });
+  expect(shareInObjective(outcomes)).toBeGreaterThanOrEqual(CALM_SHARE);
+});
+
 for (const factor of [5, Infinity]) {
   test(`workers that were ${factor} times slower are used again after they have recovered`, () => {
     const outcomes = outcomesOf({
