refactor(worker-guard): move the stops of runs and the pending calls out of the run controller

Change: RunStops sends, repeats and lists the due stops; PendingCalls sends calls to the worker and keeps them until they are answered.

--- a/domain/worker_guard/src/pending_call.ts
+++ b/domain/worker_guard/src/pending_call.ts
@@ -4,9 +4,13 @@
 import {
   jobTaskKey,
   type Milliseconds,
+  type OutputCollector,
+  type RequestIdentifier,
   type RunReference,
+  type WorkerCall,
   type WorkerCallKind,
 } from "@eelgrassfront/model";
+import type { WorkerLink } from "./worker_link.ts";
 
 /** A call to the worker that is not answered yet. */
 export interface PendingCall {
@@ -18,6 +22,47 @@
   readonly endCursor?: number;
 }
 
+/** Collaborators of `PendingCalls`. */
+export interface PendingCallsOptions {
+  readonly collector: Pick<OutputCollector<unknown>, "now">;
+  readonly link: WorkerLink;
+}
+
+/** Sends calls to the worker and keeps them until they are answered. */
+export class PendingCalls {
+  readonly #options: PendingCallsOptions;
+  readonly #calls = new Map<RequestIdentifier, PendingCall>();
+
+  constructor(options: PendingCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Sends a call. Returns its identifier; undefined when no worker is known. */
+  send(
+    call: WorkerCall,
+    context: Pick<PendingCall, "run" | "endCursor"> = {},
+  ): RequestIdentifier | undefined {
+    const { collector, link } = this.#options;
+    const identifier = link.call(call);
+    if (identifier === undefined) return undefined;
+    const sentAt = collector.now;
+    this.#calls.set(identifier, { ...context, kind: call.kind, sentAt });
+    return identifier;
+  }
+
+  /** Removes and returns an answered call; undefined for a call of an earlier incarnation of the worker. */
+  take(identifier: RequestIdentifier): PendingCall | undefined {
+    const call = this.#calls.get(identifier);
+    this.#calls.delete(identifier);
+    return call;
+  }
+
+  /** Forgets all calls. */
+  clear(): void {
+    this.#calls.clear();
+  }
+}
+
 /** Returns a map key for a run. */
 export function runKey({ task, run }: RunReference): string {
   return `${jobTaskKey(task)} ${run}`;
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -33,9 +33,10 @@
 } from "@eelgrassfront/model";
 import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
-import { type PendingCall, runKey } from "./pending_call.ts";
+import { type PendingCall, PendingCalls, runKey } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
+import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
 import type { WorkerLink } from "./worker_link.ts";
 import { COMPLETE_PERCENT, SlownessEstimator } from "./slowness_estimator.ts";
 
@@ -43,8 +44,6 @@
 const POLL_WAIT_MILLISECONDS: Milliseconds = 200;
 /** The same for a worker that recently left calls unanswered, so that a lost list is repeated soon. */
 const UNRELIABLE_POLL_WAIT_MILLISECONDS: Milliseconds = 30;
-/** Time between two stop calls for the same run. */
-const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
 /** Maximum number of start calls of an attempt that is refused for an old token or run number. */
 const MAXIMUM_START_CALLS = 4;
 /** Time without progress after which a run is stopped: twice what tasks of seconds on a slow worker need. */
@@ -62,9 +61,10 @@
 /** Controls the runs of one worker. */
 export class RunController {
   readonly #options: RunControllerOptions;
-  readonly #calls = new Map<RequestIdentifier, PendingCall>();
+  readonly #calls: PendingCalls;
   readonly #startCalls = new Map<string, number>();
   readonly #runNumbers = new RunNumbers();
+  readonly #stops: RunStops;
   #slowness = new SlownessEstimator();
   /** Number of the last end that was handled; the next poll acknowledges it. */
   #endCursor = 0;
@@ -78,6 +78,12 @@
 
   constructor(options: RunControllerOptions) {
     this.#options = options;
+    this.#calls = new PendingCalls(options);
+    this.#stops = new RunStops({
+      ...options,
+      calls: this.#calls,
+      runNumbers: this.#runNumbers,
+    });
   }
 
   /** Whether every run at the worker is known. */
@@ -110,28 +116,13 @@
 
   /** Stops an attempt whose start was sent to the worker. */
   stop(run: WorkerRun, reason: InterruptionReason): void {
-    const { state } = run;
-    if (state.phase === RunPhase.Waiting) return;
-    if (state.phase === RunPhase.Stopping) return;
-    run.state = {
-      phase: RunPhase.Stopping,
-      run: state.run,
-      reason,
-      nextStopAt: this.#options.collector.now,
-    };
-    this.#sendStop(run);
+    this.#stops.stop(run, reason);
   }
 
   /** Sends the calls that are due. */
   tick(): void {
-    const { collector, table, link } = this.#options;
-    if (link.description === undefined) return;
-    for (const run of table.sentToWorker()) {
-      const { state } = run;
-      const isDue = state.phase === RunPhase.Stopping &&
-        collector.now >= state.nextStopAt;
-      if (isDue) this.#sendStop(run);
-    }
+    if (this.#options.link.description === undefined) return;
+    this.#stops.tick();
     this.#settleExpired();
     this.#poll();
   }
@@ -140,9 +131,7 @@
   nextAlarm(): Milliseconds | undefined {
     const { table, link } = this.#options;
     if (link.description === undefined) return undefined;
-    const times = table.sentToWorker().flatMap(({ state }) =>
-      state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
-    );
+    const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
     if (this.#pollCall === undefined && this.#isPollNeeded()) {
       times.push(
         this.#isReconciled
@@ -153,14 +142,13 @@
     if (link.isUnresponsive && table.sentToWorker().length > 0) {
       times.push(link.leaseExpiresAt);
     }
-    return times.length === 0 ? undefined : Math.min(...times);
+    return Math.min(...times);
   }
 
   /** Handles an answer of the worker. Returns false when this incarnation of the worker has ended. */
   handleAnswer(call: RequestIdentifier, answer: WorkerAnswer): boolean {
-    const pending = this.#calls.get(call);
+    const pending = this.#calls.take(call);
     if (pending === undefined) return true;
-    this.#calls.delete(call);
     const { link, collector } = this.#options;
     if (call === this.#pollCall) {
       this.#pollCall = undefined;
@@ -199,15 +187,14 @@
     const key = jobTaskKey(run.task);
     this.#startCalls.set(key, (this.#startCalls.get(key) ?? 0) + 1);
     this.#runNumbers.record(collector.now, { task: run.task, run: number });
-    const call = link.call({
+    const reference = { task: run.task, run: number };
+    const call = this.#calls.send({
       kind: WorkerCallKind.Start,
-      run: { task: run.task, run: number },
+      run: reference,
       content: run.content,
       leaseUntil: link.leaseUntil(),
-    });
+    }, { run: reference });
     if (call === undefined) return;
-    const pending = { kind: WorkerCallKind.Start, sentAt: collector.now };
-    this.#calls.set(call, { ...pending, run: { task: run.task, run: number } });
     link.recordRenewal();
     run.state = {
       phase: RunPhase.Starting,
@@ -217,18 +204,6 @@
     };
   }
 
-  #sendStop(run: WorkerRun): void {
-    const { collector, link } = this.#options;
-    const target = runReferenceOf(run);
-    if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
-    const nextStopAt = collector.now + STOP_INTERVAL_MILLISECONDS;
-    run.state = { ...run.state, nextStopAt };
-    const call = link.call({ kind: WorkerCallKind.Stop, run: target });
-    if (call === undefined) return;
-    const sentAt = collector.now;
-    this.#calls.set(call, { kind: WorkerCallKind.Stop, run: target, sentAt });
-  }
-
   /** Keeps one poll open while runs are active, and sends one more to acknowledge the last ends. */
   #poll(): void {
     const { collector, link, table } = this.#options;
@@ -240,7 +215,7 @@
     if (isEarly) return;
     const endCursor = this.#endCursor;
     const isRenewed = this.#isReconciled && table.sentToWorker().length > 0;
-    this.#pollCall = link.call({
+    this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
       ...(isRenewed ? { leaseUntil: link.leaseUntil() } : {}),
       notedEnds: endCursor,
@@ -249,22 +224,16 @@
         : link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
         : POLL_WAIT_MILLISECONDS,
-    });
-    if (this.#pollCall === undefined) return;
-    if (isRenewed) link.recordRenewal();
-    const sentAt = collector.now;
-    const kind = WorkerCallKind.PollRuns;
-    this.#calls.set(this.#pollCall, { kind, sentAt, endCursor });
+    }, { endCursor });
+    if (this.#pollCall !== undefined && isRenewed) link.recordRenewal();
   }
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
   #pollNow(): void {
-    const { collector, link } = this.#options;
     const endCursor = this.#endCursor;
     const kind = WorkerCallKind.PollRuns;
-    const call = link.call({ kind, notedEnds: endCursor, waitMilliseconds: 0 });
-    if (call === undefined) return;
-    this.#calls.set(call, { kind, sentAt: collector.now, endCursor });
+    const poll = { kind, notedEnds: endCursor, waitMilliseconds: 0 } as const;
+    this.#calls.send(poll, { endCursor });
   }
 
   #isPollNeeded(): boolean {
@@ -442,24 +411,13 @@
 
   /** Stops runs without an active attempt. The worker gets no tasks until a list has contained no such run. */
   #stopUnknownRuns(running: readonly ListedRun[]): void {
-    const { collector, link } = this.#options;
-    const unknownRuns = running.filter(({ run: { task, run } }) => {
-      const known = this.#options.table.find(task);
-      return known === undefined || runReferenceOf(known)?.run !== run;
-    });
-    for (const { run } of unknownRuns) {
-      this.#runNumbers.record(collector.now, run);
-      const call = link.call({ kind: WorkerCallKind.Stop, run });
-      if (call === undefined) return;
-      const sentAt = collector.now;
-      this.#calls.set(call, { kind: WorkerCallKind.Stop, run, sentAt });
-    }
-    if (unknownRuns.length === 0) {
+    if (!this.#stops.stopUnknownRuns(running)) {
       if (!this.#isReconciled) this.#options.table.raiseRevision();
       this.#isReconciled = true;
       return;
     }
-    this.#nextReconciliationAt = collector.now + STOP_INTERVAL_MILLISECONDS;
+    this.#nextReconciliationAt = this.#options.collector.now +
+      STOP_INTERVAL_MILLISECONDS;
   }
 
   /** Settles all runs of an unresponsive worker when the last lease that it may have received has expired. */
--- /dev/null
+++ b/domain/worker_guard/src/run_stops.ts
@@ -0,0 +1,93 @@
+/**
+ * Stops of runs at the worker. A stop call is repeated until the worker accepts it, and again until a list
+ * shows that the run has ended. A run without an attempt is stopped as well: it was started by an earlier
+ * incarnation of this sidecar, or by a start call that the worker executed late.
+ */
+import {
+  type DispatchOutput,
+  type InterruptionReason,
+  type ListedRun,
+  type Milliseconds,
+  type OutputCollector,
+  WorkerCallKind,
+} from "@eelgrassfront/model";
+import type { PendingCalls } from "./pending_call.ts";
+import type { RunNumbers } from "./run_numbers.ts";
+import type { RunTable } from "./run_table.ts";
+import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
+
+/** Time between two stop calls for the same run. */
+export const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
+
+/** Collaborators of `RunStops`. */
+export interface RunStopsOptions {
+  readonly collector: OutputCollector<DispatchOutput>;
+  readonly calls: PendingCalls;
+  readonly table: RunTable;
+  readonly runNumbers: RunNumbers;
+}
+
+/** Stops the runs of one worker. */
+export class RunStops {
+  readonly #options: RunStopsOptions;
+
+  constructor(options: RunStopsOptions) {
+    this.#options = options;
+  }
+
+  /** Stops an attempt whose start was sent to the worker. */
+  stop(run: WorkerRun, reason: InterruptionReason): void {
+    const { state } = run;
+    if (state.phase === RunPhase.Waiting) return;
+    if (state.phase === RunPhase.Stopping) return;
+    run.state = {
+      phase: RunPhase.Stopping,
+      run: state.run,
+      reason,
+      nextStopAt: this.#options.collector.now,
+    };
+    this.#sendStop(run);
+  }
+
+  /** Repeats the stop calls that are due. */
+  tick(): void {
+    const { collector, table } = this.#options;
+    for (const run of table.sentToWorker()) {
+      const { state } = run;
+      const isDue = state.phase === RunPhase.Stopping &&
+        collector.now >= state.nextStopAt;
+      if (isDue) this.#sendStop(run);
+    }
+  }
+
+  /** When the next stop call is due. */
+  nextAlarm(): Milliseconds | undefined {
+    const times = this.#options.table.sentToWorker().flatMap(({ state }) =>
+      state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
+    );
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  /** Stops the listed runs without an active attempt. Returns whether there were any. */
+  stopUnknownRuns(running: readonly ListedRun[]): boolean {
+    const { collector, calls, table, runNumbers } = this.#options;
+    const unknownRuns = running.filter(({ run: { task, run } }) => {
+      const known = table.find(task);
+      return known === undefined || runReferenceOf(known)?.run !== run;
+    });
+    for (const { run } of unknownRuns) {
+      runNumbers.record(collector.now, run);
+      calls.send({ kind: WorkerCallKind.Stop, run }, { run });
+    }
+    return unknownRuns.length > 0;
+  }
+
+  #sendStop(run: WorkerRun): void {
+    const { collector, calls } = this.#options;
+    const target = runReferenceOf(run);
+    if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
+    const nextStopAt = collector.now + STOP_INTERVAL_MILLISECONDS;
+    run.state = { ...run.state, nextStopAt };
+    calls.send({ kind: WorkerCallKind.Stop, run: target }, { run: target });
+  }
+}
