feat(events): log moved tasks, repeated stops and unknown runs

Cause: with the present lines the hypotheses on two runs of one task can't be told apart: nothing says that a task goes to another sidecar, that a worker doesn't accept a stop, or that it lists a run that nobody asked for.

Conclusion: a lost cancellation shows as 3104 without 4106, a session that lasts too long as 2403 long after 2402, a stop without effect as 4107.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -183,6 +183,12 @@
       "An attempt of a task ended without completing it; the task is rescheduled.",
     action: "Check the reason and the sidecar of the attempt.",
   },
+  [EventNumber.TaskMoved]: {
+    meaning:
+      "A task that had been sent to one sidecar was sent to another. The line contains both addresses and the number of the new attempt.",
+    action:
+      "Search by the identifier of the job: the earlier attempt must have ended by then.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
@@ -212,4 +218,15 @@
     action:
       "Search by the identifier of the job for the line of the entry that placed the attempt.",
   },
+  [EventNumber.RunStopRepeated]: {
+    meaning:
+      "The worker has not accepted the stop of a run, or has not listed its end, so the stop is sent again. The run may continue.",
+    action: "Nothing for single lines; otherwise check the worker.",
+  },
+  [EventNumber.RunUnknown]: {
+    meaning:
+      "The worker listed a run without an attempt, which is stopped: an earlier incarnation of the sidecar started it, or the worker executed a start call late.",
+    action:
+      "Nothing after a restart of the sidecar; otherwise check the worker.",
+  },
 };
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -258,6 +258,7 @@
       requestPosition: link.requestsSent,
     };
     attempts.add(attempt);
+    this.#recordMove(attempt);
     task.phase = TaskPhase.Placed;
     task.sidecarAddress = link.address;
     job.placedTaskCount += 1;
@@ -266,6 +267,26 @@
     this.#sendRequest(attempt.request, link, this.#runTaskRequest(attempt));
   }
 
+  #recordMove({ job, task, address, attemptNumber: attempt }: TaskAttempt) {
+    const earlier = task.sidecarAddress;
+    if (earlier === undefined || earlier === address) return;
+    // A task that was refused for lack of capacity has not run at the earlier sidecar.
+    if (!job.mayHaveStarted) return;
+    this.#options.collector.record(
+      EventNumber.TaskMoved,
+      "a task is sent to another sidecar",
+      {
+        context: {
+          job: job.id,
+          task: jobTaskKey(task.name),
+          sidecar: address,
+          earlier,
+          attempt,
+        },
+      },
+    );
+  }
+
   #recordFirstPlacement(job: DispatchJob): void {
     if (job.firstPlacedAt !== undefined) return;
     const { collector } = this.#options;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -40,12 +40,15 @@
   JobGivenUp = 3103,
   JobAbandoned = 3104,
   TaskRetried = 3105,
+  TaskMoved = 3106,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
   WorkerReportInvalid = 4104,
   RunDoubtful = 4105,
   RunSettled = 4106,
+  RunStopRepeated = 4107,
+  RunUnknown = 4108,
 }
 
 /** Severity of an event. */
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -5,10 +5,14 @@
  */
 import {
   type DispatchOutput,
+  EventNumber,
   type InterruptionReason,
+  jobTaskKey,
   type ListedRun,
   type Milliseconds,
   type OutputCollector,
+  type RunReference,
+  Severity,
   WorkerCallKind,
 } from "@eelgrassfront/model";
 import type { PendingCalls } from "./pending_call.ts";
@@ -44,6 +48,7 @@
       phase: RunPhase.Stopping,
       run: state.run,
       reason,
+      since: this.#options.collector.now,
       nextStopAt: this.#options.collector.now,
     };
     this.#sendStop(run);
@@ -56,7 +61,9 @@
       const { state } = run;
       const isDue = state.phase === RunPhase.Stopping &&
         collector.now >= state.nextStopAt;
-      if (isDue) this.#sendStop(run);
+      if (!isDue) continue;
+      this.#recordRepetition(run);
+      this.#sendStop(run);
     }
   }
 
@@ -77,6 +84,11 @@
     });
     for (const { run } of unknownRuns) {
       runNumbers.record(collector.now, run);
+      collector.record(
+        EventNumber.RunUnknown,
+        "stopping a run that no attempt belongs to",
+        { severity: Severity.Warning, context: contextOf(run) },
+      );
       calls.send({ kind: WorkerCallKind.Stop, run }, { run });
     }
     return unknownRuns.length > 0;
@@ -90,4 +102,28 @@
     run.state = { ...run.state, nextStopAt };
     calls.send({ kind: WorkerCallKind.Stop, run: target }, { run: target });
   }
+
+  #recordRepetition(run: WorkerRun): void {
+    const { collector } = this.#options;
+    const target = runReferenceOf(run);
+    if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
+    const { since, reason, acceptedAt } = run.state;
+    collector.record(
+      EventNumber.RunStopRepeated,
+      "a run has not ended since its stop was sent; the stop is repeated",
+      {
+        severity: Severity.Warning,
+        context: {
+          ...contextOf(target),
+          reason,
+          isAccepted: acceptedAt !== undefined,
+          elapsedMilliseconds: Math.round(collector.now - since),
+        },
+      },
+    );
+  }
+}
+
+function contextOf({ task, run }: RunReference) {
+  return { job: task.job, task: jobTaskKey(task), run };
 }
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -62,6 +62,8 @@
   readonly phase: RunPhase.Stopping;
   readonly run: number;
   readonly reason: InterruptionReason;
+  /** When the first stop call was sent. */
+  readonly since: Milliseconds;
   /** When the stop call is sent again. */
   readonly nextStopAt: Milliseconds;
   /** When the worker accepted the stop; a later list without the run proves its end. */
