test(dispatcher, worker-guard): show that a cancellation is lost with its connection

Cause: an entry sends the cancellation of an attempt once. When the connection to the sidecar breaks before it is read, the session is renewed, the request to run is sent again and the cancellation isn't.

--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -200,10 +200,25 @@
     return this.#placements;
   }
 
+  /** Returns the kinds of the pending requests to a sidecar, in the order in which they were sent. */
+  pendingKinds(address: string): readonly DispatchRequestKind[] {
+    return this.#requests.filter((sent) => sent.address === address)
+      .map(({ message }) => message.kind);
+  }
+
   sent(kind: DispatchRequestKind): readonly OutgoingRequest<DispatchRequest>[] {
     return this.#requests.filter(({ message }) => message.kind === kind);
   }
 
+  /** Breaks the connection to a sidecar: all requests without a reply are lost. */
+  loseConnection(address: string): void {
+    const lost = this.#requests.filter((sent) => sent.address === address);
+    for (const sent of lost) {
+      this.#requests.splice(this.#requests.indexOf(sent), 1);
+    }
+    for (const sent of lost) this.#reportLost(sent);
+  }
+
   answerTo(request: number): AnswerClient["answer"] | undefined {
     return this.#answers.find((answer) => answer.request === request)?.answer;
   }
@@ -247,20 +262,24 @@
     if (isUp && except === "") return;
     for (const sent of this.#takeRequests(DispatchRequestKind.WatchLoad)) {
       if (isUp && sent.address !== except) continue;
-      this.step({
-        kind: InputKind.PeerRequestLost,
-        peer: sent.peer,
-        request: sent.request,
-        error: {
-          tag: ErrorTag.ConnectionLost,
-          step: Step.CallPeer,
-          peer: sent.peer,
-          detail: "the connection ended",
-        },
-      });
+      this.#reportLost(sent);
     }
   }
 
+  #reportLost({ peer, request }: OutgoingRequest<DispatchRequest>): void {
+    this.step({
+      kind: InputKind.PeerRequestLost,
+      peer,
+      request,
+      error: {
+        tag: ErrorTag.ConnectionLost,
+        step: Step.CallPeer,
+        peer,
+        detail: "the connection ended",
+      },
+    });
+  }
+
   #loadOf(address: string): WorkerLoad {
     this.#revision += 1;
     const resources = { memoryMegabytes: 1_000, accelerators: 0 };
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -238,6 +238,18 @@
     });
   }
 
+  cancelTask(
+    request: number,
+    { job, entry = ENTRY }: Omit<TaskOptions, "millicores">,
+  ): void {
+    this.#request(entry, request, {
+      kind: DispatchRequestKind.CancelTaskAttempt,
+      session: this.#sessions.get(entry) ?? 0,
+      task: { job, step: 0, index: 0 },
+      attempt: 1,
+    });
+  }
+
   answer(call: CallWorker | undefined, answer: WorkerAnswer): void {
     if (call === undefined) throw new Error("the sidecar sent no such call");
     const kind = DispatchInputKind.WorkerAnswered;
