fix(dispatcher, worker-guard): keep cancellations until the attempt is settled

Callers: a client whose connection broke, or that got 502 or 504, submits its job again at another entry after 1.3 s. The tasks of the first submission went on, so a task ran twice at the same time.

Cause: the cancellation of an attempt was sent once. When the connection to the sidecar broke before it was read (a reset that hits the client's connection hits those to the sidecars as well), the entry renewed the session and sent the request to run again, without the cancellation. A request that had been lost too then even started the task of a client that had left.

Change: when a session resumes, the entry sends the cancellation again, before the request to run. A sidecar remembers the cancellation of an attempt that it doesn't know, so that the later request gets 'cancelled' and starts nothing.

Conclusion: class of fault: a one-way message treated as delivered. The request to run was kept and repeated, its cancellation was not.

--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -184,11 +184,18 @@
     const link = this.#options.links.find(attempt.address);
     if (link?.state.phase !== LinkPhase.Open) return;
     attempt.isCancelRequested = true;
+    this.#sendCancellation(link, attempt);
+  }
+
+  #sendCancellation(
+    link: WorkerLinkState,
+    { session, task, attemptNumber: attempt }: TaskAttempt,
+  ): void {
     this.#sendNewRequest(link, {
       kind: DispatchRequestKind.CancelTaskAttempt,
-      session: attempt.session,
-      task: attempt.task.name,
-      attempt: attempt.attemptNumber,
+      session,
+      task: task.name,
+      attempt,
     });
   }
 
@@ -206,11 +213,15 @@
     this.#updateTask(attempt, settlement);
   }
 
-  /** Resends the unanswered requests of a session whose connection was lost. */
+  /**
+   * Resends the unanswered requests of a session whose connection was lost. A cancellation precedes the request
+   * to run the task, which then never starts if the sidecar has not read it before.
+   */
   resendRequests(link: WorkerLinkState): void {
     for (const attempt of this.#options.attempts.atSidecar(link.address)) {
       if (link.state.phase !== LinkPhase.Open) return;
       if (attempt.session !== link.state.session) continue;
+      if (attempt.isCancelRequested) this.#sendCancellation(link, attempt);
       const request = this.#sendNewRequest(link, this.#runTaskRequest(attempt));
       link.requestsSent += 1;
       this.#options.attempts.replaceRequest(
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -219,10 +219,19 @@
     this.#reply(from, request, {
       kind: DispatchReplyKind.CancellationAcknowledged,
     });
-    const run = this.#options.table.find(task);
+    const { table } = this.#options;
+    const run = table.find(task);
     const isSameAttempt = run?.entry === from && run.session === session &&
       run.attempt === attempt;
-    if (isSameAttempt) this.#stopRun(run, InterruptionReason.Cancelled);
+    if (isSameAttempt) {
+      this.#stopRun(run, InterruptionReason.Cancelled);
+      return;
+    }
+    const reference = { task, attempt };
+    if (table.settlementOf(from, reference) !== undefined) return;
+    // The request to run the task may arrive later, over another connection.
+    const settlement = notStarted(NotStartedReason.Cancelled);
+    table.recordSettlement(from, reference, settlement);
   }
 
   #stopRun(run: WorkerRun, reason: InterruptionReason): void {
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -37,6 +37,9 @@
   readonly load: (entry: ProcessIdentifier) => WorkerLoad | undefined;
 }
 
+/** One attempt of an entry at a task. */
+export type AttemptReference = Pick<RunTask, "task" | "attempt">;
+
 /** The request that waits for the settlement of an attempt. */
 export interface RunWaiter {
   readonly from: ProcessIdentifier;
@@ -129,18 +132,26 @@
     this.#runs.delete(jobTaskKey(run.task));
     this.#used = subtractResources(this.#used, run.resources);
     this.raiseRevision();
-    const { collector } = this.#options;
-    const key = settlementKey(run.entry, run.task, run.attempt);
-    this.#settled.set(collector.now, key, settlement);
+    this.recordSettlement(run.entry, run, settlement);
     this.sendSettlement({ from: run.entry, request: run.request }, settlement);
   }
 
+  /** Records the settlement of an attempt; requests for the attempt get it from now on. */
+  recordSettlement(
+    entry: ProcessIdentifier,
+    attempt: AttemptReference,
+    settlement: TaskSettlement,
+  ): void {
+    const { now } = this.#options.collector;
+    this.#settled.set(now, settlementKey(entry, attempt), settlement);
+  }
+
   /** The settlement of an attempt that ended recently. */
   settlementOf(
     entry: ProcessIdentifier,
-    { task, attempt }: RunTask,
+    attempt: AttemptReference,
   ): TaskSettlement | undefined {
-    return this.#settled.get(settlementKey(entry, task, attempt));
+    return this.#settled.get(settlementKey(entry, attempt));
   }
 
   /** Sends a settlement to an entry. */
@@ -166,8 +177,7 @@
 
 function settlementKey(
   entry: ProcessIdentifier,
-  task: JobTaskReference,
-  attempt: number,
+  { task, attempt }: AttemptReference,
 ): string {
   return `${entry} ${jobTaskKey(task)} ${attempt}`;
 }
