fix(dispatcher): renew a session when any request to its sidecar is lost

Cause: a lost request led to a renewal only if it belonged to an attempt or to the session itself.

Change: a loss is looked up by its peer, so every lost request renews the session and, with the reply, sends again what is open. The requests of links move to a file of their own, LinkCalls, unchanged.

Conclusion: no request to a sidecar is lost without a renewal any more.

--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -37,6 +37,7 @@
   type Milliseconds,
   OutputCollector,
   OutputKind,
+  type PeerRequestLost,
   type RequestIdentifier,
   type RequestTarget,
   Role,
@@ -325,7 +326,7 @@
         this.#handleReply(input);
         return;
       case InputKind.PeerRequestLost:
-        this.#handleLostRequest(input.request);
+        this.#handleLostRequest(input);
         return;
       default:
         assertNever(input);
@@ -388,14 +389,13 @@
     this.#handleLinkChanges(changes);
   }
 
-  #handleLostRequest(request: RequestIdentifier): void {
+  #handleLostRequest({ request, peer }: PeerRequestLost): void {
     this.#exchange.handleLostRequest(request);
     if (this.#links.owns(request)) {
       this.#links.handleLostRequest(request);
       return;
     }
-    const attempt = this.#attempts.find(request);
-    const link = this.#links.find(attempt?.address ?? "");
+    const link = this.#links.findProcess(peer);
     if (link !== undefined) this.#links.handleConnectionLoss(link);
   }
 
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -219,6 +219,11 @@
     for (const sent of lost) this.#reportLost(sent);
   }
 
+  /** Loses the pending requests of one kind, as if each had a connection of its own. */
+  loseRequests(kind: DispatchRequestKind): void {
+    for (const sent of this.#takeRequests(kind)) this.#reportLost(sent);
+  }
+
   answerTo(request: number): AnswerClient["answer"] | undefined {
     return this.#answers.find((answer) => answer.request === request)?.answer;
   }
--- a/domain/dispatcher/src/lost_cancellation_test.ts
+++ b/domain/dispatcher/src/lost_cancellation_test.ts
@@ -23,3 +23,14 @@
     DispatchRequestKind.RunTask,
   ]);
 });
+
+test("a cancellation that alone is lost does not leave the run of a job whose client has left", () => {
+  const harness = DispatcherHarness.ready(["only"], {
+    only: CAPACITY_MILLICORES,
+  });
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  harness.step({ kind: DispatchInputKind.ClientDisconnected, request: 1 });
+  harness.loseRequests(DispatchRequestKind.CancelTaskAttempt);
+  harness.runTo(10);
+  expect(harness.sent(DispatchRequestKind.CancelTaskAttempt).length).toEqual(1);
+});
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -10,24 +10,22 @@
   type DispatchOutput,
   type DispatchReply,
   DispatchReplyKind,
-  type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
   type FleetMember,
   type IncomingReply,
   type Milliseconds,
   type OutputCollector,
-  OutputKind,
   PeerReplyKind,
   type ProcessIdentifier,
   type RequestIdentifier,
   type SessionGranted,
-  type SessionNumber,
   type SessionRenewed,
   Severity,
   type WaitingDemand,
   type WorkerLoad,
 } from "@eelgrassfront/model";
+import { CallPurpose, LinkCalls, type PendingCall } from "./link_calls.ts";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
   type LinkChange,
@@ -69,23 +67,11 @@
   readonly holdsAttempts: (address: string) => boolean;
 }
 
-enum CallPurpose {
-  Open = "open",
-  Renew = "renew",
-  Watch = "watch",
-}
-
-interface PendingCall {
-  readonly purpose: CallPurpose;
-  readonly address: string;
-  readonly session: SessionNumber;
-}
-
 /** Opens, renews and gives up the sessions with the sidecars in use. */
 export class WorkerLinks {
   readonly #options: WorkerLinksOptions;
   readonly #links: WorkerLinkSet;
-  readonly #calls = new Map<RequestIdentifier, PendingCall>();
+  readonly #calls: LinkCalls;
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
   #tickedAt: Milliseconds | undefined;
@@ -96,6 +82,7 @@
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
     this.#links = new WorkerLinkSet(options);
+    this.#calls = new LinkCalls(options.collector);
   }
 
   /** Returns the links in use. */
@@ -108,6 +95,11 @@
     return this.#links.find(address);
   }
 
+  /** Returns the link to a process. */
+  findProcess(process: ProcessIdentifier): WorkerLinkState | undefined {
+    return this.all().find((link) => link.process === process);
+  }
+
   /** Whether there are sidecars that were not asked for a session yet, so that their workers are unknown. */
   get hasUnknownWorkers(): boolean {
     return this.#links.isPartial ||
@@ -129,7 +121,7 @@
 
   /** Returns whether this object sent a request and the request has no reply yet. */
   owns(request: RequestIdentifier): boolean {
-    return this.#calls.has(request);
+    return this.#calls.owns(request);
   }
 
   /** Sends due requests. Returns the links whose session was lost. */
@@ -173,8 +165,7 @@
 
   /** Handles the reply to a request that this object sent. */
   handleReply(input: IncomingReply<DispatchReply>): readonly LinkChange[] {
-    const call = this.#calls.get(input.request);
-    this.#calls.delete(input.request);
+    const call = this.#calls.take(input.request);
     const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return [];
     const { message } = input;
@@ -202,8 +193,7 @@
 
   /** Handles the loss of a request that this object sent. */
   handleLostRequest(request: RequestIdentifier): void {
-    const call = this.#calls.get(request);
-    this.#calls.delete(request);
+    const call = this.#calls.take(request);
     const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return;
     this.handleConnectionLoss(link);
@@ -296,12 +286,12 @@
     const { now } = this.#options.collector;
     if (state.pendingRequest !== undefined) {
       if (now < state.pendingSince + REPLY_TIMEOUT_MILLISECONDS) return;
-      this.#calls.delete(state.pendingRequest);
+      this.#calls.take(state.pendingRequest);
       this.#scheduleOpen(state);
     }
     if (now < state.nextOpenAt) return;
     state.pendingSince = now;
-    state.pendingRequest = this.#send(link, CallPurpose.Open, 0, {
+    state.pendingRequest = this.#calls.send(link, CallPurpose.Open, 0, {
       kind: DispatchRequestKind.OpenSession,
       givenUp: link.givenUp,
     });
@@ -321,7 +311,7 @@
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
     const { session, profile, load } = state;
-    this.#send(link, CallPurpose.Renew, session, {
+    this.#calls.send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
       ...(profile === undefined ? {} : { knownWorker: profile.worker }),
@@ -334,7 +324,7 @@
     const { watch, load, session } = state;
     const isWatched = watch !== undefined && watch.priority <= demand.priority;
     if (isWatched || load?.isTakingWork !== true) return;
-    const request = this.#send(link, CallPurpose.Watch, session, {
+    const request = this.#calls.send(link, CallPurpose.Watch, session, {
       kind: DispatchRequestKind.WatchLoad,
       knownRevision: load.revision,
       intervalMilliseconds: WATCH_INTERVAL_MILLISECONDS,
@@ -471,25 +461,6 @@
     );
     return { kind: LinkChangeKind.Lost, link };
   }
-
-  #send(
-    link: WorkerLinkState,
-    purpose: CallPurpose,
-    session: SessionNumber,
-    message: DispatchRequest,
-  ): RequestIdentifier {
-    const { collector } = this.#options;
-    const request = collector.nextRequest();
-    this.#calls.set(request, { purpose, address: link.address, session });
-    collector.add({
-      kind: OutputKind.SendRequest,
-      request,
-      peer: link.process,
-      address: link.address,
-      message,
-    });
-    return request;
-  }
 }
 
 function nextRenewal(now: Milliseconds): Milliseconds {
