fix(sessions): bound a session by the latest reply that its entry has

Callers: a task of a sidecar that was slow, or whose messages were held up, was started at another worker while it still ran at the first.

Cause: a sidecar counted a session from the moment at which it read a renewal. The entry gives the session up 450 ms after the last reply and placed its tasks again 1.1 s later; a renewal that was read more than half a second late moved the end of the session behind that. The 1.1 s also covered either the rest of the session or the lease of a sidecar that died, not one after the other.

Change: replies carry the sidecar's clock and renewals return the latest one. A session ends 800 ms after that reading at the latest; the entry places tasks of a lost session again 1.1 s after this time. Processes of earlier versions leave the fields out and are treated as before.

Conclusion: class of fault: a lease counted from its arrival, not from what its holder knows.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -60,6 +60,7 @@
     session: count,
     knownWorker: zod.string().optional(),
     knownRevision: count.optional(),
+    knownClock: amount.optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.RunTask),
@@ -135,12 +136,14 @@
   zod.looseObject({
     kind: zod.literal(DispatchReplyKind.SessionGranted),
     session: count,
+    clock: amount.optional(),
     profile: profile.optional(),
     load: load.optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchReplyKind.SessionRenewed),
     session: count,
+    clock: amount.optional(),
     load: load.optional(),
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.SessionPending) }),
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -52,7 +52,7 @@
 import { latencyObjective } from "./job_admission.ts";
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
-import { RUN_AFTER_LOSS_MILLISECONDS, TaskPlacer } from "./task_placer.ts";
+import { TaskPlacer } from "./task_placer.ts";
 import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
 import { WorkerLinks } from "./worker_links.ts";
 
@@ -400,16 +400,13 @@
   }
 
   #handleLinkChanges(changes: readonly LinkChange[]): void {
-    const { now } = this.#collector;
-    for (const { kind, link } of changes) {
+    for (const change of changes) {
+      const { kind, link } = change;
       switch (kind) {
         case LinkChangeKind.Lost:
-          for (
-            const job of this.#placer.releaseTasks(
-              link,
-              now + RUN_AFTER_LOSS_MILLISECONDS,
-            )
-          ) this.#scheduler.advance(job);
+          for (const job of this.#placer.releaseTasks(change)) {
+            this.#scheduler.advance(job);
+          }
           break;
         case LinkChangeKind.Opened:
           this.#scheduler.releaseHeldTasks(link.address);
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -35,7 +35,11 @@
   workerStatistics,
 } from "./worker_choice.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
-import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
+import {
+  type LinkLost,
+  LinkPhase,
+  type WorkerLinkState,
+} from "./worker_link_state.ts";
 import type { WorkerLinks } from "./worker_links.ts";
 
 /** Time without placements at a sidecar that accepts no tasks for now: a few round trips. */
@@ -58,10 +62,10 @@
 /** Upper bound of the time in which a task is cancelled and placed again. */
 const RESCHEDULING_COST_MILLISECONDS: Milliseconds = 100;
 /**
- * Time for which the tasks of a lost sidecar may still run. It covers a session that was renewed just
- * before the loss and, if the sidecar died, the longest lease, with a worker's clock that runs slow.
+ * Time for which tasks may run after their session has ended: the longest lease, with a worker's clock that runs
+ * slow, if the sidecar died at that moment.
  */
-export const RUN_AFTER_LOSS_MILLISECONDS: Milliseconds = 1_100;
+const RUN_AFTER_SESSION_MILLISECONDS: Milliseconds = 1_100;
 
 /** Reasons for which a task is retried. */
 type TaskRetryReason =
@@ -233,10 +237,8 @@
   }
 
   /** Releases the tasks of a lost sidecar; they are placed again only when they have certainly ended there. */
-  releaseTasks(
-    link: WorkerLinkState,
-    notBefore: Milliseconds,
-  ): readonly DispatchJob[] {
+  releaseTasks({ link, sessionEndsAt }: LinkLost): readonly DispatchJob[] {
+    const notBefore = sessionEndsAt + RUN_AFTER_SESSION_MILLISECONDS;
     const released = this.#options.attempts.atSidecar(link.address);
     for (const attempt of released) {
       this.#removeAttempt(attempt);
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -54,6 +54,8 @@
   readonly session: SessionNumber;
   lastReplyAt: Milliseconds;
   nextRenewAt: Milliseconds;
+  /** Sidecar's clock in its latest reply; absent for a sidecar of an earlier version. */
+  sidecarClock: Milliseconds | undefined;
   /** When the first renewal without a reply was sent; undefined while there is none. */
   unansweredSince: Milliseconds | undefined;
   /** Profile of the sidecar's worker; absent while no worker is known. */
@@ -95,12 +97,23 @@
   Resumed = "resumed",
 }
 
-/** A change of one link. */
-export interface LinkChange {
-  readonly kind: LinkChangeKind;
+/** The session was given up. */
+export interface LinkLost {
+  readonly kind: LinkChangeKind.Lost;
+  readonly link: WorkerLinkState;
+  /** When the session has certainly ended at the sidecar, which then stops its tasks. */
+  readonly sessionEndsAt: Milliseconds;
+}
+
+/** A session was opened or continues. */
+export interface LinkOpened {
+  readonly kind: LinkChangeKind.Opened | LinkChangeKind.Resumed;
   readonly link: WorkerLinkState;
 }
 
+/** A change of one link. */
+export type LinkChange = LinkLost | LinkOpened;
+
 /** Returns an unused link to a newly discovered sidecar. */
 export function newLink(member: FleetMember): WorkerLinkState {
   return {
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -14,6 +14,7 @@
   EventNumber,
   type FleetMember,
   type IncomingReply,
+  MAXIMUM_SESSION_MILLISECONDS,
   type Milliseconds,
   type OutputCollector,
   PeerReplyKind,
@@ -138,7 +139,9 @@
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
         now >= this.#lostAt(state);
-      if (isLost) changes.push(this.#giveUp(link, "no answer to renewals"));
+      if (isLost) {
+        changes.push(this.#giveUp(link, state, "no answer to renewals"));
+      }
       this.#sendDue(link, demand);
     }
     return changes;
@@ -247,9 +250,11 @@
 
   /** Gives up every session after a pause of this process. */
   giveUpAll(reason: string): readonly LinkChange[] {
-    return this.all()
-      .filter(({ state }) => state.phase === LinkPhase.Open)
-      .map((link) => this.#giveUp(link, reason));
+    return this.all().flatMap((link) =>
+      link.state.phase === LinkPhase.Open
+        ? [this.#giveUp(link, link.state, reason)]
+        : []
+    );
   }
 
   /** When a sidecar counts as lost unless it replies. */
@@ -310,10 +315,11 @@
     const { now } = this.#options.collector;
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
-    const { session, profile, load } = state;
+    const { session, profile, load, sidecarClock } = state;
     this.#calls.send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
+      ...(sidecarClock === undefined ? {} : { knownClock: sidecarClock }),
       ...(profile === undefined ? {} : { knownWorker: profile.worker }),
       ...(load === undefined ? {} : { knownRevision: load.revision }),
     });
@@ -335,12 +341,13 @@
 
   #handleGranted(
     link: WorkerLinkState,
-    { session, profile, load }: SessionGranted,
+    { session, profile, load, clock }: SessionGranted,
   ): readonly LinkChange[] {
     const { state } = link;
     const { now } = this.#options.collector;
     if (state.phase === LinkPhase.Open) {
       if (state.session !== session) return [];
+      updateClock(state, clock);
       state.profile = profile;
       this.updateLoad(link, load);
       return this.#resume(link);
@@ -358,6 +365,7 @@
       session,
       lastReplyAt: now,
       nextRenewAt: nextRenewal(now),
+      sidecarClock: clock,
       unansweredSince: undefined,
       profile,
       load,
@@ -381,10 +389,11 @@
 
   #handleRenewed(
     link: WorkerLinkState,
-    { session, load }: SessionRenewed,
+    { session, load, clock }: SessionRenewed,
   ): readonly LinkChange[] {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return [];
+    updateClock(state, clock);
     this.#recordReply(state);
     if (load !== undefined) this.updateLoad(link, load);
     return this.#resume(link);
@@ -413,7 +422,7 @@
     const isCurrent = purpose === CallPurpose.Renew &&
       state.session === session;
     return isCurrent
-      ? [this.#giveUp(link, "the sidecar ended the session")]
+      ? [this.#giveUp(link, state, "the sidecar ended the session")]
       : [];
   }
 
@@ -437,14 +446,19 @@
     if (link.process === current) return [];
     link.process = current;
     const changes = link.state.phase === LinkPhase.Open
-      ? [this.#giveUp(link, "the sidecar was restarted")]
+      ? [this.#giveUp(link, link.state, "the sidecar was restarted")]
       : [];
     this.#links.close(link);
     link.givenUp = 0;
     return changes;
   }
 
-  #giveUp(link: WorkerLinkState, reason: string): LinkChange {
+  #giveUp(
+    link: WorkerLinkState,
+    { lastReplyAt }: OpenLink,
+    reason: string,
+  ): LinkChange {
+    const { now } = this.#options.collector;
     this.#links.close(link);
     this.#interrupted.delete(link.address);
     this.#options.collector.record(
@@ -456,10 +470,13 @@
           sidecar: link.process,
           session: link.givenUp,
           reason,
+          sinceReplyMilliseconds: Math.round(now - lastReplyAt),
         },
       },
     );
-    return { kind: LinkChangeKind.Lost, link };
+    const latestEnd = lastReplyAt + MAXIMUM_SESSION_MILLISECONDS;
+    const sessionEndsAt = Math.max(now, latestEnd);
+    return { kind: LinkChangeKind.Lost, link, sessionEndsAt };
   }
 }
 
@@ -467,3 +484,8 @@
   const due = now + RENEWAL_INTERVAL_MILLISECONDS;
   return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
 }
+
+function updateClock(state: OpenLink, clock: Milliseconds | undefined): void {
+  if (clock === undefined) return;
+  state.sidecarClock = Math.max(state.sidecarClock ?? clock, clock);
+}
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -10,6 +10,12 @@
 import type { Resources } from "./resources.ts";
 import type { WorkConfiguration } from "./work_configuration.ts";
 
+/**
+ * Longest time for which a session lasts after the sidecar sent the latest reply that the entry has. An entry
+ * thus knows when a session has ended, however long its renewals were on their way.
+ */
+export const MAXIMUM_SESSION_MILLISECONDS: Milliseconds = 800;
+
 /** Number of a session between an entry and an incarnation of a sidecar; later sessions have higher ones. */
 export type SessionNumber = number;
 
@@ -41,6 +47,8 @@
   readonly knownWorker?: string;
   /** Revision of the load that the entry has. */
   readonly knownRevision?: number;
+  /** Sidecar's clock in the latest reply that the entry has; entries of earlier versions leave it out. */
+  readonly knownClock?: Milliseconds;
 }
 
 /**
@@ -240,6 +248,8 @@
 export interface SessionGranted {
   readonly kind: DispatchReplyKind.SessionGranted;
   readonly session: SessionNumber;
+  /** Reading of the sidecar's clock; sidecars of earlier versions leave it out. */
+  readonly clock?: Milliseconds;
   /** Absent while no worker is known. */
   readonly profile?: WorkerProfile;
   readonly load?: WorkerLoad;
@@ -249,6 +259,8 @@
 export interface SessionRenewed {
   readonly kind: DispatchReplyKind.SessionRenewed;
   readonly session: SessionNumber;
+  /** Reading of the sidecar's clock; sidecars of earlier versions leave it out. */
+  readonly clock?: Milliseconds;
   /** Absent if the entry has the latest load. */
   readonly load?: WorkerLoad;
 }
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -120,10 +120,11 @@
 
   #renewSession(
     { from, request }: RunWaiter,
-    { session, knownWorker, knownRevision }: RenewSession,
+    message: RenewSession,
   ): void {
     const { collector, sessions, link } = this.#options;
-    if (!sessions.renew(collector.now, from, session)) {
+    const { session, knownWorker, knownRevision } = message;
+    if (!sessions.renew(collector.now, from, message)) {
       this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
       return;
     }
@@ -136,6 +137,7 @@
     this.#reply(from, request, {
       kind: DispatchReplyKind.SessionRenewed,
       session,
+      clock: Math.floor(collector.now),
       ...(load.revision === knownRevision ? {} : { load }),
     });
   }
@@ -150,6 +152,7 @@
     this.#reply(to, request, {
       kind: DispatchReplyKind.SessionGranted,
       session,
+      clock: Math.floor(this.#options.collector.now),
       ...(description === undefined ? {} : { profile: profileOf(description) }),
       ...(load === undefined ? {} : { load }),
     });
--- a/domain/worker_guard/src/entry_sessions.ts
+++ b/domain/worker_guard/src/entry_sessions.ts
@@ -2,11 +2,16 @@
  * Sessions of entries at one sidecar. A session that is not renewed in time expires, and the entry's work
  * here is stopped; the entry gets a new session when no run of the old one is left. A new session therefore
  * proves to the entry that its earlier work has ended, and tasks sent under an old session never start.
+ *
+ * A renewal that was held up on its way, or waited here to be read, must not extend the session beyond the time
+ * that its entry counts on. It therefore carries the sidecar's clock as the entry last received it.
  */
-import type {
-  Milliseconds,
-  ProcessIdentifier,
-  SessionNumber,
+import {
+  MAXIMUM_SESSION_MILLISECONDS,
+  type Milliseconds,
+  type ProcessIdentifier,
+  type RenewSession,
+  type SessionNumber,
 } from "@eelgrassfront/model";
 
 /** Time after which a session that is not renewed expires; entries renew three times within it. */
@@ -54,11 +59,15 @@
   renew(
     now: Milliseconds,
     entry: ProcessIdentifier,
-    number: SessionNumber,
+    { session: number, knownClock = now }: RenewSession,
   ): boolean {
     const session = this.#open.get(entry);
     if (session?.number !== number) return false;
-    session.expiresAt = now + SESSION_MILLISECONDS;
+    const expiresAt = Math.min(
+      now + SESSION_MILLISECONDS,
+      knownClock + MAXIMUM_SESSION_MILLISECONDS,
+    );
+    session.expiresAt = Math.max(session.expiresAt, expiresAt);
     return true;
   }
 
