fix(worker-guard): let the lease expire when a stop is not accepted

Callers: a job whose client had left, or whose session had ended, went on running beside its second submission.

Cause: a stop call was repeated every 100 ms, and meanwhile polls renewed the lease of every run, the one to be stopped among them. Where a worker carries stops out late, nothing bounded the run.

Change: a stop is repeated every 25 ms until the worker accepts it. When it has not been accepted for 150 ms, polls don't renew the lease and starts don't extend it, so that the run ends within 1.2 s of its stop, before a client submits again.

Conclusion: class of fault: a lease renewed for work that is to end. The other runs of that worker are lost when no stop is accepted for 1.2 s.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -192,10 +192,9 @@
       kind: WorkerCallKind.Start,
       run: reference,
       content: run.content,
-      leaseUntil: link.leaseUntil(),
+      leaseUntil: this.#stops.isOverdue ? link.renewedUntil : link.renewLease(),
     }, { run: reference });
     if (call === undefined) return;
-    link.recordRenewal();
     run.state = {
       phase: RunPhase.Starting,
       run: number,
@@ -214,18 +213,18 @@
       collector.now < this.#nextReconciliationAt;
     if (isEarly) return;
     const endCursor = this.#endCursor;
-    const isRenewed = this.#isReconciled && table.sentToWorker().length > 0;
+    const isActive = this.#isReconciled && table.sentToWorker().length > 0;
+    const { isOverdue } = this.#stops;
     this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
-      ...(isRenewed ? { leaseUntil: link.leaseUntil() } : {}),
+      ...(isActive && !isOverdue ? { leaseUntil: link.renewLease() } : {}),
       notedEnds: endCursor,
-      waitMilliseconds: !isRenewed
+      waitMilliseconds: !isActive
         ? 0
-        : link.isUnreliable
+        : isOverdue || link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
         : POLL_WAIT_MILLISECONDS,
     }, { endCursor });
-    if (this.#pollCall !== undefined && isRenewed) link.recordRenewal();
   }
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -20,8 +20,15 @@
 import type { RunTable } from "./run_table.ts";
 import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
 
-/** Time between two stop calls for the same run. */
+/** Time between two stop calls for a run whose stop the worker has accepted. */
 export const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
+/** The same until the worker accepts it: many calls within the time after which a client submits again. */
+const UNANSWERED_STOP_INTERVAL_MILLISECONDS: Milliseconds = 25;
+/**
+ * Time without an accepted stop after which the lease is no longer renewed. Together with the longest lease it is
+ * shorter than the time after which a client submits again.
+ */
+const STOP_OVERDUE_MILLISECONDS: Milliseconds = 150;
 
 /** Collaborators of `RunStops`. */
 export interface RunStopsOptions {
@@ -39,6 +46,18 @@
     this.#options = options;
   }
 
+  /**
+   * Whether the worker has not accepted a stop in time. Its lease must then expire, since a run that cannot be
+   * stopped would otherwise last as long as the lease of the others is renewed.
+   */
+  get isOverdue(): boolean {
+    const { collector, table } = this.#options;
+    return table.sentToWorker().some(({ state }) =>
+      state.phase === RunPhase.Stopping && state.acceptedAt === undefined &&
+      collector.now >= state.since + STOP_OVERDUE_MILLISECONDS
+    );
+  }
+
   /** Stops an attempt whose start was sent to the worker. */
   stop(run: WorkerRun, reason: InterruptionReason): void {
     const { state } = run;
@@ -50,6 +69,7 @@
       reason,
       since: this.#options.collector.now,
       nextStopAt: this.#options.collector.now,
+      isRepeated: false,
     };
     this.#sendStop(run);
   }
@@ -98,8 +118,13 @@
     const { collector, calls } = this.#options;
     const target = runReferenceOf(run);
     if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
-    const nextStopAt = collector.now + STOP_INTERVAL_MILLISECONDS;
-    run.state = { ...run.state, nextStopAt };
+    const interval = run.state.acceptedAt === undefined
+      ? UNANSWERED_STOP_INTERVAL_MILLISECONDS
+      : STOP_INTERVAL_MILLISECONDS;
+    const nextStopAt = collector.now + interval;
+    const isRepeated = run.state.isRepeated ||
+      run.state.nextStopAt > run.state.since;
+    run.state = { ...run.state, nextStopAt, isRepeated };
     calls.send({ kind: WorkerCallKind.Stop, run: target }, { run: target });
   }
 
@@ -107,7 +132,8 @@
     const { collector } = this.#options;
     const target = runReferenceOf(run);
     if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
-    const { since, reason, acceptedAt } = run.state;
+    const { since, reason, acceptedAt, isRepeated } = run.state;
+    if (isRepeated) return;
     collector.record(
       EventNumber.RunStopRepeated,
       "a run has not ended since its stop was sent; the stop is repeated",
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -55,6 +55,8 @@
   /** Start time of the latest incarnation that is known to have ended. */
   #latestEndedBornAt: Milliseconds = 0;
   #leaseExpiresAt: Milliseconds = 0;
+  /** End of the lease in the latest call that renewed it, on the worker's clock. */
+  #renewedUntil: Milliseconds = 0;
   #previousLeaseExpiresAt: Milliseconds = Infinity;
 
   constructor(options: WorkerLinkOptions) {
@@ -190,9 +192,19 @@
     return this.#leaseExpiresAt;
   }
 
-  /** Records that a call which renews the lease is being sent. */
-  recordRenewal(): void {
+  /** End of the lease in the latest call that renewed it, on the worker's clock. */
+  get renewedUntil(): Milliseconds {
+    return this.#renewedUntil;
+  }
+
+  /** Renews the lease with the call that is sent next. Returns its new end, on the worker's clock. */
+  renewLease(): Milliseconds {
+    const { collector, leaseMilliseconds } = this.#options;
     this.#leaseExpiresAt = this.#latestExpiry();
+    this.#renewedUntil = Math.floor(
+      this.#clock.at(collector.now) + leaseMilliseconds,
+    );
+    return this.#renewedUntil;
   }
 
   #latestExpiry(): Milliseconds {
@@ -201,12 +213,6 @@
       EXPIRY_MARGIN_MILLISECONDS;
   }
 
-  /** End of the longest lease from now, on the worker's clock. */
-  leaseUntil(): Milliseconds {
-    const { collector, leaseMilliseconds } = this.#options;
-    return Math.floor(this.#clock.at(collector.now) + leaseMilliseconds);
-  }
-
   /** Calls the worker. Returns the call's identifier; undefined when no worker is known. */
   call(request: WorkerCall): RequestIdentifier | undefined {
     if (this.#description === undefined) return undefined;
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -66,6 +66,8 @@
   readonly since: Milliseconds;
   /** When the stop call is sent again. */
   readonly nextStopAt: Milliseconds;
+  /** Whether the stop call was sent more than once. */
+  readonly isRepeated: boolean;
   /** When the worker accepted the stop; a later list without the run proves its end. */
   readonly acceptedAt?: Milliseconds;
 }
