fix(worker-guard): raise the fencing token after a call without an answer

Callers: a task that was started again elsewhere after its sidecar had died went on at the first worker.

Cause: a worker may execute a call seconds late. A late poll renews the lease of every run there, also after its sidecar has died, and all calls of a sidecar carried the same token, so nothing voided the late one.

Change: the token rises with each unanswered call; the worker then refuses that call as soon as it has executed a later one. A call that is refused because a later one has overtaken it is repeated with the present token; the token jumps by a minute only if the latest one was refused.

Conclusion: class of fault: a timeout taken as proof while calls in transit can extend a lease. What stays: calls that no later call of the sidecar follows.

--- a/domain/worker_guard/src/pending_call.ts
+++ b/domain/worker_guard/src/pending_call.ts
@@ -18,6 +18,7 @@
   /** The run to start or stop. */
   readonly run?: RunReference;
   readonly sentAt: Milliseconds;
+  readonly fencingToken: number;
   /** For a poll: number of the last end that it acknowledges. */
   readonly endCursor?: number;
 }
@@ -43,10 +44,15 @@
     context: Pick<PendingCall, "run" | "endCursor"> = {},
   ): RequestIdentifier | undefined {
     const { collector, link } = this.#options;
+    const { fencingToken } = link;
     const identifier = link.call(call);
     if (identifier === undefined) return undefined;
-    const sentAt = collector.now;
-    this.#calls.set(identifier, { ...context, kind: call.kind, sentAt });
+    this.#calls.set(identifier, {
+      ...context,
+      kind: call.kind,
+      sentAt: collector.now,
+      fencingToken,
+    });
     return identifier;
   }
 
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -263,9 +263,14 @@
     }
   }
 
-  #onRefused({ kind, run: target }: PendingCall, reason: WorkerRefusalReason) {
+  #onRefused(
+    { kind, run: target, fencingToken }: PendingCall,
+    reason: WorkerRefusalReason,
+  ): boolean {
     if (reason === WorkerRefusalReason.IncarnationMismatch) return false;
-    if (reason === WorkerRefusalReason.Fenced) this.#options.link.raiseFence();
+    if (reason === WorkerRefusalReason.Fenced) {
+      this.#options.link.raiseFence(fencingToken);
+    }
     const run = this.#findRun(target);
     const isStart = kind === WorkerCallKind.Start &&
       run?.state.phase === RunPhase.Starting;
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -164,17 +164,27 @@
     this.#responseTimes.recordResponse(elapsed);
   }
 
-  /** Records an unanswered call. */
+  /**
+   * Records an unanswered call. The worker may still execute it, unless it has executed a call with a higher
+   * token before.
+   */
   recordUnanswered(): void {
+    this.#fencingToken += 1;
     this.#responseTimes.recordUnanswered();
     this.#unansweredCalls += 1;
     this.#unreliableUntil = this.#options.collector.now +
       UNRELIABLE_MILLISECONDS;
   }
 
-  /** Raises the fencing token because the worker refused it as too old. */
-  raiseFence(): void {
-    this.#fencingToken += FENCING_TOKEN_INCREMENT;
+  /** Fencing token of the next call. */
+  get fencingToken(): number {
+    return this.#fencingToken;
+  }
+
+  /** Raises the fencing token because the worker refused it as too old; a token that was raised since is kept. */
+  raiseFence(refused: number): void {
+    if (refused < this.#fencingToken) return;
+    this.#fencingToken = refused + FENCING_TOKEN_INCREMENT;
   }
 
   /** When the lease of every run that an earlier incarnation of this sidecar started has certainly expired. */
