test(emulator): execute calls late with leases that count from then, and hold messages

Cause: a late call of the fake worker died with its incarnation and kept its absolute deadline, so that a late start or renewal had no effect. Messages between processes were lost or delivered, never held up.

`delayOf` lets a test choose the delays. `holdLink` and `delayLink` deliver messages late and in their order. The delays are drawn from a generator of their own.

--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -56,12 +56,14 @@
 const GRACE_MILLISECONDS: Milliseconds = 6_000;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
+const DELAY_SEED_OFFSET = 5_000_011;
 const MAXIMUM_ACTIONS_AT_ONCE = 100_000;
 
 /** Entries, sidecars and workers that are connected by a fake network, with a fake store. */
 export class DispatchSystem {
   readonly time = new VirtualTime();
   readonly random: SeededRandom;
+  readonly #delayRandom: SeededRandom;
   readonly network: FakeNetwork;
   readonly entries: DispatchVm[] = [];
   readonly sidecars: DispatchVm[] = [];
@@ -78,6 +80,7 @@
   constructor(options: DispatchSystemOptions) {
     this.#options = options;
     this.random = new SeededRandom(options.seed);
+    this.#delayRandom = new SeededRandom(options.seed + DELAY_SEED_OFFSET);
     this.network = new FakeNetwork({
       time: this.time,
       random: this.random,
@@ -159,7 +162,7 @@
   /** Starts another worker on a sidecar's VM, with the same identifier or a new one. */
   startWorker(vm: DispatchVm, isSameName: boolean): void {
     const suffix = isSameName ? "" : `-${Math.round(this.time.now)}`;
-    vm.worker = this.#newWorker(`worker-${vm.name}${suffix}`);
+    vm.worker = this.#newWorker(vm, `worker-${vm.name}${suffix}`);
     this.#reportWorker(vm);
   }
 
@@ -180,7 +183,7 @@
       incarnations: 0,
     };
     if (role === Role.Sidecar) {
-      vm.worker = this.#newWorker(`worker-${name}`);
+      vm.worker = this.#newWorker(vm, `worker-${name}`);
       this.#reportPeriodically(vm);
     }
     return vm;
@@ -234,7 +237,7 @@
     }
   }
 
-  #newWorker(id: string): FakeWorker {
+  #newWorker(vm: DispatchVm, id: string): FakeWorker {
     const { capacityMillicores, observer, runMilliseconds } = this.#options;
     return new FakeWorker({
       id,
@@ -243,6 +246,8 @@
       capacityMillicores,
       time: this.time,
       random: this.random,
+      delayRandom: this.#delayRandom,
+      current: () => vm.worker,
       observer,
       clockRate: this.random.between(MINIMUM_CLOCK_RATE, 1),
       runMilliseconds,
--- a/emulator/src/fake_network.ts
+++ b/emulator/src/fake_network.ts
@@ -42,6 +42,11 @@
   readonly #options: FakeNetworkOptions;
   readonly #cuts = new Set<string>();
   readonly #delayedUntil = new Map<ProcessIdentifier, Milliseconds>();
+  /** Messages of each link that is held, in the order in which they were sent. */
+  readonly #held = new Map<string, NetworkMessage[]>();
+  readonly #linkDelays = new Map<string, Milliseconds>();
+  /** Time of the last delivery over each link that is or was held or delayed: no message overtakes it. */
+  readonly #lastDeliveries = new Map<string, Milliseconds>();
   #messageCount = 0;
 
   constructor(options: FakeNetworkOptions) {
@@ -63,6 +68,40 @@
     this.#delayedUntil.set(from, until);
   }
 
+  /** Holds the messages from one process to another, as a partition does that heals before connections break. */
+  holdLink(from: ProcessIdentifier, to: ProcessIdentifier): void {
+    const link = `${from} ${to}`;
+    if (!this.#held.has(link)) this.#held.set(link, []);
+  }
+
+  /** Delivers the held messages of a link in their order. */
+  releaseLink(from: ProcessIdentifier, to: ProcessIdentifier): void {
+    const link = `${from} ${to}`;
+    const messages = this.#held.get(link) ?? [];
+    this.#held.delete(link);
+    for (const message of messages) this.#deliverInOrder(link, message);
+  }
+
+  /** Adds a delay to each message from one process to another; 0 restores the link. */
+  delayLink(
+    from: ProcessIdentifier,
+    to: ProcessIdentifier,
+    delay: Milliseconds,
+  ): void {
+    this.#linkDelays.set(`${from} ${to}`, delay);
+  }
+
+  #deliverInOrder(link: string, message: NetworkMessage): void {
+    const { time, delayMilliseconds } = this.#options;
+    const delay = delayMilliseconds + (this.#linkDelays.get(link) ?? 0);
+    const at = Math.max(
+      time.now + delay,
+      this.#lastDeliveries.get(link) ?? 0,
+    );
+    this.#lastDeliveries.set(link, at);
+    time.after(at - time.now, message.deliver);
+  }
+
   /** Restores all links that were cut. */
   restoreAllLinks(): void {
     this.#cuts.clear();
@@ -72,7 +111,17 @@
   send(message: NetworkMessage): void {
     this.#messageCount += 1;
     const { time, random } = this.#options;
-    const isCut = this.#cuts.has(`${message.from} ${message.to}`);
+    const link = `${message.from} ${message.to}`;
+    const held = this.#held.get(link);
+    if (held !== undefined) {
+      held.push(message);
+      return;
+    }
+    if (this.#linkDelays.has(link) || this.#lastDeliveries.has(link)) {
+      this.#deliverInOrder(link, message);
+      return;
+    }
+    const isCut = this.#cuts.has(link);
     if (isCut) {
       time.after(CUT_DETECTION_MILLISECONDS, message.onLost);
       return;
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -35,6 +35,13 @@
   readonly failures: number;
   /** Probability that a run never ends. */
   readonly hangs: number;
+  /**
+   * Probability that a start, stop or poll gets no answer and is executed seconds later, by the incarnation that
+   * then has the worker's identifier, with a lease that counts from the execution.
+   */
+  readonly delayedGrants: number;
+  /** Probability that a stop gets no answer and is executed seconds later. */
+  readonly delayedStops: number;
 }
 
 /** A worker without faults. */
@@ -43,6 +50,8 @@
   delayedCalls: 0,
   failures: 0,
   hangs: 0,
+  delayedGrants: 0,
+  delayedStops: 0,
 };
 
 /** Callbacks for the start and the end of each run. */
@@ -59,7 +68,11 @@
   readonly capacityMillicores: number;
   readonly time: VirtualTime;
   readonly random: SeededRandom;
+  /** Generator of the faults `delayedGrants` and `delayedStops`. */
+  readonly delayRandom: SeededRandom;
   readonly observer: WorkerObserver;
+  /** The incarnation that runs in place of this one, if any. */
+  readonly current: () => FakeWorker | undefined;
   /** Speed of the worker's clock relative to virtual time, from 0.98 to 1. */
   readonly clockRate: number;
   /** Run time of a task whose content is this text. */
@@ -83,6 +96,8 @@
   phase: WorkerPhase = WorkerPhase.Ready;
   /** Factor on the run time of each run that starts; with an infinite factor the run never ends. */
   slowdown = 1;
+  /** Delay of a call that is to be executed late, set by a test; undefined for a call in time. */
+  delayOf: ((call: WorkerCall) => Milliseconds | undefined) | undefined;
   readonly options: FakeWorkerOptions;
   readonly #running = new Map<string, Run>();
   readonly #newestRunNumbers = new Map<string, number>();
@@ -156,6 +171,12 @@
       time.after(ANSWER_MILLISECONDS, () => answer(mismatch));
       return;
     }
+    const lateBy = this.delayOf?.(request) ?? this.#drawDelay(request);
+    if (lateBy !== undefined) {
+      this.#executeLater(output, lateBy);
+      time.after(timeout, () => answer(unanswered(output)));
+      return;
+    }
     if (random.happens(this.faults.delayedCalls)) {
       const delay = random.between(
         MINIMUM_CALL_DELAY_MILLISECONDS,
@@ -185,6 +206,47 @@
     });
   }
 
+  /**
+   * Executes a call after a delay, with a lease that counts from then. The incarnation that has the worker's
+   * identifier at that time executes it.
+   */
+  #executeLater(output: CallWorker, delay: Milliseconds): void {
+    const { request, fencingToken, worker } = output;
+    const sentAt = this.clock;
+    this.options.time.after(delay, () => {
+      const current = this.options.current();
+      if (current === undefined || current.options.id !== worker) return;
+      const elapsed = current.clock - sentAt;
+      current.#execute(moveLease(request, elapsed), fencingToken);
+    });
+  }
+
+  #drawDelay(request: WorkerCall): Milliseconds | undefined {
+    const { delayRandom } = this.options;
+    if (!this.#isDelayed(request)) return undefined;
+    return delayRandom.between(
+      MINIMUM_CALL_DELAY_MILLISECONDS,
+      MAXIMUM_CALL_DELAY_MILLISECONDS,
+    );
+  }
+
+  #isDelayed({ kind }: WorkerCall): boolean {
+    const { delayRandom } = this.options;
+    const { delayedGrants, delayedStops } = this.faults;
+    switch (kind) {
+      case WorkerCallKind.Stop:
+        return (delayedGrants > 0 && delayRandom.happens(delayedGrants)) ||
+          (delayedStops > 0 && delayRandom.happens(delayedStops));
+      case WorkerCallKind.Start:
+      case WorkerCallKind.PollRuns:
+        return delayedGrants > 0 && delayRandom.happens(delayedGrants);
+      case WorkerCallKind.CheckHealth:
+        return false;
+      default:
+        return assertNever(kind);
+    }
+  }
+
   #execute(request: WorkerCall, fencingToken: number): WorkerAnswer {
     if (!this.#isAlive) return refused(WorkerRefusalReason.IncarnationMismatch);
     if (request.kind === WorkerCallKind.CheckHealth) return this.#health();
@@ -309,6 +371,23 @@
   }
 }
 
+/** Moves the end of a call's lease, if it has one. */
+function moveLease(request: WorkerCall, by: Milliseconds): WorkerCall {
+  switch (request.kind) {
+    case WorkerCallKind.Start:
+      return { ...request, leaseUntil: request.leaseUntil + by };
+    case WorkerCallKind.PollRuns:
+      return request.leaseUntil === undefined
+        ? request
+        : { ...request, leaseUntil: request.leaseUntil + by };
+    case WorkerCallKind.Stop:
+    case WorkerCallKind.CheckHealth:
+      return request;
+    default:
+      return assertNever(request);
+  }
+}
+
 function refused(reason: WorkerRefusalReason): WorkerAnswer {
   return { kind: WorkerAnswerKind.Refused, reason };
 }
