fix(worker-guard): settle the runs of a silent worker on proof only, and go on polling it

Callers: a worker that was frozen for 1.3 s while one of its tasks was cancelled was never used again until it was replaced, and another task whose start it had not answered was started elsewhere while it could still run here.

Cause: while the worker doesn't answer, all its runs were settled when the lease had expired by the sidecar's count. Each poll renewed the lease, so that this never came to pass, until polls stopped renewing it beside an unanswered stop. The empty table then ended the polls, the only calls whose answer shows that the worker responds again.

Change: no run is settled by time. A list, an end, or another incarnation of the worker settles it. An unresponsive worker is polled even without runs.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -123,14 +123,12 @@
   tick(): void {
     if (this.#options.link.description === undefined) return;
     this.#stops.tick();
-    this.#settleExpired();
     this.#poll();
   }
 
   /** When the next call or expiry is due. */
   nextAlarm(): Milliseconds | undefined {
-    const { table, link } = this.#options;
-    if (link.description === undefined) return undefined;
+    if (this.#options.link.description === undefined) return undefined;
     const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
     if (this.#pollCall === undefined && this.#isPollNeeded()) {
       times.push(
@@ -139,9 +137,6 @@
           : Math.max(this.#nextPollAt, this.#nextReconciliationAt),
       );
     }
-    if (link.isUnresponsive && table.sentToWorker().length > 0) {
-      times.push(link.leaseExpiresAt);
-    }
     return Math.min(...times);
   }
 
@@ -235,9 +230,11 @@
     this.#calls.send(poll, { endCursor });
   }
 
+  /** Whether runs are active, ends are to be acknowledged, or an answer would show that the worker responds again. */
   #isPollNeeded(): boolean {
-    return !this.#isReconciled ||
-      this.#options.table.sentToWorker().length > 0 ||
+    const { link, table } = this.#options;
+    return !this.#isReconciled || link.isUnresponsive ||
+      table.sentToWorker().length > 0 ||
       this.#endCursor > this.#confirmedCursor;
   }
 
@@ -424,15 +421,6 @@
       STOP_INTERVAL_MILLISECONDS;
   }
 
-  /** Settles all runs of an unresponsive worker when the last lease that it may have received has expired. */
-  #settleExpired(): void {
-    const { collector, link, table } = this.#options;
-    if (!link.isUnresponsive || collector.now < link.leaseExpiresAt) return;
-    for (const run of table.sentToWorker()) {
-      this.#settle(run, interrupted(InterruptionReason.LeaseExpired));
-    }
-  }
-
   #settle(run: WorkerRun, settlement: TaskSettlement): void {
     const { collector, table } = this.#options;
     const reason = reasonOf(settlement);
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -54,7 +54,6 @@
   #unreliableUntil: Milliseconds = 0;
   /** Start time of the latest incarnation that is known to have ended. */
   #latestEndedBornAt: Milliseconds = 0;
-  #leaseExpiresAt: Milliseconds = 0;
   /** End of the lease in the latest call that renewed it, on the worker's clock. */
   #renewedUntil: Milliseconds = 0;
   #previousLeaseExpiresAt: Milliseconds = Infinity;
@@ -197,11 +196,6 @@
     this.#previousLeaseExpiresAt = this.#latestExpiry();
   }
 
-  /** When the lease of every run at the worker has certainly expired. */
-  get leaseExpiresAt(): Milliseconds {
-    return this.#leaseExpiresAt;
-  }
-
   /** End of the lease in the latest call that renewed it, on the worker's clock. */
   get renewedUntil(): Milliseconds {
     return this.#renewedUntil;
@@ -210,7 +204,6 @@
   /** Renews the lease with the call that is sent next. Returns its new end, on the worker's clock. */
   renewLease(): Milliseconds {
     const { collector, leaseMilliseconds } = this.#options;
-    this.#leaseExpiresAt = this.#latestExpiry();
     this.#renewedUntil = Math.floor(
       this.#clock.at(collector.now) + leaseMilliseconds,
     );
