fix(worker-guard): withhold the lease from the moment a run is to end

Callers: an entry is killed, the stops of its tasks are late, and the client's second submission runs beside the first. The same after a stall of the sidecar of 300 to 499 ms, and beside a run that no attempt belongs to.

Cause: the lease was renewed until a stop had been without acceptance for 150 ms. Session (600 to 800 ms), these 150 ms and the lease (1,020 ms) are more than the 1.3 s after which a client submits again. Runs without an attempt were left out.

Change: polls don't renew the lease, and starts don't extend it, while a stop is not accepted, while the latest list has an unknown run, and while an entry with runs here has missed a renewal of its session for 250 ms. A run whose entry dies ends 250 + 1,020 ms after the last renewal even if nothing else works. The constant of 150 ms is gone from the entry's wait, which covers the longest lease and the transit of the call that renewed it. late_stops_test delays 400 stops in place of 14, which were fewer than a sidecar sends in 1.3 s now.

The class is that of: a lease renewed for work that is to end.

--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -62,10 +62,10 @@
 /** Upper bound of the time in which a task is cancelled and placed again. */
 const RESCHEDULING_COST_MILLISECONDS: Milliseconds = 100;
 /**
- * Time for which tasks may run after their session has ended: that of stops without an answer, in which the lease
- * is still renewed, and the longest lease, with a worker's clock that runs slow.
+ * Time for which tasks may run after their session has ended: the longest lease, with a worker's clock that runs
+ * slow, and the transit of the call that renewed it.
  */
-const RUN_AFTER_SESSION_MILLISECONDS: Milliseconds = 1_250;
+const RUN_AFTER_SESSION_MILLISECONDS: Milliseconds = 1_120;
 
 /** Reasons for which a task is retried. */
 type TaskRetryReason =
--- a/domain/worker_guard/src/entry_sessions.ts
+++ b/domain/worker_guard/src/entry_sessions.ts
@@ -17,8 +17,12 @@
 /** Time after which a session that is not renewed expires; entries renew three times within it. */
 export const SESSION_MILLISECONDS: Milliseconds = 600;
 
+/** Interval of renewals, with some delay; after it the entry has missed one. */
+const RENEWAL_OVERDUE_MILLISECONDS: Milliseconds = 250;
+
 interface Session {
   readonly number: SessionNumber;
+  renewedAt: Milliseconds;
   expiresAt: Milliseconds;
   requestsTaken: number;
 }
@@ -49,6 +53,7 @@
     const expiresAt = now + SESSION_MILLISECONDS;
     this.#open.set(entry, {
       number: this.#lastNumber,
+      renewedAt: now,
       expiresAt,
       requestsTaken: 0,
     });
@@ -68,9 +73,17 @@
       knownClock + MAXIMUM_SESSION_MILLISECONDS,
     );
     session.expiresAt = Math.max(session.expiresAt, expiresAt);
+    session.renewedAt = now;
     return true;
   }
 
+  /** Whether an entry has missed a renewal of its open session. */
+  isRenewalOverdue(now: Milliseconds, entry: ProcessIdentifier): boolean {
+    const session = this.#open.get(entry);
+    return session !== undefined &&
+      now >= session.renewedAt + RENEWAL_OVERDUE_MILLISECONDS;
+  }
+
   /** Counts a request to run a task in the entry's open session. */
   countRequest(entry: ProcessIdentifier, number: SessionNumber): void {
     const session = this.#open.get(entry);
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -56,6 +56,8 @@
   readonly collector: OutputCollector<DispatchOutput>;
   readonly link: WorkerLink;
   readonly table: RunTable;
+  /** Whether an entry with runs here has missed a renewal of its session. */
+  readonly isRenewalOverdue: () => boolean;
 }
 
 /** Controls the runs of one worker. */
@@ -99,6 +101,7 @@
   /** Forgets all calls and runs because another incarnation of the worker has started. */
   reset(): void {
     this.#calls.clear();
+    this.#stops.reset();
     this.#startCalls.clear();
     this.#endCursor = 0;
     this.#confirmedCursor = 0;
@@ -187,7 +190,9 @@
       kind: WorkerCallKind.Start,
       run: reference,
       content: run.content,
-      leaseUntil: this.#stops.isOverdue ? link.renewedUntil : link.renewLease(),
+      leaseUntil: this.#isRenewalWithheld()
+        ? link.renewedUntil
+        : link.renewLease(),
     }, { run: reference });
     if (call === undefined) return;
     run.state = {
@@ -209,19 +214,27 @@
     if (isEarly) return;
     const endCursor = this.#endCursor;
     const isActive = this.#isReconciled && table.sentToWorker().length > 0;
-    const { isOverdue } = this.#stops;
+    const isWithheld = this.#isRenewalWithheld();
     this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
-      ...(isActive && !isOverdue ? { leaseUntil: link.renewLease() } : {}),
+      ...(isActive && !isWithheld ? { leaseUntil: link.renewLease() } : {}),
       notedEnds: endCursor,
       waitMilliseconds: !isActive
         ? 0
-        : isOverdue || link.isUnreliable
+        : isWithheld || link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
         : POLL_WAIT_MILLISECONDS,
     }, { endCursor });
   }
 
+  /**
+   * Whether the lease is not renewed for now, since a run is to be stopped, or is about to be: it would otherwise
+   * last as long as the lease of the others is renewed, if the worker does not execute its stop.
+   */
+  #isRenewalWithheld(): boolean {
+    return this.#stops.isStopPending || this.#options.isRenewalOverdue();
+  }
+
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
   #pollNow(): void {
     const endCursor = this.#endCursor;
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -24,11 +24,6 @@
 export const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
 /** The same until the worker accepts it: many calls within the time after which a client submits again. */
 const UNANSWERED_STOP_INTERVAL_MILLISECONDS: Milliseconds = 25;
-/**
- * Time without an accepted stop after which the lease is no longer renewed. Together with the longest lease it is
- * shorter than the time after which a client submits again.
- */
-const STOP_OVERDUE_MILLISECONDS: Milliseconds = 150;
 
 /** Collaborators of `RunStops`. */
 export interface RunStopsOptions {
@@ -41,21 +36,18 @@
 /** Stops the runs of one worker. */
 export class RunStops {
   readonly #options: RunStopsOptions;
+  #hasUnknownRuns = false;
 
   constructor(options: RunStopsOptions) {
     this.#options = options;
   }
 
-  /**
-   * Whether the worker has not accepted a stop in time. Its lease must then expire, since a run that cannot be
-   * stopped would otherwise last as long as the lease of the others is renewed.
-   */
-  get isOverdue(): boolean {
-    const { collector, table } = this.#options;
-    return table.sentToWorker().some(({ state }) =>
-      state.phase === RunPhase.Stopping && state.acceptedAt === undefined &&
-      collector.now >= state.since + STOP_OVERDUE_MILLISECONDS
-    );
+  /** Whether the worker has not accepted a stop yet, or its latest list had a run without an attempt. */
+  get isStopPending(): boolean {
+    return this.#hasUnknownRuns ||
+      this.#options.table.sentToWorker().some(({ state }) =>
+        state.phase === RunPhase.Stopping && state.acceptedAt === undefined
+      );
   }
 
   /** Stops an attempt whose start was sent to the worker. */
@@ -74,6 +66,11 @@
     this.#sendStop(run);
   }
 
+  /** Forgets the runs of an earlier incarnation of the worker. */
+  reset(): void {
+    this.#hasUnknownRuns = false;
+  }
+
   /** Repeats the stop calls that are due. */
   tick(): void {
     const { collector, table } = this.#options;
@@ -111,7 +108,8 @@
       );
       calls.send({ kind: WorkerCallKind.Stop, run }, { run });
     }
-    return unknownRuns.length > 0;
+    this.#hasUnknownRuns = unknownRuns.length > 0;
+    return this.#hasUnknownRuns;
   }
 
   #sendStop(run: WorkerRun): void {
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -113,6 +113,10 @@
       collector,
       link: this.#link,
       table: this.#table,
+      isRenewalOverdue: () =>
+        this.#table.sentToWorker().some(({ entry }) =>
+          this.#sessions.isRenewalOverdue(collector.now, entry)
+        ),
     });
     this.#savedWorkerCheck = new SavedWorkerCheck({
       link: this.#link,
--- /dev/null
+++ b/emulator/src/killed_entry_late_stops_test.ts
@@ -0,0 +1,31 @@
+/**
+ * Tests that a job whose entry is killed, and whose stop calls are executed late, does not run beside its
+ * resubmission.
+ */
+import { test } from "node:test";
+import { type Milliseconds, WorkerCallKind } from "@eelgrassfront/model";
+import { expect } from "earl";
+import {
+  OverlappingRunsHarness,
+  RESUBMISSION_MILLISECONDS,
+} from "./overlapping_runs_harness.ts";
+
+const RUN_MILLISECONDS: Milliseconds = 10_000;
+const LATE_STOPS = 200;
+
+test("a task of a killed entry whose stop calls are executed late does not run beside its job's resubmission", () => {
+  const harness = new OverlappingRunsHarness();
+  const { entry } = harness.submit(0, "job", RUN_MILLISECONDS);
+  harness.advance(500);
+  const vm = harness.busyVm();
+  harness.delayCalls(
+    vm,
+    WorkerCallKind.Stop,
+    Array(LATE_STOPS).fill(3_000),
+  );
+  harness.system.kill(entry);
+  harness.advance(RESUBMISSION_MILLISECONDS);
+  harness.submit(1, "job", RUN_MILLISECONDS);
+  harness.advance(RUN_MILLISECONDS);
+  expect(harness.overlaps).toEqual([]);
+});
--- a/emulator/src/late_stops_test.ts
+++ b/emulator/src/late_stops_test.ts
@@ -10,13 +10,15 @@
 } from "./overlapping_runs_harness.ts";
 
 const RUN_MILLISECONDS: Milliseconds = 10_000;
+/** More stops than a sidecar sends while the stops are late. */
+const LATE_STOPS = 400;
 
 test("a cancelled task whose stop calls are executed late does not run beside its job's resubmission", () => {
   const harness = new OverlappingRunsHarness();
   const request = harness.submit(0, "job", RUN_MILLISECONDS);
   harness.advance(500);
   const vm = harness.busyVm();
-  harness.delayCalls(vm, WorkerCallKind.Stop, Array(14).fill(3_000));
+  harness.delayCalls(vm, WorkerCallKind.Stop, Array(LATE_STOPS).fill(3_000));
   harness.disconnect(request);
   harness.advance(RESUBMISSION_MILLISECONDS);
   harness.submit(1, "job", RUN_MILLISECONDS);
@@ -29,7 +31,7 @@
   harness.submit(0, "job", RUN_MILLISECONDS);
   harness.advance(500);
   const vm = harness.busyVm();
-  harness.delayCalls(vm, WorkerCallKind.Stop, Array(14).fill(3_000));
+  harness.delayCalls(vm, WorkerCallKind.Stop, Array(LATE_STOPS).fill(3_000));
   harness.system.network.cutLink("entry-1~", `${vm.name}~`);
   harness.system.network.cutLink(`${vm.name}~`, "entry-1~");
   harness.advance(RUN_MILLISECONDS);
