fix(worker-guard): keep the fencing token while a stop is on its way

Callers: one cancelled task at a worker that is slow to carry out its stop cost every run of that worker.

Cause: the token rose for unanswered stops too. The polls in between then voided each stop that the worker executed 200 ms late or later, and the run ended only with the lease that all runs there share.

Change: the token rises after unanswered starts and polls, and not while a stop is not accepted. A late stop names its run, so it does no harm.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -169,6 +169,8 @@
         return this.#onListed(pending, answer);
       case WorkerAnswerKind.Unanswered:
         link.recordUnanswered();
+        // A late stop does no harm, and a higher token would void those that are on their way.
+        if (!this.#stops.isStopPending) link.fenceUnanswered();
         collector.count(Counter.WorkerCallsMissing, pending.kind);
         this.#onUnanswered(pending);
         return true;
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -164,11 +164,15 @@
   }
 
   /**
-   * Records an unanswered call. The worker may still execute it, unless it has executed a call with a higher
-   * token before.
+   * Raises the fencing token after an unanswered call, which the worker then refuses once it has executed a later
+   * one.
    */
-  recordUnanswered(): void {
+  fenceUnanswered(): void {
     this.#fencingToken += 1;
+  }
+
+  /** Records an unanswered call. */
+  recordUnanswered(): void {
     this.#responseTimes.recordUnanswered();
     this.#unansweredCalls += 1;
     this.#unreliableUntil = this.#options.collector.now +
