test(emulator): show that tasks of a worker that runs on are started elsewhere

Seen: a task runs at two workers for up to the rest of its lease.

Cause: the sidecar takes a refused connection as the end of the worker's incarnation and settles all its runs at once. A partition that rejects connections looks the same, and the tasks run on until their lease ends. The incarnation is also recorded as ended, so that its later reports are ignored and it is never used again. A goodbye names only the worker's identifier, so that a late one ends the runs of the next incarnation.

--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -96,6 +96,8 @@
   phase: WorkerPhase = WorkerPhase.Ready;
   /** Factor on the run time of each run that starts; with an infinite factor the run never ends. */
   slowdown = 1;
+  /** Whether calls are refused although the worker runs, as by a partition that rejects connections. */
+  isRefusingConnections = false;
   /** Delay of a call that is to be executed late, set by a test; undefined for a call in time. */
   delayOf: ((call: WorkerCall) => Milliseconds | undefined) | undefined;
   readonly options: FakeWorkerOptions;
@@ -162,7 +164,7 @@
   call(output: CallWorker, answer: (answer: WorkerAnswer) => void): void {
     const { time, random } = this.options;
     const { request, fencingToken, timeoutMilliseconds: timeout } = output;
-    if (!this.#isAlive) {
+    if (!this.#isAlive || this.isRefusingConnections) {
       time.after(ANSWER_MILLISECONDS, () => answer(connectionRefused(output)));
       return;
     }
