test(emulator): add disruptions that a randomised run selects

Cause: the randomised runs of best-effort work had tasks of at most 0.9 s, which end before a client submits its job again, clients that gave up after their connection broke, no calls that take effect late, and no messages that are held up. None of them could show that a task runs twice at the same time by these causes.

Change: a run takes a list of disruptions, each with a generator of its own; `npm run soak` takes `--disruptions` and `--only-disruptions`. A client whose entry ended no longer counts as disconnected as well. The configuration and the bodies of the planned jobs move to a module of their own.

--- a/emulator/src/dispatch_run.ts
+++ b/emulator/src/dispatch_run.ts
@@ -8,13 +8,11 @@
   type DispatchInput,
   type DispatchOutput,
   InputKind,
-  JobRequestKind,
   type Milliseconds,
   type ProcessEvent,
   type ProcessIdentifier,
   type Role,
   type StateMachine,
-  type WorkConfiguration,
   WorkerPhase,
 } from "@eelgrassfront/model";
 import {
@@ -22,10 +20,21 @@
   DispatchRule,
   type DispatchViolation,
 } from "./dispatch_checker.ts";
+import {
+  Disruption,
+  disruptionRandom,
+  DisruptionSchedule,
+} from "./dispatch_disruptions.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
 import type { DispatchVm, FleetSize } from "./dispatch_vm.ts";
 import { NO_NETWORK_FAULTS } from "./fake_network.ts";
 import { NO_WORKER_FAULTS, type WorkerFaults } from "./fake_worker.ts";
+import {
+  bodyOf,
+  PLANNED_WORK_CONFIGURATION,
+  type PlannedJob,
+  targetOf,
+} from "./planned_job.ts";
 import { SeededRandom } from "./seeded_random.ts";
 import { ProcessState } from "./virtual_process.ts";
 
@@ -34,6 +43,10 @@
   readonly seed: number;
   /** Three entries and four workers by default. */
   readonly fleet?: FleetSize;
+  /** Disruptions that are added to the faults of every run; none by default. */
+  readonly disruptions?: readonly Disruption[];
+  /** Whether the faults of every run are left out. */
+  readonly onlyDisruptions?: boolean;
   readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
   readonly wrapDecisions?: (
     role: Role,
@@ -52,6 +65,7 @@
 const SMALL_FLEET: FleetSize = { entries: 3, workers: 4, zones: 1 };
 const START_MILLISECONDS: Milliseconds = 3_000;
 const FAULTS_END_MILLISECONDS: Milliseconds = 15_000;
+const DRAINS_END_MILLISECONDS: Milliseconds = 22_500;
 const LAST_JOB_MILLISECONDS: Milliseconds = 20_000;
 const RECOVERY_CHECK_MILLISECONDS: Milliseconds = 24_000;
 const END_MILLISECONDS: Milliseconds = 32_000;
@@ -60,25 +74,9 @@
 const MAXIMUM_TRIES = 4;
 const MAXIMUM_FAULTS = 10;
 const CAPACITY_MILLICORES = 8_000;
-const HOST = "checks.example";
 const SLOWDOWN_PROBABILITY = 0.4;
 const SLOWDOWN_SEED_OFFSET = 3_000_017;
 
-const CONFIGURATION: WorkConfiguration = {
-  version: 3,
-  routes: ["/fast/", "/slow/"].map((requestPrefix, priority) => ({
-    name: requestPrefix,
-    host: HOST,
-    requestPrefix,
-    service: "service",
-    healthPath: "/health",
-    priority,
-    maximumAttempts: 3,
-    slackFactor: 1.6,
-    latencyAllowanceMilliseconds: 60,
-  })),
-};
-
 /** Runs one seed and checks the result. */
 export function runDispatch(options: DispatchRunOptions): DispatchRunReport {
   return new DispatchRun(options).run();
@@ -89,12 +87,27 @@
   readonly #random: SeededRandom;
   readonly #checker: DispatchChecker;
   readonly #system: DispatchSystem;
+  readonly #disruptions: readonly Disruption[];
+  readonly #onlyDisruptions: boolean;
+  readonly #taskRandom: SeededRandom;
+  readonly #clientRandom: SeededRandom;
   #jobs = 0;
 
   constructor(
-    { seed, fleet = SMALL_FLEET, onEvent, wrapDecisions }: DispatchRunOptions,
+    {
+      seed,
+      fleet = SMALL_FLEET,
+      disruptions = [],
+      onlyDisruptions = false,
+      onEvent,
+      wrapDecisions,
+    }: DispatchRunOptions,
   ) {
     this.#seed = seed;
+    this.#disruptions = disruptions;
+    this.#onlyDisruptions = onlyDisruptions;
+    this.#taskRandom = disruptionRandom(seed, Disruption.LongTasks);
+    this.#clientRandom = disruptionRandom(seed, Disruption.ClientResubmissions);
     this.#random = new SeededRandom(seed + 1_000_003);
     this.#checker = new DispatchChecker(() => this.#system.time);
     this.#system = new DispatchSystem({
@@ -110,7 +123,7 @@
 
   run(): DispatchRunReport {
     const { time } = this.#system;
-    this.#system.publish(CONFIGURATION);
+    this.#system.publish(PLANNED_WORK_CONFIGURATION);
     const gap = this.#random.pick([15, 40, 120]) ?? 40;
     for (let at = START_MILLISECONDS; at < LAST_JOB_MILLISECONDS; at += gap) {
       time.after(at + this.#random.between(0, gap), () => this.#submitJob());
@@ -118,9 +131,21 @@
     const faults = 1 + this.#random.below(MAXIMUM_FAULTS);
     for (let index = 0; index < faults; index += 1) {
       const at = this.#random.between(1_000, FAULTS_END_MILLISECONDS - 5_000);
-      time.after(at, () => this.#injectFault());
+      time.after(at, () => {
+        if (!this.#onlyDisruptions) this.#injectFault();
+      });
+    }
+    if (!this.#onlyDisruptions) this.#scheduleSlowdown();
+    const schedule = new DisruptionSchedule({
+      system: this.#system,
+      seed: this.#seed,
+      from: START_MILLISECONDS,
+      until: FAULTS_END_MILLISECONDS,
+    });
+    for (const kind of this.#disruptions) schedule.add(kind);
+    if (this.#disruptions.length > 0) {
+      time.after(DRAINS_END_MILLISECONDS, () => schedule.restartEnded());
     }
-    this.#scheduleSlowdown();
     time.after(FAULTS_END_MILLISECONDS, () => this.#endFaults());
     time.after(RECOVERY_CHECK_MILLISECONDS, () => this.#checkRecovery());
     this.#system.runUntil(END_MILLISECONDS);
@@ -137,7 +162,9 @@
     this.#jobs += 1;
     const id = `job${this.#jobs}`;
     const millicores = 500 + this.#random.below(3_000);
-    const runMilliseconds = this.#random.between(20, 900);
+    const runMilliseconds = this.#drawRunMilliseconds(
+      this.#random.between(20, 900),
+    );
     const isDisconnecting = this.#random.happens(0.05);
     this.#checker.trackJob(id, { millicores });
     this.#sendJob({
@@ -152,12 +179,19 @@
     });
   }
 
+  #drawRunMilliseconds(usual: Milliseconds): Milliseconds {
+    const isLong = this.#disruptions.includes(Disruption.LongTasks) &&
+      this.#taskRandom.happens(0.5);
+    return isLong ? this.#taskRandom.between(900, 3_500) : usual;
+  }
+
   #sendJob(job: PlannedJob): void {
     const { time } = this.#system;
     const entry = this.#random.pick(this.#system.entries);
     if (entry === undefined) return;
     const clientRequest = { isAnswered: false, process: entry.process };
     const request = this.#submit(entry, job, (answer) => {
+      if (clientRequest.isAnswered) return;
       clientRequest.isAnswered = true;
       this.#checker.recordAnswer(job.id, answer);
       if (answer.kind === ClientAnswerKind.GivenUp) this.#resendJob(job);
@@ -175,9 +209,38 @@
         this.#system.disconnectClient(entry, request);
       });
     }
+    this.#scheduleReset(entry, job, request, clientRequest);
     this.#watchRequest(entry, job, request, clientRequest);
   }
 
+  /** Breaks the client's connection to its entry, which learns of it at once, late or never. */
+  #scheduleReset(
+    entry: DispatchVm,
+    job: PlannedJob,
+    request: number,
+    clientRequest: ClientRequest,
+  ): void {
+    if (!this.#disruptions.includes(Disruption.ClientResubmissions)) return;
+    const random = this.#clientRandom;
+    if (!random.happens(0.3)) return;
+    const at = random.between(1, 1_500);
+    const delay = random.between(100, 3_000);
+    const isLate = this.#disruptions.includes(Disruption.LateDisconnections);
+    const knownAfter = isLate ? delay : 0;
+    this.#system.time.after(at, () => {
+      if (clientRequest.isAnswered) return;
+      clientRequest.isAnswered = true;
+      this.#checker.recordLostAnswer(job.id);
+      const { process } = entry;
+      this.#system.time.after(knownAfter, () => {
+        if (entry.process === process) {
+          this.#system.disconnectClient(entry, request);
+        }
+      });
+      this.#resendJob(job);
+    });
+  }
+
   /** Polls for the end of the entry, and for the end of the client's waiting time. */
   #watchRequest(
     entry: DispatchVm,
@@ -193,6 +256,7 @@
       // A paused process handles the request, and starts its deadline, only after it resumes.
       hasPaused ||= clientRequest.process.state === ProcessState.Paused;
       if (clientRequest.process.state === ProcessState.Ended) {
+        clientRequest.isAnswered = true;
         this.#checker.recordLostAnswer(job.id);
         this.#resendJob(job);
         return;
@@ -201,6 +265,15 @@
         time.after(20, poll);
         return;
       }
+      const isResending = hasPaused && job.remainingTries > 1 &&
+        this.#disruptions.includes(Disruption.ClientResubmissions);
+      if (isResending) {
+        clientRequest.isAnswered = true;
+        this.#checker.recordLostAnswer(job.id);
+        this.#system.disconnectClient(entry, request);
+        this.#resendJob(job);
+        return;
+      }
       if (!hasPaused) {
         const waited = Math.round(time.now - startedAt);
         this.#checker.report(
@@ -222,27 +295,13 @@
 
   #submit(
     entry: DispatchVm,
-    { id, millicores, runMilliseconds, tasks }: PlannedJob,
+    job: PlannedJob,
     onAnswer: (answer: ClientAnswer) => void,
   ): number | undefined {
-    const step = {
-      taskCount: tasks,
-      resources: {
-        processorMillicores: millicores,
-        memoryMegabytes: 64,
-        accelerators: 0,
-      },
-      estimatedMilliseconds: runMilliseconds,
-      dependsOn: [],
-    };
-    const prefix = tasks > 3 ? "/slow/" : "/fast/";
     return this.#system.submit(
       entry,
-      { host: HOST, path: `${prefix}${id}` },
-      {
-        kind: JobRequestKind.Runnable,
-        job: { content: String(runMilliseconds), steps: [step] },
-      },
+      targetOf(job),
+      bodyOf(job),
       CLIENT_WAIT_MILLISECONDS,
       onAnswer,
     );
@@ -416,15 +475,6 @@
   }
 }
 
-interface PlannedJob {
-  readonly id: string;
-  readonly millicores: number;
-  readonly runMilliseconds: Milliseconds;
-  readonly tasks: number;
-  readonly disconnectsAfter?: Milliseconds | undefined;
-  readonly remainingTries: number;
-}
-
 interface ClientRequest {
   isAnswered: boolean;
   readonly process: { readonly state: ProcessState };
--- a/emulator/src/soak.ts
+++ b/emulator/src/soak.ts
@@ -1,9 +1,11 @@
 /**
  * Runs the randomised run with many seeds: `npm run soak -- --seeds 1000 --from 1`, or with
- * `--work best-effort` for best-effort work. Prints a line for each violation and, as the last line, the
+ * `--work best-effort` for best-effort work, there with `--disruptions delayed-grants,sidecar-outages` for
+ * further faults and `--only-disruptions` to leave out the usual ones. Prints a line for each violation and, as the last line, the
  * totals as JSON. The exit code is 1 when a seed failed.
  */
 import { parseArgs } from "node:util";
+import { Disruption } from "./dispatch_disruptions.ts";
 import { runDispatch } from "./dispatch_run.ts";
 import { runRandomized } from "./randomized_run.ts";
 
@@ -55,12 +57,34 @@
   }
 }
 
-function selectRun(work: string): (seed: number) => SoakReport {
+interface DisruptionSelection {
+  readonly disruptions: readonly Disruption[];
+  readonly onlyDisruptions: boolean;
+}
+
+/** @throws {RangeError} when a name is not that of a disruption */
+function parseDisruptions(names: string): readonly Disruption[] {
+  const known = Object.values(Disruption);
+  return names.split(",").filter((name) => name !== "").map((name) => {
+    const disruption = known.find((kind) => kind === name);
+    if (disruption === undefined) {
+      throw new RangeError(
+        `--disruptions ${name} is none of ${known.join(", ")}`,
+      );
+    }
+    return disruption;
+  });
+}
+
+function selectRun(
+  work: string,
+  selection: DisruptionSelection,
+): (seed: number) => SoakReport {
   switch (work) {
     case SoakWorkload.AtMostOnce:
       return (seed) => runRandomized({ seed });
     case SoakWorkload.BestEffort:
-      return (seed) => runDispatch({ seed });
+      return (seed) => runDispatch({ seed, ...selection });
     default:
       throw new RangeError(
         `--work ${work} is neither at-most-once nor best-effort`,
@@ -74,11 +98,16 @@
       seeds: { type: "string", default: DEFAULT_SEEDS },
       from: { type: "string", default: DEFAULT_FIRST_SEED },
       work: { type: "string", default: SoakWorkload.AtMostOnce },
+      disruptions: { type: "string", default: "" },
+      "only-disruptions": { type: "boolean", default: false },
     },
   });
   const seeds = Number(values.seeds);
   const from = Number(values.from);
-  const run = selectRun(values.work);
+  const run = selectRun(values.work, {
+    disruptions: parseDisruptions(values.disruptions),
+    onlyDisruptions: values["only-disruptions"],
+  });
   const totals = new Totals();
   for (let seed = from; seed < from + seeds; seed += 1) {
     const report = run(seed);
