feat(worker-guard): tell a crashed worker from one that left, and log which tasks ran there

What operators saw: runs of a crashed worker were settled with the reason of an announced departure, and no line named the tasks that ran there, so logs could not tell whether one job, one kind of work or neither crashed the workers.

Change: the reason worker-crashed (tasks.settled, tasks.interrupted, events 3105 and 4106), event 4107 with the tasks and the time since their starts, counter worker.crashes. No decision depends on them yet.

Worker-lost after a drain or a departure is held by lost_runs_test.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -212,4 +212,10 @@
     action:
       "Search by the identifier of the job for the line of the entry that placed the attempt.",
   },
+  [EventNumber.WorkerCrashed]: {
+    meaning:
+      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since its start, and how many there were.",
+    action:
+      "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
+  },
 };
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -36,6 +36,7 @@
     "Sessions of entries that a sidecar ended, by reason.",
   [Counter.WorkerCallsMissing]:
     "Calls that a worker did not answer, by kind of call.",
+  [Counter.WorkerCrashes]: "Workers that ended without notice.",
 };
 
 /** Meaning of each gauge. */
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -434,6 +434,7 @@
     case InterruptionReason.LeaseExpired:
     case InterruptionReason.SessionEnded:
     case InterruptionReason.WorkerLost:
+    case InterruptionReason.WorkerCrashed:
     case InterruptionReason.SidecarLost:
       return false;
     default:
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -176,7 +176,10 @@
   Cancelled = "taken-back",
   LeaseExpired = "lease-expired",
   SessionEnded = "session-ended",
+  /** The worker left as announced, or its list no longer contains a run that was not to be stopped. */
   WorkerLost = "worker-lost",
+  /** The worker ended without notice while the run was active. */
+  WorkerCrashed = "worker-crashed",
   NoProgress = "no-progress",
   /**
    * The entry lost its session with the sidecar. The tasks that ran there end without a request of
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -46,6 +46,7 @@
   WorkerReportInvalid = 4104,
   RunDoubtful = 4105,
   RunSettled = 4106,
+  WorkerCrashed = 4107,
 }
 
 /** Severity of an event. */
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -51,6 +51,7 @@
   RunsDoubtful = "runs.doubtful",
   SessionsEnded = "sessions.ended",
   WorkerCallsMissing = "worker.calls_missing",
+  WorkerCrashes = "worker.crashes",
 }
 
 /** Names of gauges. */
--- /dev/null
+++ b/domain/worker_guard/src/lost_runs_test.ts
@@ -0,0 +1,43 @@
+/**
+ * How a sidecar settles the runs of a worker that has ended: a crash is told apart from an announced end.
+ */
+import { test } from "node:test";
+import {
+  DispatchInputKind,
+  InterruptionReason,
+  WorkerPhase,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { interrupted } from "./run_settlement.ts";
+import { BORN_AT, WorkerGuardHarness } from "./worker_guard_harness.ts";
+
+test("the runs of a worker that ends without notice are settled as crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.report({ bornAt: BORN_AT + 500 });
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.WorkerCrashed),
+  );
+});
+
+test("the runs of a worker that ends after it has drained are not settled as crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.report({ phase: WorkerPhase.Draining });
+  harness.report({ bornAt: BORN_AT + 500 });
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.WorkerLost),
+  );
+});
+
+test("the runs of a worker that says that it leaves are not settled as crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.step({ kind: DispatchInputKind.WorkerLeft, worker: "i-1" });
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.WorkerLost),
+  );
+});
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -23,7 +23,6 @@
   Gauge,
   type IncomingRequest,
   InputKind,
-  InterruptionReason,
   type Milliseconds,
   NO_RESOURCES,
   NotStartedReason,
@@ -32,7 +31,6 @@
   type ProcessIdentifier,
   type Resources,
   SessionEndReason,
-  SettlementKind,
   Severity,
   type StateMachine,
   subtractResources,
@@ -47,6 +45,7 @@
 import { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import { RunTable } from "./run_table.ts";
+import { LostRuns, WorkerEnd } from "./lost_runs.ts";
 import { WorkerLink } from "./worker_link.ts";
 import { SavedWorkerCheck } from "./saved_worker_check.ts";
 
@@ -89,6 +88,7 @@
   readonly #link: WorkerLink;
   readonly #table: RunTable;
   readonly #runController: RunController;
+  readonly #lostRuns: LostRuns;
   readonly #savedWorkerCheck: SavedWorkerCheck;
   readonly #watches: LoadWatches;
   readonly #requests: EntryRequestHandler;
@@ -114,6 +114,7 @@
       link: this.#link,
       table: this.#table,
     });
+    this.#lostRuns = new LostRuns({ collector, table: this.#table });
     this.#savedWorkerCheck = new SavedWorkerCheck({
       link: this.#link,
       directory: this.#directory,
@@ -200,14 +201,16 @@
         );
         return;
       case DispatchInputKind.WorkerLeft:
-        if (this.#link.isCurrent(input.worker)) this.#handleWorkerLoss();
+        if (this.#link.isCurrent(input.worker)) {
+          this.#handleWorkerLoss(WorkerEnd.Announced);
+        }
         return;
       case DispatchInputKind.WorkerAnswered:
         if (this.#savedWorkerCheck.handleAnswer(input.call, input.answer)) {
           this.#table.raiseRevision();
         }
         if (!this.#runController.handleAnswer(input.call, input.answer)) {
-          this.#handleWorkerLoss();
+          this.#handleWorkerLoss(WorkerEnd.Unannounced);
         }
         return;
       case InputKind.DrainRequested:
@@ -359,7 +362,7 @@
     const wasConfirmed = this.#link.isConfirmed;
     const isNew = this.#link.applyReport(description);
     if (isNew) {
-      this.#settleLostRuns();
+      this.#lostRuns.settle(WorkerEnd.Unannounced, earlier);
       this.#runController.reset();
       this.#record(
         EventNumber.WorkerAnnounced,
@@ -384,23 +387,15 @@
   }
 
   /** Settles every run of a worker incarnation that has ended. */
-  #handleWorkerLoss(): void {
+  #handleWorkerLoss(end: WorkerEnd): void {
     this.#record(EventNumber.WorkerLost, "the worker incarnation has ended");
+    const { description } = this.#link;
     this.#link.forget();
-    this.#settleLostRuns();
+    this.#lostRuns.settle(end, description);
     this.#runController.reset();
     this.#table.raiseRevision();
   }
 
-  #settleLostRuns(): void {
-    for (const run of this.#table.sentToWorker()) {
-      this.#table.settle(run, {
-        kind: SettlementKind.Interrupted,
-        reason: InterruptionReason.WorkerLost,
-      });
-    }
-  }
-
   #drain(): void {
     if (this.#drainingSince !== undefined) return;
     this.#drainingSince = this.#collector.now;
