test: reproduce tasks that crash each worker that starts them

The fake worker crashes some milliseconds after it has started a marked task and is back after 3 s, as on the users' platform; a pending poll of a crashed worker is now left unanswered (before, the ended worker still answered it with an empty list). The load player marks a share of the jobs of one kind.

--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -27,6 +27,7 @@
   processName,
   type RequestIdentifier,
   Role,
+  type RunReference,
   type StateMachine,
   Step,
   type WorkConfiguration,
@@ -56,6 +57,7 @@
 const GRACE_MILLISECONDS: Milliseconds = 6_000;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
+const CRASH_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
 const MAXIMUM_ACTIONS_AT_ONCE = 100_000;
 
 /** Entries, sidecars and workers that are connected by a fake network, with a fake store. */
@@ -235,7 +237,8 @@
   }
 
   #newWorker(id: string): FakeWorker {
-    const { capacityMillicores, observer, runMilliseconds } = this.#options;
+    const { capacityMillicores, observer, runMilliseconds, crashMilliseconds } =
+      this.#options;
     return new FakeWorker({
       id,
       bornAt: this.time.now,
@@ -243,9 +246,24 @@
       capacityMillicores,
       time: this.time,
       random: this.random,
-      observer,
+      observer: {
+        onStart: (worker, run) => observer.onStart(worker, run),
+        onEnd: (worker, run) => observer.onEnd(worker, run),
+        onCrash: (worker, run) => this.#recoverFromCrash(worker, run),
+      },
       clockRate: this.random.between(MINIMUM_CLOCK_RATE, 1),
       runMilliseconds,
+      ...(crashMilliseconds === undefined ? {} : { crashMilliseconds }),
+    });
+  }
+
+  /** Starts a new worker some time after a task crashed the earlier one. */
+  #recoverFromCrash(worker: FakeWorker, run: RunReference): void {
+    this.#options.observer.onCrash?.(worker, run);
+    const vm = this.sidecars.find((sidecar) => sidecar.worker === worker);
+    if (vm === undefined) return;
+    this.time.after(CRASH_RECOVERY_MILLISECONDS, () => {
+      if (vm.worker === worker) this.startWorker(vm, false);
     });
   }
 
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -31,6 +31,8 @@
   readonly capacityMillicores: number;
   readonly observer: WorkerObserver;
   readonly runMilliseconds: (content: string) => Milliseconds;
+  /** Time after which a task with this content crashes its worker; the worker then returns after 3 s. */
+  readonly crashMilliseconds?: (content: string) => Milliseconds | undefined;
   readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
   /** Wraps the state machine of a process, so that tests can disable a mechanism. */
   readonly wrapDecisions?: (
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -1,7 +1,7 @@
 /**
  * Fake of a worker in virtual time: leases on the worker's own clock, fencing, run numbers, ended runs that
  * are listed until the sidecar acknowledges them, calls that are executed late, answers that are lost,
- * and crashes.
+ * and crashes, among them those that a task causes.
  */
 import {
   assertNever,
@@ -49,6 +49,8 @@
 export interface WorkerObserver {
   readonly onStart: (worker: FakeWorker, run: RunReference) => void;
   readonly onEnd: (worker: FakeWorker, run: RunReference) => void;
+  /** Called when a run crashes its worker, before all runs there end. */
+  readonly onCrash?: (worker: FakeWorker, run: RunReference) => void;
 }
 
 /** Options of a `FakeWorker`. */
@@ -64,6 +66,8 @@
   readonly clockRate: number;
   /** Run time of a task whose content is this text. */
   readonly runMilliseconds: (content: string) => Milliseconds;
+  /** Time after which a task with this content crashes its worker; undefined for one that does not. */
+  readonly crashMilliseconds?: (content: string) => Milliseconds | undefined;
 }
 
 interface Run {
@@ -141,6 +145,7 @@
       this.options.observer.onEnd(this, reference);
     }
     this.#running.clear();
+    for (const wake of this.#waitingPolls.splice(0)) wake();
   }
 
   /** Handles a call of the sidecar; `answer` is called once, with the reply or after the timeout. */
@@ -173,10 +178,14 @@
         return;
       }
       const reply = () =>
-        time.after(ANSWER_MILLISECONDS / 2, () =>
-          answer(
-            result.kind === WorkerAnswerKind.Listed ? this.#list() : result,
-          ));
+        time.after(ANSWER_MILLISECONDS / 2, () => {
+          if (!this.#isAlive) answer(unanswered(output));
+          else {
+            answer(
+              result.kind === WorkerAnswerKind.Listed ? this.#list() : result,
+            );
+          }
+        });
       const isLongPoll = request.kind === WorkerCallKind.PollRuns &&
         request.waitMilliseconds > 0 && this.#ends.length === 0 &&
         result.kind === WorkerAnswerKind.Listed;
@@ -244,9 +253,22 @@
       ? RunEndKind.Failed
       : RunEndKind.Completed;
     if (!isHanging) time.after(duration, () => this.#end(run, kind));
+    this.#scheduleCrash(run, content);
     return accepted as WorkerAnswer;
   }
 
+  #scheduleCrash(run: Run, content: string): void {
+    const { time, observer, crashMilliseconds } = this.options;
+    const crashAfter = crashMilliseconds?.(content);
+    if (crashAfter === undefined) return;
+    time.after(crashAfter, () => {
+      const key = jobTaskKey(run.reference.task);
+      if (this.#running.get(key) !== run) return;
+      observer.onCrash?.(this, run.reference);
+      this.crash();
+    });
+  }
+
   #stop(target: RunReference): void {
     const key = jobTaskKey(target.task);
     const newest = this.#newestRunNumbers.get(key) ?? 0;
--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -1,6 +1,7 @@
 /**
  * Plays a load of best-effort jobs against the production state machines in virtual time and counts the
- * results that clients get. The only faults are slow workers; the randomised runs cover faults of processes.
+ * results that clients get. The faults are slow workers, lost sidecars and tasks that crash their workers; the
+ * randomised runs cover faults of processes.
  */
 import {
   assertNever,
@@ -12,6 +13,8 @@
   type WorkConfiguration,
   type WorkRoute,
 } from "@eelgrassfront/model";
+import { SeededRandom } from "./seeded_random.ts";
+import type { WorkerObserver } from "./fake_worker.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
 import type { FleetSize } from "./dispatch_vm.ts";
 import {
@@ -31,6 +34,16 @@
   readonly factor: number;
 }
 
+/** A period in which some jobs of one kind crash each worker that starts one of their tasks. */
+export interface CrashingJobs {
+  readonly kind: string;
+  readonly share: number;
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+  /** Time from the start of a task to the crash of its worker. */
+  readonly crashMilliseconds: Milliseconds;
+}
+
 /** A load to play. */
 export interface PlayedLoad extends LoadProfile {
   readonly slowWorkers?: readonly SlowWorkers[];
@@ -41,6 +54,11 @@
     readonly count: number;
     readonly at: Milliseconds;
   };
+  /** Jobs that crash workers. They are not counted: they cannot be served. */
+  readonly crashingJobs?: CrashingJobs;
+  readonly observer?: WorkerObserver;
+  /** Called with each answer to a counted job. */
+  readonly onAnswer?: (answer: ClientAnswer) => void;
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
   readonly countFrom?: Milliseconds;
   /** Size of the fleet; that of the users' smallest deployments by default. */
@@ -64,6 +82,7 @@
 const SMALL_FLEET: FleetSize = { entries: 3, workers: WORKERS, zones: 3 };
 /** Capacity of each worker. Two thirds of the users' workers have 32 cores, one third 48 faster ones. */
 export const WORKER_MILLICORES = 36_000;
+const NO_OBSERVER: WorkerObserver = { onStart: () => {}, onEnd: () => {} };
 const START_MILLISECONDS: Milliseconds = 3_000;
 /** Time after the last arrival in which all jobs are answered. */
 export const DRAIN_MILLISECONDS: Milliseconds = 8_000;
@@ -71,6 +90,9 @@
 /** A late answer still has some value up to this factor times the objective; a later one counts as failed. */
 const LATE_FACTOR = 3;
 const HOST = "checks.example";
+/** Ends the content of jobs that crash their workers. */
+const CRASH_MARK = " crash";
+const CRASH_SEED_OFFSET = 4_000_037;
 
 /** Plays a load and returns the results of each kind of work. */
 export function playLoad(load: PlayedLoad): readonly KindOutcome[] {
@@ -109,17 +131,23 @@
   readonly #load: PlayedLoad;
   readonly #system: DispatchSystem;
   readonly #outcomes: Map<string, KindOutcome>;
+  readonly #crashRandom: SeededRandom;
 
   constructor(load: PlayedLoad) {
     this.#load = load;
+    this.#crashRandom = new SeededRandom(load.seed + CRASH_SEED_OFFSET);
     this.#outcomes = createOutcomes(load.kinds);
-    const { fleet = SMALL_FLEET } = load;
+    const { fleet = SMALL_FLEET, observer = NO_OBSERVER, crashingJobs } = load;
     this.#system = new DispatchSystem({
       seed: load.seed,
       fleet,
       capacityMillicores: WORKER_MILLICORES,
-      observer: { onStart: () => {}, onEnd: () => {} },
-      runMilliseconds: Number,
+      observer,
+      runMilliseconds: Number.parseFloat,
+      crashMilliseconds: (content) =>
+        content.endsWith(CRASH_MARK)
+          ? crashingJobs?.crashMilliseconds
+          : undefined,
     });
   }
 
@@ -168,14 +196,22 @@
     }
   }
 
+  #isCrashing({ kind, at }: ArrivingJob): boolean {
+    const { crashingJobs: crashing } = this.#load;
+    return crashing !== undefined && kind.name === crashing.kind &&
+      at >= crashing.from && at < crashing.until &&
+      this.#crashRandom.happens(crashing.share);
+  }
+
   #submit(job: ArrivingJob): void {
     const { kind, number, runMilliseconds, objectiveMilliseconds } = job;
     const { entries, time } = this.#system;
     const outcome = this.#outcomes.get(kind.name);
     const entry = entries[Math.floor(job.entry * entries.length)];
     if (entry === undefined || outcome === undefined) return;
-    const { countFrom = 0 } = this.#load;
-    const isCounted = job.at >= countFrom;
+    const { countFrom = 0, onAnswer } = this.#load;
+    const isCrashing = this.#isCrashing(job);
+    const isCounted = job.at >= countFrom && !isCrashing;
     if (isCounted) outcome.submitted += 1;
     const step = {
       taskCount: job.tasks,
@@ -193,12 +229,17 @@
       { host: HOST, path: `${requestPrefixOf(kind)}job${number}` },
       {
         kind: JobRequestKind.Runnable,
-        job: { content: String(runMilliseconds), steps: [step] },
+        job: {
+          content: `${runMilliseconds}${isCrashing ? CRASH_MARK : ""}`,
+          steps: [step],
+        },
       },
       CLIENT_WAIT_MILLISECONDS,
       (answer) => {
         const elapsed = time.now - sentAt;
-        if (isCounted) count(outcome, answer, elapsed, objectiveMilliseconds);
+        if (!isCounted) return;
+        count(outcome, answer, elapsed, objectiveMilliseconds);
+        onAnswer?.(answer);
       },
     );
   }
