--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -77,6 +77,8 @@
   #sequence = 0;
   #lastEnd = 0;
   #bornAt = BORN_AT;
+  #capacityMillicores = CAPACITY_MILLICORES;
+  #savedCapacity: number | undefined;
 
   /** A sidecar that has read a saved worker, with an empty list of runs and an open session. */
   static withSavedWorker(): WorkerGuardHarness {
@@ -132,12 +134,18 @@
   }
 
   report(
-    { phase = WorkerPhase.Ready, bornAt = this.#bornAt }: {
+    {
+      phase = WorkerPhase.Ready,
+      bornAt = this.#bornAt,
+      capacityMillicores = this.#capacityMillicores,
+    }: {
       readonly phase?: WorkerPhase;
       readonly bornAt?: number;
+      readonly capacityMillicores?: number;
     } = {},
   ): void {
     this.#bornAt = bornAt;
+    this.#capacityMillicores = capacityMillicores;
     this.#sequence += 1;
     const description = { ...this.#describe(phase), clock: this.#workerClock };
     this.step({ kind: DispatchInputKind.WorkerReported, description });
@@ -160,7 +168,7 @@
       address: "127.0.0.1:8080",
       phase,
       capacity: {
-        processorMillicores: CAPACITY_MILLICORES,
+        processorMillicores: this.#capacityMillicores,
         memoryMegabytes: 1_000,
         accelerators: 0,
       },
@@ -281,6 +289,11 @@
     return this.#started;
   }
 
+  /** Processor capacity of the worker in the description that was saved last. */
+  savedCapacity(): number | undefined {
+    return this.#savedCapacity;
+  }
+
   repliesTo(request: number): readonly DispatchReplyKind[] {
     return (this.#replies.get(request) ?? [])
       .map(({ kind }) => kind as DispatchReplyKind);
@@ -314,6 +327,9 @@
       const replies = this.#replies.get(output.request) ?? [];
       this.#replies.set(output.request, [...replies, output.message]);
     }
+    if (output.kind === DispatchOutputKind.SaveWorker) {
+      this.#savedCapacity = output.description.capacity.processorMillicores;
+    }
     if (output.kind !== DispatchOutputKind.CallWorker) return;
     this.#calls.push(output);
     const { request } = output;
