fix(worker-guard): make a changed capacity of a running worker known at once

What callers would see: a worker that shrinks refuses tasks that entries go on sending to it; one that grows stays unused until some load changes. After a restart of its sidecar a shrunken worker could get more than its capacity until its next report, up to 1.5 s.

Cause: capacity was taken for constant during one incarnation. A report replaced the description, so the sidecar counted by the new capacity, but only a new incarnation or phase raised the revision of the load, sent the profile to entries and saved the description.

Change: the profile has a revision that rises with the incarnation, service, labels or capacity; an entry names the one that it knows when it renews. Any change raises the load's revision and saves the description. An accepted task that no longer fits when the worker's runs are known is returned.

Two tests of worker_guard_test now name the profile's revision where they say what the entry knows; what they expect is unchanged.

The revision is optional in messages, so that processes of both versions understand each other: without it the whole profile is sent.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -59,6 +59,7 @@
     kind: zod.literal(DispatchRequestKind.RenewSession),
     session: count,
     knownWorker: zod.string().optional(),
+    knownProfile: count.optional(),
     knownRevision: count.optional(),
   }),
   zod.looseObject({
@@ -106,6 +107,7 @@
 });
 
 const profile = zod.looseObject({
+  revision: count.optional(),
   worker: zod.string(),
   service: zod.string(),
   labels: zod.array(zod.string()),
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -6,6 +6,7 @@
   FleetMember,
   Milliseconds,
   ProcessIdentifier,
+  RenewSession,
   RequestIdentifier,
   SessionNumber,
   WorkerLoad,
@@ -101,6 +102,19 @@
   readonly link: WorkerLinkState;
 }
 
+/** Returns what the entry knows of a worker, which the reply to a renewal leaves out. */
+export function knownStateOf(
+  { profile, load }: OpenLink,
+): Pick<RenewSession, "knownWorker" | "knownProfile" | "knownRevision"> {
+  return {
+    ...(profile === undefined ? {} : { knownWorker: profile.worker }),
+    ...(profile?.revision === undefined
+      ? {}
+      : { knownProfile: profile.revision }),
+    ...(load === undefined ? {} : { knownRevision: load.revision }),
+  };
+}
+
 /** Returns an unused link to a newly discovered sidecar. */
 export function newLink(member: FleetMember): WorkerLinkState {
   return {
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -30,6 +30,7 @@
 } from "@eelgrassfront/model";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
+  knownStateOf,
   type LinkChange,
   LinkChangeKind,
   LinkPhase,
@@ -320,12 +321,11 @@
     const { now } = this.#options.collector;
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
-    const { session, profile, load } = state;
+    const { session } = state;
     this.#send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
-      ...(profile === undefined ? {} : { knownWorker: profile.worker }),
-      ...(load === undefined ? {} : { knownRevision: load.revision }),
+      ...knownStateOf(state),
     });
   }
 
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -39,6 +39,8 @@
   readonly session: SessionNumber;
   /** Worker whose profile the entry has; absent if it has none. The reply leaves out what the entry knows. */
   readonly knownWorker?: string;
+  /** Revision of the profile that the entry has. */
+  readonly knownProfile?: number;
   /** Revision of the load that the entry has. */
   readonly knownRevision?: number;
 }
@@ -132,8 +134,10 @@
   | WatchLoad
   | ExchangeFleetState;
 
-/** Properties of a worker that stay the same during one incarnation. */
+/** Properties of a worker that seldom change. */
 export interface WorkerProfile {
+  /** Increases with each change within one incarnation of the sidecar; absent from older versions. */
+  readonly revision?: number;
   readonly worker: string;
   readonly service: string;
   readonly labels: readonly string[];
@@ -248,7 +252,7 @@
   readonly load?: WorkerLoad;
 }
 
-/** The session continues, and the worker is still the one that the entry knows. */
+/** The session continues, and the worker and its profile are still those that the entry knows. */
 export interface SessionRenewed {
   readonly kind: DispatchReplyKind.SessionRenewed;
   readonly session: SessionNumber;
--- a/domain/worker_guard/src/capacity_change_test.ts
+++ b/domain/worker_guard/src/capacity_change_test.ts
@@ -18,21 +18,25 @@
 
 const SHRUNK = CAPACITY_MILLICORES / 4;
 
-/** What an entry learns when it renews its session and knows the worker. */
-function renew(harness: WorkerGuardHarness, request: number, revision: number) {
-  harness.renewSession(ENTRY, request, {
-    knownWorker: "i-1",
-    knownRevision: revision,
-  });
+/** What an entry learns from a renewal of its session. */
+function renew(
+  harness: WorkerGuardHarness,
+  request: number,
+  known: Parameters<WorkerGuardHarness["renewSession"]>[2],
+) {
+  harness.renewSession(ENTRY, request, known);
   return harness.messagesTo(request).at(-1);
 }
 
-/** The revision that the next load carries unless the load changes. */
-function revisionOf(harness: WorkerGuardHarness, request: number): number {
-  const reply = renew(harness, request, -1);
-  return reply !== undefined && "load" in reply
-    ? reply.load?.revision ?? -1
-    : -1;
+/** What an entry knows after a complete reply. */
+function learn(harness: WorkerGuardHarness, request: number) {
+  const reply = renew(harness, request, {});
+  if (reply?.kind !== DispatchReplyKind.SessionGranted) return {};
+  return {
+    knownWorker: reply.profile?.worker ?? "",
+    knownProfile: reply.profile?.revision ?? 0,
+    knownRevision: reply.load?.revision ?? 0,
+  };
 }
 
 test("a worker whose capacity has shrunk gets no task beyond it", () => {
@@ -54,15 +58,18 @@
 
 test("a shrunken capacity reaches entries with the next renewal, and so does one that grows again", () => {
   const harness = WorkerGuardHarness.ready();
-  const request = 20;
-  for (const [index, millicores] of [SHRUNK, CAPACITY_MILLICORES].entries()) {
-    const revision = revisionOf(harness, request + 2 * index);
+  let request = 20;
+  for (const millicores of [SHRUNK, CAPACITY_MILLICORES]) {
+    const known = learn(harness, request);
+    const unchanged = renew(harness, request + 1, known);
+    expect(unchanged?.kind).toEqual(DispatchReplyKind.SessionRenewed);
     harness.report({ capacityMillicores: millicores });
-    const reply = renew(harness, request + 2 * index + 1, revision);
+    const reply = renew(harness, request + 2, known);
     expect(reply?.kind).toEqual(DispatchReplyKind.SessionGranted);
     if (reply?.kind !== DispatchReplyKind.SessionGranted) return;
     expect(reply.profile?.capacity.processorMillicores).toEqual(millicores);
     expect(reply.load?.free.processorMillicores).toEqual(millicores);
+    request += 3;
   }
 });
 
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -120,7 +120,7 @@
 
   #renewSession(
     { from, request }: RunWaiter,
-    { session, knownWorker, knownRevision }: RenewSession,
+    { session, knownWorker, knownProfile, knownRevision }: RenewSession,
   ): void {
     const { collector, sessions, link } = this.#options;
     if (!sessions.renew(collector.now, from, session)) {
@@ -129,7 +129,9 @@
     }
     const load = this.#options.load(from);
     const worker = link.description?.incarnation.id;
-    if (load === undefined || worker !== knownWorker) {
+    const isProfileKnown = worker === knownWorker &&
+      link.profileRevision === knownProfile;
+    if (load === undefined || !isProfileKnown) {
       this.#grant(from, request, session);
       return;
     }
@@ -146,11 +148,13 @@
     session: number,
   ): void {
     const load = this.#options.load(to);
-    const { description } = this.#options.link;
+    const { description, profileRevision: revision } = this.#options.link;
     this.#reply(to, request, {
       kind: DispatchReplyKind.SessionGranted,
       session,
-      ...(description === undefined ? {} : { profile: profileOf(description) }),
+      ...(description === undefined
+        ? {}
+        : { profile: profileOf(description, revision) }),
       ...(load === undefined ? {} : { load }),
     });
   }
@@ -271,7 +275,10 @@
   }
 }
 
-function profileOf(description: WorkerDescription): WorkerProfile {
+function profileOf(
+  description: WorkerDescription,
+  revision: number,
+): WorkerProfile {
   const { incarnation, service, labels, capacity } = description;
-  return { worker: incarnation.id, service, labels, capacity };
+  return { revision, worker: incarnation.id, service, labels, capacity };
 }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -23,6 +23,7 @@
   Gauge,
   type IncomingRequest,
   InputKind,
+  isWithin,
   type Milliseconds,
   NO_RESOURCES,
   NotStartedReason,
@@ -326,7 +327,14 @@
     for (;;) {
       const run = this.#table.nextToStart();
       if (run === undefined) return;
-      this.#runController.start(run);
+      if (isWithin(this.#table.used, description.capacity)) {
+        this.#runController.start(run);
+      } else {
+        this.#table.settle(
+          run,
+          notStarted(NotStartedReason.InsufficientCapacity),
+        );
+      }
     }
   }
 
@@ -359,7 +367,7 @@
 
   #applyReport(description: WorkerDescription): void {
     const earlier = this.#link.description;
-    const wasConfirmed = this.#link.isConfirmed;
+    const { isConfirmed: wasConfirmed, profileRevision } = this.#link;
     const isNew = this.#link.applyReport(description);
     if (isNew) {
       this.#lostRuns.settle(WorkerEnd.Unannounced, earlier);
@@ -377,9 +385,10 @@
         "the worker is draining; it gets no new tasks",
       );
     }
-    const hasPhaseChanged = earlier?.phase !== description.phase;
-    if (isNew || hasPhaseChanged || !wasConfirmed) this.#table.raiseRevision();
-    if (!isNew && !hasPhaseChanged) return;
+    const hasChanged = this.#link.profileRevision !== profileRevision ||
+      earlier?.phase !== description.phase;
+    if (hasChanged || !wasConfirmed) this.#table.raiseRevision();
+    if (!hasChanged) return;
     this.#collector.add({
       kind: DispatchOutputKind.SaveWorker,
       description,
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -191,7 +191,7 @@
   renewSession(
     entry: ProcessIdentifier,
     request = 1_000 + this.#now,
-    known: Pick<RenewSession, "knownWorker" | "knownRevision"> = {},
+    known: Omit<Partial<RenewSession>, "kind" | "session"> = {},
   ): void {
     const session = this.#sessions.get(entry) ?? 0;
     const kind = DispatchRequestKind.RenewSession;
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -96,6 +96,7 @@
   if (full?.kind !== DispatchReplyKind.SessionGranted) return;
   const known = {
     knownWorker: full.profile?.worker ?? "",
+    knownProfile: full.profile?.revision ?? 0,
     knownRevision: full.load?.revision ?? 0,
   };
   harness.renewSession(ENTRY, 21, known);
@@ -171,6 +172,7 @@
   if (before?.kind !== DispatchReplyKind.SessionGranted) return;
   const known = {
     knownWorker: before.profile?.worker ?? "",
+    knownProfile: before.profile?.revision ?? 0,
     knownRevision: before.load?.revision ?? 0,
   };
   harness.advanceTo(190);
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -10,6 +10,7 @@
   type CallWorker,
   type DispatchOutput,
   DispatchOutputKind,
+  isWithin,
   type Milliseconds,
   type OutputCollector,
   type RequestIdentifier,
@@ -46,6 +47,7 @@
 export class WorkerLink {
   readonly #options: WorkerLinkOptions;
   #description: WorkerDescription | undefined;
+  #profileRevision = 0;
   #isConfirmed = true;
   #clock = new WorkerClock();
   #responseTimes = new ResponseTimes();
@@ -67,6 +69,11 @@
     return this.#description;
   }
 
+  /** Rises whenever the worker's incarnation, service, labels or capacity have changed. */
+  get profileRevision(): number {
+    return this.#profileRevision;
+  }
+
   /** Whether the worker itself confirmed the description; false while only a saved description is known. */
   get isConfirmed(): boolean {
     return this.#isConfirmed;
@@ -110,6 +117,9 @@
     if (known !== undefined && bornAt < known.incarnation.bornAt) return false;
     const isSame = known?.incarnation.bornAt === bornAt;
     if (isSame && description.sequence < known.sequence) return false;
+    if (!isSame || !isSameProfile(known, description)) {
+      this.#profileRevision += 1;
+    }
     this.#description = description;
     this.#isConfirmed = true;
     if (!isSame) {
@@ -225,6 +235,17 @@
   }
 }
 
+function isSameProfile(
+  left: WorkerDescription,
+  right: WorkerDescription,
+): boolean {
+  return left.service === right.service &&
+    isWithin(left.capacity, right.capacity) &&
+    isWithin(right.capacity, left.capacity) &&
+    left.labels.length === right.labels.length &&
+    left.labels.every((label, index) => label === right.labels[index]);
+}
+
 /** Returns how long the worker may hold back the answer to a call. */
 function waitOf(call: WorkerCall): Milliseconds {
   switch (call.kind) {
