fix(dispatcher, worker-guard): bound the crashes of workers under one task

Cause: an entry retried the tasks of a crashed worker at once and without counting; the tasks of a deadly job were spread over several workers; and new deadly jobs of the kind went to all workers.

Change: the sidecar settles the runs of a crashed worker as suspects (started in the last 150 ms) or bystanders and reports the suspects to the other entries that it serves. The job of a suspect runs apart, on a third of the workers that all entries choose alike; the sidecar starts nothing of another job beside it for 150 ms. The second crash convicts it and its job fails at once, as does a later submission of it at another entry. A crash of a worker where a task ran apart puts the kind of work under quarantine until 5 s have passed without one. Tasks of one job go to one worker as long as they fit. jobs.failed has a reason.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -70,6 +70,7 @@
     content: zod.string(),
     resources,
     expectedMilliseconds: amount,
+    suspectRoute: zod.string().optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.CancelTaskAttempt),
@@ -95,6 +96,12 @@
     membersDigest: zod.number().int(),
     configuration: configuration.optional(),
   }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.ReportCrash),
+    suspects: zod.array(
+      zod.looseObject({ task, route: zod.string().optional() }),
+    ),
+  }),
 ]);
 
 const load = zod.looseObject({
@@ -166,6 +173,7 @@
     }),
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.Misdirected) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.CrashNoted) }),
   zod.looseObject({
     kind: zod.literal(PeerReplyKind.IncarnationMismatch),
     current: processIdentifier,
--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema_test.ts
@@ -76,6 +76,10 @@
     configurationVersion: 0,
     membersDigest: -7,
   },
+  {
+    kind: DispatchRequestKind.ReportCrash,
+    suspects: [{ task: { job: "a", step: 0, index: 1 } }],
+  },
 ];
 
 const REPLIES: readonly DispatchReply[] = [
@@ -106,6 +110,7 @@
     kind: DispatchReplyKind.FleetStateExchanged,
     knowledge: { members: [MEMBER] },
   },
+  { kind: DispatchReplyKind.CrashNoted },
   { kind: PeerReplyKind.IncarnationMismatch, current: "entry-1~b" },
 ];
 
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -183,6 +183,18 @@
       "An attempt of a task ended without completing it; the task is rescheduled.",
     action: "Check the reason and the sidecar of the attempt.",
   },
+  [EventNumber.TaskSuspected]: {
+    meaning:
+      "A worker crashed shortly after it had started a task; the job of the task runs apart from now on, and fails if that crashes a worker too.",
+    action:
+      "Nothing for single lines; if one kind of work recurs, check what its jobs have in common.",
+  },
+  [EventNumber.KindQuarantined]: {
+    meaning:
+      "A task crashed a worker on which no other job had started beside it. All jobs of its kind of work run apart, on a third of the workers, until no such crash has happened for 5 s.",
+    action:
+      "Check the jobs of this kind that failed with the reason workers-crashed, and stop their source.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -37,6 +37,8 @@
   [Counter.WorkerCallsMissing]:
     "Calls that a worker did not answer, by kind of call.",
   [Counter.WorkerCrashes]: "Workers that ended without notice.",
+  [Counter.TasksSuspected]:
+    "Tasks that a worker had started shortly before it crashed.",
 };
 
 /** Meaning of each gauge. */
--- a/domain/dispatcher/src/dispatch_job.ts
+++ b/domain/dispatcher/src/dispatch_job.ts
@@ -73,6 +73,10 @@
   /** Number of tasks that are placed at sidecars. */
   placedTaskCount = 0;
   attemptCount = 0;
+  /** Whether the job may crash workers and therefore runs apart from others. */
+  isSuspect = false;
+  /** Position among the suspects; the lowest runs first. */
+  trialRank = 0;
 
   constructor(options: DispatchJobOptions) {
     this.id = options.id;
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -332,32 +332,37 @@
     }
   }
 
-  #handleRequest(
-    { message, from, request }: IncomingRequest<DispatchRequest>,
-  ): void {
+  #handleRequest(input: IncomingRequest<DispatchRequest>): void {
+    const { message, from, request } = input;
     switch (message.kind) {
       case DispatchRequestKind.ExchangeFleetState:
         if (this.#exchange.handleRequest(from, request, message)) {
           this.#reportConfiguration();
         }
         return;
+      case DispatchRequestKind.ReportCrash:
+        this.#placer.crashes.applyReport(message.suspects);
+        this.#reply(input, { kind: DispatchReplyKind.CrashNoted });
+        return;
       case DispatchRequestKind.OpenSession:
       case DispatchRequestKind.RenewSession:
       case DispatchRequestKind.RunTask:
       case DispatchRequestKind.CancelTaskAttempt:
       case DispatchRequestKind.WatchLoad:
-        this.#collector.add({
-          kind: OutputKind.SendReply,
-          to: from,
-          request,
-          message: { kind: DispatchReplyKind.Misdirected },
-        });
+        this.#reply(input, { kind: DispatchReplyKind.Misdirected });
         return;
       default:
         assertNever(message);
     }
   }
 
+  #reply(
+    { from: to, request }: IncomingRequest<DispatchRequest>,
+    message: DispatchReply,
+  ): void {
+    this.#collector.add({ kind: OutputKind.SendReply, to, request, message });
+  }
+
   #handleReply(input: IncomingReply<DispatchReply>): void {
     const { request, message } = input;
     if (this.#exchange.owns(request)) {
--- a/domain/dispatcher/src/job_answers.ts
+++ b/domain/dispatcher/src/job_answers.ts
@@ -12,6 +12,7 @@
   EventNumber,
   type GivenUpReason,
   Histogram,
+  type JobFailureReason,
   type JobRefusalReason,
   type Milliseconds,
   type OutputCollector,
@@ -44,17 +45,25 @@
     });
   }
 
-  /** Answers a job that completed or failed. */
-  answerEnded(
+  /** Answers a job that completed. */
+  answerCompleted(job: DispatchJob): void {
+    this.#options.collector.count(Counter.JobsCompleted);
+    this.#answerEnded(job, BestEffortJobState.Completed, {});
+  }
+
+  /** Answers a job that failed. */
+  answerFailed(job: DispatchJob, reason: JobFailureReason): void {
+    this.#options.collector.count(Counter.JobsFailed, reason);
+    this.#answerEnded(job, BestEffortJobState.Failed, { reason });
+  }
+
+  #answerEnded(
     job: DispatchJob,
     state: BestEffortJobState.Completed | BestEffortJobState.Failed,
+    context: Readonly<Record<string, string>>,
   ): void {
     const { collector } = this.#options;
     this.#answerAll(job, { kind: ClientAnswerKind.Ended, state });
-    const isCompleted = state === BestEffortJobState.Completed;
-    collector.count(
-      isCompleted ? Counter.JobsCompleted : Counter.JobsFailed,
-    );
     collector.add({
       kind: DispatchOutputKind.ObserveDuration,
       histogram: Histogram.JobDuration,
@@ -64,6 +73,7 @@
     this.#record(EventNumber.JobEnded, "a job has ended", job, {
       state,
       waitedMilliseconds: this.#placementWait(job),
+      ...context,
     });
   }
 
--- a/domain/dispatcher/src/job_queue.ts
+++ b/domain/dispatcher/src/job_queue.ts
@@ -1,7 +1,7 @@
 /**
  * Priority queue of an entry's jobs that have tasks to place. Jobs are ordered by the priority of their
  * kind of work; then jobs that have started go first, since their clients wait for the last task; then the
- * job with the earliest required start. Under overload, less urgent jobs thus do not delay a job that can
+ * job with the earliest required start. Suspect jobs follow all others, by their rank. Under overload, less urgent jobs thus do not delay a job that can
  * still meet its objective.
  */
 import type { DispatchJob } from "./dispatch_job.ts";
@@ -20,6 +20,11 @@
     return this.#jobs;
   }
 
+  /** Puts the jobs in order after their urgency has changed. */
+  sort(): void {
+    this.#jobs.sort(compareJobs);
+  }
+
   /** Inserts a job by its urgency; a job that is already queued is moved. */
   add(job: DispatchJob): void {
     this.remove(job);
@@ -41,7 +46,9 @@
 
 /** Compares two jobs; the result is negative when the left job is served first. */
 export function compareJobs(left: DispatchJob, right: DispatchJob): number {
-  return left.route.priority - right.route.priority ||
+  return Number(left.isSuspect) - Number(right.isSuspect) ||
+    left.trialRank - right.trialRank ||
+    left.route.priority - right.route.priority ||
     Number(right.mayHaveStarted) - Number(left.mayHaveStarted) ||
     left.startBy - right.startBy;
 }
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -2,11 +2,11 @@
  * Scheduler of an entry's jobs from submission to answer: admission, queueing, retries and deadlines.
  */
 import {
-  BestEffortJobState,
   ClientAnswerKind,
   type DispatchOutput,
   Gauge,
   GivenUpReason,
+  JobFailureReason,
   JobRefusalReason,
   type Milliseconds,
   type OutputCollector,
@@ -76,6 +76,7 @@
   readonly #lastGauges = new Map<Gauge, number>();
   /** The last placement that found no worker; undefined while none is known to fail. */
   #blocked: BlockedPlacement | undefined;
+  #crashRevision = 0;
 
   constructor(options: JobSchedulerOptions) {
     this.#options = options;
@@ -90,6 +91,7 @@
   waitingDemand(): WaitingDemand | undefined {
     const { now } = this.#options.collector;
     for (const job of this.#queue.jobs) {
+      if (job.isSuspect) return undefined;
       const [task] = job.readyTasks(now);
       if (task === undefined) continue;
       return {
@@ -124,6 +126,7 @@
   /** Accepts a job or refuses it; a repeated submission joins the job that is already known. */
   admit(job: DispatchJob, isClosed: boolean): void {
     const { answers, placer } = this.#options;
+    const { crashes } = placer;
     const known = this.#jobs.get(job.id);
     const [request] = job.requests;
     if (known !== undefined && request !== undefined) {
@@ -135,7 +138,12 @@
       answers.answerRefused(job, JobRefusalReason.Leaving, { context: {} });
       return;
     }
+    if (crashes.isConvicted(job)) {
+      answers.answerFailed(job, JobFailureReason.WorkersCrashed);
+      return;
+    }
     if (this.#refuseUnrunnable(job)) return;
+    crashes.classify(job);
     const { now } = this.#options.collector;
     this.#arrivalRates.add(now, job.route.priority, job.waitingWork);
     this.#jobs.set(job.id, job);
@@ -153,23 +161,32 @@
     if (this.#jobs.get(job.id) !== job) return;
     if (job.isCompleted) {
       this.#remove(job);
-      this.#options.answers.answerEnded(job, BestEffortJobState.Completed);
+      this.#options.answers.answerCompleted(job);
       return;
     }
-    const isFailed = job.tasks.some(({ failures }) =>
-      failures >= job.route.maximumAttempts
-    );
-    if (isFailed) {
+    const failure = this.#failureOf(job);
+    if (failure !== undefined) {
       this.#options.placer.cancelTasks(job);
       this.#remove(job);
-      this.#options.answers.answerEnded(job, BestEffortJobState.Failed);
+      this.#options.answers.answerFailed(job, failure);
       return;
     }
+    this.#options.placer.crashes.classify(job);
     job.unblockTasks();
     const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
     if (isWaiting) this.#queue.add(job);
   }
 
+  #failureOf(job: DispatchJob): JobFailureReason | undefined {
+    if (this.#options.placer.crashes.isConvicted(job)) {
+      return JobFailureReason.WorkersCrashed;
+    }
+    const { maximumAttempts } = job.route;
+    return job.tasks.some(({ failures }) => failures >= maximumAttempts)
+      ? JobFailureReason.TaskFailed
+      : undefined;
+  }
+
   /** Allows the tasks of a lost sidecar to be placed again, since they have ended there. */
   releaseHeldTasks(address: string): void {
     for (const job of this.#jobs.values()) {
@@ -217,6 +234,7 @@
 
   /** Enforces deadlines, places waiting tasks, and refuses jobs that can no longer start in time. */
   tick(): void {
+    this.#classifyJobs();
     this.#enforceDeadlines();
     this.#placeWaiting();
     this.#refuseLate();
@@ -232,12 +250,29 @@
     return times.length === 0 ? undefined : Math.min(...times);
   }
 
+  /** Marks the waiting jobs that run apart after a crash, or no longer do so. */
+  #classifyJobs(): void {
+    const { crashes } = this.#options.placer;
+    crashes.tick();
+    if (this.#crashRevision === crashes.revision) return;
+    this.#crashRevision = crashes.revision;
+    for (const job of this.#queue.jobs) crashes.classify(job);
+    this.#queue.sort();
+  }
+
   #placeWaiting(): void {
+    const isSuspectWaiting = this.#queue.jobs.at(-1)?.isSuspect === true;
+    this.#options.placer.crashes.setSuspectWaiting(isSuspectWaiting);
     if (this.#isStillBlocked()) return;
+    let isBlocked = false;
     for (const job of [...this.#queue.jobs]) {
+      // Suspects wait for workers of their own, so others neither block them nor are blocked.
+      if (isBlocked && !job.isSuspect) continue;
       if (!this.#options.placer.place(job)) {
-        this.#recordBlocked(job);
-        return;
+        if (job === this.#queue.jobs[0]) this.#recordBlocked(job);
+        if (job.isSuspect) return;
+        isBlocked = true;
+        continue;
       }
       const isHeld = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
       if (!isHeld) this.#queue.remove(job);
@@ -341,7 +376,9 @@
    * The work includes the job's own, since its client waits for the last task.
    */
   #backlogOf(job: DispatchJob): Backlog {
-    const ahead = this.#queue.jobsUpTo(job).filter((other) => other !== job);
+    const ahead = this.#queue.jobsUpTo(job).filter((other) =>
+      other !== job && other.isSuspect === job.isSuspect
+    );
     const workAhead = [...ahead, job].reduce(
       (sum, { waitingWork }) => sum + waitingWork,
       0,
@@ -369,7 +406,8 @@
     let capacity = 0;
     let used = 0;
     let own = 0;
-    for (const { state, address } of links.all()) {
+    const { crashes } = this.#options.placer;
+    for (const { state, address } of crashes.workersOf(job, links.all())) {
       if (state.phase !== LinkPhase.Open) continue;
       const { profile, load } = state;
       if (profile === undefined || load?.isTakingWork !== true) continue;
--- a/domain/dispatcher/src/task_attempt_index.ts
+++ b/domain/dispatcher/src/task_attempt_index.ts
@@ -21,6 +21,8 @@
   readonly sentAt: Milliseconds;
   /** Whether the attempt probes the present speed of a slow worker. */
   readonly isProbe: boolean;
+  /** Whether the task may crash the worker and runs apart there. */
+  readonly isApart: boolean;
   /** Whether a cancellation was sent, so that the settlement will follow. */
   isCancelRequested: boolean;
   request: RequestIdentifier;
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -27,8 +27,8 @@
   type DispatchTask,
   TaskPhase,
 } from "./dispatch_job.ts";
+import { CrashPolicy } from "./crash_policy.ts";
 import {
-  chooseWorker,
   isSlowWorker,
   medianSlowness,
   type WorkerChoice,
@@ -80,6 +80,8 @@
 
 /** Places tasks at sidecars and applies their settlements. */
 export class TaskPlacer {
+  /** Keeps tasks that may crash their workers apart. */
+  readonly crashes: CrashPolicy;
   readonly #options: TaskPlacerOptions;
   #lastAttempt = 0;
   #nextReschedulingAt: Milliseconds = 0;
@@ -88,6 +90,7 @@
 
   constructor(options: TaskPlacerOptions) {
     this.#options = options;
+    this.crashes = new CrashPolicy(options);
   }
 
   /** Places the ready tasks of a job until no worker is found for one. Returns whether all are placed. */
@@ -98,17 +101,23 @@
     if (ready.length === 0) return true;
     const links = this.#options.links.all();
     const statistics = workerStatistics(now, links);
+    let last: WorkerLinkState | undefined;
     for (const task of ready) {
-      const choice = chooseWorker({
+      const options = {
         now,
-        links,
         statistics,
         attempts,
         job,
         task,
         availabilityZone: this.#options.availabilityZone,
-      });
+      };
+      // Tasks of one job stay together, so that a lost worker, or a job that crashes workers, affects fewer others.
+      const choice = last === undefined
+        ? this.crashes.chooseWorker({ ...options, links })
+        : this.crashes.chooseWorker({ ...options, links: [last] }) ??
+          this.crashes.chooseWorker({ ...options, links });
       if (choice === undefined) return false;
+      last = choice.link;
       this.#sendTask(job, task, choice);
     }
     return true;
@@ -203,6 +212,7 @@
       this.#updateWorkerHealth(link, attempt, settlement);
     }
     this.#removeAttempt(attempt);
+    this.crashes.applySettlement(attempt, settlement);
     this.#updateTask(attempt, settlement);
   }
 
@@ -253,6 +263,7 @@
       session,
       sentAt: collector.now,
       isProbe: isSlow,
+      isApart: job.isSuspect,
       isCancelRequested: false,
       request: collector.nextRequest(),
       requestPosition: link.requestsSent,
@@ -373,7 +384,7 @@
   }
 
   #runTaskRequest(
-    { job, task, session, attemptNumber: attempt }: TaskAttempt,
+    { job, task, session, attemptNumber: attempt, isApart }: TaskAttempt,
   ): DispatchRequest {
     return {
       kind: DispatchRequestKind.RunTask,
@@ -383,6 +394,7 @@
       content: job.content,
       resources: task.step.resources,
       expectedMilliseconds: Math.round(job.expectedRunMilliseconds),
+      ...(isApart ? { suspectRoute: job.route.name } : {}),
     };
   }
 
@@ -420,6 +432,7 @@
     case NotStartedReason.ExceedsCapacity:
     case NotStartedReason.WorkerRefused:
     case NotStartedReason.WorkerUnresponsive:
+    case NotStartedReason.Reserved:
       return true;
     default:
       return assertNever(reason);
@@ -435,6 +448,7 @@
     case InterruptionReason.SessionEnded:
     case InterruptionReason.WorkerLost:
     case InterruptionReason.WorkerCrashed:
+    case InterruptionReason.BesideCrash:
     case InterruptionReason.SidecarLost:
       return false;
     default:
--- a/domain/dispatcher/src/worker_crash_test.ts
+++ b/domain/dispatcher/src/worker_crash_test.ts
@@ -5,6 +5,8 @@
 import {
   BestEffortJobState,
   ClientAnswerKind,
+  DispatchRequestKind,
+  InputKind,
   InterruptionReason,
   SettlementKind,
 } from "@eelgrassfront/model";
@@ -21,11 +23,29 @@
   return DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
 }
 
-function crashWorkers(harness: DispatcherHarness): void {
-  harness.settleAll({
-    kind: SettlementKind.Interrupted,
-    reason: InterruptionReason.WorkerCrashed,
-  });
+function crashWorkers(
+  harness: DispatcherHarness,
+  reason = InterruptionReason.WorkerCrashed,
+): void {
+  harness.settleAll({ kind: SettlementKind.Interrupted, reason });
+}
+
+/** The job, address and kind of work, if it runs apart, of each task that was sent and not settled. */
+function runs(harness: DispatcherHarness) {
+  return harness.sent(DispatchRequestKind.RunTask)
+    .flatMap(({ address, message }) =>
+      message.kind === DispatchRequestKind.RunTask
+        ? [{
+          job: message.task.job,
+          address,
+          apart: message.suspectRoute,
+        }]
+        : []
+    );
+}
+
+function completeAll(harness: DispatcherHarness): void {
+  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 100 });
 }
 
 test("a task that crashes each worker that starts it is started twice, and its job fails at once", () => {
@@ -38,3 +58,72 @@
     state: BestEffortJobState.Failed,
   });
 });
+
+test("suspects use at most a third of the workers, and other jobs use the others", () => {
+  const harness = readyHarness();
+  for (let request = 1; request <= 6; request += 1) {
+    harness.submit(request, { id: `j${request}`, tasks: 1, millicores: 8_000 });
+  }
+  crashWorkers(harness);
+  const suspects = runs(harness);
+  const trial = new Set(suspects.map(({ address }) => address));
+  expect(suspects.every(({ apart }) => apart === "scan")).toEqual(true);
+  expect(trial.size).toEqual(SIDECARS.length / 3);
+  harness.submit(7, { id: "other", tasks: 4, millicores: 8_000 });
+  const others = runs(harness).filter(({ job }) => job === "other");
+  expect(others.length).toEqual(4);
+  expect(others.some(({ address }) => trial.has(address))).toEqual(false);
+});
+
+test("after a task has crashed a worker where it ran apart, all jobs of its kind run apart", () => {
+  const harness = readyHarness();
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  crashWorkers(harness);
+  crashWorkers(harness);
+  harness.submit(2, { id: "b", tasks: 1, millicores: 1_000 });
+  harness.submit(3, {
+    id: "c",
+    tasks: 1,
+    millicores: 1_000,
+    prefix: "/later/",
+  });
+  const apart = runs(harness).map((run) => [run.job, run.apart]);
+  expect(apart).toEqual([["b", "scan"], ["c", undefined]]);
+  completeAll(harness);
+  harness.runTo(5_000);
+  harness.submit(4, { id: "d", tasks: 1, millicores: 1_000 });
+  expect(runs(harness).map((run) => run.apart)).toEqual([undefined]);
+});
+
+test("a job is not failed for two workers that crashed because of other tasks", () => {
+  const harness = readyHarness();
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  crashWorkers(harness, InterruptionReason.BesideCrash);
+  crashWorkers(harness);
+  crashWorkers(harness, InterruptionReason.BesideCrash);
+  completeAll(harness);
+  expect(harness.answerTo(1)).toEqual({
+    kind: ClientAnswerKind.Ended,
+    state: BestEffortJobState.Completed,
+  });
+});
+
+test("a job under which a worker has crashed at another entry runs apart, and fails with the next crash", () => {
+  const harness = readyHarness();
+  harness.step({
+    kind: InputKind.PeerRequestArrived,
+    from: "a~a",
+    request: 900,
+    message: {
+      kind: DispatchRequestKind.ReportCrash,
+      suspects: [{ task: { job: "a", step: 0, index: 0 } }],
+    },
+  });
+  harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
+  expect(runs(harness).map((run) => run.apart)).toEqual(["scan"]);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual({
+    kind: ClientAnswerKind.Ended,
+    state: BestEffortJobState.Failed,
+  });
+});
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -193,6 +193,7 @@
       case DispatchReplyKind.CancellationAcknowledged:
       case DispatchReplyKind.FleetStateExchanged:
       case DispatchReplyKind.Misdirected:
+      case DispatchReplyKind.CrashNoted:
         return [];
       case PeerReplyKind.IncarnationMismatch:
         return this.#handleIncarnationMismatch(link, message.current);
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -21,6 +21,7 @@
   CancelTaskAttempt = "take-back-task",
   WatchLoad = "watch-load",
   ExchangeFleetState = "share-knowledge",
+  ReportCrash = "report-crash",
 }
 
 /**
@@ -59,6 +60,8 @@
   readonly resources: Resources;
   /** The entry's estimate of the run time. Progress is measured against it. */
   readonly expectedMilliseconds: Milliseconds;
+  /** Kind of work of a task that is suspected to crash workers and therefore runs apart from other jobs. */
+  readonly suspectRoute?: string;
 }
 
 /** An entry cancels a task attempt, whether it is waiting or running. */
@@ -125,6 +128,25 @@
   readonly configuration?: WorkConfiguration;
 }
 
+/**
+ * Time after the start of a run in which it is the likely cause of a crash: a task that crashes each worker
+ * that starts it does so early, and the sidecar notices the crash some tens of milliseconds later.
+ */
+export const SUSPICION_MILLISECONDS: Milliseconds = 150;
+
+/** A task that was started shortly before its worker crashed. */
+export interface CrashSuspect {
+  readonly task: JobTaskReference;
+  /** Kind of work, where the task ran apart: then hardly another task has crashed the worker. */
+  readonly route?: string;
+}
+
+/** A sidecar tells the entries that it serves which tasks of other entries may have crashed its worker. */
+export interface ReportCrash {
+  readonly kind: DispatchRequestKind.ReportCrash;
+  readonly suspects: readonly CrashSuspect[];
+}
+
 /** Any request between entries and sidecars. */
 export type DispatchRequest =
   | OpenSession
@@ -132,7 +154,8 @@
   | RunTask
   | CancelTaskAttempt
   | WatchLoad
-  | ExchangeFleetState;
+  | ExchangeFleetState
+  | ReportCrash;
 
 /** Properties of a worker that seldom change. */
 export interface WorkerProfile {
@@ -173,6 +196,8 @@
   Cancelled = "taken-back",
   WorkerRefused = "worker-refused",
   WorkerUnresponsive = "worker-silent",
+  /** A task that may crash the worker runs apart there. */
+  Reserved = "reserved",
 }
 
 /** Why a run ended before the task completed or failed. */
@@ -182,8 +207,10 @@
   SessionEnded = "session-ended",
   /** The worker left as announced, or its list no longer contains a run that was not to be stopped. */
   WorkerLost = "worker-lost",
-  /** The worker ended without notice while the run was active. */
+  /** The worker ended without notice, perhaps because of this task. */
   WorkerCrashed = "worker-crashed",
+  /** The worker ended without notice, more likely because of another task. */
+  BesideCrash = "beside-crash",
   NoProgress = "no-progress",
   /**
    * The entry lost its session with the sidecar. The tasks that ran there end without a request of
@@ -241,6 +268,7 @@
   LoadReported = "load-told",
   FleetStateExchanged = "knowledge-shared",
   Misdirected = "misdirected",
+  CrashNoted = "crash-noted",
 }
 
 /** The session is open. No work of an earlier session is running. */
@@ -303,6 +331,11 @@
   readonly kind: DispatchReplyKind.Misdirected;
 }
 
+/** The report of a crash was received. */
+export interface CrashNoted {
+  readonly kind: DispatchReplyKind.CrashNoted;
+}
+
 /** Any reply between entries and sidecars. */
 export type DispatchReply =
   | SessionGranted
@@ -313,4 +346,5 @@
   | LoadReported
   | FleetStateExchanged
   | Misdirected
+  | CrashNoted
   | IncarnationMismatch;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -40,6 +40,8 @@
   JobGivenUp = 3103,
   JobAbandoned = 3104,
   TaskRetried = 3105,
+  TaskSuspected = 3106,
+  KindQuarantined = 3107,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -52,6 +52,7 @@
   SessionsEnded = "sessions.ended",
   WorkerCallsMissing = "worker.calls_missing",
   WorkerCrashes = "worker.crashes",
+  TasksSuspected = "tasks.suspected",
 }
 
 /** Names of gauges. */
@@ -87,7 +88,16 @@
   | InterruptionReason
   | WorkerRefusalReason
   | WorkerCallKind
-  | SessionEndReason;
+  | SessionEndReason
+  | JobFailureReason;
+
+/** Why a best-effort job failed. */
+export enum JobFailureReason {
+  /** A task failed as often as its kind of work allows. */
+  TaskFailed = "task-failed",
+  /** Workers crashed under a task. */
+  WorkersCrashed = "workers-crashed",
+}
 
 /** Why a session between an entry and a sidecar ended. */
 export enum SessionEndReason {
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -36,6 +36,7 @@
 import type { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import type { RunTable, RunWaiter } from "./run_table.ts";
+import type { SuspectRuns } from "./suspect_runs.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** Collaborators of an `EntryRequestHandler`. */
@@ -46,6 +47,7 @@
   readonly table: RunTable;
   readonly runController: RunController;
   readonly watches: LoadWatches;
+  readonly suspectRuns: SuspectRuns;
   readonly load: (entry: ProcessIdentifier) => WorkerLoad | undefined;
   readonly isDraining: () => boolean;
 }
@@ -80,6 +82,9 @@
       case DispatchRequestKind.WatchLoad:
         this.#options.watches.add(from, { ...message, request });
         return;
+      case DispatchRequestKind.ReportCrash:
+        this.#reply(from, request, { kind: DispatchReplyKind.Misdirected });
+        return;
       default:
         assertNever(message);
     }
@@ -191,9 +196,10 @@
 
   #findRefusal(
     from: ProcessIdentifier,
-    { session, resources }: RunTask,
+    message: RunTask,
     known: WorkerRun | undefined,
   ): NotStartedReason | undefined {
+    const { session, resources } = message;
     const { description } = this.#options.link;
     const isStale = this.#options.sessions.find(from) !== session ||
       known !== undefined;
@@ -211,6 +217,9 @@
     if (!isWithin(resources, description.capacity)) {
       return NotStartedReason.ExceedsCapacity;
     }
+    if (this.#options.suspectRuns.isRefused(message)) {
+      return NotStartedReason.Reserved;
+    }
     return this.#options.table.hasCapacityFor(description.capacity, resources)
       ? undefined
       : NotStartedReason.InsufficientCapacity;
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -1,22 +1,31 @@
 /**
  * Settlement of the runs that ended with their worker. A worker that ends without notice has crashed, perhaps
- * because of a task that it had just started, so the log shows which tasks ran there and for how long.
+ * because of a task that it had just started. The log shows which tasks ran there and for how long, and the
+ * entries learn the suspects among them: their own from the settlements, those of other entries from a report,
+ * since a job whose entry ends is submitted to another one.
  */
 import {
   Counter,
+  type CrashSuspect,
   type DispatchOutput,
+  DispatchRequestKind,
   EventNumber,
   InterruptionReason,
   jobTaskKey,
-  type Milliseconds,
   type OutputCollector,
+  OutputKind,
+  type ProcessIdentifier,
+  Role,
   Severity,
   type WorkerDescription,
   WorkerPhase,
 } from "@eelgrassfront/model";
+import type { FleetDirectory } from "@eelgrassfront/directory";
+import type { EntrySessions } from "./entry_sessions.ts";
 import { interrupted } from "./run_settlement.ts";
 import type { RunTable } from "./run_table.ts";
-import { RunPhase, type WorkerRun } from "./worker_run.ts";
+import type { SuspectRuns } from "./suspect_runs.ts";
+import type { WorkerRun } from "./worker_run.ts";
 
 /** How a worker ended. */
 export enum WorkerEnd {
@@ -33,6 +42,9 @@
 export interface LostRunsOptions {
   readonly collector: OutputCollector<DispatchOutput>;
   readonly table: RunTable;
+  readonly suspectRuns: SuspectRuns;
+  readonly sessions: EntrySessions;
+  readonly directory: FleetDirectory;
 }
 
 /** Settles the runs of a worker that has ended. */
@@ -45,22 +57,60 @@
 
   /** Settles every run of the described worker. A worker that was draining has not crashed. */
   settle(end: WorkerEnd, worker: WorkerDescription | undefined): void {
-    const { table } = this.#options;
+    const { table, suspectRuns } = this.#options;
     const runs = table.sentToWorker();
     const isCrash = end === WorkerEnd.Unannounced &&
       worker?.phase === WorkerPhase.Ready;
-    if (isCrash) this.#recordCrash(worker, runs);
-    const reason = isCrash
-      ? InterruptionReason.WorkerCrashed
-      : InterruptionReason.WorkerLost;
-    for (const run of runs) table.settle(run, interrupted(reason));
+    if (!isCrash) {
+      const settlement = interrupted(InterruptionReason.WorkerLost);
+      for (const run of runs) table.settle(run, settlement);
+      return;
+    }
+    this.#recordCrash(worker, runs);
+    const suspects = suspectRuns.suspectsOf(runs);
+    this.#reportSuspects(suspects);
+    for (const run of runs) {
+      const reason = suspects.includes(run)
+        ? InterruptionReason.WorkerCrashed
+        : InterruptionReason.BesideCrash;
+      table.settle(run, interrupted(reason));
+    }
+  }
+
+  /** Tells each entry with a session the suspects of the other entries. */
+  #reportSuspects(runs: readonly WorkerRun[]): void {
+    const { sessions } = this.#options;
+    for (const entry of sessions.entries()) {
+      const others = runs.filter((run) => run.entry !== entry);
+      if (others.length > 0) this.#report(entry, others.map(suspectOf));
+    }
+  }
+
+  #report(
+    entry: ProcessIdentifier,
+    suspects: readonly CrashSuspect[],
+  ): void {
+    const { collector, directory } = this.#options;
+    const member = directory.membersOf(Role.Entry)
+      .find(({ process }) => process === entry);
+    if (member === undefined) return;
+    collector.add({
+      kind: OutputKind.SendRequest,
+      request: collector.nextRequest(),
+      peer: entry,
+      address: member.address,
+      message: { kind: DispatchRequestKind.ReportCrash, suspects },
+    });
   }
 
   #recordCrash(worker: WorkerDescription, runs: readonly WorkerRun[]): void {
     const { collector } = this.#options;
     collector.count(Counter.WorkerCrashes);
     const tasks = runs
-      .map((run) => ({ task: jobTaskKey(run.task), age: this.#ageOf(run) }))
+      .map(({ task, acceptedAt }) => ({
+        task: jobTaskKey(task),
+        age: collector.now - acceptedAt,
+      }))
       .sort((left, right) => left.age - right.age)
       .slice(0, MAXIMUM_TASKS_IN_EVENT)
       .map(({ task, age }) => `${task} ${Math.round(age)}`);
@@ -73,11 +123,8 @@
       },
     });
   }
+}
 
-  /** Time since the worker accepted the start; 0 where it has not answered the start call. */
-  #ageOf({ state }: WorkerRun): Milliseconds {
-    return state.phase === RunPhase.Running
-      ? this.#options.collector.now - state.startedAt
-      : 0;
-  }
+function suspectOf({ task, suspectRoute: route }: WorkerRun): CrashSuspect {
+  return route === undefined ? { task } : { task, route };
 }
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -105,6 +105,8 @@
       content,
       resources,
       expectedMilliseconds: message.expectedMilliseconds,
+      acceptedAt: this.#options.collector.now,
+      suspectRoute: message.suspectRoute,
       request: waiter.request,
       state: { phase: RunPhase.Waiting },
     };
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -25,28 +25,26 @@
   InputKind,
   isWithin,
   type Milliseconds,
-  NO_RESOURCES,
   NotStartedReason,
   OutputCollector,
   OutputKind,
   type ProcessIdentifier,
-  type Resources,
   SessionEndReason,
   Severity,
   type StateMachine,
-  subtractResources,
   type WorkerDescription,
-  type WorkerLoad,
   WorkerPhase,
 } from "@eelgrassfront/model";
 import { EntryRequestHandler } from "./entry_request_handler.ts";
 import { EntrySessions } from "./entry_sessions.ts";
 import { RunPhase } from "./worker_run.ts";
+import { LoadReport } from "./load_report.ts";
 import { LoadWatches } from "./load_watches.ts";
 import { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import { RunTable } from "./run_table.ts";
 import { LostRuns, WorkerEnd } from "./lost_runs.ts";
+import { SuspectRuns } from "./suspect_runs.ts";
 import { WorkerLink } from "./worker_link.ts";
 import { SavedWorkerCheck } from "./saved_worker_check.ts";
 
@@ -89,10 +87,12 @@
   readonly #link: WorkerLink;
   readonly #table: RunTable;
   readonly #runController: RunController;
+  readonly #suspectRuns: SuspectRuns;
   readonly #lostRuns: LostRuns;
   readonly #savedWorkerCheck: SavedWorkerCheck;
   readonly #watches: LoadWatches;
   readonly #requests: EntryRequestHandler;
+  readonly #loadReport: LoadReport;
   #lastStepAt: Milliseconds | undefined;
   /** Time before which no session expires, since its renewal may not have been read. */
   #readUntil: Milliseconds = 0;
@@ -107,7 +107,7 @@
   constructor(options: WorkerGuardOptions) {
     this.#options = options;
     const collector = this.#collector;
-    const load = (entry: ProcessIdentifier) => this.#load(entry);
+    const load = (entry: ProcessIdentifier) => this.#loadReport.of(entry);
     this.#link = new WorkerLink({ ...options, collector });
     this.#table = new RunTable({ collector, load });
     this.#runController = new RunController({
@@ -115,7 +115,14 @@
       link: this.#link,
       table: this.#table,
     });
-    this.#lostRuns = new LostRuns({ collector, table: this.#table });
+    this.#suspectRuns = new SuspectRuns({ collector, table: this.#table });
+    this.#lostRuns = new LostRuns({
+      collector,
+      table: this.#table,
+      suspectRuns: this.#suspectRuns,
+      sessions: this.#sessions,
+      directory: this.#directory,
+    });
     this.#savedWorkerCheck = new SavedWorkerCheck({
       link: this.#link,
       directory: this.#directory,
@@ -123,7 +130,7 @@
     this.#watches = new LoadWatches({
       collector,
       load,
-      free: () => this.#isTakingWork() ? this.#freeResources() : undefined,
+      free: () => this.#loadReport.offerableResources(),
       revision: () => this.#table.revision,
       raiseRevision: () => this.#table.raiseRevision(),
     });
@@ -135,6 +142,16 @@
       table: this.#table,
       runController: this.#runController,
       watches: this.#watches,
+      suspectRuns: this.#suspectRuns,
+      isDraining: () => this.#drainingSince !== undefined,
+    });
+    this.#loadReport = new LoadReport({
+      link: this.#link,
+      table: this.#table,
+      runController: this.#runController,
+      sessions: this.#sessions,
+      watches: this.#watches,
+      suspectRuns: this.#suspectRuns,
       isDraining: () => this.#drainingSince !== undefined,
     });
     this.#exchange = new FleetStateExchange({
@@ -164,6 +181,7 @@
       Math.max(this.#sessions.nextExpiry() ?? Infinity, this.#readUntil),
       this.#runController.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
+      this.#suspectRuns.nextAlarm() ?? Infinity,
     );
   }
 
@@ -263,6 +281,7 @@
     this.#startWaitingRuns();
     this.#runController.tick();
     this.#reportSlowness();
+    this.#suspectRuns.tick();
     this.#watches.tick();
     this.#updateGauge();
     if (this.#drainingSince === undefined) this.#exchange.tick();
@@ -441,36 +460,8 @@
     this.#collector.add({ kind: DispatchOutputKind.Announce, member });
   }
 
-  #load(entry: ProcessIdentifier): WorkerLoad | undefined {
-    const { description } = this.#link;
-    if (description === undefined) return undefined;
-    // What is offered to an entry must not appear as free in a settlement to another one.
-    this.#watches.offerCapacity();
-    return {
-      revision: this.#table.revision,
-      worker: description.incarnation.id,
-      free: subtractResources(
-        this.#freeResources(),
-        this.#watches.offeredToOthers(entry),
-      ),
-      slowness: roundSlowness(this.#runController.slowness),
-      isTakingWork: this.#isTakingWork(),
-      requestsTaken: this.#sessions.requestsTaken(entry),
-    };
-  }
-
-  #isTakingWork(): boolean {
-    return this.#link.isTakingWork && this.#runController.isReconciled &&
-      this.#drainingSince === undefined;
-  }
-
-  #freeResources(): Resources {
-    const { capacity } = this.#link.description ?? { capacity: NO_RESOURCES };
-    return subtractResources(capacity, this.#table.used);
-  }
-
   #updateGauge(): void {
-    const value = this.#freeResources().processorMillicores;
+    const value = this.#loadReport.freeResources().processorMillicores;
     if (value === this.#reportedFreeMillicores) return;
     this.#reportedFreeMillicores = value;
     const gauge = Gauge.FreeMillicores;
@@ -490,8 +481,3 @@
     });
   }
 }
-
-/** Rounds to two decimals, which is finer than the estimate and shorter in messages. */
-function roundSlowness(slowness: number): number {
-  return Math.round(slowness * 100) / 100;
-}
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -3,6 +3,7 @@
  */
 import {
   type CallWorker,
+  type CrashSuspect,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
@@ -12,6 +13,7 @@
   type DispatchRequest,
   DispatchRequestKind,
   InputKind,
+  type OutgoingRequest,
   OutputKind,
   type ProcessIdentifier,
   type RenewSession,
@@ -39,6 +41,14 @@
   readonly job: string;
   readonly millicores: number;
   readonly entry?: ProcessIdentifier;
+  /** Kind of work of a task that runs apart. */
+  readonly suspectRoute?: string;
+}
+
+/** A report of a crash and its receiver. */
+export interface SentCrashReport {
+  readonly to: ProcessIdentifier;
+  readonly suspects: readonly CrashSuspect[];
 }
 
 interface RunListOptions {
@@ -55,6 +65,8 @@
 /** Passes inputs to a sidecar and collects its outputs. */
 export class WorkerGuardHarness {
   hasStopped = false;
+  /** Reports of crashes that were sent to entries. */
+  readonly crashReports: SentCrashReport[] = [];
   readonly #guard = new WorkerGuardDecisions({
     self: {
       process: "sidecar-1~a",
@@ -223,13 +235,27 @@
     });
   }
 
+  /** Passes entries to the sidecar, as the platform's store lists them. */
+  learnEntries(entries: readonly ProcessIdentifier[]): void {
+    this.step({
+      kind: DispatchInputKind.MembersRead,
+      members: entries.map((process) => ({
+        process,
+        role: Role.Entry,
+        address: process,
+        availabilityZone: "zone-a",
+      })),
+      removedNames: [],
+    });
+  }
+
   messagesTo(request: number): readonly DispatchReply[] {
     return this.#replies.get(request) ?? [];
   }
 
   runTask(
     request: number,
-    { job, millicores, entry = ENTRY }: TaskOptions,
+    { job, millicores, entry = ENTRY, suspectRoute }: TaskOptions,
   ): void {
     this.#request(entry, request, {
       kind: DispatchRequestKind.RunTask,
@@ -243,6 +269,7 @@
         accelerators: 0,
       },
       expectedMilliseconds: 300,
+      ...(suspectRoute === undefined ? {} : { suspectRoute }),
     });
   }
 
@@ -327,6 +354,9 @@
       const replies = this.#replies.get(output.request) ?? [];
       this.#replies.set(output.request, [...replies, output.message]);
     }
+    if (output.kind === OutputKind.SendRequest) {
+      this.crashReports.push(...crashReportOf(output));
+    }
     if (output.kind === DispatchOutputKind.SaveWorker) {
       this.#savedCapacity = output.description.capacity.processorMillicores;
     }
@@ -340,3 +370,11 @@
 function runOf(job: string) {
   return { task: { job, step: 0, index: 0 }, run: 1 };
 }
+
+function crashReportOf(
+  { peer, message }: OutgoingRequest<DispatchRequest>,
+): readonly SentCrashReport[] {
+  return message.kind === DispatchRequestKind.ReportCrash
+    ? [{ to: peer, suspects: message.suspects }]
+    : [];
+}
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -85,6 +85,10 @@
   readonly content: string;
   readonly resources: Resources;
   readonly expectedMilliseconds: Milliseconds;
+  /** When the attempt was accepted, which is shortly before its start. */
+  readonly acceptedAt: Milliseconds;
+  /** Kind of work of a task that runs apart because it may crash the worker. */
+  readonly suspectRoute: string | undefined;
   /** The request that the settlement answers; a repeated request replaces it. */
   request: RequestIdentifier;
   state: RunState;
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -38,6 +38,8 @@
   type DispatchProcess,
   type DispatchSystemOptions,
   type DispatchVm,
+  outstandingKey,
+  vmNameOf,
   zoneOf,
 } from "./dispatch_vm.ts";
 import { FakeNetwork, LOSS_DETECTION_MILLISECONDS } from "./fake_network.ts";
@@ -478,19 +480,6 @@
   }
 }
 
-/** Returns the name for the network, without an incarnation: links are cut between VMs. */
-function vmNameOf({ identifier }: DispatchProcess): ProcessIdentifier {
-  return processIdentifier(processName(identifier), "");
-}
-
-function outstandingKey(
-  receiver: ProcessIdentifier,
-  sender: ProcessIdentifier,
-  request: RequestIdentifier,
-): string {
-  return `${receiver} ${sender} ${request}`;
-}
-
 function requestLost(
   peer: ProcessIdentifier,
   request: RequestIdentifier,
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -7,7 +7,9 @@
   type Milliseconds,
   type ProcessEvent,
   type ProcessIdentifier,
+  processIdentifier,
   processName,
+  type RequestIdentifier,
   type Role,
   type StateMachine,
 } from "@eelgrassfront/model";
@@ -55,3 +57,17 @@
   const number = Number(processName(identifier).split("-").at(-1));
   return `zone-${number % zones}`;
 }
+
+/** Returns the name for the network, without an incarnation: links are cut between VMs. */
+export function vmNameOf({ identifier }: DispatchProcess): ProcessIdentifier {
+  return processIdentifier(processName(identifier), "");
+}
+
+/** Returns the key of a request that waits for a reply. */
+export function outstandingKey(
+  receiver: ProcessIdentifier,
+  sender: ProcessIdentifier,
+  request: RequestIdentifier,
+): string {
+  return `${receiver} ${sender} ${request}`;
+}
--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -10,6 +10,8 @@
   ClientAnswerKind,
   JobRequestKind,
   type Milliseconds,
+  type ProcessEvent,
+  type ProcessIdentifier,
   type WorkConfiguration,
   type WorkRoute,
 } from "@eelgrassfront/model";
@@ -57,6 +59,7 @@
   /** Jobs that crash workers. They are not counted: they cannot be served. */
   readonly crashingJobs?: CrashingJobs;
   readonly observer?: WorkerObserver;
+  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
   /** Called with each answer to a counted job. */
   readonly onAnswer?: (answer: ClientAnswer) => void;
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
@@ -137,12 +140,14 @@
     this.#load = load;
     this.#crashRandom = new SeededRandom(load.seed + CRASH_SEED_OFFSET);
     this.#outcomes = createOutcomes(load.kinds);
-    const { fleet = SMALL_FLEET, observer = NO_OBSERVER, crashingJobs } = load;
+    const { fleet = SMALL_FLEET, observer = NO_OBSERVER } = load;
+    const { crashingJobs, onEvent } = load;
     this.#system = new DispatchSystem({
       seed: load.seed,
       fleet,
       capacityMillicores: WORKER_MILLICORES,
       observer,
+      ...(onEvent === undefined ? {} : { onEvent }),
       runMilliseconds: Number.parseFloat,
       crashMilliseconds: (content) =>
         content.endsWith(CRASH_MARK)
