--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -61,6 +61,7 @@
     knownWorker: zod.string().optional(),
     knownProfile: count.optional(),
     knownRevision: count.optional(),
+    knownClock: amount.optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.RunTask),
@@ -144,12 +145,14 @@
   zod.looseObject({
     kind: zod.literal(DispatchReplyKind.SessionGranted),
     session: count,
+    clock: amount.optional(),
     profile: profile.optional(),
     load: load.optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchReplyKind.SessionRenewed),
     session: count,
+    clock: amount.optional(),
     load: load.optional(),
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.SessionPending) }),
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -37,6 +37,7 @@
   type Milliseconds,
   OutputCollector,
   OutputKind,
+  type PeerRequestLost,
   type RequestIdentifier,
   type RequestTarget,
   Role,
@@ -51,7 +52,7 @@
 import { latencyObjective } from "./job_admission.ts";
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
-import { RUN_AFTER_LOSS_MILLISECONDS, TaskPlacer } from "./task_placer.ts";
+import { TaskPlacer } from "./task_placer.ts";
 import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
 import { WorkerLinks } from "./worker_links.ts";
 
@@ -325,7 +326,7 @@
         this.#handleReply(input);
         return;
       case InputKind.PeerRequestLost:
-        this.#handleLostRequest(input.request);
+        this.#handleLostRequest(input);
         return;
       default:
         assertNever(input);
@@ -393,28 +394,24 @@
     this.#handleLinkChanges(changes);
   }
 
-  #handleLostRequest(request: RequestIdentifier): void {
+  #handleLostRequest({ request, peer }: PeerRequestLost): void {
     this.#exchange.handleLostRequest(request);
     if (this.#links.owns(request)) {
       this.#links.handleLostRequest(request);
       return;
     }
-    const attempt = this.#attempts.find(request);
-    const link = this.#links.find(attempt?.address ?? "");
+    const link = this.#links.findProcess(peer);
     if (link !== undefined) this.#links.handleConnectionLoss(link);
   }
 
   #handleLinkChanges(changes: readonly LinkChange[]): void {
-    const { now } = this.#collector;
-    for (const { kind, link } of changes) {
+    for (const change of changes) {
+      const { kind, link } = change;
       switch (kind) {
         case LinkChangeKind.Lost:
-          for (
-            const job of this.#placer.releaseTasks(
-              link,
-              now + RUN_AFTER_LOSS_MILLISECONDS,
-            )
-          ) this.#scheduler.advance(job);
+          for (const job of this.#placer.releaseTasks(change)) {
+            this.#scheduler.advance(job);
+          }
           break;
         case LinkChangeKind.Opened:
           this.#scheduler.releaseHeldTasks(link.address);
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -35,7 +35,11 @@
   workerStatistics,
 } from "./worker_choice.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
-import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
+import {
+  type LinkLost,
+  LinkPhase,
+  type WorkerLinkState,
+} from "./worker_link_state.ts";
 import type { WorkerLinks } from "./worker_links.ts";
 
 /** Time without placements at a sidecar that accepts no tasks for now: a few round trips. */
@@ -58,10 +62,10 @@
 /** Upper bound of the time in which a task is cancelled and placed again. */
 const RESCHEDULING_COST_MILLISECONDS: Milliseconds = 100;
 /**
- * Time for which the tasks of a lost sidecar may still run. It covers a session that was renewed just
- * before the loss and, if the sidecar died, the longest lease, with a worker's clock that runs slow.
+ * Time for which tasks may run after their session has ended: that of stops without an answer, in which the lease
+ * is still renewed, and the longest lease, with a worker's clock that runs slow.
  */
-export const RUN_AFTER_LOSS_MILLISECONDS: Milliseconds = 1_100;
+const RUN_AFTER_SESSION_MILLISECONDS: Milliseconds = 1_250;
 
 /** Reasons for which a task is retried. */
 type TaskRetryReason =
@@ -193,11 +197,18 @@
     const link = this.#options.links.find(attempt.address);
     if (link?.state.phase !== LinkPhase.Open) return;
     attempt.isCancelRequested = true;
+    this.#sendCancellation(link, attempt);
+  }
+
+  #sendCancellation(
+    link: WorkerLinkState,
+    { session, task, attemptNumber: attempt }: TaskAttempt,
+  ): void {
     this.#sendNewRequest(link, {
       kind: DispatchRequestKind.CancelTaskAttempt,
-      session: attempt.session,
-      task: attempt.task.name,
-      attempt: attempt.attemptNumber,
+      session,
+      task: task.name,
+      attempt,
     });
   }
 
@@ -216,11 +227,15 @@
     this.#updateTask(attempt, settlement);
   }
 
-  /** Resends the unanswered requests of a session whose connection was lost. */
+  /**
+   * Resends the unanswered requests of a session whose connection was lost. A cancellation precedes the request
+   * to run the task, which then never starts if the sidecar has not read it before.
+   */
   resendRequests(link: WorkerLinkState): void {
     for (const attempt of this.#options.attempts.atSidecar(link.address)) {
       if (link.state.phase !== LinkPhase.Open) return;
       if (attempt.session !== link.state.session) continue;
+      if (attempt.isCancelRequested) this.#sendCancellation(link, attempt);
       const request = this.#sendNewRequest(link, this.#runTaskRequest(attempt));
       link.requestsSent += 1;
       this.#options.attempts.replaceRequest(
@@ -232,10 +247,8 @@
   }
 
   /** Releases the tasks of a lost sidecar; they are placed again only when they have certainly ended there. */
-  releaseTasks(
-    link: WorkerLinkState,
-    notBefore: Milliseconds,
-  ): readonly DispatchJob[] {
+  releaseTasks({ link, sessionEndsAt }: LinkLost): readonly DispatchJob[] {
+    const notBefore = sessionEndsAt + RUN_AFTER_SESSION_MILLISECONDS;
     const released = this.#options.attempts.atSidecar(link.address);
     for (const attempt of released) {
       this.#removeAttempt(attempt);
@@ -269,6 +282,7 @@
       requestPosition: link.requestsSent,
     };
     attempts.add(attempt);
+    this.#recordMove(attempt);
     task.phase = TaskPhase.Placed;
     task.sidecarAddress = link.address;
     job.placedTaskCount += 1;
@@ -277,6 +291,26 @@
     this.#sendRequest(attempt.request, link, this.#runTaskRequest(attempt));
   }
 
+  #recordMove({ job, task, address, attemptNumber: attempt }: TaskAttempt) {
+    const earlier = task.sidecarAddress;
+    if (earlier === undefined || earlier === address) return;
+    // A task that was refused for lack of capacity has not run at the earlier sidecar.
+    if (!job.mayHaveStarted) return;
+    this.#options.collector.record(
+      EventNumber.TaskMoved,
+      "a task is sent to another sidecar",
+      {
+        context: {
+          job: job.id,
+          task: jobTaskKey(task.name),
+          sidecar: address,
+          earlier,
+          attempt,
+        },
+      },
+    );
+  }
+
   #recordFirstPlacement(job: DispatchJob): void {
     if (job.firstPlacedAt !== undefined) return;
     const { collector } = this.#options;
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -55,6 +55,8 @@
   readonly session: SessionNumber;
   lastReplyAt: Milliseconds;
   nextRenewAt: Milliseconds;
+  /** Sidecar's clock in its latest reply; absent for a sidecar of an earlier version. */
+  sidecarClock: Milliseconds | undefined;
   /** When the first renewal without a reply was sent; undefined while there is none. */
   unansweredSince: Milliseconds | undefined;
   /** Profile of the sidecar's worker; absent while no worker is known. */
@@ -96,17 +98,29 @@
   Resumed = "resumed",
 }
 
-/** A change of one link. */
-export interface LinkChange {
-  readonly kind: LinkChangeKind;
+/** The session was given up. */
+export interface LinkLost {
+  readonly kind: LinkChangeKind.Lost;
+  readonly link: WorkerLinkState;
+  /** When the session has certainly ended at the sidecar, which then stops its tasks. */
+  readonly sessionEndsAt: Milliseconds;
+}
+
+/** A session was opened or continues. */
+export interface LinkOpened {
+  readonly kind: LinkChangeKind.Opened | LinkChangeKind.Resumed;
   readonly link: WorkerLinkState;
 }
 
+/** A change of one link. */
+export type LinkChange = LinkLost | LinkOpened;
+
 /** Returns what the entry knows of a worker, which the reply to a renewal leaves out. */
 export function knownStateOf(
-  { profile, load }: OpenLink,
-): Pick<RenewSession, "knownWorker" | "knownProfile" | "knownRevision"> {
+  { profile, load, sidecarClock }: OpenLink,
+): Omit<RenewSession, "kind" | "session"> {
   return {
+    ...(sidecarClock === undefined ? {} : { knownClock: sidecarClock }),
     ...(profile === undefined ? {} : { knownWorker: profile.worker }),
     ...(profile?.revision === undefined
       ? {}
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -10,24 +10,23 @@
   type DispatchOutput,
   type DispatchReply,
   DispatchReplyKind,
-  type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
   type FleetMember,
   type IncomingReply,
+  MAXIMUM_SESSION_MILLISECONDS,
   type Milliseconds,
   type OutputCollector,
-  OutputKind,
   PeerReplyKind,
   type ProcessIdentifier,
   type RequestIdentifier,
   type SessionGranted,
-  type SessionNumber,
   type SessionRenewed,
   Severity,
   type WaitingDemand,
   type WorkerLoad,
 } from "@eelgrassfront/model";
+import { CallPurpose, LinkCalls, type PendingCall } from "./link_calls.ts";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
   knownStateOf,
@@ -70,23 +69,11 @@
   readonly holdsAttempts: (address: string) => boolean;
 }
 
-enum CallPurpose {
-  Open = "open",
-  Renew = "renew",
-  Watch = "watch",
-}
-
-interface PendingCall {
-  readonly purpose: CallPurpose;
-  readonly address: string;
-  readonly session: SessionNumber;
-}
-
 /** Opens, renews and gives up the sessions with the sidecars in use. */
 export class WorkerLinks {
   readonly #options: WorkerLinksOptions;
   readonly #links: WorkerLinkSet;
-  readonly #calls = new Map<RequestIdentifier, PendingCall>();
+  readonly #calls: LinkCalls;
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
   #tickedAt: Milliseconds | undefined;
@@ -97,6 +84,7 @@
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
     this.#links = new WorkerLinkSet(options);
+    this.#calls = new LinkCalls(options.collector);
   }
 
   /** Returns the links in use. */
@@ -109,6 +97,11 @@
     return this.#links.find(address);
   }
 
+  /** Returns the link to a process. */
+  findProcess(process: ProcessIdentifier): WorkerLinkState | undefined {
+    return this.all().find((link) => link.process === process);
+  }
+
   /** Whether there are sidecars that were not asked for a session yet, so that their workers are unknown. */
   get hasUnknownWorkers(): boolean {
     return this.#links.isPartial ||
@@ -130,7 +123,7 @@
 
   /** Returns whether this object sent a request and the request has no reply yet. */
   owns(request: RequestIdentifier): boolean {
-    return this.#calls.has(request);
+    return this.#calls.owns(request);
   }
 
   /** Sends due requests. Returns the links whose session was lost. */
@@ -147,7 +140,9 @@
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
         now >= this.#lostAt(state);
-      if (isLost) changes.push(this.#giveUp(link, "no answer to renewals"));
+      if (isLost) {
+        changes.push(this.#giveUp(link, state, "no answer to renewals"));
+      }
       this.#sendDue(link, demand);
     }
     return changes;
@@ -174,8 +169,7 @@
 
   /** Handles the reply to a request that this object sent. */
   handleReply(input: IncomingReply<DispatchReply>): readonly LinkChange[] {
-    const call = this.#calls.get(input.request);
-    this.#calls.delete(input.request);
+    const call = this.#calls.take(input.request);
     const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return [];
     const { message } = input;
@@ -204,8 +198,7 @@
 
   /** Handles the loss of a request that this object sent. */
   handleLostRequest(request: RequestIdentifier): void {
-    const call = this.#calls.get(request);
-    this.#calls.delete(request);
+    const call = this.#calls.take(request);
     const link = this.#links.find(call?.address ?? "");
     if (call === undefined || link === undefined) return;
     this.handleConnectionLoss(link);
@@ -259,9 +252,11 @@
 
   /** Gives up every session after a pause of this process. */
   giveUpAll(reason: string): readonly LinkChange[] {
-    return this.all()
-      .filter(({ state }) => state.phase === LinkPhase.Open)
-      .map((link) => this.#giveUp(link, reason));
+    return this.all().flatMap((link) =>
+      link.state.phase === LinkPhase.Open
+        ? [this.#giveUp(link, link.state, reason)]
+        : []
+    );
   }
 
   /** When a sidecar counts as lost unless it replies. */
@@ -298,12 +293,12 @@
     const { now } = this.#options.collector;
     if (state.pendingRequest !== undefined) {
       if (now < state.pendingSince + REPLY_TIMEOUT_MILLISECONDS) return;
-      this.#calls.delete(state.pendingRequest);
+      this.#calls.take(state.pendingRequest);
       this.#scheduleOpen(state);
     }
     if (now < state.nextOpenAt) return;
     state.pendingSince = now;
-    state.pendingRequest = this.#send(link, CallPurpose.Open, 0, {
+    state.pendingRequest = this.#calls.send(link, CallPurpose.Open, 0, {
       kind: DispatchRequestKind.OpenSession,
       givenUp: link.givenUp,
     });
@@ -323,7 +318,7 @@
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
     const { session } = state;
-    this.#send(link, CallPurpose.Renew, session, {
+    this.#calls.send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
       ...knownStateOf(state),
@@ -335,7 +330,7 @@
     const { watch, load, session } = state;
     const isWatched = watch !== undefined && watch.priority <= demand.priority;
     if (isWatched || load?.isTakingWork !== true) return;
-    const request = this.#send(link, CallPurpose.Watch, session, {
+    const request = this.#calls.send(link, CallPurpose.Watch, session, {
       kind: DispatchRequestKind.WatchLoad,
       knownRevision: load.revision,
       intervalMilliseconds: WATCH_INTERVAL_MILLISECONDS,
@@ -346,12 +341,13 @@
 
   #handleGranted(
     link: WorkerLinkState,
-    { session, profile, load }: SessionGranted,
+    { session, profile, load, clock }: SessionGranted,
   ): readonly LinkChange[] {
     const { state } = link;
     const { now } = this.#options.collector;
     if (state.phase === LinkPhase.Open) {
       if (state.session !== session) return [];
+      updateClock(state, clock);
       state.profile = profile;
       this.updateLoad(link, load);
       return this.#resume(link);
@@ -369,6 +365,7 @@
       session,
       lastReplyAt: now,
       nextRenewAt: nextRenewal(now),
+      sidecarClock: clock,
       unansweredSince: undefined,
       profile,
       load,
@@ -392,10 +389,11 @@
 
   #handleRenewed(
     link: WorkerLinkState,
-    { session, load }: SessionRenewed,
+    { session, load, clock }: SessionRenewed,
   ): readonly LinkChange[] {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return [];
+    updateClock(state, clock);
     this.#recordReply(state);
     if (load !== undefined) this.updateLoad(link, load);
     return this.#resume(link);
@@ -424,7 +422,7 @@
     const isCurrent = purpose === CallPurpose.Renew &&
       state.session === session;
     return isCurrent
-      ? [this.#giveUp(link, "the sidecar ended the session")]
+      ? [this.#giveUp(link, state, "the sidecar ended the session")]
       : [];
   }
 
@@ -448,14 +446,19 @@
     if (link.process === current) return [];
     link.process = current;
     const changes = link.state.phase === LinkPhase.Open
-      ? [this.#giveUp(link, "the sidecar was restarted")]
+      ? [this.#giveUp(link, link.state, "the sidecar was restarted")]
       : [];
     this.#links.close(link);
     link.givenUp = 0;
     return changes;
   }
 
-  #giveUp(link: WorkerLinkState, reason: string): LinkChange {
+  #giveUp(
+    link: WorkerLinkState,
+    { lastReplyAt }: OpenLink,
+    reason: string,
+  ): LinkChange {
+    const { now } = this.#options.collector;
     this.#links.close(link);
     this.#interrupted.delete(link.address);
     this.#options.collector.record(
@@ -467,29 +470,13 @@
           sidecar: link.process,
           session: link.givenUp,
           reason,
+          sinceReplyMilliseconds: Math.round(now - lastReplyAt),
         },
       },
     );
-    return { kind: LinkChangeKind.Lost, link };
-  }
-
-  #send(
-    link: WorkerLinkState,
-    purpose: CallPurpose,
-    session: SessionNumber,
-    message: DispatchRequest,
-  ): RequestIdentifier {
-    const { collector } = this.#options;
-    const request = collector.nextRequest();
-    this.#calls.set(request, { purpose, address: link.address, session });
-    collector.add({
-      kind: OutputKind.SendRequest,
-      request,
-      peer: link.process,
-      address: link.address,
-      message,
-    });
-    return request;
+    const latestEnd = lastReplyAt + MAXIMUM_SESSION_MILLISECONDS;
+    const sessionEndsAt = Math.max(now, latestEnd);
+    return { kind: LinkChangeKind.Lost, link, sessionEndsAt };
   }
 }
 
@@ -497,3 +484,8 @@
   const due = now + RENEWAL_INTERVAL_MILLISECONDS;
   return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
 }
+
+function updateClock(state: OpenLink, clock: Milliseconds | undefined): void {
+  if (clock === undefined) return;
+  state.sidecarClock = Math.max(state.sidecarClock ?? clock, clock);
+}
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -40,15 +40,18 @@
   JobGivenUp = 3103,
   JobAbandoned = 3104,
   TaskRetried = 3105,
-  TaskSuspected = 3106,
-  KindQuarantined = 3107,
+  TaskMoved = 3106,
+  TaskSuspected = 3107,
+  KindQuarantined = 3108,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
   WorkerReportInvalid = 4104,
   RunDoubtful = 4105,
   RunSettled = 4106,
-  WorkerCrashed = 4107,
+  RunStopRepeated = 4107,
+  RunUnknown = 4108,
+  WorkerCrashed = 4109,
 }
 
 /** Severity of an event. */
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -125,10 +125,11 @@
 
   #renewSession(
     { from, request }: RunWaiter,
-    { session, knownWorker, knownProfile, knownRevision }: RenewSession,
+    message: RenewSession,
   ): void {
     const { collector, sessions, link } = this.#options;
-    if (!sessions.renew(collector.now, from, session)) {
+    const { session, knownWorker, knownProfile, knownRevision } = message;
+    if (!sessions.renew(collector.now, from, message)) {
       this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
       return;
     }
@@ -143,6 +144,7 @@
     this.#reply(from, request, {
       kind: DispatchReplyKind.SessionRenewed,
       session,
+      clock: Math.floor(collector.now),
       ...(load.revision === knownRevision ? {} : { load }),
     });
   }
@@ -157,6 +159,7 @@
     this.#reply(to, request, {
       kind: DispatchReplyKind.SessionGranted,
       session,
+      clock: Math.floor(this.#options.collector.now),
       ...(description === undefined
         ? {}
         : { profile: profileOf(description, revision) }),
@@ -232,10 +235,19 @@
     this.#reply(from, request, {
       kind: DispatchReplyKind.CancellationAcknowledged,
     });
-    const run = this.#options.table.find(task);
+    const { table } = this.#options;
+    const run = table.find(task);
     const isSameAttempt = run?.entry === from && run.session === session &&
       run.attempt === attempt;
-    if (isSameAttempt) this.#stopRun(run, InterruptionReason.Cancelled);
+    if (isSameAttempt) {
+      this.#stopRun(run, InterruptionReason.Cancelled);
+      return;
+    }
+    const reference = { task, attempt };
+    if (table.settlementOf(from, reference) !== undefined) return;
+    // The request to run the task may arrive later, over another connection.
+    const settlement = notStarted(NotStartedReason.Cancelled);
+    table.recordSettlement(from, reference, settlement);
   }
 
   #stopRun(run: WorkerRun, reason: InterruptionReason): void {
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -33,9 +33,10 @@
 } from "@eelgrassfront/model";
 import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
-import { type PendingCall, runKey } from "./pending_call.ts";
+import { type PendingCall, PendingCalls, runKey } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
+import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
 import type { WorkerLink } from "./worker_link.ts";
 import { COMPLETE_PERCENT, SlownessEstimator } from "./slowness_estimator.ts";
 
@@ -43,8 +44,6 @@
 const POLL_WAIT_MILLISECONDS: Milliseconds = 200;
 /** The same for a worker that recently left calls unanswered, so that a lost list is repeated soon. */
 const UNRELIABLE_POLL_WAIT_MILLISECONDS: Milliseconds = 30;
-/** Time between two stop calls for the same run. */
-const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
 /** Maximum number of start calls of an attempt that is refused for an old token or run number. */
 const MAXIMUM_START_CALLS = 4;
 /** Time without progress after which a run is stopped: twice what tasks of seconds on a slow worker need. */
@@ -62,9 +61,10 @@
 /** Controls the runs of one worker. */
 export class RunController {
   readonly #options: RunControllerOptions;
-  readonly #calls = new Map<RequestIdentifier, PendingCall>();
+  readonly #calls: PendingCalls;
   readonly #startCalls = new Map<string, number>();
   readonly #runNumbers = new RunNumbers();
+  readonly #stops: RunStops;
   #slowness = new SlownessEstimator();
   /** Number of the last end that was handled; the next poll acknowledges it. */
   #endCursor = 0;
@@ -78,6 +78,12 @@
 
   constructor(options: RunControllerOptions) {
     this.#options = options;
+    this.#calls = new PendingCalls(options);
+    this.#stops = new RunStops({
+      ...options,
+      calls: this.#calls,
+      runNumbers: this.#runNumbers,
+    });
   }
 
   /** Whether every run at the worker is known. */
@@ -110,39 +116,20 @@
 
   /** Stops an attempt whose start was sent to the worker. */
   stop(run: WorkerRun, reason: InterruptionReason): void {
-    const { state } = run;
-    if (state.phase === RunPhase.Waiting) return;
-    if (state.phase === RunPhase.Stopping) return;
-    run.state = {
-      phase: RunPhase.Stopping,
-      run: state.run,
-      reason,
-      nextStopAt: this.#options.collector.now,
-    };
-    this.#sendStop(run);
+    this.#stops.stop(run, reason);
   }
 
   /** Sends the calls that are due. */
   tick(): void {
-    const { collector, table, link } = this.#options;
-    if (link.description === undefined) return;
-    for (const run of table.sentToWorker()) {
-      const { state } = run;
-      const isDue = state.phase === RunPhase.Stopping &&
-        collector.now >= state.nextStopAt;
-      if (isDue) this.#sendStop(run);
-    }
-    this.#settleExpired();
+    if (this.#options.link.description === undefined) return;
+    this.#stops.tick();
     this.#poll();
   }
 
   /** When the next call or expiry is due. */
   nextAlarm(): Milliseconds | undefined {
-    const { table, link } = this.#options;
-    if (link.description === undefined) return undefined;
-    const times = table.sentToWorker().flatMap(({ state }) =>
-      state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
-    );
+    if (this.#options.link.description === undefined) return undefined;
+    const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
     if (this.#pollCall === undefined && this.#isPollNeeded()) {
       times.push(
         this.#isReconciled
@@ -150,17 +137,13 @@
           : Math.max(this.#nextPollAt, this.#nextReconciliationAt),
       );
     }
-    if (link.isUnresponsive && table.sentToWorker().length > 0) {
-      times.push(link.leaseExpiresAt);
-    }
-    return times.length === 0 ? undefined : Math.min(...times);
+    return Math.min(...times);
   }
 
   /** Handles an answer of the worker. Returns false when this incarnation of the worker has ended. */
   handleAnswer(call: RequestIdentifier, answer: WorkerAnswer): boolean {
-    const pending = this.#calls.get(call);
+    const pending = this.#calls.take(call);
     if (pending === undefined) return true;
-    this.#calls.delete(call);
     const { link, collector } = this.#options;
     if (call === this.#pollCall) {
       this.#pollCall = undefined;
@@ -199,16 +182,14 @@
     const key = jobTaskKey(run.task);
     this.#startCalls.set(key, (this.#startCalls.get(key) ?? 0) + 1);
     this.#runNumbers.record(collector.now, { task: run.task, run: number });
-    const call = link.call({
+    const reference = { task: run.task, run: number };
+    const call = this.#calls.send({
       kind: WorkerCallKind.Start,
-      run: { task: run.task, run: number },
+      run: reference,
       content: run.content,
-      leaseUntil: link.leaseUntil(),
-    });
+      leaseUntil: this.#stops.isOverdue ? link.renewedUntil : link.renewLease(),
+    }, { run: reference });
     if (call === undefined) return;
-    const pending = { kind: WorkerCallKind.Start, sentAt: collector.now };
-    this.#calls.set(call, { ...pending, run: { task: run.task, run: number } });
-    link.recordRenewal();
     run.state = {
       phase: RunPhase.Starting,
       run: number,
@@ -217,18 +198,6 @@
     };
   }
 
-  #sendStop(run: WorkerRun): void {
-    const { collector, link } = this.#options;
-    const target = runReferenceOf(run);
-    if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
-    const nextStopAt = collector.now + STOP_INTERVAL_MILLISECONDS;
-    run.state = { ...run.state, nextStopAt };
-    const call = link.call({ kind: WorkerCallKind.Stop, run: target });
-    if (call === undefined) return;
-    const sentAt = collector.now;
-    this.#calls.set(call, { kind: WorkerCallKind.Stop, run: target, sentAt });
-  }
-
   /** Keeps one poll open while runs are active, and sends one more to acknowledge the last ends. */
   #poll(): void {
     const { collector, link, table } = this.#options;
@@ -239,37 +208,33 @@
       collector.now < this.#nextReconciliationAt;
     if (isEarly) return;
     const endCursor = this.#endCursor;
-    const isRenewed = this.#isReconciled && table.sentToWorker().length > 0;
-    this.#pollCall = link.call({
+    const isActive = this.#isReconciled && table.sentToWorker().length > 0;
+    const { isOverdue } = this.#stops;
+    this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
-      ...(isRenewed ? { leaseUntil: link.leaseUntil() } : {}),
+      ...(isActive && !isOverdue ? { leaseUntil: link.renewLease() } : {}),
       notedEnds: endCursor,
-      waitMilliseconds: !isRenewed
+      waitMilliseconds: !isActive
         ? 0
-        : link.isUnreliable
+        : isOverdue || link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
         : POLL_WAIT_MILLISECONDS,
-    });
-    if (this.#pollCall === undefined) return;
-    if (isRenewed) link.recordRenewal();
-    const sentAt = collector.now;
-    const kind = WorkerCallKind.PollRuns;
-    this.#calls.set(this.#pollCall, { kind, sentAt, endCursor });
+    }, { endCursor });
   }
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
   #pollNow(): void {
-    const { collector, link } = this.#options;
     const endCursor = this.#endCursor;
     const kind = WorkerCallKind.PollRuns;
-    const call = link.call({ kind, notedEnds: endCursor, waitMilliseconds: 0 });
-    if (call === undefined) return;
-    this.#calls.set(call, { kind, sentAt: collector.now, endCursor });
+    const poll = { kind, notedEnds: endCursor, waitMilliseconds: 0 } as const;
+    this.#calls.send(poll, { endCursor });
   }
 
+  /** Whether runs are active, ends are to be acknowledged, or an answer would show that the worker responds again. */
   #isPollNeeded(): boolean {
-    return !this.#isReconciled ||
-      this.#options.table.sentToWorker().length > 0 ||
+    const { link, table } = this.#options;
+    return !this.#isReconciled || link.isUnresponsive ||
+      table.sentToWorker().length > 0 ||
       this.#endCursor > this.#confirmedCursor;
   }
 
@@ -295,9 +260,14 @@
     }
   }
 
-  #onRefused({ kind, run: target }: PendingCall, reason: WorkerRefusalReason) {
+  #onRefused(
+    { kind, run: target, fencingToken }: PendingCall,
+    reason: WorkerRefusalReason,
+  ): boolean {
     if (reason === WorkerRefusalReason.IncarnationMismatch) return false;
-    if (reason === WorkerRefusalReason.Fenced) this.#options.link.raiseFence();
+    if (reason === WorkerRefusalReason.Fenced) {
+      this.#options.link.raiseFence(fencingToken);
+    }
     const run = this.#findRun(target);
     const isStart = kind === WorkerCallKind.Start &&
       run?.state.phase === RunPhase.Starting;
@@ -442,33 +412,13 @@
 
   /** Stops runs without an active attempt. The worker gets no tasks until a list has contained no such run. */
   #stopUnknownRuns(running: readonly ListedRun[]): void {
-    const { collector, link } = this.#options;
-    const unknownRuns = running.filter(({ run: { task, run } }) => {
-      const known = this.#options.table.find(task);
-      return known === undefined || runReferenceOf(known)?.run !== run;
-    });
-    for (const { run } of unknownRuns) {
-      this.#runNumbers.record(collector.now, run);
-      const call = link.call({ kind: WorkerCallKind.Stop, run });
-      if (call === undefined) return;
-      const sentAt = collector.now;
-      this.#calls.set(call, { kind: WorkerCallKind.Stop, run, sentAt });
-    }
-    if (unknownRuns.length === 0) {
+    if (!this.#stops.stopUnknownRuns(running)) {
       if (!this.#isReconciled) this.#options.table.raiseRevision();
       this.#isReconciled = true;
       return;
     }
-    this.#nextReconciliationAt = collector.now + STOP_INTERVAL_MILLISECONDS;
-  }
-
-  /** Settles all runs of an unresponsive worker when the last lease that it may have received has expired. */
-  #settleExpired(): void {
-    const { collector, link, table } = this.#options;
-    if (!link.isUnresponsive || collector.now < link.leaseExpiresAt) return;
-    for (const run of table.sentToWorker()) {
-      this.#settle(run, interrupted(InterruptionReason.LeaseExpired));
-    }
+    this.#nextReconciliationAt = this.#options.collector.now +
+      STOP_INTERVAL_MILLISECONDS;
   }
 
   #settle(run: WorkerRun, settlement: TaskSettlement): void {
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -203,7 +203,7 @@
   renewSession(
     entry: ProcessIdentifier,
     request = 1_000 + this.#now,
-    known: Omit<Partial<RenewSession>, "kind" | "session"> = {},
+    known: Omit<RenewSession, "kind" | "session"> = {},
   ): void {
     const session = this.#sessions.get(entry) ?? 0;
     const kind = DispatchRequestKind.RenewSession;
@@ -273,6 +273,18 @@
     });
   }
 
+  cancelTask(
+    request: number,
+    { job, entry = ENTRY }: Omit<TaskOptions, "millicores">,
+  ): void {
+    this.#request(entry, request, {
+      kind: DispatchRequestKind.CancelTaskAttempt,
+      session: this.#sessions.get(entry) ?? 0,
+      task: { job, step: 0, index: 0 },
+      attempt: 1,
+    });
+  }
+
   answer(call: CallWorker | undefined, answer: WorkerAnswer): void {
     if (call === undefined) throw new Error("the sidecar sent no such call");
     const kind = DispatchInputKind.WorkerAnswered;
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -56,7 +56,8 @@
   #unreliableUntil: Milliseconds = 0;
   /** Start time of the latest incarnation that is known to have ended. */
   #latestEndedBornAt: Milliseconds = 0;
-  #leaseExpiresAt: Milliseconds = 0;
+  /** End of the lease in the latest call that renewed it, on the worker's clock. */
+  #renewedUntil: Milliseconds = 0;
   #previousLeaseExpiresAt: Milliseconds = Infinity;
 
   constructor(options: WorkerLinkOptions) {
@@ -172,17 +173,27 @@
     this.#responseTimes.recordResponse(elapsed);
   }
 
-  /** Records an unanswered call. */
+  /**
+   * Records an unanswered call. The worker may still execute it, unless it has executed a call with a higher
+   * token before.
+   */
   recordUnanswered(): void {
+    this.#fencingToken += 1;
     this.#responseTimes.recordUnanswered();
     this.#unansweredCalls += 1;
     this.#unreliableUntil = this.#options.collector.now +
       UNRELIABLE_MILLISECONDS;
   }
 
-  /** Raises the fencing token because the worker refused it as too old. */
-  raiseFence(): void {
-    this.#fencingToken += FENCING_TOKEN_INCREMENT;
+  /** Fencing token of the next call. */
+  get fencingToken(): number {
+    return this.#fencingToken;
+  }
+
+  /** Raises the fencing token because the worker refused it as too old; a token that was raised since is kept. */
+  raiseFence(refused: number): void {
+    if (refused < this.#fencingToken) return;
+    this.#fencingToken = refused + FENCING_TOKEN_INCREMENT;
   }
 
   /** When the lease of every run that an earlier incarnation of this sidecar started has certainly expired. */
@@ -195,14 +206,18 @@
     this.#previousLeaseExpiresAt = this.#latestExpiry();
   }
 
-  /** When the lease of every run at the worker has certainly expired. */
-  get leaseExpiresAt(): Milliseconds {
-    return this.#leaseExpiresAt;
+  /** End of the lease in the latest call that renewed it, on the worker's clock. */
+  get renewedUntil(): Milliseconds {
+    return this.#renewedUntil;
   }
 
-  /** Records that a call which renews the lease is being sent. */
-  recordRenewal(): void {
-    this.#leaseExpiresAt = this.#latestExpiry();
+  /** Renews the lease with the call that is sent next. Returns its new end, on the worker's clock. */
+  renewLease(): Milliseconds {
+    const { collector, leaseMilliseconds } = this.#options;
+    this.#renewedUntil = Math.floor(
+      this.#clock.at(collector.now) + leaseMilliseconds,
+    );
+    return this.#renewedUntil;
   }
 
   #latestExpiry(): Milliseconds {
@@ -211,12 +226,6 @@
       EXPIRY_MARGIN_MILLISECONDS;
   }
 
-  /** End of the longest lease from now, on the worker's clock. */
-  leaseUntil(): Milliseconds {
-    const { collector, leaseMilliseconds } = this.#options;
-    return Math.floor(this.#clock.at(collector.now) + leaseMilliseconds);
-  }
-
   /** Calls the worker. Returns the call's identifier; undefined when no worker is known. */
   call(request: WorkerCall): RequestIdentifier | undefined {
     if (this.#description === undefined) return undefined;
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -13,7 +13,6 @@
   DispatchOutputKind,
   type DispatchReply,
   type DispatchRequest,
-  ErrorTag,
   type FleetMember,
   InputKind,
   type JobRequest,
@@ -29,7 +28,6 @@
   Role,
   type RunReference,
   type StateMachine,
-  Step,
   type WorkConfiguration,
   type WorkerDescription,
 } from "@eelgrassfront/model";
@@ -39,6 +37,7 @@
   type DispatchSystemOptions,
   type DispatchVm,
   outstandingKey,
+  requestLost,
   vmNameOf,
   zoneOf,
 } from "./dispatch_vm.ts";
@@ -60,12 +59,14 @@
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
 const CRASH_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
+const DELAY_SEED_OFFSET = 5_000_011;
 const MAXIMUM_ACTIONS_AT_ONCE = 100_000;
 
 /** Entries, sidecars and workers that are connected by a fake network, with a fake store. */
 export class DispatchSystem {
   readonly time = new VirtualTime();
   readonly random: SeededRandom;
+  readonly #delayRandom: SeededRandom;
   readonly network: FakeNetwork;
   readonly entries: DispatchVm[] = [];
   readonly sidecars: DispatchVm[] = [];
@@ -82,6 +83,7 @@
   constructor(options: DispatchSystemOptions) {
     this.#options = options;
     this.random = new SeededRandom(options.seed);
+    this.#delayRandom = new SeededRandom(options.seed + DELAY_SEED_OFFSET);
     this.network = new FakeNetwork({
       time: this.time,
       random: this.random,
@@ -163,7 +165,7 @@
   /** Starts another worker on a sidecar's VM, with the same identifier or a new one. */
   startWorker(vm: DispatchVm, isSameName: boolean): void {
     const suffix = isSameName ? "" : `-${Math.round(this.time.now)}`;
-    vm.worker = this.#newWorker(`worker-${vm.name}${suffix}`);
+    vm.worker = this.#newWorker(vm, `worker-${vm.name}${suffix}`);
     this.#reportWorker(vm);
   }
 
@@ -184,7 +186,7 @@
       incarnations: 0,
     };
     if (role === Role.Sidecar) {
-      vm.worker = this.#newWorker(`worker-${name}`);
+      vm.worker = this.#newWorker(vm, `worker-${name}`);
       this.#reportPeriodically(vm);
     }
     return vm;
@@ -238,7 +240,7 @@
     }
   }
 
-  #newWorker(id: string): FakeWorker {
+  #newWorker(vm: DispatchVm, id: string): FakeWorker {
     const { capacityMillicores, observer, runMilliseconds, crashMilliseconds } =
       this.#options;
     return new FakeWorker({
@@ -248,6 +250,8 @@
       capacityMillicores,
       time: this.time,
       random: this.random,
+      delayRandom: this.#delayRandom,
+      current: () => vm.worker,
       observer: {
         onStart: (worker, run) => observer.onStart(worker, run),
         onEnd: (worker, run) => observer.onEnd(worker, run),
@@ -479,20 +483,3 @@
     return [...this.entries, ...this.sidecars].find((vm) => vm.name === name);
   }
 }
-
-function requestLost(
-  peer: ProcessIdentifier,
-  request: RequestIdentifier,
-): DispatchInput {
-  return {
-    kind: InputKind.PeerRequestLost,
-    peer,
-    request,
-    error: {
-      tag: ErrorTag.ConnectionLost,
-      step: Step.CallPeer,
-      peer,
-      detail: "the connection ended",
-    },
-  };
-}
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -4,6 +4,8 @@
 import {
   type DispatchInput,
   type DispatchOutput,
+  ErrorTag,
+  InputKind,
   type Milliseconds,
   type ProcessEvent,
   type ProcessIdentifier,
@@ -12,6 +14,7 @@
   type RequestIdentifier,
   type Role,
   type StateMachine,
+  Step,
 } from "@eelgrassfront/model";
 import type { FakeWorker, WorkerObserver } from "./fake_worker.ts";
 import type { VirtualProcess } from "./virtual_process.ts";
@@ -71,3 +74,21 @@
 ): string {
   return `${receiver} ${sender} ${request}`;
 }
+
+/** Returns the input of a process whose request to a peer was lost. */
+export function requestLost(
+  peer: ProcessIdentifier,
+  request: RequestIdentifier,
+): DispatchInput {
+  return {
+    kind: InputKind.PeerRequestLost,
+    peer,
+    request,
+    error: {
+      tag: ErrorTag.ConnectionLost,
+      step: Step.CallPeer,
+      peer,
+      detail: "the connection ended",
+    },
+  };
+}
