--- a/emulator/src/worker_crash_test.ts
+++ b/emulator/src/worker_crash_test.ts
@@ -19,7 +19,7 @@
 import { kindsAtUtilisation, LOAD_MILLISECONDS } from "./user_loads.ts";
 
 const SECOND = 1_000;
-const SEEDS = [1, 2, 3];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 /** The users give a task up once two workers have crashed under it. */
 const MAXIMUM_CRASHES = 2;
 /** The users' target for days with trouble, for kinds of work that crash no worker. */
