--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -59,6 +59,7 @@
     kind: zod.literal(DispatchRequestKind.RenewSession),
     session: count,
     knownWorker: zod.string().optional(),
+    knownProfile: count.optional(),
     knownRevision: count.optional(),
     knownClock: amount.optional(),
   }),
@@ -70,6 +71,7 @@
     content: zod.string(),
     resources,
     expectedMilliseconds: amount,
+    suspectRoute: zod.string().optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.CancelTaskAttempt),
@@ -95,6 +97,12 @@
     membersDigest: zod.number().int(),
     configuration: configuration.optional(),
   }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.ReportCrash),
+    suspects: zod.array(
+      zod.looseObject({ task, route: zod.string().optional() }),
+    ),
+  }),
 ]);
 
 const load = zod.looseObject({
@@ -107,6 +115,7 @@
 });
 
 const profile = zod.looseObject({
+  revision: count.optional(),
   worker: zod.string(),
   service: zod.string(),
   labels: zod.array(zod.string()),
@@ -167,6 +176,7 @@
     }),
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.Misdirected) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.CrashNoted) }),
   zod.looseObject({
     kind: zod.literal(PeerReplyKind.IncarnationMismatch),
     current: processIdentifier,
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -189,6 +189,18 @@
     action:
       "Search by the identifier of the job: the earlier attempt must have ended by then.",
   },
+  [EventNumber.TaskSuspected]: {
+    meaning:
+      "A worker crashed shortly after it had started a task; the job of the task runs apart from now on, and fails if that crashes a worker too.",
+    action:
+      "Nothing for single lines; if one kind of work recurs, check what its jobs have in common.",
+  },
+  [EventNumber.KindQuarantined]: {
+    meaning:
+      "A task crashed a worker on which no other job had started beside it. All jobs of its kind of work run apart, on a third of the workers, until no such crash has happened for 5 s.",
+    action:
+      "Check the jobs of this kind that failed with the reason workers-crashed, and stop their source.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
@@ -229,4 +241,10 @@
     action:
       "Nothing after a restart of the sidecar; otherwise check the worker.",
   },
+  [EventNumber.WorkerCrashed]: {
+    meaning:
+      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since its start, and how many there were.",
+    action:
+      "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
+  },
 };
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -6,6 +6,7 @@
   FleetMember,
   Milliseconds,
   ProcessIdentifier,
+  RenewSession,
   RequestIdentifier,
   SessionNumber,
   WorkerLoad,
@@ -114,6 +115,20 @@
 /** A change of one link. */
 export type LinkChange = LinkLost | LinkOpened;
 
+/** Returns what the entry knows of a worker, which the reply to a renewal leaves out. */
+export function knownStateOf(
+  { profile, load, sidecarClock }: OpenLink,
+): Omit<RenewSession, "kind" | "session"> {
+  return {
+    ...(sidecarClock === undefined ? {} : { knownClock: sidecarClock }),
+    ...(profile === undefined ? {} : { knownWorker: profile.worker }),
+    ...(profile?.revision === undefined
+      ? {}
+      : { knownProfile: profile.revision }),
+    ...(load === undefined ? {} : { knownRevision: load.revision }),
+  };
+}
+
 /** Returns an unused link to a newly discovered sidecar. */
 export function newLink(member: FleetMember): WorkerLinkState {
   return {
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -29,6 +29,7 @@
 import { CallPurpose, LinkCalls, type PendingCall } from "./link_calls.ts";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
+  knownStateOf,
   type LinkChange,
   LinkChangeKind,
   LinkPhase,
@@ -186,6 +187,7 @@
       case DispatchReplyKind.CancellationAcknowledged:
       case DispatchReplyKind.FleetStateExchanged:
       case DispatchReplyKind.Misdirected:
+      case DispatchReplyKind.CrashNoted:
         return [];
       case PeerReplyKind.IncarnationMismatch:
         return this.#handleIncarnationMismatch(link, message.current);
@@ -315,13 +317,11 @@
     const { now } = this.#options.collector;
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
-    const { session, profile, load, sidecarClock } = state;
+    const { session } = state;
     this.#calls.send(link, CallPurpose.Renew, session, {
       kind: DispatchRequestKind.RenewSession,
       session,
-      ...(sidecarClock === undefined ? {} : { knownClock: sidecarClock }),
-      ...(profile === undefined ? {} : { knownWorker: profile.worker }),
-      ...(load === undefined ? {} : { knownRevision: load.revision }),
+      ...knownStateOf(state),
     });
   }
 
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -27,6 +27,7 @@
   CancelTaskAttempt = "take-back-task",
   WatchLoad = "watch-load",
   ExchangeFleetState = "share-knowledge",
+  ReportCrash = "report-crash",
 }
 
 /**
@@ -45,6 +46,8 @@
   readonly session: SessionNumber;
   /** Worker whose profile the entry has; absent if it has none. The reply leaves out what the entry knows. */
   readonly knownWorker?: string;
+  /** Revision of the profile that the entry has. */
+  readonly knownProfile?: number;
   /** Revision of the load that the entry has. */
   readonly knownRevision?: number;
   /** Sidecar's clock in the latest reply that the entry has; entries of earlier versions leave it out. */
@@ -65,6 +68,8 @@
   readonly resources: Resources;
   /** The entry's estimate of the run time. Progress is measured against it. */
   readonly expectedMilliseconds: Milliseconds;
+  /** Kind of work of a task that is suspected to crash workers and therefore runs apart from other jobs. */
+  readonly suspectRoute?: string;
 }
 
 /** An entry cancels a task attempt, whether it is waiting or running. */
@@ -131,6 +136,25 @@
   readonly configuration?: WorkConfiguration;
 }
 
+/**
+ * Time after the start of a run in which it is the likely cause of a crash: a task that crashes each worker
+ * that starts it does so early, and the sidecar notices the crash some tens of milliseconds later.
+ */
+export const SUSPICION_MILLISECONDS: Milliseconds = 150;
+
+/** A task that was started shortly before its worker crashed. */
+export interface CrashSuspect {
+  readonly task: JobTaskReference;
+  /** Kind of work, where the task ran apart: then hardly another task has crashed the worker. */
+  readonly route?: string;
+}
+
+/** A sidecar tells the entries that it serves which tasks of other entries may have crashed its worker. */
+export interface ReportCrash {
+  readonly kind: DispatchRequestKind.ReportCrash;
+  readonly suspects: readonly CrashSuspect[];
+}
+
 /** Any request between entries and sidecars. */
 export type DispatchRequest =
   | OpenSession
@@ -138,10 +162,13 @@
   | RunTask
   | CancelTaskAttempt
   | WatchLoad
-  | ExchangeFleetState;
+  | ExchangeFleetState
+  | ReportCrash;
 
-/** Properties of a worker that stay the same during one incarnation. */
+/** Properties of a worker that seldom change. */
 export interface WorkerProfile {
+  /** Increases with each change within one incarnation of the sidecar; absent from older versions. */
+  readonly revision?: number;
   readonly worker: string;
   readonly service: string;
   readonly labels: readonly string[];
@@ -177,6 +204,8 @@
   Cancelled = "taken-back",
   WorkerRefused = "worker-refused",
   WorkerUnresponsive = "worker-silent",
+  /** A task that may crash the worker runs apart there. */
+  Reserved = "reserved",
 }
 
 /** Why a run ended before the task completed or failed. */
@@ -184,7 +213,12 @@
   Cancelled = "taken-back",
   LeaseExpired = "lease-expired",
   SessionEnded = "session-ended",
+  /** The worker left as announced, or its list no longer contains a run that was not to be stopped. */
   WorkerLost = "worker-lost",
+  /** The worker ended without notice, perhaps because of this task. */
+  WorkerCrashed = "worker-crashed",
+  /** The worker ended without notice, more likely because of another task. */
+  BesideCrash = "beside-crash",
   NoProgress = "no-progress",
   /**
    * The entry lost its session with the sidecar. The tasks that ran there end without a request of
@@ -242,6 +276,7 @@
   LoadReported = "load-told",
   FleetStateExchanged = "knowledge-shared",
   Misdirected = "misdirected",
+  CrashNoted = "crash-noted",
 }
 
 /** The session is open. No work of an earlier session is running. */
@@ -255,7 +290,7 @@
   readonly load?: WorkerLoad;
 }
 
-/** The session continues, and the worker is still the one that the entry knows. */
+/** The session continues, and the worker and its profile are still those that the entry knows. */
 export interface SessionRenewed {
   readonly kind: DispatchReplyKind.SessionRenewed;
   readonly session: SessionNumber;
@@ -308,6 +343,11 @@
   readonly kind: DispatchReplyKind.Misdirected;
 }
 
+/** The report of a crash was received. */
+export interface CrashNoted {
+  readonly kind: DispatchReplyKind.CrashNoted;
+}
+
 /** Any reply between entries and sidecars. */
 export type DispatchReply =
   | SessionGranted
@@ -318,4 +358,5 @@
   | LoadReported
   | FleetStateExchanged
   | Misdirected
+  | CrashNoted
   | IncarnationMismatch;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -41,6 +41,8 @@
   JobAbandoned = 3104,
   TaskRetried = 3105,
   TaskMoved = 3106,
+  TaskSuspected = 3107,
+  KindQuarantined = 3108,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
@@ -49,6 +51,7 @@
   RunSettled = 4106,
   RunStopRepeated = 4107,
   RunUnknown = 4108,
+  WorkerCrashed = 4109,
 }
 
 /** Severity of an event. */
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -36,6 +36,7 @@
 import type { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import type { RunTable, RunWaiter } from "./run_table.ts";
+import type { SuspectRuns } from "./suspect_runs.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** Collaborators of an `EntryRequestHandler`. */
@@ -46,6 +47,7 @@
   readonly table: RunTable;
   readonly runController: RunController;
   readonly watches: LoadWatches;
+  readonly suspectRuns: SuspectRuns;
   readonly load: (entry: ProcessIdentifier) => WorkerLoad | undefined;
   readonly isDraining: () => boolean;
 }
@@ -80,6 +82,9 @@
       case DispatchRequestKind.WatchLoad:
         this.#options.watches.add(from, { ...message, request });
         return;
+      case DispatchRequestKind.ReportCrash:
+        this.#reply(from, request, { kind: DispatchReplyKind.Misdirected });
+        return;
       default:
         assertNever(message);
     }
@@ -123,14 +128,16 @@
     message: RenewSession,
   ): void {
     const { collector, sessions, link } = this.#options;
-    const { session, knownWorker, knownRevision } = message;
+    const { session, knownWorker, knownProfile, knownRevision } = message;
     if (!sessions.renew(collector.now, from, message)) {
       this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
       return;
     }
     const load = this.#options.load(from);
     const worker = link.description?.incarnation.id;
-    if (load === undefined || worker !== knownWorker) {
+    const isProfileKnown = worker === knownWorker &&
+      link.profileRevision === knownProfile;
+    if (load === undefined || !isProfileKnown) {
       this.#grant(from, request, session);
       return;
     }
@@ -148,12 +155,14 @@
     session: number,
   ): void {
     const load = this.#options.load(to);
-    const { description } = this.#options.link;
+    const { description, profileRevision: revision } = this.#options.link;
     this.#reply(to, request, {
       kind: DispatchReplyKind.SessionGranted,
       session,
       clock: Math.floor(this.#options.collector.now),
-      ...(description === undefined ? {} : { profile: profileOf(description) }),
+      ...(description === undefined
+        ? {}
+        : { profile: profileOf(description, revision) }),
       ...(load === undefined ? {} : { load }),
     });
   }
@@ -190,9 +199,10 @@
 
   #findRefusal(
     from: ProcessIdentifier,
-    { session, resources }: RunTask,
+    message: RunTask,
     known: WorkerRun | undefined,
   ): NotStartedReason | undefined {
+    const { session, resources } = message;
     const { description } = this.#options.link;
     const isStale = this.#options.sessions.find(from) !== session ||
       known !== undefined;
@@ -210,6 +220,9 @@
     if (!isWithin(resources, description.capacity)) {
       return NotStartedReason.ExceedsCapacity;
     }
+    if (this.#options.suspectRuns.isRefused(message)) {
+      return NotStartedReason.Reserved;
+    }
     return this.#options.table.hasCapacityFor(description.capacity, resources)
       ? undefined
       : NotStartedReason.InsufficientCapacity;
@@ -283,7 +296,10 @@
   }
 }
 
-function profileOf(description: WorkerDescription): WorkerProfile {
+function profileOf(
+  description: WorkerDescription,
+  revision: number,
+): WorkerProfile {
   const { incarnation, service, labels, capacity } = description;
-  return { worker: incarnation.id, service, labels, capacity };
+  return { revision, worker: incarnation.id, service, labels, capacity };
 }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -23,30 +23,28 @@
   Gauge,
   type IncomingRequest,
   InputKind,
-  InterruptionReason,
+  isWithin,
   type Milliseconds,
-  NO_RESOURCES,
   NotStartedReason,
   OutputCollector,
   OutputKind,
   type ProcessIdentifier,
-  type Resources,
   SessionEndReason,
-  SettlementKind,
   Severity,
   type StateMachine,
-  subtractResources,
   type WorkerDescription,
-  type WorkerLoad,
   WorkerPhase,
 } from "@eelgrassfront/model";
 import { EntryRequestHandler } from "./entry_request_handler.ts";
 import { EntrySessions } from "./entry_sessions.ts";
 import { RunPhase } from "./worker_run.ts";
+import { LoadReport } from "./load_report.ts";
 import { LoadWatches } from "./load_watches.ts";
 import { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import { RunTable } from "./run_table.ts";
+import { LostRuns, WorkerEnd } from "./lost_runs.ts";
+import { SuspectRuns } from "./suspect_runs.ts";
 import { WorkerLink } from "./worker_link.ts";
 import { SavedWorkerCheck } from "./saved_worker_check.ts";
 
@@ -89,9 +87,12 @@
   readonly #link: WorkerLink;
   readonly #table: RunTable;
   readonly #runController: RunController;
+  readonly #suspectRuns: SuspectRuns;
+  readonly #lostRuns: LostRuns;
   readonly #savedWorkerCheck: SavedWorkerCheck;
   readonly #watches: LoadWatches;
   readonly #requests: EntryRequestHandler;
+  readonly #loadReport: LoadReport;
   #lastStepAt: Milliseconds | undefined;
   /** Time before which no session expires, since its renewal may not have been read. */
   #readUntil: Milliseconds = 0;
@@ -106,7 +107,7 @@
   constructor(options: WorkerGuardOptions) {
     this.#options = options;
     const collector = this.#collector;
-    const load = (entry: ProcessIdentifier) => this.#load(entry);
+    const load = (entry: ProcessIdentifier) => this.#loadReport.of(entry);
     this.#link = new WorkerLink({ ...options, collector });
     this.#table = new RunTable({ collector, load });
     this.#runController = new RunController({
@@ -118,6 +119,14 @@
           this.#sessions.isRenewalOverdue(collector.now, entry)
         ),
     });
+    this.#suspectRuns = new SuspectRuns({ collector, table: this.#table });
+    this.#lostRuns = new LostRuns({
+      collector,
+      table: this.#table,
+      suspectRuns: this.#suspectRuns,
+      sessions: this.#sessions,
+      directory: this.#directory,
+    });
     this.#savedWorkerCheck = new SavedWorkerCheck({
       link: this.#link,
       directory: this.#directory,
@@ -125,7 +134,7 @@
     this.#watches = new LoadWatches({
       collector,
       load,
-      free: () => this.#isTakingWork() ? this.#freeResources() : undefined,
+      free: () => this.#loadReport.offerableResources(),
       revision: () => this.#table.revision,
       raiseRevision: () => this.#table.raiseRevision(),
     });
@@ -137,6 +146,16 @@
       table: this.#table,
       runController: this.#runController,
       watches: this.#watches,
+      suspectRuns: this.#suspectRuns,
+      isDraining: () => this.#drainingSince !== undefined,
+    });
+    this.#loadReport = new LoadReport({
+      link: this.#link,
+      table: this.#table,
+      runController: this.#runController,
+      sessions: this.#sessions,
+      watches: this.#watches,
+      suspectRuns: this.#suspectRuns,
       isDraining: () => this.#drainingSince !== undefined,
     });
     this.#exchange = new FleetStateExchange({
@@ -166,6 +185,7 @@
       Math.max(this.#sessions.nextExpiry() ?? Infinity, this.#readUntil),
       this.#runController.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
+      this.#suspectRuns.nextAlarm() ?? Infinity,
     );
   }
 
@@ -204,14 +224,16 @@
         );
         return;
       case DispatchInputKind.WorkerLeft:
-        if (this.#link.isCurrent(input.worker)) this.#handleWorkerLoss();
+        if (this.#link.isCurrent(input.worker)) {
+          this.#handleWorkerLoss(WorkerEnd.Announced);
+        }
         return;
       case DispatchInputKind.WorkerAnswered:
         if (this.#savedWorkerCheck.handleAnswer(input.call, input.answer)) {
           this.#table.raiseRevision();
         }
         if (!this.#runController.handleAnswer(input.call, input.answer)) {
-          this.#handleWorkerLoss();
+          this.#handleWorkerLoss(WorkerEnd.Unannounced);
         }
         return;
       case InputKind.DrainRequested:
@@ -263,6 +285,7 @@
     this.#startWaitingRuns();
     this.#runController.tick();
     this.#reportSlowness();
+    this.#suspectRuns.tick();
     this.#watches.tick();
     this.#updateGauge();
     if (this.#drainingSince === undefined) this.#exchange.tick();
@@ -327,7 +350,14 @@
     for (;;) {
       const run = this.#table.nextToStart();
       if (run === undefined) return;
-      this.#runController.start(run);
+      if (isWithin(this.#table.used, description.capacity)) {
+        this.#runController.start(run);
+      } else {
+        this.#table.settle(
+          run,
+          notStarted(NotStartedReason.InsufficientCapacity),
+        );
+      }
     }
   }
 
@@ -360,10 +390,10 @@
 
   #applyReport(description: WorkerDescription): void {
     const earlier = this.#link.description;
-    const wasConfirmed = this.#link.isConfirmed;
+    const { isConfirmed: wasConfirmed, profileRevision } = this.#link;
     const isNew = this.#link.applyReport(description);
     if (isNew) {
-      this.#settleLostRuns();
+      this.#lostRuns.settle(WorkerEnd.Unannounced, earlier);
       this.#runController.reset();
       this.#record(
         EventNumber.WorkerAnnounced,
@@ -378,9 +408,10 @@
         "the worker is draining; it gets no new tasks",
       );
     }
-    const hasPhaseChanged = earlier?.phase !== description.phase;
-    if (isNew || hasPhaseChanged || !wasConfirmed) this.#table.raiseRevision();
-    if (!isNew && !hasPhaseChanged) return;
+    const hasChanged = this.#link.profileRevision !== profileRevision ||
+      earlier?.phase !== description.phase;
+    if (hasChanged || !wasConfirmed) this.#table.raiseRevision();
+    if (!hasChanged) return;
     this.#collector.add({
       kind: DispatchOutputKind.SaveWorker,
       description,
@@ -388,23 +419,15 @@
   }
 
   /** Settles every run of a worker incarnation that has ended. */
-  #handleWorkerLoss(): void {
+  #handleWorkerLoss(end: WorkerEnd): void {
     this.#record(EventNumber.WorkerLost, "the worker incarnation has ended");
+    const { description } = this.#link;
     this.#link.forget();
-    this.#settleLostRuns();
+    this.#lostRuns.settle(end, description);
     this.#runController.reset();
     this.#table.raiseRevision();
   }
 
-  #settleLostRuns(): void {
-    for (const run of this.#table.sentToWorker()) {
-      this.#table.settle(run, {
-        kind: SettlementKind.Interrupted,
-        reason: InterruptionReason.WorkerLost,
-      });
-    }
-  }
-
   #drain(): void {
     if (this.#drainingSince !== undefined) return;
     this.#drainingSince = this.#collector.now;
@@ -441,36 +464,8 @@
     this.#collector.add({ kind: DispatchOutputKind.Announce, member });
   }
 
-  #load(entry: ProcessIdentifier): WorkerLoad | undefined {
-    const { description } = this.#link;
-    if (description === undefined) return undefined;
-    // What is offered to an entry must not appear as free in a settlement to another one.
-    this.#watches.offerCapacity();
-    return {
-      revision: this.#table.revision,
-      worker: description.incarnation.id,
-      free: subtractResources(
-        this.#freeResources(),
-        this.#watches.offeredToOthers(entry),
-      ),
-      slowness: roundSlowness(this.#runController.slowness),
-      isTakingWork: this.#isTakingWork(),
-      requestsTaken: this.#sessions.requestsTaken(entry),
-    };
-  }
-
-  #isTakingWork(): boolean {
-    return this.#link.isTakingWork && this.#runController.isReconciled &&
-      this.#drainingSince === undefined;
-  }
-
-  #freeResources(): Resources {
-    const { capacity } = this.#link.description ?? { capacity: NO_RESOURCES };
-    return subtractResources(capacity, this.#table.used);
-  }
-
   #updateGauge(): void {
-    const value = this.#freeResources().processorMillicores;
+    const value = this.#loadReport.freeResources().processorMillicores;
     if (value === this.#reportedFreeMillicores) return;
     this.#reportedFreeMillicores = value;
     const gauge = Gauge.FreeMillicores;
@@ -490,8 +485,3 @@
     });
   }
 }
-
-/** Rounds to two decimals, which is finer than the estimate and shorter in messages. */
-function roundSlowness(slowness: number): number {
-  return Math.round(slowness * 100) / 100;
-}
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -3,6 +3,7 @@
  */
 import {
   type CallWorker,
+  type CrashSuspect,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
@@ -12,6 +13,7 @@
   type DispatchRequest,
   DispatchRequestKind,
   InputKind,
+  type OutgoingRequest,
   OutputKind,
   type ProcessIdentifier,
   type RenewSession,
@@ -39,6 +41,14 @@
   readonly job: string;
   readonly millicores: number;
   readonly entry?: ProcessIdentifier;
+  /** Kind of work of a task that runs apart. */
+  readonly suspectRoute?: string;
+}
+
+/** A report of a crash and its receiver. */
+export interface SentCrashReport {
+  readonly to: ProcessIdentifier;
+  readonly suspects: readonly CrashSuspect[];
 }
 
 interface RunListOptions {
@@ -55,6 +65,8 @@
 /** Passes inputs to a sidecar and collects its outputs. */
 export class WorkerGuardHarness {
   hasStopped = false;
+  /** Reports of crashes that were sent to entries. */
+  readonly crashReports: SentCrashReport[] = [];
   readonly #guard = new WorkerGuardDecisions({
     self: {
       process: "sidecar-1~a",
@@ -77,6 +89,8 @@
   #sequence = 0;
   #lastEnd = 0;
   #bornAt = BORN_AT;
+  #capacityMillicores = CAPACITY_MILLICORES;
+  #savedCapacity: number | undefined;
 
   /** A sidecar that has read a saved worker, with an empty list of runs and an open session. */
   static withSavedWorker(): WorkerGuardHarness {
@@ -132,12 +146,18 @@
   }
 
   report(
-    { phase = WorkerPhase.Ready, bornAt = this.#bornAt }: {
+    {
+      phase = WorkerPhase.Ready,
+      bornAt = this.#bornAt,
+      capacityMillicores = this.#capacityMillicores,
+    }: {
       readonly phase?: WorkerPhase;
       readonly bornAt?: number;
+      readonly capacityMillicores?: number;
     } = {},
   ): void {
     this.#bornAt = bornAt;
+    this.#capacityMillicores = capacityMillicores;
     this.#sequence += 1;
     const description = { ...this.#describe(phase), clock: this.#workerClock };
     this.step({ kind: DispatchInputKind.WorkerReported, description });
@@ -160,7 +180,7 @@
       address: "127.0.0.1:8080",
       phase,
       capacity: {
-        processorMillicores: CAPACITY_MILLICORES,
+        processorMillicores: this.#capacityMillicores,
         memoryMegabytes: 1_000,
         accelerators: 0,
       },
@@ -215,13 +235,27 @@
     });
   }
 
+  /** Passes entries to the sidecar, as the platform's store lists them. */
+  learnEntries(entries: readonly ProcessIdentifier[]): void {
+    this.step({
+      kind: DispatchInputKind.MembersRead,
+      members: entries.map((process) => ({
+        process,
+        role: Role.Entry,
+        address: process,
+        availabilityZone: "zone-a",
+      })),
+      removedNames: [],
+    });
+  }
+
   messagesTo(request: number): readonly DispatchReply[] {
     return this.#replies.get(request) ?? [];
   }
 
   runTask(
     request: number,
-    { job, millicores, entry = ENTRY }: TaskOptions,
+    { job, millicores, entry = ENTRY, suspectRoute }: TaskOptions,
   ): void {
     this.#request(entry, request, {
       kind: DispatchRequestKind.RunTask,
@@ -235,6 +269,7 @@
         accelerators: 0,
       },
       expectedMilliseconds: 300,
+      ...(suspectRoute === undefined ? {} : { suspectRoute }),
     });
   }
 
@@ -293,6 +328,11 @@
     return this.#started;
   }
 
+  /** Processor capacity of the worker in the description that was saved last. */
+  savedCapacity(): number | undefined {
+    return this.#savedCapacity;
+  }
+
   repliesTo(request: number): readonly DispatchReplyKind[] {
     return (this.#replies.get(request) ?? [])
       .map(({ kind }) => kind as DispatchReplyKind);
@@ -326,6 +366,12 @@
       const replies = this.#replies.get(output.request) ?? [];
       this.#replies.set(output.request, [...replies, output.message]);
     }
+    if (output.kind === OutputKind.SendRequest) {
+      this.crashReports.push(...crashReportOf(output));
+    }
+    if (output.kind === DispatchOutputKind.SaveWorker) {
+      this.#savedCapacity = output.description.capacity.processorMillicores;
+    }
     if (output.kind !== DispatchOutputKind.CallWorker) return;
     this.#calls.push(output);
     const { request } = output;
@@ -336,3 +382,11 @@
 function runOf(job: string) {
   return { task: { job, step: 0, index: 0 }, run: 1 };
 }
+
+function crashReportOf(
+  { peer, message }: OutgoingRequest<DispatchRequest>,
+): readonly SentCrashReport[] {
+  return message.kind === DispatchRequestKind.ReportCrash
+    ? [{ to: peer, suspects: message.suspects }]
+    : [];
+}
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -13,7 +13,6 @@
   DispatchOutputKind,
   type DispatchReply,
   type DispatchRequest,
-  ErrorTag,
   type FleetMember,
   InputKind,
   type JobRequest,
@@ -27,8 +26,8 @@
   processName,
   type RequestIdentifier,
   Role,
+  type RunReference,
   type StateMachine,
-  Step,
   type WorkConfiguration,
   type WorkerDescription,
 } from "@eelgrassfront/model";
@@ -37,6 +36,9 @@
   type DispatchProcess,
   type DispatchSystemOptions,
   type DispatchVm,
+  outstandingKey,
+  requestLost,
+  vmNameOf,
   zoneOf,
 } from "./dispatch_vm.ts";
 import { FakeNetwork, LOSS_DETECTION_MILLISECONDS } from "./fake_network.ts";
@@ -56,6 +58,7 @@
 const GRACE_MILLISECONDS: Milliseconds = 6_000;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
+const CRASH_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
 const DELAY_SEED_OFFSET = 5_000_011;
 const MAXIMUM_ACTIONS_AT_ONCE = 100_000;
 
@@ -238,7 +241,8 @@
   }
 
   #newWorker(vm: DispatchVm, id: string): FakeWorker {
-    const { capacityMillicores, observer, runMilliseconds } = this.#options;
+    const { capacityMillicores, observer, runMilliseconds, crashMilliseconds } =
+      this.#options;
     return new FakeWorker({
       id,
       bornAt: this.time.now,
@@ -248,9 +252,24 @@
       random: this.random,
       delayRandom: this.#delayRandom,
       current: () => vm.worker,
-      observer,
+      observer: {
+        onStart: (worker, run) => observer.onStart(worker, run),
+        onEnd: (worker, run) => observer.onEnd(worker, run),
+        onCrash: (worker, run) => this.#recoverFromCrash(worker, run),
+      },
       clockRate: this.random.between(MINIMUM_CLOCK_RATE, 1),
       runMilliseconds,
+      ...(crashMilliseconds === undefined ? {} : { crashMilliseconds }),
+    });
+  }
+
+  /** Starts a new worker some time after a task crashed the earlier one. */
+  #recoverFromCrash(worker: FakeWorker, run: RunReference): void {
+    this.#options.observer.onCrash?.(worker, run);
+    const vm = this.sidecars.find((sidecar) => sidecar.worker === worker);
+    if (vm === undefined) return;
+    this.time.after(CRASH_RECOVERY_MILLISECONDS, () => {
+      if (vm.worker === worker) this.startWorker(vm, false);
     });
   }
 
@@ -464,33 +483,3 @@
     return [...this.entries, ...this.sidecars].find((vm) => vm.name === name);
   }
 }
-
-/** Returns the name for the network, without an incarnation: links are cut between VMs. */
-function vmNameOf({ identifier }: DispatchProcess): ProcessIdentifier {
-  return processIdentifier(processName(identifier), "");
-}
-
-function outstandingKey(
-  receiver: ProcessIdentifier,
-  sender: ProcessIdentifier,
-  request: RequestIdentifier,
-): string {
-  return `${receiver} ${sender} ${request}`;
-}
-
-function requestLost(
-  peer: ProcessIdentifier,
-  request: RequestIdentifier,
-): DispatchInput {
-  return {
-    kind: InputKind.PeerRequestLost,
-    peer,
-    request,
-    error: {
-      tag: ErrorTag.ConnectionLost,
-      step: Step.CallPeer,
-      peer,
-      detail: "the connection ended",
-    },
-  };
-}
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -4,12 +4,17 @@
 import {
   type DispatchInput,
   type DispatchOutput,
+  ErrorTag,
+  InputKind,
   type Milliseconds,
   type ProcessEvent,
   type ProcessIdentifier,
+  processIdentifier,
   processName,
+  type RequestIdentifier,
   type Role,
   type StateMachine,
+  Step,
 } from "@eelgrassfront/model";
 import type { FakeWorker, WorkerObserver } from "./fake_worker.ts";
 import type { VirtualProcess } from "./virtual_process.ts";
@@ -31,6 +36,8 @@
   readonly capacityMillicores: number;
   readonly observer: WorkerObserver;
   readonly runMilliseconds: (content: string) => Milliseconds;
+  /** Time after which a task with this content crashes its worker; the worker then returns after 3 s. */
+  readonly crashMilliseconds?: (content: string) => Milliseconds | undefined;
   readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
   /** Wraps the state machine of a process, so that tests can disable a mechanism. */
   readonly wrapDecisions?: (
@@ -53,3 +60,35 @@
   const number = Number(processName(identifier).split("-").at(-1));
   return `zone-${number % zones}`;
 }
+
+/** Returns the name for the network, without an incarnation: links are cut between VMs. */
+export function vmNameOf({ identifier }: DispatchProcess): ProcessIdentifier {
+  return processIdentifier(processName(identifier), "");
+}
+
+/** Returns the key of a request that waits for a reply. */
+export function outstandingKey(
+  receiver: ProcessIdentifier,
+  sender: ProcessIdentifier,
+  request: RequestIdentifier,
+): string {
+  return `${receiver} ${sender} ${request}`;
+}
+
+/** Returns the input of a process whose request to a peer was lost. */
+export function requestLost(
+  peer: ProcessIdentifier,
+  request: RequestIdentifier,
+): DispatchInput {
+  return {
+    kind: InputKind.PeerRequestLost,
+    peer,
+    request,
+    error: {
+      tag: ErrorTag.ConnectionLost,
+      step: Step.CallPeer,
+      peer,
+      detail: "the connection ended",
+    },
+  };
+}
