fix(peers): do not end the process on a peer address that cannot be parsed

Callers saw: a member record with a port of 99999 ended every entry that read it, again after each restart. Cause: `new WebSocket()` throws for an invalid address; the error left `perform` and ended the event loop with exit code 70. Change: a call to such an address is lost like one to an unreachable peer, in a turn of its own, since outputs must not produce inputs while they are performed.

--- a/adapters/peers_trpc/src/trpc_peers.ts
+++ b/adapters/peers_trpc/src/trpc_peers.ts
@@ -176,10 +176,15 @@
   #call(output: OutgoingRequest<Request>): void {
     const { request, peer, address, message } = output;
     const envelope = { from: this.#options.self, to: peer, request, message };
-    this.#connectionTo(address).send(envelope, {
-      succeed: (reply) => this.#handleReply(output, reply),
-      fail: (detail) => this.#reportLost(output, detail),
-    });
+    try {
+      this.#connectionTo(address).send(envelope, {
+        succeed: (reply) => this.#handleReply(output, reply),
+        fail: (detail) => this.#reportLost(output, detail),
+      });
+    } catch (error) {
+      // The address is invalid. The loss is an input of its own, after the outputs of this step.
+      setImmediate(() => this.#reportLost(output, String(error)));
+    }
   }
 
   #handleReply(output: OutgoingRequest<Request>, reply: PeerMessage): void {
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -150,6 +150,25 @@
   expect(input?.kind).toEqual(InputKind.PeerReplyArrived);
 });
 
+const ODD_ADDRESSES = [
+  "127.0.0.1:65536",
+  "127.0.0.1:-1",
+  "127.0.0.1:port",
+  "no such host:1",
+  "[::1:1",
+  "127.0.0.1:1#x",
+  "",
+];
+
+for (const address of ODD_ADDRESSES) {
+  test(`a call to the odd address "${address}" is lost instead of ending the process`, async () => {
+    await using caller = await TestPeer.listen(CALLER);
+    caller.call(address, 1);
+    const [input] = await caller.receive(1);
+    expect(input?.kind).toEqual(InputKind.PeerRequestLost);
+  });
+}
+
 test("a connection that is not used for several checks serves the next call", async () => {
   const server = new WebSocketServer({ host: "127.0.0.1", port: 0 });
   await once(server, "listening");
