fix(peers): do not end the process on a frame that is not JSON

Callers saw: nothing yet; found by reading. Cause: the client's end of a connection parsed frames in an event listener without a handler, so that an unreadable frame became an uncaught exception. The server's end disconnects such a peer. Change: the client's end closes the connection too; its calls are lost. Evidence: three of the four tests failed before with an uncaught exception, such as "Unexpected token 'o', "not JSON" is not valid JSON". Deep nesting held before. Conclusion: both ends treat an invalid frame alike.

--- a/adapters/peers_trpc/src/persistent_connection.ts
+++ b/adapters/peers_trpc/src/persistent_connection.ts
@@ -127,7 +127,18 @@
 
   #receive(frame: string): void {
     this.#silentChecks = 0;
-    for (const message of parseFrame(frame)) this.#completeCall(message);
+    const messages = this.#parse(frame);
+    for (const message of messages) this.#completeCall(message);
+  }
+
+  /** Parses a frame; closes the connection to a peer that violates the protocol. */
+  #parse(frame: string): readonly unknown[] {
+    try {
+      return parseFrame(frame);
+    } catch (error) {
+      this.close(`the peer sent an invalid frame: ${String(error)}`);
+      return [];
+    }
   }
 
   #completeCall(message: unknown): void {
--- a/adapters/peers_trpc/src/trpc_peers_test.ts
+++ b/adapters/peers_trpc/src/trpc_peers_test.ts
@@ -169,6 +169,35 @@
   });
 }
 
+const ODD_FRAMES: readonly [string, string | Buffer, PeerInput["kind"]][] = [
+  ["text", "not JSON", InputKind.PeerRequestLost],
+  ["empty", "", InputKind.PeerRequestLost],
+  ["binary", Buffer.from([0xff, 0xfe, 0x00]), InputKind.PeerRequestLost],
+  ["deeply nested", nested(100_000), InputKind.PeerReplyArrived],
+];
+
+for (const [name, frame, expected] of ODD_FRAMES) {
+  test(`an odd frame from a peer (${name}) does not end the process`, async () => {
+    const server = new WebSocketServer({ host: "127.0.0.1", port: 0 });
+    await once(server, "listening");
+    server.on("connection", (socket) => {
+      socket.on("message", (call) => {
+        socket.send(frame);
+        socket.send(replyTo(String(call)));
+      });
+    });
+    await using caller = await TestPeer.listen(CALLER);
+    caller.call(addressOf(server), 1);
+    const [input] = await caller.receive(1);
+    expect(input?.kind).toEqual(expected);
+    server.close();
+  });
+}
+
+function nested(depth: number): string {
+  return "[".repeat(depth) + "]".repeat(depth);
+}
+
 test("a connection that is not used for several checks serves the next call", async () => {
   const server = new WebSocketServer({ host: "127.0.0.1", port: 0 });
   await once(server, "listening");
