fix(platform): report and ignore odd records of the store

Effect: a member with a port out of range or no host was called again and again; one stored under another key replaced the member of that name; a configuration of version 1e300 kept every later version out; a saved worker with a sequence of 1e300 kept the true one's reports out. Ignored records left no trace, and an invalid configuration was logged as an unavailable store. Cause: the schemas of the store's records accepted any text as address and any number, and nobody compared a member with its key.

--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -36,7 +36,10 @@
 import { ProcessSignals } from "@eelgrassfront/signals";
 import { WorkerGuardDecisions } from "@eelgrassfront/worker-guard";
 import { DispatchLoop, type DispatchPorts } from "./dispatch_loop.ts";
-import { recordRejectedMessage } from "./rejected_message.ts";
+import {
+  recordInvalidRecord,
+  recordRejectedMessage,
+} from "./rejected_message.ts";
 
 const INCARNATION_BYTES = 6;
 /** Port on which every process serves its metrics; the deploy file contains the same number. */
@@ -224,6 +227,7 @@
       client: store,
       ...storeReadsOf(self.role),
       ...(self.role === Role.Sidecar ? { workerVm: settings.vmName } : {}),
+      onInvalidRecord: (record) => recordInvalidRecord(journal, record),
     }),
     signals: new ProcessSignals(),
     settings: new SettingsWatcher(),
--- a/daemon/src/rejected_message.ts
+++ b/daemon/src/rejected_message.ts
@@ -1,7 +1,8 @@
 /**
- * The log event of a message between processes that was rejected for its form.
+ * The log events of messages and stored records that were rejected for their form.
  */
 import { EventNumber, Severity } from "@eelgrassfront/model";
+import type { InvalidRecord } from "@eelgrassfront/platform";
 import type { JournalPort } from "@eelgrassfront/ports";
 
 /** Records that a message of a peer was rejected. */
@@ -16,3 +17,16 @@
     context: { detail },
   });
 }
+
+/** Records that a record of the platform's store was ignored. */
+export function recordInvalidRecord(
+  journal: JournalPort,
+  { topic, key, detail }: InvalidRecord,
+): void {
+  journal.record({
+    number: EventNumber.LogRecordInvalid,
+    severity: Severity.Warning,
+    message: "ignored a stored record that is in an unknown form",
+    context: { topic, key, detail },
+  });
+}
