fix(log): skip a log record that refers to an offset after its own

Effect: a publication whose `firstOffset` is 2^53-1 came into force, and every later one counted as superseded, in every process. A refreshed claim of an epoch like that did the same for a shard at a reader without the older records. Cause: the offsets in a record were checked for their type only, two of them not at all; they can only be those of earlier records. Conclusion: every process skips by the same rule, from the record and its offset.

--- a/adapters/platform_log_http/src/http_platform_log.ts
+++ b/adapters/platform_log_http/src/http_platform_log.ts
@@ -163,8 +163,9 @@
   const records: StoredRecord[] = [];
   const invalidOffsets: LogOffset[] = [];
   for (const { offset, appendedAt, record } of read) {
-    if (isLogRecord(record)) records.push({ offset, appendedAt, record });
-    else invalidOffsets.push(offset);
+    if (isLogRecord(record, offset)) {
+      records.push({ offset, appendedAt, record });
+    } else invalidOffsets.push(offset);
   }
   return { records, invalidOffsets };
 }
--- a/adapters/platform_log_http/src/log_record_schema_test.ts
+++ b/adapters/platform_log_http/src/log_record_schema_test.ts
@@ -6,6 +6,7 @@
 import { expect } from "earl";
 import { isLogRecord } from "./log_record_schema.ts";
 
+const OFFSET = 9;
 const JOINED = {
   kind: LogRecordKind.MemberJoined,
   process: "entry-0~a",
@@ -30,8 +31,8 @@
 describe("isLogRecord", () => {
   it("accepts records, including those with fields of a newer version", () => {
     for (const record of [JOINED, CLAIMED, PUBLISHED]) {
-      expect(isLogRecord(record)).toEqual(true);
-      expect(isLogRecord({ ...record, added: 1 })).toEqual(true);
+      expect(isLogRecord(record, OFFSET)).toEqual(true);
+      expect(isLogRecord({ ...record, added: 1 }, OFFSET)).toEqual(true);
     }
   });
 
@@ -48,6 +49,29 @@
       { ...PUBLISHED, configuration: { kindsOfWork: {} } },
       { ...PUBLISHED, configuration: undefined },
     ];
-    for (const value of faulty) expect(isLogRecord(value)).toEqual(false);
+    for (const value of faulty) {
+      expect(isLogRecord(value, OFFSET)).toEqual(false);
+    }
+  });
+
+  it("accepts a reference to the record before", () => {
+    const refresh = { ...PUBLISHED, firstOffset: OFFSET - 1 };
+    expect(isLogRecord({ ...refresh, readTo: OFFSET }, OFFSET)).toEqual(true);
   });
+
+  for (const offset of [Number.MAX_SAFE_INTEGER, OFFSET + 1]) {
+    it(`rejects a reference to offset ${offset}, which would keep later records out`, () => {
+      const faulty = [
+        { ...JOINED, firstOffset: offset },
+        { ...CLAIMED, claims: [{ shard: 0, replaces: offset }] },
+        { ...CLAIMED, readTo: offset },
+        { ...CLAIMED, unseenSince: offset },
+        { ...PUBLISHED, replaces: offset },
+        { ...PUBLISHED, firstOffset: offset },
+        { ...PUBLISHED, readTo: offset },
+      ];
+      const accepted = faulty.filter((record) => isLogRecord(record, OFFSET));
+      expect(accepted).toEqual([]);
+    });
+  }
 });
