fix(fairness): keep shares finite when a configuration holds odd numbers

Found by reading. Cause: the log's schema checks names only, and shares were computed from whatever the record holds. Change: a weight or floor that is no finite number counts as 0, others at most 1e9. Conclusion: the command line checks what it publishes; the other numbers of a configuration (limits, attempts, prices) are still used as they are.

--- a/domain/fairness/src/shares.ts
+++ b/domain/fairness/src/shares.ts
@@ -14,12 +14,14 @@
 
 /** Lower bound of every share: shares are divisors, so none may be 0. */
 const SMALLEST_SHARE = 0.001;
+/** Upper bound of weights and floors, so that their sums remain finite. */
+const LARGEST_NUMBER = 1e9;
 
 /** Returns the shares that a configuration defines. */
 export function computeShares(configuration: Configuration): Shares {
-  const kinds = shareKinds(configuration.kindsOfWork);
+  const kinds = shareKinds(configuration.kindsOfWork.map(withFiniteNumbers));
   const teams = new Map(
-    configuration.teams.map(({ name, weight }) => [name, weight]),
+    configuration.teams.map(({ name, weight }) => [name, finiteOf(weight)]),
   );
   return {
     ofKind: (name) => clampShare(kinds.get(name) ?? 0),
@@ -53,6 +55,16 @@
   }
 }
 
+/** Replaces the numbers of another writer's record that are none: they would make the shares of all kinds NaN. */
+function withFiniteNumbers(kind: KindOfWork): KindOfWork {
+  const { weight, floor } = kind;
+  return { ...kind, weight: finiteOf(weight), floor: finiteOf(floor) };
+}
+
+function finiteOf(value: number): number {
+  return Number.isFinite(value) ? Math.min(value, LARGEST_NUMBER) : 0;
+}
+
 function total(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0);
 }
--- a/domain/fairness/src/shares_test.ts
+++ b/domain/fairness/src/shares_test.ts
@@ -62,3 +62,19 @@
     { seed: 5 },
   );
 });
+
+const ODD_NUMBERS: readonly unknown[] = [undefined, null, "x", NaN, 1e308, {}];
+
+for (const odd of ODD_NUMBERS) {
+  test(`a weight or floor of ${String(odd)} does not spoil the shares of the others`, () => {
+    for (const kind of [{ weight: odd, floor: 0 }, { weight: 1, floor: odd }]) {
+      const shares = sharesOfKinds([
+        kind as Pick<KindOfWork, "weight" | "floor">,
+        { weight: 1, floor: 0 },
+        { weight: 1e308, floor: 0 },
+      ]);
+      expect(shares.every((share) => share > 0 && share <= 1e9))
+        .toEqual(true);
+    }
+  });
+}
