fix(worker-guard): wait for ends as usual while the lease is withheld

Callers: none; a slow sidecar called its worker more often than it could handle the answers.

Cause: while the lease is withheld, a poll waited 30 ms in place of 200, also where an entry's renewals are late because the sidecar itself is slow. Each call that then seems unanswered costs a connection.

Change: only a worker that left calls unanswered is polled with the short wait.

Sidecar tests and randomised runs without a failure but for late_starts.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -223,7 +223,7 @@
       notedEnds: endCursor,
       waitMilliseconds: !isActive
         ? 0
-        : isWithheld || link.isUnreliable
+        : link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
         : POLL_WAIT_MILLISECONDS,
     }, { endCursor });
