test(worker-guard): share the unanswered answer, and start a later attempt after a cancellation

Cause: three test files had the same function; no test said that the cancellation of one attempt leaves a later attempt alone.

Change: the function moves to the harness; one more test.

--- a/domain/worker_guard/src/early_cancellation_test.ts
+++ b/domain/worker_guard/src/early_cancellation_test.ts
@@ -17,3 +17,10 @@
     reason: NotStartedReason.Cancelled,
   });
 });
+
+test("a later attempt at a task whose cancellation arrived first is started", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.cancelTask(10, { job: "a" });
+  harness.runTask(11, { job: "a", millicores: 1_000, attempt: 2 });
+  expect(harness.startedJobs()).toEqual(["a"]);
+});
--- a/domain/worker_guard/src/frozen_worker_test.ts
+++ b/domain/worker_guard/src/frozen_worker_test.ts
@@ -2,9 +2,13 @@
  * Workers that leave all calls unanswered for seconds, as a suspended process does, while a run is to be stopped.
  */
 import { test } from "node:test";
-import { ErrorTag, Step, WorkerAnswerKind } from "@eelgrassfront/model";
+import { WorkerAnswerKind } from "@eelgrassfront/model";
 import { expect } from "earl";
-import { ENTRY, WorkerGuardHarness } from "./worker_guard_harness.ts";
+import {
+  ENTRY,
+  unanswered,
+  WorkerGuardHarness,
+} from "./worker_guard_harness.ts";
 
 const TIMEOUT_MILLISECONDS = 60;
 const FROZEN_UNTIL_MILLISECONDS = 2_000;
@@ -49,18 +53,6 @@
   expect(harness.startedJobs()).toEqual(["a", "b"]);
 });
 
-function unanswered() {
-  return {
-    kind: WorkerAnswerKind.Unanswered,
-    error: {
-      tag: ErrorTag.TimedOut,
-      step: Step.ExecuteTask,
-      peer: "i-1",
-      detail: "no answer in time",
-    },
-  } as const;
-}
-
 test("a start that a worker has not answered is not settled while the worker may still execute it", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(12, { job: "b", millicores: 1_000 });
--- a/domain/worker_guard/src/late_call_test.ts
+++ b/domain/worker_guard/src/late_call_test.ts
@@ -2,14 +2,9 @@
  * Calls that a worker leaves unanswered and may execute seconds later.
  */
 import { test } from "node:test";
-import {
-  ErrorTag,
-  Step,
-  WorkerAnswerKind,
-  WorkerRefusalReason,
-} from "@eelgrassfront/model";
+import { WorkerAnswerKind, WorkerRefusalReason } from "@eelgrassfront/model";
 import { expect } from "earl";
-import { WorkerGuardHarness } from "./worker_guard_harness.ts";
+import { unanswered, WorkerGuardHarness } from "./worker_guard_harness.ts";
 
 test("a start that a worker executes late is fenced off by the call that follows it", () => {
   const harness = WorkerGuardHarness.ready();
@@ -33,15 +28,3 @@
   const [repeated] = harness.takeCalls("start");
   expect(repeated?.fencingToken).toEqual((first?.fencingToken ?? 0) + 1);
 });
-
-function unanswered() {
-  return {
-    kind: WorkerAnswerKind.Unanswered,
-    error: {
-      tag: ErrorTag.TimedOut,
-      step: Step.ExecuteTask,
-      peer: "i-1",
-      detail: "no answer in time",
-    },
-  } as const;
-}
--- a/domain/worker_guard/src/unanswered_stop_test.ts
+++ b/domain/worker_guard/src/unanswered_stop_test.ts
@@ -2,14 +2,13 @@
  * Stops that a worker does not answer, while it still answers polls.
  */
 import { test } from "node:test";
-import {
-  type CallWorker,
-  ErrorTag,
-  Step,
-  WorkerAnswerKind,
-} from "@eelgrassfront/model";
+import { type CallWorker, WorkerAnswerKind } from "@eelgrassfront/model";
 import { expect } from "earl";
-import { ENTRY, WorkerGuardHarness } from "./worker_guard_harness.ts";
+import {
+  ENTRY,
+  unanswered,
+  WorkerGuardHarness,
+} from "./worker_guard_harness.ts";
 
 /** Leaves every stop call unanswered and answers every poll, from the end of the session on. */
 function leaveStopsUnanswered(harness: WorkerGuardHarness, until: number) {
@@ -51,18 +50,6 @@
   return "leaseUntil" in request;
 }
 
-function unanswered() {
-  return {
-    kind: WorkerAnswerKind.Unanswered,
-    error: {
-      tag: ErrorTag.TimedOut,
-      step: Step.ExecuteTask,
-      peer: "i-1",
-      detail: "no answer in time",
-    },
-  } as const;
-}
-
 function listed(now: number) {
   return {
     kind: WorkerAnswerKind.Listed,
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -12,6 +12,7 @@
   DispatchReplyKind,
   type DispatchRequest,
   DispatchRequestKind,
+  ErrorTag,
   InputKind,
   type OutgoingRequest,
   OutputKind,
@@ -20,6 +21,7 @@
   Role,
   type RunEnd,
   type RunEndKind,
+  Step,
   type TaskSettlement,
   type WorkerAnswer,
   WorkerAnswerKind,
@@ -43,6 +45,7 @@
   readonly entry?: ProcessIdentifier;
   /** Kind of work of a task that runs apart. */
   readonly suspectRoute?: string;
+  readonly attempt?: number;
 }
 
 /** A report of a crash and its receiver. */
@@ -255,13 +258,13 @@
 
   runTask(
     request: number,
-    { job, millicores, entry = ENTRY, suspectRoute }: TaskOptions,
+    { job, millicores, entry = ENTRY, suspectRoute, attempt = 1 }: TaskOptions,
   ): void {
     this.#request(entry, request, {
       kind: DispatchRequestKind.RunTask,
       session: this.#sessions.get(entry) ?? 0,
       task: { job, step: 0, index: 0 },
-      attempt: 1,
+      attempt,
       content: "",
       resources: {
         processorMillicores: millicores,
@@ -390,3 +393,16 @@
     ? [{ to: peer, suspects: message.suspects }]
     : [];
 }
+
+/** Returns the answer that a call gets after its timeout. */
+export function unanswered(): WorkerAnswer {
+  return {
+    kind: WorkerAnswerKind.Unanswered,
+    error: {
+      tag: ErrorTag.TimedOut,
+      step: Step.ExecuteTask,
+      peer: "i-1",
+      detail: "no answer in time",
+    },
+  };
+}
