--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -13,25 +13,31 @@
   phases: [{ count: 4, cpu: 3_100, memMb: 64, estimateMs: 1_200 }],
   bestEffort: true,
 };
-/** Time of the report after the first job. */
+/** Time of the report after the first job; then it waits for a task that has just begun on the worker. */
 const REPORT_MILLISECONDS = 3_000;
+const NEW_RUN_MILLISECONDS = 200;
 
 await runCase({
   folder: import.meta.dirname,
-  deployment: { entries: 2, sidecars: 4 },
+  deployment: { entries: 2, sidecars: 6 },
   play: async (deployment, isTroubled) => {
     const { recorder } = deployment;
     const client = deployment.client();
     const born = Date.now();
     const jobs = [];
+    if (isTroubled) {
+      jobs.push(
+        pause(REPORT_MILLISECONDS).then(() =>
+          sendForeignReport(deployment, born)
+        ),
+      );
+    }
     for (let index = 0; index < JOBS; index += 1) {
       jobs.push(client.submit(JOB, {
         deadlineMilliseconds: 1_500,
         client: index,
       }));
       await pause(INTERVAL_MILLISECONDS);
-      const isDue = index === REPORT_MILLISECONDS / INTERVAL_MILLISECONDS;
-      if (isTroubled && isDue) await sendForeignReport(deployment, born);
     }
     await Promise.all(jobs);
     return describeOverlaps(recorder);
@@ -40,6 +46,10 @@
 
 async function sendForeignReport(deployment, born) {
   const { recorder, workers } = deployment;
+  const isNew = ({ worker, startedAt, endedAt }) =>
+    worker === workers[0].id && endedAt === undefined &&
+    recorder.now - startedAt < NEW_RUN_MILLISECONDS;
+  while (!recorder.runs.some(isNew)) await pause(5);
   const running = workers[0].runningTasks.length;
   recorder.line(`${running} tasks run on ${workers[0].id}`);
   recorder.line("another writer reports to sidecar-1: service zufo03c");
