fix(worker-guard): use a reported incarnation only once it has answered

The worker got no tasks for the rest of the sidecar's life.

Cause: a report with a later start was taken as the proof that its sender runs and that the known incarnation has ended.

Change: a report of another incarnation begins a check by a call for the list of runs; only an incarnation that answers with its identifier and start is used, and that list is its first one, so that no call is added. Until then the known one gets no tasks and its runs go on. Reports that differ from the service and address of the settings, or lack a field that workers always send, are ignored. The reports, checks and ends of incarnations move from the state machine to WorkerLifecycle.

Five earlier tests settled runs by a report alone; there the new incarnation now answers first, and the expected settlements and tokens are the same. The test of a shrunken capacity reached its state (a worker whose runs are not yet known) by such a report, and now does so by a list with an unknown run.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -247,4 +247,10 @@
     action:
       "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
   },
+  [EventNumber.WorkerUnconfirmed]: {
+    meaning:
+      "A report named a worker incarnation that did not answer at the reported address. The line contains the reported and the known worker, and why: another incarnation answered, the connection was refused, or there was no answer. The known worker and its runs are kept.",
+    action:
+      "One such line beside a restart of the worker is harmless. If it recurs, find the other writer of reports by `worker` and `service`.",
+  },
 };
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -110,6 +110,9 @@
     firstFencingToken: Date.now(),
     leaseMilliseconds: settings.leaseMilliseconds,
     graceMilliseconds: settings.graceMilliseconds,
+    ...(settings.worker === undefined
+      ? {}
+      : { expectedWorker: settings.worker }),
   });
   const ports = { ...shared.ports, worker };
   const running = new DispatchLoop(decisions, ports).run();
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -52,6 +52,7 @@
   RunStopRepeated = 4107,
   RunUnknown = 4108,
   WorkerCrashed = 4109,
+  WorkerUnconfirmed = 4110,
 }
 
 /** Severity of an event. */
--- a/domain/worker_guard/src/capacity_change_test.ts
+++ b/domain/worker_guard/src/capacity_change_test.ts
@@ -88,8 +88,10 @@
 test("an accepted task that a shrunken capacity leaves no room for is returned", () => {
   const harness = WorkerGuardHarness.ready();
   harness.report({ bornAt: BORN_AT + 500 });
+  harness.answerPoll({ running: ["old"] });
   harness.runTask(10, { job: "a", millicores: 2 * SHRUNK });
   harness.report({ capacityMillicores: SHRUNK });
+  harness.advanceTo(200);
   harness.answerPoll({});
   expect(harness.startedJobs()).toEqual([]);
   expect(harness.settlementOf(10)).toEqual({
--- a/domain/worker_guard/src/lost_runs_test.ts
+++ b/domain/worker_guard/src/lost_runs_test.ts
@@ -16,6 +16,7 @@
   harness.runTask(10, { job: "a", millicores: 1_000 });
   harness.acceptStarts();
   harness.report({ bornAt: BORN_AT + 500 });
+  harness.answerPoll({});
   expect(harness.settlementOf(10)).toEqual(
     interrupted(InterruptionReason.WorkerCrashed),
   );
@@ -27,6 +28,7 @@
   harness.acceptStarts();
   harness.report({ phase: WorkerPhase.Draining });
   harness.report({ bornAt: BORN_AT + 500 });
+  harness.answerPoll({});
   expect(harness.settlementOf(10)).toEqual(
     interrupted(InterruptionReason.WorkerLost),
   );
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -112,6 +112,14 @@
     this.#slowness = new SlownessEstimator();
   }
 
+  /** Forgets the earlier incarnation of the worker and handles the first list of the present one. */
+  useFirstList(list: RunsListed, requestedAt: Milliseconds): void {
+    this.reset();
+    const { link } = this.#options;
+    link.recordAnswer(list.clock);
+    this.#onListed({ sentAt: requestedAt, endCursor: 0 }, list);
+  }
+
   /** Starts an attempt that fits into the worker's capacity. */
   start(run: WorkerRun): void {
     this.#sendStart(run, this.#runNumbers.highest(run.task) + 1);
@@ -170,7 +178,7 @@
       case WorkerAnswerKind.Unanswered:
         link.recordUnanswered();
         // A late stop does no harm, and a higher token would void those that are on their way.
-        if (!this.#stops.isStopPending) link.fenceUnanswered();
+        if (!this.#stops.isStopPending) link.raiseFencingToken();
         collector.count(Counter.WorkerCallsMissing, pending.kind);
         this.#onUnanswered(pending);
         return true;
@@ -330,7 +338,10 @@
     this.#pollNow();
   }
 
-  #onListed({ sentAt, endCursor }: PendingCall, answer: RunsListed): boolean {
+  #onListed(
+    { sentAt, endCursor }: Pick<PendingCall, "sentAt" | "endCursor">,
+    answer: RunsListed,
+  ): boolean {
     const { link } = this.#options;
     const known = link.description?.incarnation.bornAt ?? answer.bornAt;
     if (answer.bornAt > known) return false;
--- a/domain/worker_guard/src/saved_worker_check.ts
+++ b/domain/worker_guard/src/saved_worker_check.ts
@@ -31,7 +31,7 @@
   /** Sends the health check once, as soon as the configuration with its path is known. */
   tick(): void {
     const { link } = this.#options;
-    if (link.isConfirmed || this.#isSent) return;
+    if (!link.isOnlySaved || this.#isSent) return;
     const path = this.#healthPath();
     if (path === undefined) return;
     this.#isSent = true;
--- a/domain/worker_guard/src/suspect_runs_test.ts
+++ b/domain/worker_guard/src/suspect_runs_test.ts
@@ -49,6 +49,7 @@
   harness.runTask(11, SUSPECT);
   harness.acceptStarts();
   harness.report({ bornAt: BORN_AT + 500 });
+  harness.answerPoll({});
   expect(harness.settlementOf(10)).toEqual(
     interrupted(InterruptionReason.BesideCrash),
   );
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -32,8 +32,6 @@
   SessionEndReason,
   Severity,
   type StateMachine,
-  type WorkerDescription,
-  WorkerPhase,
 } from "@eelgrassfront/model";
 import { EntryRequestHandler } from "./entry_request_handler.ts";
 import { EntrySessions } from "./entry_sessions.ts";
@@ -43,10 +41,10 @@
 import { RunController } from "./run_controller.ts";
 import { notStarted } from "./run_settlement.ts";
 import { RunTable } from "./run_table.ts";
-import { LostRuns, WorkerEnd } from "./lost_runs.ts";
+import { LostRuns } from "./lost_runs.ts";
 import { SuspectRuns } from "./suspect_runs.ts";
 import { WorkerLink } from "./worker_link.ts";
-import { SavedWorkerCheck } from "./saved_worker_check.ts";
+import { type ExpectedWorker, WorkerLifecycle } from "./worker_lifecycle.ts";
 
 /** Identity, seeds and time limits of a sidecar. */
 export interface WorkerGuardOptions {
@@ -59,6 +57,8 @@
   readonly leaseMilliseconds: Milliseconds;
   /** Time between the request to stop and the kill of the process by the platform. */
   readonly graceMilliseconds: Milliseconds;
+  /** The worker on this VM as the settings name it; reports of others are ignored. */
+  readonly expectedWorker?: ExpectedWorker;
 }
 
 /** Interval of the timer whose delay reveals a pause of this process. */
@@ -88,8 +88,7 @@
   readonly #table: RunTable;
   readonly #runController: RunController;
   readonly #suspectRuns: SuspectRuns;
-  readonly #lostRuns: LostRuns;
-  readonly #savedWorkerCheck: SavedWorkerCheck;
+  readonly #lifecycle: WorkerLifecycle;
   readonly #watches: LoadWatches;
   readonly #requests: EntryRequestHandler;
   readonly #loadReport: LoadReport;
@@ -120,15 +119,20 @@
         ),
     });
     this.#suspectRuns = new SuspectRuns({ collector, table: this.#table });
-    this.#lostRuns = new LostRuns({
+    const lostRuns = new LostRuns({
       collector,
       table: this.#table,
       suspectRuns: this.#suspectRuns,
       sessions: this.#sessions,
       directory: this.#directory,
     });
-    this.#savedWorkerCheck = new SavedWorkerCheck({
+    this.#lifecycle = new WorkerLifecycle({
+      ...options,
+      collector,
       link: this.#link,
+      table: this.#table,
+      runController: this.#runController,
+      lostRuns,
       directory: this.#directory,
     });
     this.#watches = new LoadWatches({
@@ -186,6 +190,7 @@
       this.#runController.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
       this.#suspectRuns.nextAlarm() ?? Infinity,
+      this.#lifecycle.nextAlarm() ?? Infinity,
     );
   }
 
@@ -208,33 +213,19 @@
         this.#isAnnouncementStored = true;
         return;
       case DispatchInputKind.SavedWorkerRead:
-        this.#useSavedWorker(input.description);
+        this.#lifecycle.useSaved(input.description);
         return;
       case DispatchInputKind.WorkerReported:
-        this.#applyReport(input.description);
+        this.#lifecycle.applyReport(input.description);
         return;
       case DispatchInputKind.WorkerReportInvalid:
-        this.#collector.record(
-          EventNumber.WorkerReportInvalid,
-          "ignored an invalid worker report",
-          {
-            severity: Severity.Warning,
-            context: { detail: input.detail },
-          },
-        );
+        this.#lifecycle.recordInvalidReport(input.detail);
         return;
       case DispatchInputKind.WorkerLeft:
-        if (this.#link.isCurrent(input.worker)) {
-          this.#handleWorkerLoss(WorkerEnd.Announced);
-        }
+        this.#lifecycle.handleGoodbye(input.worker);
         return;
       case DispatchInputKind.WorkerAnswered:
-        if (this.#savedWorkerCheck.handleAnswer(input.call, input.answer)) {
-          this.#table.raiseRevision();
-        }
-        if (!this.#runController.handleAnswer(input.call, input.answer)) {
-          this.#handleWorkerLoss(WorkerEnd.Unannounced);
-        }
+        this.#lifecycle.handleAnswer(input);
         return;
       case InputKind.DrainRequested:
         this.#drain();
@@ -280,7 +271,7 @@
   #tick(): void {
     this.#detectSuspension();
     this.#expireSessions();
-    this.#savedWorkerCheck.tick();
+    this.#lifecycle.tick();
     this.#runController.tick();
     this.#startWaitingRuns();
     this.#runController.tick();
@@ -374,60 +365,6 @@
     }
   }
 
-  /**
-   * Uses the description that an earlier incarnation of this sidecar saved, so that work resumes before the
-   * worker's next report. The first list of runs shows whether the saved incarnation still runs.
-   */
-  #useSavedWorker(description: WorkerDescription): void {
-    if (!this.#link.useSaved(description)) return;
-    this.#runController.reset();
-    this.#table.raiseRevision();
-    this.#record(
-      EventNumber.WorkerAnnounced,
-      "read the saved description of the worker",
-    );
-  }
-
-  #applyReport(description: WorkerDescription): void {
-    const earlier = this.#link.description;
-    const { isConfirmed: wasConfirmed, profileRevision } = this.#link;
-    const isNew = this.#link.applyReport(description);
-    if (isNew) {
-      this.#lostRuns.settle(WorkerEnd.Unannounced, earlier);
-      this.#runController.reset();
-      this.#record(
-        EventNumber.WorkerAnnounced,
-        "a new worker incarnation reported",
-      );
-    }
-    const isDraining = description.phase === WorkerPhase.Draining &&
-      earlier?.phase !== WorkerPhase.Draining;
-    if (isDraining) {
-      this.#record(
-        EventNumber.WorkerDraining,
-        "the worker is draining; it gets no new tasks",
-      );
-    }
-    const hasChanged = this.#link.profileRevision !== profileRevision ||
-      earlier?.phase !== description.phase;
-    if (hasChanged || !wasConfirmed) this.#table.raiseRevision();
-    if (!hasChanged) return;
-    this.#collector.add({
-      kind: DispatchOutputKind.SaveWorker,
-      description,
-    });
-  }
-
-  /** Settles every run of a worker incarnation that has ended. */
-  #handleWorkerLoss(end: WorkerEnd): void {
-    this.#record(EventNumber.WorkerLost, "the worker incarnation has ended");
-    const { description } = this.#link;
-    this.#link.forget();
-    this.#lostRuns.settle(end, description);
-    this.#runController.reset();
-    this.#table.raiseRevision();
-  }
-
   #drain(): void {
     if (this.#drainingSince !== undefined) return;
     this.#drainingSince = this.#collector.now;
@@ -471,17 +408,4 @@
     const gauge = Gauge.FreeMillicores;
     this.#collector.add({ kind: OutputKind.SetGauge, gauge, value });
   }
-
-  #record(number: EventNumber, message: string): void {
-    const { description } = this.#link;
-    this.#collector.record(number, message, {
-      context: {
-        worker: description?.incarnation.id ?? "unknown",
-        bornAt: description?.incarnation.bornAt ?? 0,
-        service: description?.service ?? "unknown",
-        sequence: description?.sequence ?? 0,
-        runs: this.#table.size,
-      },
-    });
-  }
 }
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -31,6 +31,7 @@
   WorkerPhase,
 } from "@eelgrassfront/model";
 import { WorkerGuardDecisions } from "./worker_guard_decisions.ts";
+import type { ExpectedWorker } from "./worker_lifecycle.ts";
 
 /** The entry that sends most requests. */
 export const ENTRY: ProcessIdentifier = "entry-1~a";
@@ -70,18 +71,7 @@
   hasStopped = false;
   /** Reports of crashes that were sent to entries. */
   readonly crashReports: SentCrashReport[] = [];
-  readonly #guard = new WorkerGuardDecisions({
-    self: {
-      process: "sidecar-1~a",
-      role: Role.Sidecar,
-      address: "127.0.0.1:7720",
-      availabilityZone: "zone-a",
-    },
-    seeds: [],
-    firstFencingToken: 100,
-    leaseMilliseconds: 1_000,
-    graceMilliseconds: 6_000,
-  });
+  readonly #guard: WorkerGuardDecisions;
   readonly #calls: CallWorker[] = [];
   readonly #started: string[] = [];
   readonly #replies = new Map<number, DispatchReply[]>();
@@ -95,6 +85,23 @@
   #capacityMillicores = CAPACITY_MILLICORES;
   #savedCapacity: number | undefined;
 
+  /** A sidecar whose settings name the given worker, or none. */
+  constructor(expectedWorker?: ExpectedWorker) {
+    this.#guard = new WorkerGuardDecisions({
+      self: {
+        process: "sidecar-1~a",
+        role: Role.Sidecar,
+        address: "127.0.0.1:7720",
+        availabilityZone: "zone-a",
+      },
+      seeds: [],
+      firstFencingToken: 100,
+      leaseMilliseconds: 1_000,
+      graceMilliseconds: 6_000,
+      ...(expectedWorker === undefined ? {} : { expectedWorker }),
+    });
+  }
+
   /** A sidecar that has read a saved worker, with an empty list of runs and an open session. */
   static withSavedWorker(): WorkerGuardHarness {
     const harness = new WorkerGuardHarness();
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -414,12 +414,19 @@
   harness.runTask(10, { job: "a", millicores: 1_000 });
   const [start] = harness.takeCalls("start");
   harness.report({ bornAt: BORN_AT + 500 });
+  const poll = harness.takeCalls("hold").at(-1);
+  expect(poll?.fencingToken ?? 0).toBeGreaterThan(start?.fencingToken ?? 0);
+  harness.answer(poll, {
+    kind: WorkerAnswerKind.Listed,
+    bornAt: BORN_AT + 500,
+    clock: 0,
+    running: [],
+    ended: [],
+  });
   expect(harness.settlementOf(10)).toEqual({
     kind: SettlementKind.Interrupted,
     reason: InterruptionReason.WorkerCrashed,
   });
-  const poll = harness.takeCalls("hold").at(-1);
-  expect(poll?.fencingToken ?? 0).toBeGreaterThan(start?.fencingToken ?? 0);
 });
 
 test("a repeated request attaches to its attempt, also after its settlement", () => {
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -34,6 +34,15 @@
 /** Increment after a refused token; exceeds any backward step of the clock that first tokens come from. */
 const FENCING_TOKEN_INCREMENT = 60_000;
 
+/** Relation of a reported incarnation to the known one. */
+export enum IncarnationRelation {
+  Same = "same",
+  /** It started before the known one, so the report was delayed. */
+  Earlier = "earlier",
+  /** It started later, or none is known. */
+  Other = "other",
+}
+
 /** First fencing token and longest lease of calls to a worker. */
 export interface WorkerLinkOptions {
   readonly collector: OutputCollector<DispatchOutput>;
@@ -49,6 +58,7 @@
   #description: WorkerDescription | undefined;
   #profileRevision = 0;
   #isConfirmed = true;
+  #isDoubtful = false;
   #clock = new WorkerClock();
   #responseTimes = new ResponseTimes();
   #fencingToken: number;
@@ -75,9 +85,19 @@
     return this.#profileRevision;
   }
 
-  /** Whether the worker itself confirmed the description; false while only a saved description is known. */
+  /** Whether the worker itself confirmed the description, and no report of a later incarnation puts it in doubt. */
   get isConfirmed(): boolean {
-    return this.#isConfirmed;
+    return this.#isConfirmed && !this.#isDoubtful;
+  }
+
+  /** Whether only a saved description is known. */
+  get isOnlySaved(): boolean {
+    return !this.#isConfirmed;
+  }
+
+  /** Records whether a report of a later incarnation is being checked. */
+  set isDoubtful(isDoubtful: boolean) {
+    this.#isDoubtful = isDoubtful;
   }
 
   /** Whether the worker is ready, confirmed and responsive. */
@@ -98,9 +118,9 @@
 
   /** Uses a saved description. Returns false when a worker is known or the saved incarnation has ended. */
   useSaved(description: WorkerDescription): boolean {
-    if (this.#description !== undefined || !this.applyReport(description)) {
-      return false;
-    }
+    const hasEnded = description.incarnation.bornAt <= this.#latestEndedBornAt;
+    if (this.#description !== undefined || hasEnded) return false;
+    this.useIncarnation(description);
     this.#isConfirmed = false;
     return true;
   }
@@ -110,29 +130,39 @@
     this.#isConfirmed = true;
   }
 
-  /** Applies a report. Returns whether it comes from a new incarnation. */
-  applyReport(description: WorkerDescription): boolean {
-    const { bornAt } = description.incarnation;
-    if (bornAt <= this.#latestEndedBornAt) return false;
-    const known = this.#description;
-    if (known !== undefined && bornAt < known.incarnation.bornAt) return false;
-    const isSame = known?.incarnation.bornAt === bornAt;
-    if (isSame && description.sequence < known.sequence) return false;
-    if (!isSame || !isSameProfile(known, description)) {
-      this.#profileRevision += 1;
+  /** Relation of a reported incarnation to the known one. */
+  relationOf({ id, bornAt }: WorkerIncarnation): IncarnationRelation {
+    const known = this.#description?.incarnation;
+    if (known === undefined) return IncarnationRelation.Other;
+    if (known.id === id && known.bornAt === bornAt) {
+      return IncarnationRelation.Same;
     }
+    return bornAt < known.bornAt
+      ? IncarnationRelation.Earlier
+      : IncarnationRelation.Other;
+  }
+
+  /** Applies a report of the known incarnation, unless it is older than the latest one. */
+  applyReport(description: WorkerDescription): void {
+    const known = this.#description;
+    if (known === undefined || description.sequence < known.sequence) return;
+    if (!isSameProfile(known, description)) this.#profileRevision += 1;
     this.#description = description;
     this.#isConfirmed = true;
-    if (!isSame) {
-      this.#clock = new WorkerClock();
-      this.#responseTimes = new ResponseTimes();
-    }
     this.#recordClock(description.clock);
-    if (isSame) return false;
+  }
+
+  /** Uses another incarnation in place of the known one. */
+  useIncarnation(description: WorkerDescription): void {
+    this.#profileRevision += 1;
+    this.#description = description;
+    this.#isConfirmed = true;
+    this.#clock = new WorkerClock();
+    this.#responseTimes = new ResponseTimes();
+    this.#recordClock(description.clock);
     this.#unansweredCalls = 0;
     // Calls to the previous incarnation may still be in transit; the new one refuses their lower token.
     this.#fencingToken += 1;
-    return true;
   }
 
   /** Forgets the worker because its incarnation has ended. */
@@ -173,11 +203,8 @@
     this.#responseTimes.recordResponse(elapsed);
   }
 
-  /**
-   * Raises the fencing token after an unanswered call, which the worker then refuses once it has executed a later
-   * one.
-   */
-  fenceUnanswered(): void {
+  /** Raises the fencing token, so that the worker refuses earlier calls once it has executed a later one. */
+  raiseFencingToken(): void {
     this.#fencingToken += 1;
   }
 
@@ -232,13 +259,22 @@
 
   /** Calls the worker. Returns the call's identifier; undefined when no worker is known. */
   call(request: WorkerCall): RequestIdentifier | undefined {
-    if (this.#description === undefined) return undefined;
+    return this.#description === undefined
+      ? undefined
+      : this.callIncarnation(this.#description, request);
+  }
+
+  /** Calls a reported incarnation, which may be another one than the known one. Returns the call's identifier. */
+  callIncarnation(
+    { incarnation, address }: WorkerDescription,
+    request: WorkerCall,
+  ): RequestIdentifier {
     const { collector } = this.#options;
     const output: CallWorker = {
       kind: DispatchOutputKind.CallWorker,
       call: collector.nextRequest(),
-      worker: this.#description.incarnation.id,
-      address: this.#description.address,
+      worker: incarnation.id,
+      address,
       fencingToken: this.#fencingToken,
       request,
       timeoutMilliseconds: waitOf(request) + this.#responseTimes.timeout,
