fix(platform,dispatcher): drop jobs whose clients left while their entry was paused

Cause: a request that is read was taken as one that was just sent. The end of its connection waits behind it in the same socket and is read in a later turn of the event loop. Log lines of the case: 1007 and 2402 for every session, so none was kept; no overlapping job is from before the pause; 3104 follows 10 to 74 ms after the admission of jobs whose connections had ended seconds before.

After a pause that it notices, an entry places nothing for 50 ms, which also holds for jobs from before the pause.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -201,6 +201,11 @@
     action:
       "Check the jobs of this kind that failed with the reason workers-crashed, and stop their source.",
   },
+  [EventNumber.SubmissionAbandoned]: {
+    meaning:
+      "A client had closed its connection before its job was handled, as after a pause of the entry (1007) that was longer than the client waits. The job was not accepted.",
+    action: "Look for the pause, or for an overload of the entry's VM.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -69,6 +69,11 @@
 const PAUSE_CHECK_INTERVAL_MILLISECONDS: Milliseconds = 200;
 /** Gap between two steps that counts as a pause: nearly as long as a session lasts without renewals. */
 const PAUSE_MILLISECONDS: Milliseconds = 500;
+/**
+ * Time after a pause in which nothing is placed, so that the ends of connections that came during the pause are read
+ * first; shorter than the slack of any job.
+ */
+const READ_AFTER_PAUSE_MILLISECONDS: Milliseconds = 50;
 /** Deadline of a job whose client specifies none. */
 const DEFAULT_DEADLINE_MILLISECONDS: Milliseconds = 30_000;
 /** Time after the request to stop in which the platform still routes new connections to this process. */
@@ -162,6 +167,9 @@
       case DispatchInputKind.JobSubmitted:
         this.#handleJob(input);
         return;
+      case DispatchInputKind.SubmissionAbandoned:
+        this.#answers.recordAbandonedSubmission(input.target);
+        return;
       case DispatchInputKind.JobStateRequested:
         this.#answerState(input);
         return;
@@ -439,7 +447,10 @@
     );
   }
 
-  /** Gives up all sessions after a pause: sidecars end, or have ended, sessions that were not renewed. */
+  /**
+   * Gives up all sessions after a pause: sidecars end, or have ended, sessions that were not renewed. Clients may
+   * have left during the pause and submitted their jobs to other entries.
+   */
   #detectPause(): void {
     const { now } = this.#collector;
     const elapsed = now - (this.#lastStepAt ?? now);
@@ -450,6 +461,7 @@
       { severity: Severity.Warning, context: { milliseconds: elapsed } },
     );
     this.#handleLinkChanges(this.#links.giveUpAll("this process was paused"));
+    this.#scheduler.holdPlacements(now + READ_AFTER_PAUSE_MILLISECONDS);
   }
 
   #reportReadiness(): void {
--- a/domain/dispatcher/src/job_answers.ts
+++ b/domain/dispatcher/src/job_answers.ts
@@ -17,6 +17,7 @@
   type Milliseconds,
   type OutputCollector,
   type RequestIdentifier,
+  type RequestTarget,
 } from "@eelgrassfront/model";
 import type { DispatchJob } from "./dispatch_job.ts";
 
@@ -129,6 +130,17 @@
     );
   }
 
+  /** Records a job whose client had disconnected before it was handled. */
+  recordAbandonedSubmission({ host, path }: RequestTarget): void {
+    const { collector } = this.#options;
+    collector.count(Counter.JobsAbandoned);
+    collector.record(
+      EventNumber.SubmissionAbandoned,
+      "a job was not accepted: its client had disconnected",
+      { context: { host, path } },
+    );
+  }
+
   #answerAll(job: DispatchJob, answer: ClientAnswer): void {
     for (const request of job.requests) this.answer(request, answer);
   }
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -77,6 +77,8 @@
   /** The last placement that found no worker; undefined while none is known to fail. */
   #blocked: BlockedPlacement | undefined;
   #crashRevision = 0;
+  /** Time before which nothing is placed. */
+  #heldUntil: Milliseconds = 0;
 
   constructor(options: JobSchedulerOptions) {
     this.#options = options;
@@ -149,13 +151,23 @@
     this.#jobs.set(job.id, job);
     if (request !== undefined) this.#byRequest.set(request, job);
     this.#queue.add(job);
-    if (this.#queue.jobs[0] === job && placer.place(job)) {
+    const isFirst = this.#queue.jobs[0] === job;
+    if (isFirst && !this.#isHeld && placer.place(job)) {
       this.#queue.remove(job);
       return;
     }
     this.#refuseIfOverloaded(job);
   }
 
+  /** Places nothing until a time, by which the clients that have left are known. */
+  holdPlacements(until: Milliseconds): void {
+    this.#heldUntil = until;
+  }
+
+  get #isHeld(): boolean {
+    return this.#options.collector.now < this.#heldUntil;
+  }
+
   /** Advances a job after one of its attempts was settled or released: completes, fails or queues it. */
   advance(job: DispatchJob): void {
     if (this.#jobs.get(job.id) !== job) return;
@@ -263,7 +275,7 @@
   #placeWaiting(): void {
     const isSuspectWaiting = this.#queue.jobs.at(-1)?.isSuspect === true;
     this.#options.placer.crashes.setSuspectWaiting(isSuspectWaiting);
-    if (this.#isStillBlocked()) return;
+    if (this.#isHeld || this.#isStillBlocked()) return;
     let isBlocked = false;
     for (const job of [...this.#queue.jobs]) {
       // Suspects wait for workers of their own, so others neither block them nor are blocked.
--- a/domain/model/src/dispatch_input.ts
+++ b/domain/model/src/dispatch_input.ts
@@ -26,6 +26,7 @@
 /** Kinds of inputs that only best-effort work has. */
 export enum DispatchInputKind {
   JobSubmitted = "job-handed-in",
+  SubmissionAbandoned = "submission-abandoned",
   JobStateRequested = "job-state-asked",
   JobCancellationRequested = "job-cancel-asked",
   ClientDisconnected = "client-gone",
@@ -58,6 +59,12 @@
   readonly deadlineMilliseconds?: Milliseconds;
 }
 
+/** A client account had closed its connection before its job was handled; the job has no effect. */
+export interface SubmissionAbandoned {
+  readonly kind: DispatchInputKind.SubmissionAbandoned;
+  readonly target: RequestTarget;
+}
+
 /** A client account requests the state of a job, or the length of a queue. */
 export interface JobStateRequested {
   readonly kind: DispatchInputKind.JobStateRequested;
@@ -150,6 +157,7 @@
 /** Inputs from client accounts. */
 export type ClientInput =
   | JobSubmitted
+  | SubmissionAbandoned
   | JobStateRequested
   | JobCancellationRequested
   | ClientDisconnected;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -43,6 +43,7 @@
   TaskMoved = 3106,
   TaskSuspected = 3107,
   KindQuarantined = 3108,
+  SubmissionAbandoned = 3109,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -233,6 +233,7 @@
       case InputKind.AlarmFired:
         return;
       case DispatchInputKind.JobSubmitted:
+      case DispatchInputKind.SubmissionAbandoned:
       case DispatchInputKind.JobStateRequested:
       case DispatchInputKind.JobCancellationRequested:
       case DispatchInputKind.ClientDisconnected:
