fix(worker-guard): settle the runs of a leaving worker once it has ended

Cause: the goodbye was taken for the end. A worker says goodbye first and then ends, and its runs end with it. Log lines of the case: 4103 and the settlements come in the step of the goodbye, and no call was answered or refused between them.

Change: after a goodbye (4111) the worker gets no new tasks and its runs are listed on. They are settled when the address refuses connections or another incarnation answers, and the time that a stop may take has passed, or when the last lease of a silent worker has expired. The same wait holds for a worker that drained and ended without a goodbye. A late goodbye ends nothing at an incarnation that reports again.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -252,6 +252,12 @@
     action:
       "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
   },
+  [EventNumber.WorkerLeaving]: {
+    meaning:
+      "The worker said that it ends now. It gets no new tasks; what still runs there is settled when its address refuses connections, or when its lease has expired without an answer.",
+    action:
+      "Nothing. If no 4103 follows within seconds, the worker has not ended.",
+  },
   [EventNumber.WorkerUnconfirmed]: {
     meaning:
       "A report named a worker incarnation that did not answer at the reported address. The line contains the reported and the known worker, and why: another incarnation answered, the connection was refused, or there was no answer. The known worker and its runs are kept.",
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -109,6 +109,7 @@
     seeds: settings.seeds,
     firstFencingToken: Date.now(),
     leaseMilliseconds: settings.leaseMilliseconds,
+    stopMilliseconds: settings.stopMilliseconds,
     graceMilliseconds: settings.graceMilliseconds,
     ...(settings.worker === undefined
       ? {}
--- a/domain/model/src/dispatch_input.ts
+++ b/domain/model/src/dispatch_input.ts
@@ -136,7 +136,7 @@
   readonly detail: string;
 }
 
-/** The worker has left. */
+/** The worker says that it ends now. It may still run tasks for a moment. */
 export interface WorkerLeft {
   readonly kind: DispatchInputKind.WorkerLeft;
   readonly worker: WorkerIncarnation["id"];
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -54,6 +54,7 @@
   RunUnknown = 4108,
   WorkerCrashed = 4109,
   WorkerUnconfirmed = 4110,
+  WorkerLeaving = 4111,
 }
 
 /** Severity of an event. */
--- a/domain/worker_guard/src/example.ts
+++ b/domain/worker_guard/src/example.ts
@@ -15,6 +15,7 @@
   firstFencingToken: 1,
   leaseMilliseconds: 1_000,
   graceMilliseconds: 6_000,
+  stopMilliseconds: 50,
 });
 const outputs = guard.step(0, { kind: InputKind.AlarmFired });
 console.log(outputs.map(({ kind }) => kind).join());
--- a/domain/worker_guard/src/lost_runs_test.ts
+++ b/domain/worker_guard/src/lost_runs_test.ts
@@ -9,7 +9,12 @@
 } from "@eelgrassfront/model";
 import { expect } from "earl";
 import { interrupted } from "./run_settlement.ts";
-import { BORN_AT, WorkerGuardHarness } from "./worker_guard_harness.ts";
+import {
+  BORN_AT,
+  CONNECTION_REFUSED,
+  STOP_MILLISECONDS,
+  WorkerGuardHarness,
+} from "./worker_guard_harness.ts";
 
 test("the runs of a worker that ends without notice are settled as crashed", () => {
   const harness = WorkerGuardHarness.ready();
@@ -39,6 +44,9 @@
   harness.runTask(10, { job: "a", millicores: 1_000 });
   harness.acceptStarts();
   harness.step({ kind: DispatchInputKind.WorkerLeft, worker: "i-1" });
+  harness.advanceTo(40);
+  harness.answer(harness.takeCalls("hold")[0], CONNECTION_REFUSED);
+  harness.advanceTo(40 + STOP_MILLISECONDS);
   expect(harness.settlementOf(10)).toEqual(
     interrupted(InterruptionReason.WorkerLost),
   );
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -229,7 +229,7 @@
       kind: WorkerCallKind.PollRuns,
       ...(isActive && !isWithheld ? { leaseUntil: link.renewLease() } : {}),
       notedEnds: endCursor,
-      waitMilliseconds: !isActive
+      waitMilliseconds: !isActive && !link.isLeaving
         ? 0
         : link.isUnreliable
         ? UNRELIABLE_POLL_WAIT_MILLISECONDS
@@ -239,10 +239,13 @@
 
   /**
    * Whether the lease is not renewed for now, since a run is to be stopped, or is about to be: it would otherwise
-   * last as long as the lease of the others is renewed, if the worker does not execute its stop.
+   * last as long as the lease of the others is renewed, if the worker does not execute its stop. The lease of a
+   * worker that has said goodbye and is silent shows when its runs have ended.
    */
   #isRenewalWithheld(): boolean {
-    return this.#stops.isStopPending || this.#options.isRenewalOverdue();
+    const { link, isRenewalOverdue } = this.#options;
+    return this.#stops.isStopPending || isRenewalOverdue() ||
+      (link.isLeaving && link.isSilent);
   }
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
@@ -253,10 +256,13 @@
     this.#calls.send(poll, { endCursor });
   }
 
-  /** Whether runs are active, ends are to be acknowledged, or an answer would show that the worker responds again. */
+  /**
+   * Whether runs are active, ends are to be acknowledged, an answer would show that the worker responds again, or
+   * a refusal that it has ended.
+   */
   #isPollNeeded(): boolean {
     const { link, table } = this.#options;
-    return !this.#isReconciled || link.isUnresponsive ||
+    return !this.#isReconciled || link.isUnresponsive || link.isLeaving ||
       table.sentToWorker().length > 0 ||
       this.#endCursor > this.#confirmedCursor;
   }
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -57,6 +57,8 @@
   readonly leaseMilliseconds: Milliseconds;
   /** Time between the request to stop and the kill of the process by the platform. */
   readonly graceMilliseconds: Milliseconds;
+  /** Longest time that a worker needs to stop a run. */
+  readonly stopMilliseconds: Milliseconds;
   /** The worker on this VM as the settings name it; reports of others are ignored. */
   readonly expectedWorker?: ExpectedWorker;
 }
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -37,6 +37,8 @@
 export const ENTRY: ProcessIdentifier = "entry-1~a";
 /** Processor capacity of the worker, in millicores. */
 export const CAPACITY_MILLICORES = 8_000;
+/** Longest time that the worker needs to stop a run. */
+export const STOP_MILLISECONDS = 50;
 /** Start time of the worker's first incarnation. */
 export const BORN_AT = 1_000;
 
@@ -98,6 +100,7 @@
       firstFencingToken: 100,
       leaseMilliseconds: 1_000,
       graceMilliseconds: 6_000,
+      stopMilliseconds: STOP_MILLISECONDS,
       ...(expectedWorker === undefined ? {} : { expectedWorker }),
     });
   }
@@ -413,3 +416,14 @@
     },
   };
 }
+
+/** The answer of the worker's VM when nothing listens at the worker's address. */
+export const CONNECTION_REFUSED: WorkerAnswer = {
+  kind: WorkerAnswerKind.ConnectionRefused,
+  error: {
+    tag: ErrorTag.Unreachable,
+    step: Step.ExecuteTask,
+    peer: "i-1",
+    detail: "connection refused",
+  },
+};
--- a/domain/worker_guard/src/worker_lifecycle.ts
+++ b/domain/worker_guard/src/worker_lifecycle.ts
@@ -36,6 +36,8 @@
   readonly runController: RunController;
   readonly lostRuns: LostRuns;
   readonly directory: FleetDirectory;
+  /** Longest time that a worker which ends as planned needs to stop its runs. */
+  readonly stopMilliseconds: Milliseconds;
   /** The worker as the settings name it; reports of others are ignored. */
   readonly expectedWorker?: ExpectedWorker;
 }
@@ -45,6 +47,8 @@
   readonly #options: WorkerLifecycleOptions;
   readonly #incarnationChecks: IncarnationChecks;
   readonly #savedWorkerCheck: SavedWorkerCheck;
+  /** When the runs of a worker that has ended as planned have stopped; undefined while none is ending. */
+  #stoppedAt: Milliseconds | undefined;
 
   constructor(options: WorkerLifecycleOptions) {
     this.#options = options;
@@ -55,6 +59,7 @@
   /** Sends the checks that are due. The known worker gets no tasks while a later incarnation is checked. */
   tick(): void {
     const { link, table } = this.#options;
+    this.#settleStopped();
     this.#savedWorkerCheck.tick();
     this.#incarnationChecks.tick();
     const wasConfirmed = link.isConfirmed;
@@ -62,9 +67,15 @@
     if (wasConfirmed !== link.isConfirmed) table.raiseRevision();
   }
 
-  /** When the next check is due. */
+  /** When the next check or settlement is due. */
   nextAlarm(): Milliseconds | undefined {
-    return this.#incarnationChecks.nextAlarm();
+    const { link } = this.#options;
+    const times = [
+      this.#incarnationChecks.nextAlarm(),
+      this.#stoppedAt,
+      link.isLeaving && link.isSilent ? link.leaseExpiresAt : undefined,
+    ].filter((time) => time !== undefined);
+    return times.length === 0 ? undefined : Math.min(...times);
   }
 
   /**
@@ -113,11 +124,20 @@
     );
   }
 
-  /** Handles the announcement of an incarnation that it leaves. */
+  /**
+   * Handles the announcement of an incarnation that it ends now. Its runs end with it, which comes later: they are
+   * settled when nothing listens at its address any more, or when its lease has expired without an answer.
+   */
   handleGoodbye(worker: WorkerDescription["incarnation"]["id"]): void {
-    if (this.#options.link.isCurrent(worker)) {
-      this.#handleEnd(WorkerEnd.Announced);
-    }
+    const { link, table } = this.#options;
+    if (!link.isCurrent(worker) || link.isLeaving) return;
+    link.recordGoodbye();
+    table.raiseRevision();
+    this.#record(
+      EventNumber.WorkerLeaving,
+      "the worker says that it ends; its runs are settled once it has ended",
+    );
+    if (link.description !== undefined) this.#save(link.description);
   }
 
   /** Handles the answer to any call. */
@@ -128,9 +148,7 @@
     if (this.#savedWorkerCheck.handleAnswer(call, answer)) {
       table.raiseRevision();
     }
-    if (!runController.handleAnswer(call, answer)) {
-      this.#handleEnd(WorkerEnd.Unannounced);
-    }
+    if (!runController.handleAnswer(call, answer)) this.#handleEnd();
   }
 
   /** Returns why a report is not one of the worker on this VM; undefined if it may be. */
@@ -179,6 +197,7 @@
     const relation = link.relationOf(description.incarnation);
     if (relation !== IncarnationRelation.Other) return;
     const earlier = link.description;
+    this.#stoppedAt = undefined;
     link.useIncarnation(description);
     lostRuns.settle(WorkerEnd.Unannounced, earlier);
     runController.useFirstList(list, requestedAt);
@@ -190,11 +209,31 @@
     this.#save(description);
   }
 
-  /** Settles every run of the known incarnation, which has ended. */
-  #handleEnd(end: WorkerEnd): void {
+  /** Handles the end of the known incarnation. One that ends as planned may still be stopping its runs. */
+  #handleEnd(): void {
+    const { collector, link, stopMilliseconds } = this.#options;
+    if (link.description?.phase === WorkerPhase.Draining) {
+      this.#stoppedAt ??= collector.now + stopMilliseconds;
+      return;
+    }
+    this.#settleEnded(WorkerEnd.Unannounced);
+  }
+
+  /** Settles the runs of a worker that has ended as planned, or is silent after its goodbye, once they have ended. */
+  #settleStopped(): void {
+    const { collector: { now }, link } = this.#options;
+    const isStopped = this.#stoppedAt !== undefined && now >= this.#stoppedAt;
+    const isExpired = link.isLeaving && link.isSilent &&
+      now >= link.leaseExpiresAt;
+    if (isStopped || isExpired) this.#settleEnded(WorkerEnd.Announced);
+  }
+
+  /** Settles every run of the known incarnation. */
+  #settleEnded(end: WorkerEnd): void {
     const { link, lostRuns, runController, table } = this.#options;
     this.#record(EventNumber.WorkerLost, "the worker incarnation has ended");
     const { description } = link;
+    this.#stoppedAt = undefined;
     link.forget();
     lostRuns.settle(end, description);
     runController.reset();
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -68,6 +68,9 @@
   #latestEndedBornAt: Milliseconds = 0;
   /** End of the lease in the latest call that renewed it, on the worker's clock. */
   #renewedUntil: Milliseconds = 0;
+  /** When every lease that was renewed has certainly expired. */
+  #leaseExpiresAt: Milliseconds = 0;
+  #isLeaving = false;
   #previousLeaseExpiresAt: Milliseconds = Infinity;
 
   constructor(options: WorkerLinkOptions) {
@@ -111,6 +114,16 @@
     return this.#unansweredCalls >= UNANSWERED_CALLS_UNTIL_UNRESPONSIVE;
   }
 
+  /** Whether the worker left the latest call unanswered. */
+  get isSilent(): boolean {
+    return this.#unansweredCalls > 0;
+  }
+
+  /** Whether the worker has announced that it ends now. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** Whether the worker recently left a call unanswered. */
   get isUnreliable(): boolean {
     return this.#options.collector.now < this.#unreliableUntil;
@@ -149,14 +162,26 @@
     if (!isSameProfile(known, description)) this.#profileRevision += 1;
     this.#description = description;
     this.#isConfirmed = true;
+    this.#isLeaving = false;
     this.#recordClock(description.clock);
   }
 
+  /** Records that the known incarnation has announced its end; it gets no new tasks unless it reports again. */
+  recordGoodbye(): void {
+    if (this.#description === undefined) return;
+    this.#isLeaving = true;
+    this.#description = {
+      ...this.#description,
+      phase: WorkerPhase.Draining,
+    };
+  }
+
   /** Uses another incarnation in place of the known one. */
   useIncarnation(description: WorkerDescription): void {
     this.#profileRevision += 1;
     this.#description = description;
     this.#isConfirmed = true;
+    this.#isLeaving = false;
     this.#clock = new WorkerClock();
     this.#responseTimes = new ResponseTimes();
     this.#recordClock(description.clock);
@@ -170,6 +195,7 @@
     const ended = this.#description?.incarnation.bornAt ?? 0;
     this.#latestEndedBornAt = Math.max(this.#latestEndedBornAt, ended);
     this.#description = undefined;
+    this.#isLeaving = false;
     this.#clock = new WorkerClock();
     this.#unansweredCalls = 0;
   }
@@ -242,12 +268,18 @@
     return this.#renewedUntil;
   }
 
+  /** When the lease of every run has certainly expired, unless it is renewed again. */
+  get leaseExpiresAt(): Milliseconds {
+    return this.#leaseExpiresAt;
+  }
+
   /** Renews the lease with the call that is sent next. Returns its new end, on the worker's clock. */
   renewLease(): Milliseconds {
     const { collector, leaseMilliseconds } = this.#options;
     this.#renewedUntil = Math.floor(
       this.#clock.at(collector.now) + leaseMilliseconds,
     );
+    this.#leaseExpiresAt = this.#latestExpiry();
     return this.#renewedUntil;
   }
 
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -55,6 +55,7 @@
 const NETWORK_DELAY_MILLISECONDS: Milliseconds = 0.5;
 const REPORT_MILLISECONDS: Milliseconds = 1_500;
 const LEASE_MILLISECONDS: Milliseconds = 1_000;
+const STOP_MILLISECONDS: Milliseconds = 50;
 const GRACE_MILLISECONDS: Milliseconds = 6_000;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
@@ -233,6 +234,7 @@
           seeds,
           graceMilliseconds,
           leaseMilliseconds: LEASE_MILLISECONDS,
+          stopMilliseconds: STOP_MILLISECONDS,
           firstFencingToken: Math.floor(this.time.now) + 1,
         });
       default:
