fix(worker-guard): offer no capacity of a worker in doubt

While a report of a later incarnation is checked, new tasks were refused, but the load still said that the worker takes work, and a task that had been accepted before could start by the earlier description.

Test: foreign_report_test, the offered capacity (failed before).

--- a/domain/worker_guard/src/foreign_report_test.ts
+++ b/domain/worker_guard/src/foreign_report_test.ts
@@ -132,6 +132,17 @@
   );
 });
 
+test("a worker offers no capacity while a report of a later incarnation is checked", () => {
+  const harness = busyHarness();
+  sendReport(harness, {});
+  harness.renewSession(ENTRY, 20);
+  const [reply] = harness.messagesTo(20);
+  const load = reply?.kind === DispatchReplyKind.SessionGranted
+    ? reply.load
+    : undefined;
+  expect(load?.isTakingWork).toEqual(false);
+});
+
 test("a first report of another writer does not keep out the worker's own reports", () => {
   const harness = new WorkerGuardHarness();
   sendReport(harness, {});
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -106,7 +106,7 @@
   /** Whether the worker is ready, confirmed and responsive. */
   get isTakingWork(): boolean {
     return this.#description?.phase === WorkerPhase.Ready &&
-      this.#isConfirmed && !this.isUnresponsive;
+      this.isConfirmed && !this.isUnresponsive;
   }
 
   /** Whether the worker left several consecutive calls unanswered. */
