fix(dispatcher,worker-guard): check what a task requires where it starts

Cause: an entry places by the profile of its last renewal, and the request to run a task named neither the worker nor what the task needs, so that the sidecar could not see that its worker had changed. The crash of an idle worker was noticed by nobody.

Change: the request carries the service and label that the task requires; the sidecar checks them when it accepts and when it starts the task (unsuitable-worker), and the entry then requests the present profile at once. A sidecar keeps its poll open at an idle worker, so that the end of that worker is known before another incarnation comes up under the same identifier, which a start call could not tell apart. The bookkeeping of acknowledged ends, by which idle polls were avoided, goes.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -70,6 +70,10 @@
     attempt: count,
     content: zod.string(),
     resources,
+    requirements: zod.looseObject({
+      service: zod.string(),
+      requiredLabel: zod.string().optional(),
+    }).optional(),
     expectedMilliseconds: amount,
     suspectRoute: zod.string().optional(),
   }),
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -31,10 +31,12 @@
 import {
   isSlowWorker,
   medianSlowness,
+  requirementsOf,
   type WorkerChoice,
   workerStatistics,
 } from "./worker_choice.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
+import { isSidecarUnavailable, isWorkerFault } from "./settlement_reasons.ts";
 import {
   type LinkLost,
   LinkPhase,
@@ -352,6 +354,9 @@
         return;
       case SettlementKind.NotStarted:
         task.avoidedAddress = link.address;
+        if (settlement.reason === NotStartedReason.UnsuitableWorker) {
+          this.#options.links.refreshProfile(link);
+        }
         if (isSidecarUnavailable(settlement.reason)) {
           link.avoidUntil = Math.max(
             link.avoidUntil,
@@ -428,6 +433,7 @@
       content: job.content,
       resources: task.step.resources,
       expectedMilliseconds: Math.round(job.expectedRunMilliseconds),
+      requirements: requirementsOf(job, task.step),
       ...(isApart ? { suspectRoute: job.route.name } : {}),
     };
   }
@@ -452,40 +458,3 @@
     });
   }
 }
-
-/** Whether the sidecar currently accepts no tasks at all. A lack of capacity shows in its reported load. */
-function isSidecarUnavailable(reason: NotStartedReason): boolean {
-  switch (reason) {
-    case NotStartedReason.Cancelled:
-    case NotStartedReason.InsufficientCapacity:
-      return false;
-    case NotStartedReason.StaleSession:
-    case NotStartedReason.Draining:
-    case NotStartedReason.Leaving:
-    case NotStartedReason.NoWorker:
-    case NotStartedReason.ExceedsCapacity:
-    case NotStartedReason.WorkerRefused:
-    case NotStartedReason.WorkerUnresponsive:
-    case NotStartedReason.Reserved:
-      return true;
-    default:
-      return assertNever(reason);
-  }
-}
-
-function isWorkerFault(reason: InterruptionReason): boolean {
-  switch (reason) {
-    case InterruptionReason.NoProgress:
-      return true;
-    case InterruptionReason.Cancelled:
-    case InterruptionReason.LeaseExpired:
-    case InterruptionReason.SessionEnded:
-    case InterruptionReason.WorkerLost:
-    case InterruptionReason.WorkerCrashed:
-    case InterruptionReason.BesideCrash:
-    case InterruptionReason.SidecarLost:
-      return false;
-    default:
-      return assertNever(reason);
-  }
-}
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -6,9 +6,11 @@
  */
 import {
   isWithin,
+  meetsRequirements,
   type Milliseconds,
   subtractResources,
   type WorkerProfile,
+  type WorkerRequirements,
 } from "@eelgrassfront/model";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
 import type { TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -163,15 +165,23 @@
 }
 
 function isCapable(
-  { service, labels, capacity }: WorkerProfile,
+  profile: WorkerProfile,
   job: DispatchJob,
   { step }: DispatchTask,
 ): boolean {
-  const { requiredLabel } = step;
-  const hasLabel = requiredLabel === undefined ||
-    labels.includes(requiredLabel);
-  return service === job.route.service && hasLabel &&
-    isWithin(step.resources, capacity);
+  return meetsRequirements(profile, requirementsOf(job, step)) &&
+    isWithin(step.resources, profile.capacity);
+}
+
+/** Returns what a task of a job's step requires of its worker beside capacity. */
+export function requirementsOf(
+  { route }: DispatchJob,
+  { requiredLabel }: DispatchTask["step"],
+): WorkerRequirements {
+  return {
+    service: route.service,
+    ...(requiredLabel === undefined ? {} : { requiredLabel }),
+  };
 }
 
 /** Whether the worker already holds the maximum number of the step's tasks per worker. */
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -239,6 +239,13 @@
     if (!isOlder) state.load = load;
   }
 
+  /** Forgets the profile of a worker that a sidecar has found unsuitable by it, and requests the present one. */
+  refreshProfile({ state }: WorkerLinkState): void {
+    if (state.phase !== LinkPhase.Open) return;
+    state.profile = undefined;
+    state.nextRenewAt = this.#options.collector.now;
+  }
+
   /** Handles a reply in which another incarnation of the sidecar identified itself. */
   handleIncarnationMismatch(
     address: string,
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -9,6 +9,7 @@
 import type { IncarnationMismatch } from "./peer_message.ts";
 import type { Resources } from "./resources.ts";
 import type { WorkConfiguration } from "./work_configuration.ts";
+import type { WorkerRequirements } from "./worker_requirements.ts";
 
 /**
  * Longest time for which a session lasts after the sidecar sent the latest reply that the entry has. An entry
@@ -66,6 +67,11 @@
   readonly attempt: number;
   readonly content: string;
   readonly resources: Resources;
+  /**
+   * What the task requires of the worker, which may have been replaced since the entry got its profile. Entries of
+   * earlier versions leave it out.
+   */
+  readonly requirements?: WorkerRequirements;
   /** The entry's estimate of the run time. Progress is measured against it. */
   readonly expectedMilliseconds: Milliseconds;
   /** Kind of work of a task that is suspected to crash workers and therefore runs apart from other jobs. */
@@ -199,6 +205,8 @@
   Leaving = "leaving",
   NoWorker = "no-worker",
   ExceedsCapacity = "too-large",
+  /** The worker lacks a property that the task requires; another one had it when the task was placed. */
+  UnsuitableWorker = "unsuitable-worker",
   /** Other tasks use the capacity. */
   InsufficientCapacity = "no-room",
   Cancelled = "taken-back",
--- a/domain/model/src/mod.ts
+++ b/domain/model/src/mod.ts
@@ -22,3 +22,4 @@
 export * from "./submission.ts";
 export * from "./work_configuration.ts";
 export * from "./worker_call.ts";
+export * from "./worker_requirements.ts";
--- /dev/null
+++ b/domain/model/src/worker_requirements.ts
@@ -0,0 +1,19 @@
+/**
+ * What a task requires of its worker beside free capacity.
+ */
+import type { WorkerDescription } from "./worker_call.ts";
+
+/** Properties that a worker must have to run a task. */
+export interface WorkerRequirements {
+  readonly service: string;
+  readonly requiredLabel?: string;
+}
+
+/** Whether a worker has the required properties. */
+export function meetsRequirements(
+  worker: Pick<WorkerDescription, "service" | "labels">,
+  { service, requiredLabel }: WorkerRequirements,
+): boolean {
+  return worker.service === service &&
+    (requiredLabel === undefined || worker.labels.includes(requiredLabel));
+}
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -14,6 +14,7 @@
   type ExchangeFleetState,
   InterruptionReason,
   isWithin,
+  meetsRequirements,
   NotStartedReason,
   type OpenSession,
   type OutputCollector,
@@ -29,6 +30,7 @@
   type WorkerLoad,
   WorkerPhase,
   type WorkerProfile,
+  type WorkerRequirements,
 } from "@eelgrassfront/model";
 import type { EntrySessions } from "./entry_sessions.ts";
 import { RunPhase, type WorkerRun } from "./worker_run.ts";
@@ -202,7 +204,7 @@
     message: RunTask,
     known: WorkerRun | undefined,
   ): NotStartedReason | undefined {
-    const { session, resources } = message;
+    const { session, resources, requirements } = message;
     const { description } = this.#options.link;
     const isStale = this.#options.sessions.find(from) !== session ||
       known !== undefined;
@@ -217,6 +219,9 @@
     if (this.#options.link.isUnresponsive) {
       return NotStartedReason.WorkerUnresponsive;
     }
+    if (!isSuitable(description, requirements)) {
+      return NotStartedReason.UnsuitableWorker;
+    }
     if (!isWithin(resources, description.capacity)) {
       return NotStartedReason.ExceedsCapacity;
     }
@@ -296,6 +301,14 @@
   }
 }
 
+/** Whether a worker has what a task requires; a task of an entry that does not say requires nothing. */
+export function isSuitable(
+  worker: WorkerDescription,
+  requirements: WorkerRequirements | undefined,
+): boolean {
+  return requirements === undefined || meetsRequirements(worker, requirements);
+}
+
 function profileOf(
   description: WorkerDescription,
   revision: number,
--- a/domain/worker_guard/src/pending_call.ts
+++ b/domain/worker_guard/src/pending_call.ts
@@ -19,8 +19,6 @@
   readonly run?: RunReference;
   readonly sentAt: Milliseconds;
   readonly fencingToken: number;
-  /** For a poll: number of the last end that it acknowledges. */
-  readonly endCursor?: number;
 }
 
 /** Collaborators of `PendingCalls`. */
@@ -41,7 +39,7 @@
   /** Sends a call. Returns its identifier; undefined when no worker is known. */
   send(
     call: WorkerCall,
-    context: Pick<PendingCall, "run" | "endCursor"> = {},
+    context: Pick<PendingCall, "run"> = {},
   ): RequestIdentifier | undefined {
     const { collector, link } = this.#options;
     const { fencingToken } = link;
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -70,7 +70,6 @@
   #slowness = new SlownessEstimator();
   /** Number of the last end that was handled; the next poll acknowledges it. */
   #endCursor = 0;
-  #confirmedCursor = 0;
   #pollCall: RequestIdentifier | undefined;
   /** Whether a list showed that no run of an earlier incarnation of this sidecar is left at the worker. */
   #isReconciled = false;
@@ -104,7 +103,6 @@
     this.#stops.reset();
     this.#startCalls.clear();
     this.#endCursor = 0;
-    this.#confirmedCursor = 0;
     this.#pollCall = undefined;
     this.#isReconciled = false;
     this.#nextReconciliationAt = 0;
@@ -117,7 +115,7 @@
     this.reset();
     const { link } = this.#options;
     link.recordAnswer(list.clock);
-    this.#onListed({ sentAt: requestedAt, endCursor: 0 }, list);
+    this.#onListed({ sentAt: requestedAt }, list);
   }
 
   /** Starts an attempt that fits into the worker's capacity. */
@@ -141,7 +139,7 @@
   nextAlarm(): Milliseconds | undefined {
     if (this.#options.link.description === undefined) return undefined;
     const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
-    if (this.#pollCall === undefined && this.#isPollNeeded()) {
+    if (this.#pollCall === undefined) {
       times.push(
         this.#isReconciled
           ? this.#nextPollAt
@@ -213,28 +211,25 @@
     };
   }
 
-  /** Keeps one poll open while runs are active, and sends one more to acknowledge the last ends. */
+  /**
+   * Keeps one poll open. It also breaks when an idle worker ends, so that nothing is started at the next incarnation
+   * by the description of the earlier one.
+   */
   #poll(): void {
     const { collector, link, table } = this.#options;
     if (this.#pollCall !== undefined) return;
     if (collector.now < this.#nextPollAt) return;
-    if (!this.#isPollNeeded()) return;
     const isEarly = !this.#isReconciled &&
       collector.now < this.#nextReconciliationAt;
     if (isEarly) return;
-    const endCursor = this.#endCursor;
     const isActive = this.#isReconciled && table.sentToWorker().length > 0;
     const isWithheld = this.#isRenewalWithheld();
     this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
       ...(isActive && !isWithheld ? { leaseUntil: link.renewLease() } : {}),
-      notedEnds: endCursor,
-      waitMilliseconds: !isActive && !link.isLeaving
-        ? 0
-        : link.isUnreliable
-        ? UNRELIABLE_POLL_WAIT_MILLISECONDS
-        : POLL_WAIT_MILLISECONDS,
-    }, { endCursor });
+      notedEnds: this.#endCursor,
+      waitMilliseconds: this.#pollWait(isActive),
+    });
   }
 
   /**
@@ -250,21 +245,22 @@
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
   #pollNow(): void {
-    const endCursor = this.#endCursor;
-    const kind = WorkerCallKind.PollRuns;
-    const poll = { kind, notedEnds: endCursor, waitMilliseconds: 0 } as const;
-    this.#calls.send(poll, { endCursor });
+    this.#calls.send({
+      kind: WorkerCallKind.PollRuns,
+      notedEnds: this.#endCursor,
+      waitMilliseconds: 0,
+    });
   }
 
-  /**
-   * Whether runs are active, ends are to be acknowledged, an answer would show that the worker responds again, or
-   * a refusal that it has ended.
-   */
-  #isPollNeeded(): boolean {
-    const { link, table } = this.#options;
-    return !this.#isReconciled || link.isUnresponsive || link.isLeaving ||
-      table.sentToWorker().length > 0 ||
-      this.#endCursor > this.#confirmedCursor;
+  /** How long the next poll may wait for the end of a run. */
+  #pollWait(isActive: boolean): Milliseconds {
+    const { link } = this.#options;
+    if (!this.#isReconciled) return 0;
+    if (isActive && link.isUnreliable) {
+      return UNRELIABLE_POLL_WAIT_MILLISECONDS;
+    }
+    // An answer without delay shows that the worker responds again.
+    return !isActive && link.isSilent ? 0 : POLL_WAIT_MILLISECONDS;
   }
 
   #onAccepted({ kind, run: target }: PendingCall): void {
@@ -345,14 +341,13 @@
   }
 
   #onListed(
-    { sentAt, endCursor }: Pick<PendingCall, "sentAt" | "endCursor">,
+    { sentAt }: Pick<PendingCall, "sentAt">,
     answer: RunsListed,
   ): boolean {
     const { link } = this.#options;
     const known = link.description?.incarnation.bornAt ?? answer.bornAt;
     if (answer.bornAt > known) return false;
     if (answer.bornAt < known) return true;
-    this.#confirmedCursor = Math.max(this.#confirmedCursor, endCursor ?? 0);
     for (const end of answer.ended) this.#onEnd(end);
     const listed = new Map(
       answer.running.map((item) => [runKey(item.run), item]),
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -107,6 +107,7 @@
       session,
       content,
       resources,
+      requirements: message.requirements,
       expectedMilliseconds: message.expectedMilliseconds,
       acceptedAt: this.#options.collector.now,
       suspectRoute: message.suspectRoute,
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -32,10 +32,11 @@
   SessionEndReason,
   Severity,
   type StateMachine,
+  type WorkerDescription,
 } from "@eelgrassfront/model";
-import { EntryRequestHandler } from "./entry_request_handler.ts";
+import { EntryRequestHandler, isSuitable } from "./entry_request_handler.ts";
 import { EntrySessions } from "./entry_sessions.ts";
-import { RunPhase } from "./worker_run.ts";
+import { RunPhase, type WorkerRun } from "./worker_run.ts";
 import { LoadReport } from "./load_report.ts";
 import { LoadWatches } from "./load_watches.ts";
 import { RunController } from "./run_controller.ts";
@@ -344,17 +345,25 @@
     for (;;) {
       const run = this.#table.nextToStart();
       if (run === undefined) return;
-      if (isWithin(this.#table.used, description.capacity)) {
-        this.#runController.start(run);
-      } else {
-        this.#table.settle(
-          run,
-          notStarted(NotStartedReason.InsufficientCapacity),
-        );
-      }
+      const reason = this.#findObstacle(run, description);
+      if (reason === undefined) this.#runController.start(run);
+      else this.#table.settle(run, notStarted(reason));
     }
   }
 
+  /** Returns why an accepted run cannot start: the worker may have changed since it was accepted. */
+  #findObstacle(
+    { requirements }: WorkerRun,
+    worker: WorkerDescription,
+  ): NotStartedReason | undefined {
+    if (!isSuitable(worker, requirements)) {
+      return NotStartedReason.UnsuitableWorker;
+    }
+    return isWithin(this.#table.used, worker.capacity)
+      ? undefined
+      : NotStartedReason.InsufficientCapacity;
+  }
+
   #refuseWaitingRuns(): void {
     const reason = !this.#link.isConfirmed ||
         this.#link.description === undefined
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -49,6 +49,8 @@
   /** Kind of work of a task that runs apart. */
   readonly suspectRoute?: string;
   readonly attempt?: number;
+  /** Label that the worker must have; undefined for an entry that does not say what its tasks require. */
+  readonly requiredLabel?: string;
 }
 
 /** A report of a crash and its receiver. */
@@ -85,6 +87,7 @@
   #lastEnd = 0;
   #bornAt = BORN_AT;
   #capacityMillicores = CAPACITY_MILLICORES;
+  #labels: readonly string[] = [];
   #savedCapacity: number | undefined;
 
   /** A sidecar whose settings name the given worker, or none. */
@@ -163,14 +166,17 @@
       phase = WorkerPhase.Ready,
       bornAt = this.#bornAt,
       capacityMillicores = this.#capacityMillicores,
+      labels = this.#labels,
     }: {
       readonly phase?: WorkerPhase;
       readonly bornAt?: number;
       readonly capacityMillicores?: number;
+      readonly labels?: readonly string[];
     } = {},
   ): void {
     this.#bornAt = bornAt;
     this.#capacityMillicores = capacityMillicores;
+    this.#labels = labels;
     this.#sequence += 1;
     const description = { ...this.#describe(phase), clock: this.#workerClock };
     this.step({ kind: DispatchInputKind.WorkerReported, description });
@@ -197,7 +203,7 @@
         memoryMegabytes: 1_000,
         accelerators: 0,
       },
-      labels: [],
+      labels: this.#labels,
       sequence: this.#sequence,
     };
   }
@@ -268,8 +274,10 @@
 
   runTask(
     request: number,
-    { job, millicores, entry = ENTRY, suspectRoute, attempt = 1 }: TaskOptions,
+    options: TaskOptions,
   ): void {
+    const { job, millicores, entry = ENTRY, attempt = 1 } = options;
+    const { suspectRoute, requiredLabel } = options;
     this.#request(entry, request, {
       kind: DispatchRequestKind.RunTask,
       session: this.#sessions.get(entry) ?? 0,
@@ -283,6 +291,9 @@
       },
       expectedMilliseconds: 300,
       ...(suspectRoute === undefined ? {} : { suspectRoute }),
+      ...(requiredLabel === undefined
+        ? {}
+        : { requirements: { service: "service", requiredLabel } }),
     });
   }
 
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -10,6 +10,7 @@
   Resources,
   RunReference,
   SessionNumber,
+  WorkerRequirements,
 } from "@eelgrassfront/model";
 
 /** Phases of a run. */
@@ -88,6 +89,8 @@
   readonly session: SessionNumber;
   readonly content: string;
   readonly resources: Resources;
+  /** What the task requires of the worker; undefined if its entry did not say. */
+  readonly requirements: WorkerRequirements | undefined;
   readonly expectedMilliseconds: Milliseconds;
   /** When the attempt was accepted, which is shortly before its start. */
   readonly acceptedAt: Milliseconds;
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -164,9 +164,13 @@
   }
 
   /** Starts another worker on a sidecar's VM, with the same identifier or a new one. */
-  startWorker(vm: DispatchVm, isSameName: boolean): void {
+  startWorker(
+    vm: DispatchVm,
+    isSameName: boolean,
+    labels: readonly string[] = vm.worker?.options.labels ?? [],
+  ): void {
     const suffix = isSameName ? "" : `-${Math.round(this.time.now)}`;
-    vm.worker = this.#newWorker(vm, `worker-${vm.name}${suffix}`);
+    vm.worker = this.#newWorker(vm, `worker-${vm.name}${suffix}`, labels);
     this.#reportWorker(vm);
   }
 
@@ -187,7 +191,8 @@
       incarnations: 0,
     };
     if (role === Role.Sidecar) {
-      vm.worker = this.#newWorker(vm, `worker-${name}`);
+      const labels = this.#options.workerLabels?.[index] ?? [];
+      vm.worker = this.#newWorker(vm, `worker-${name}`, labels);
       this.#reportPeriodically(vm);
     }
     return vm;
@@ -242,7 +247,11 @@
     }
   }
 
-  #newWorker(vm: DispatchVm, id: string): FakeWorker {
+  #newWorker(
+    vm: DispatchVm,
+    id: string,
+    labels: readonly string[],
+  ): FakeWorker {
     const { capacityMillicores, observer, runMilliseconds, crashMilliseconds } =
       this.#options;
     return new FakeWorker({
@@ -250,6 +259,7 @@
       bornAt: this.time.now,
       service: "service",
       capacityMillicores,
+      labels,
       time: this.time,
       random: this.random,
       delayRandom: this.#delayRandom,
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -34,6 +34,8 @@
   readonly seed: number;
   readonly fleet: FleetSize;
   readonly capacityMillicores: number;
+  /** Labels of the first worker of each sidecar, by its index; none by default. */
+  readonly workerLabels?: readonly (readonly string[])[];
   readonly observer: WorkerObserver;
   readonly runMilliseconds: (content: string) => Milliseconds;
   /** Time after which a task with this content crashes its worker; the worker then returns after 3 s. */
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -68,6 +68,7 @@
   readonly bornAt: Milliseconds;
   readonly service: string;
   readonly capacityMillicores: number;
+  readonly labels: readonly string[];
   readonly time: VirtualTime;
   readonly random: SeededRandom;
   /** Generator of the faults `delayedGrants` and `delayedStops`. */
@@ -138,7 +139,7 @@
   /** Returns the next description that the worker reports. */
   describe(): WorkerDescription {
     this.#sequence += 1;
-    const { id, bornAt, service, capacityMillicores } = this.options;
+    const { id, bornAt, service, capacityMillicores, labels } = this.options;
     return {
       incarnation: { id, bornAt: bornAt + 1 },
       service,
@@ -149,7 +150,7 @@
         memoryMegabytes: 1_000_000,
         accelerators: 0,
       },
-      labels: [],
+      labels,
       sequence: this.#sequence,
       clock: this.clock,
     };
--- /dev/null
+++ b/emulator/src/worker_kind_test.ts
@@ -0,0 +1,106 @@
+/**
+ * Idle workers that crash and come back as another kind: no task that requires the earlier kind starts there.
+ */
+import { test } from "node:test";
+import {
+  ClientAnswerKind,
+  JobRequestKind,
+  type Milliseconds,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { DispatchSystem } from "./dispatch_system.ts";
+
+const HOST = "checks.example";
+const READY_MILLISECONDS: Milliseconds = 3_000;
+const DOWN_MILLISECONDS: Milliseconds = 800;
+const RUN_MILLISECONDS: Milliseconds = 40;
+const JOBS = 12;
+
+interface Replacement {
+  readonly isSameName: boolean;
+  /** Time from the start of the new worker to the first job; its report takes 1 ms. */
+  readonly firstJobAfter: Milliseconds;
+}
+
+/** Replaces the first worker of kind b by one of kind a, and submits jobs that require kind b. */
+function play({ isSameName, firstJobAfter }: Replacement) {
+  const startsOnOtherKind: string[] = [];
+  let completed = 0;
+  const system = new DispatchSystem({
+    seed: 1,
+    fleet: { entries: 1, workers: 3, zones: 1 },
+    capacityMillicores: 32_000,
+    workerLabels: [["b"], ["b"], ["a"]],
+    observer: {
+      onStart: ({ options }, { task }) => {
+        const hasKind = options.labels.includes("b");
+        if (!hasKind) startsOnOtherKind.push(`${task.job} on ${options.id}`);
+      },
+      onEnd: () => {},
+    },
+    runMilliseconds: Number,
+  });
+  system.publish({
+    version: 1,
+    routes: [{
+      name: "scan",
+      host: HOST,
+      requestPrefix: "/scan/",
+      service: "service",
+      healthPath: "/health",
+      priority: 0,
+      maximumAttempts: 3,
+      slackFactor: 1.6,
+      latencyAllowanceMilliseconds: 60,
+    }],
+  });
+  const advance = (milliseconds: Milliseconds) =>
+    system.runUntil(system.time.now + milliseconds);
+  advance(READY_MILLISECONDS);
+  const [entry] = system.entries;
+  const [vm] = system.sidecars;
+  if (entry === undefined || vm === undefined) throw new Error("no fleet");
+  vm.worker?.crash();
+  advance(DOWN_MILLISECONDS);
+  system.startWorker(vm, isSameName, ["a"]);
+  advance(firstJobAfter);
+  for (let index = 0; index < JOBS; index += 1) {
+    system.submit(
+      entry,
+      { host: HOST, path: `/scan/job-${index}` },
+      {
+        kind: JobRequestKind.Runnable,
+        job: { content: String(RUN_MILLISECONDS), steps: [STEP] },
+      },
+      1_500,
+      ({ kind }) => {
+        if (kind === ClientAnswerKind.Ended) completed += 1;
+      },
+    );
+    advance(25);
+  }
+  advance(1_500);
+  return { startsOnOtherKind, completed };
+}
+
+const STEP = {
+  taskCount: 1,
+  resources: {
+    processorMillicores: 3_100,
+    memoryMegabytes: 64,
+    accelerators: 0,
+  },
+  estimatedMilliseconds: RUN_MILLISECONDS,
+  requiredLabel: "b",
+  dependsOn: [],
+};
+
+for (const isSameName of [false, true]) {
+  for (const firstJobAfter of [0.2, 1.2, 2, 10, 100, 250]) {
+    const name = isSameName ? "the same" : "a new";
+    test(`a task starts on no worker without its label ${firstJobAfter} ms after a restart under ${name} identifier`, () => {
+      const played = play({ isSameName, firstJobAfter });
+      expect(played).toEqual({ startsOnOtherKind: [], completed: JOBS });
+    });
+  }
+}
