--- a/domain/model/src/worker_requirements.ts
+++ b/domain/model/src/worker_requirements.ts
@@ -9,11 +9,13 @@
   readonly requiredLabel?: string;
 }
 
-/** Whether a worker has the required properties. */
+/** Whether a worker has the required properties; without requirements any worker will do. */
 export function meetsRequirements(
   worker: Pick<WorkerDescription, "service" | "labels">,
-  { service, requiredLabel }: WorkerRequirements,
+  requirements: WorkerRequirements | undefined,
 ): boolean {
+  if (requirements === undefined) return true;
+  const { service, requiredLabel } = requirements;
   return worker.service === service &&
     (requiredLabel === undefined || worker.labels.includes(requiredLabel));
 }
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -30,7 +30,6 @@
   type WorkerLoad,
   WorkerPhase,
   type WorkerProfile,
-  type WorkerRequirements,
 } from "@eelgrassfront/model";
 import type { EntrySessions } from "./entry_sessions.ts";
 import { RunPhase, type WorkerRun } from "./worker_run.ts";
@@ -219,7 +218,7 @@
     if (this.#options.link.isUnresponsive) {
       return NotStartedReason.WorkerUnresponsive;
     }
-    if (!isSuitable(description, requirements)) {
+    if (!meetsRequirements(description, requirements)) {
       return NotStartedReason.UnsuitableWorker;
     }
     if (!isWithin(resources, description.capacity)) {
@@ -301,14 +300,6 @@
   }
 }
 
-/** Whether a worker has what a task requires; a task of an entry that does not say requires nothing. */
-export function isSuitable(
-  worker: WorkerDescription,
-  requirements: WorkerRequirements | undefined,
-): boolean {
-  return requirements === undefined || meetsRequirements(worker, requirements);
-}
-
 function profileOf(
   description: WorkerDescription,
   revision: number,
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -24,6 +24,7 @@
   type IncomingRequest,
   InputKind,
   isWithin,
+  meetsRequirements,
   type Milliseconds,
   NotStartedReason,
   OutputCollector,
@@ -34,7 +35,7 @@
   type StateMachine,
   type WorkerDescription,
 } from "@eelgrassfront/model";
-import { EntryRequestHandler, isSuitable } from "./entry_request_handler.ts";
+import { EntryRequestHandler } from "./entry_request_handler.ts";
 import { EntrySessions } from "./entry_sessions.ts";
 import { RunPhase, type WorkerRun } from "./worker_run.ts";
 import { LoadReport } from "./load_report.ts";
@@ -356,7 +357,7 @@
     { requirements }: WorkerRun,
     worker: WorkerDescription,
   ): NotStartedReason | undefined {
-    if (!isSuitable(worker, requirements)) {
+    if (!meetsRequirements(worker, requirements)) {
       return NotStartedReason.UnsuitableWorker;
     }
     return isWithin(this.#table.used, worker.capacity)
