refactor(dispatcher,worker-guard): route lookup apart, silence after a goodbye named once

The condition "has said goodbye and is silent" stood in three places and becomes a property of WorkerLink.

Behaviour is as it was, and no test is changed.

--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -22,7 +22,6 @@
   type DispatchRequest,
   DispatchRequestKind,
   EventNumber,
-  findRoute,
   type FleetMember,
   Gauge,
   GivenUpReason,
@@ -38,13 +37,10 @@
   OutputCollector,
   OutputKind,
   type PeerRequestLost,
-  type RequestIdentifier,
-  type RequestTarget,
   Role,
   type RunnableJobRequest,
   Severity,
   type StateMachine,
-  type WorkRoute,
 } from "@eelgrassfront/model";
 import { type TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
 import { type BacklogSource, JobScheduler } from "./job_scheduler.ts";
@@ -52,6 +48,7 @@
 import { latencyObjective } from "./job_admission.ts";
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
+import { RouteLookup, type VersionedRoute } from "./route_lookup.ts";
 import { TaskPlacer } from "./task_placer.ts";
 import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
 import { WorkerLinks } from "./worker_links.ts";
@@ -93,6 +90,7 @@
   readonly #runTimes = new JobRunTimes();
   readonly #placer: TaskPlacer;
   readonly #answers: JobAnswers;
+  readonly #routes: RouteLookup;
   readonly #scheduler: JobScheduler;
   #lastStepAt: Milliseconds | undefined;
   #drainingSince: Milliseconds | undefined;
@@ -129,6 +127,7 @@
       collector,
       shouldCloseConnection: () => this.#drainingSince !== undefined,
     });
+    this.#routes = new RouteLookup({ directory, answers: this.#answers });
     const source: BacklogSource = {
       links: this.#links,
       attempts: this.#attempts,
@@ -222,7 +221,7 @@
 
   #handleJob(input: JobSubmitted): void {
     const { request, target, body } = input;
-    const found = this.#findRoute(request, target);
+    const found = this.#routes.find(request, target);
     if (found === undefined) return;
     switch (body.kind) {
       case JobRequestKind.Malformed:
@@ -277,7 +276,7 @@
   }
 
   #answerState({ request, target }: JobStateRequested): void {
-    const found = this.#findRoute(request, target);
+    const found = this.#routes.find(request, target);
     if (found === undefined) return;
     const id = target.path.slice(found.route.requestPrefix.length);
     if (id === "") {
@@ -297,7 +296,7 @@
   }
 
   #cancel({ request, target }: JobCancellationRequested): void {
-    const found = this.#findRoute(request, target);
+    const found = this.#routes.find(request, target);
     if (found === undefined) return;
     const id = target.path.slice(found.route.requestPrefix.length);
     const isKnown = this.#scheduler.cancel(id);
@@ -306,25 +305,6 @@
     });
   }
 
-  /** Returns the route of a request, or answers the request if there is none. */
-  #findRoute(
-    request: RequestIdentifier,
-    { host, path }: RequestTarget,
-  ): VersionedRoute | undefined {
-    const { configuration } = this.#directory;
-    if (configuration === undefined) {
-      this.#answers.answer(request, {
-        kind: ClientAnswerKind.Refused,
-        reason: JobRefusalReason.Starting,
-      });
-      return undefined;
-    }
-    const route = findRoute(configuration, host, path);
-    if (route !== undefined) return { route, version: configuration.version };
-    this.#answers.answer(request, { kind: ClientAnswerKind.NoSuchRoute });
-    return undefined;
-  }
-
   #handlePeerInput(input: DispatchPeerInput): void {
     switch (input.kind) {
       case InputKind.PeerRequestArrived:
@@ -502,8 +482,3 @@
     this.#collector.add({ kind: DispatchOutputKind.Announce, member });
   }
 }
-
-interface VersionedRoute {
-  readonly route: WorkRoute;
-  readonly version: number;
-}
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -240,7 +240,7 @@
   #isRenewalWithheld(): boolean {
     const { link, isRenewalOverdue } = this.#options;
     return this.#stops.isStopPending || isRenewalOverdue() ||
-      (link.isLeaving && link.isSilent);
+      link.isSilentAfterGoodbye;
   }
 
   /** Lists the runs immediately, in parallel to a poll that waits for an end. */
--- a/domain/worker_guard/src/worker_lifecycle.ts
+++ b/domain/worker_guard/src/worker_lifecycle.ts
@@ -73,7 +73,7 @@
     const times = [
       this.#incarnationChecks.nextAlarm(),
       this.#stoppedAt,
-      link.isLeaving && link.isSilent ? link.leaseExpiresAt : undefined,
+      link.isSilentAfterGoodbye ? link.leaseExpiresAt : undefined,
     ].filter((time) => time !== undefined);
     return times.length === 0 ? undefined : Math.min(...times);
   }
@@ -223,7 +223,7 @@
   #settleStopped(): void {
     const { collector: { now }, link } = this.#options;
     const isStopped = this.#stoppedAt !== undefined && now >= this.#stoppedAt;
-    const isExpired = link.isLeaving && link.isSilent &&
+    const isExpired = link.isSilentAfterGoodbye &&
       now >= link.leaseExpiresAt;
     if (isStopped || isExpired) this.#settleEnded(WorkerEnd.Announced);
   }
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -124,6 +124,11 @@
     return this.#isLeaving;
   }
 
+  /** Whether the worker has been silent since it announced its end, so that only its lease shows that it ended. */
+  get isSilentAfterGoodbye(): boolean {
+    return this.#isLeaving && this.isSilent;
+  }
+
   /** Whether the worker recently left a call unanswered. */
   get isUnreliable(): boolean {
     return this.#options.collector.now < this.#unreliableUntil;
