feat(worker-guard): name the entry and the attempt when an attempt ends

The sidecars' line for an attempt that ended without an outcome (4106) named the job, the task and the reason only, and an entry that is killed writes no line about its jobs.

Change: event 4106 names the entry and the number of its attempt. Two entries in the lines of one job then show that both held it; one entry with two attempts shows a task that was placed twice.

Conclusion: no logic is changed; the line tells "one entry placed the task twice" from "two entries held the job".

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -231,9 +231,9 @@
   },
   [EventNumber.RunSettled]: {
     meaning:
-      "An attempt ended without an outcome of its own; the line contains the reason.",
+      "An attempt ended without an outcome of its own; the line contains the reason, and the entry that placed the attempt.",
     action:
-      "Search by the identifier of the job for the line of the entry that placed the attempt.",
+      "Search by the identifier of the job for the lines of that entry; another entry in the lines of the same job held it, too.",
   },
   [EventNumber.RunStopRepeated]: {
     meaning:
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -459,8 +459,16 @@
         milliseconds: settlement.runMilliseconds,
       });
     } else {
-      const context = { job: run.task.job, task: jobTaskKey(run.task), reason };
-      collector.record(EventNumber.RunSettled, "an attempt ended", { context });
+      const { task, entry, attempt } = run;
+      collector.record(EventNumber.RunSettled, "an attempt ended", {
+        context: {
+          job: task.job,
+          task: jobTaskKey(task),
+          entry,
+          attempt,
+          reason,
+        },
+      });
     }
     this.#startCalls.delete(jobTaskKey(run.task));
     table.settle(run, settlement);
