feat(dispatcher): log the acceptance of a job

The lines of a job (3101 to 3104) are written at its end, so an entry that is killed, or still holds the job, leaves none.

Change: event 3110 names each job that an entry accepts. With 4106, which names the entry since, the lines of one job show which entries held it, since when, and which of them ended a run.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -206,6 +206,12 @@
       "A client had closed its connection before its job was handled, as after a pause of the entry (1007) that was longer than the client waits. The job was not accepted.",
     action: "Look for the pause, or for an overload of the entry's VM.",
   },
+  [EventNumber.JobAccepted]: {
+    meaning:
+      "An entry accepted a best-effort job and holds it until one of the events 3101 to 3104, or until the entry ends.",
+    action:
+      "Nothing; two entries that hold one job at the same time are explained by the connections of its client.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/domain/dispatcher/src/job_answers.ts
+++ b/domain/dispatcher/src/job_answers.ts
@@ -46,6 +46,11 @@
     });
   }
 
+  /** Records a job that was accepted; if its entry is killed, no later line names the job. */
+  recordAccepted(job: DispatchJob): void {
+    this.#record(EventNumber.JobAccepted, "a job was accepted", job, {});
+  }
+
   /** Answers a job that completed. */
   answerCompleted(job: DispatchJob): void {
     this.#options.collector.count(Counter.JobsCompleted);
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -150,6 +150,7 @@
     this.#arrivalRates.add(now, job.route.priority, job.waitingWork);
     this.#jobs.set(job.id, job);
     if (request !== undefined) this.#byRequest.set(request, job);
+    answers.recordAccepted(job);
     this.#queue.add(job);
     const isFirst = this.#queue.jobs[0] === job;
     if (isFirst && !this.#isHeld && placer.place(job)) {
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -44,6 +44,7 @@
   TaskSuspected = 3107,
   KindQuarantined = 3108,
   SubmissionAbandoned = 3109,
+  JobAccepted = 3110,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
