fix(dispatcher): run a job only where its arbiter has granted it

What callers saw: a task ran twice at the same time, on workers of two sidecars, and was billed twice.

Cause: an entry takes a submission as proof that no other entry holds the job. A client whose request got no answer submits the job again through another entry 1.3 s later; the first entry may learn of the end of the client's connection late or never, and the first request itself may arrive after the second. Nothing but that time kept the two apart.

Change: each job has an arbiter, the entry that ranks highest for it by rendezvous hashing. An entry places no task before the arbiter has granted the job. The arbiter remembers the latest holder; when another entry claims the job, it asks the holder, which gives the job up if the other copy was submitted late enough to be a resubmission, keeps it otherwise, and yields only when no run of its is left. A holder that is silent counts as ended when its runs have (1.92 s). A job that waits for another holder is not refused as "not run". After a pause an entry claims all its jobs again, and leaves its own part as arbiter to others for half a second. Jobs that were submitted to the same entry again wait for the runs of the earlier copy.

An arbiter that does not answer within 50 ms is replaced by the next one, and after two a job is run without a grant, so that no job waits for an entry that is gone. Grants are kept in memory. The window is narrowed, not closed: two entries can run one job if its arbiter is lost, or cannot be reached by one of them, between their claims.

Client requests and the backlog estimate are moved to files of their own.

One message more for each job.

Conclusion: why it works: the two entries ask the same process, which knows the first when the second asks.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -107,6 +107,18 @@
       zod.looseObject({ task, route: zod.string().optional() }),
     ),
   }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.ClaimJob),
+    job: zod.string(),
+    address: zod.string().min(1),
+    ageMilliseconds: amount,
+    lifetimeMilliseconds: amount,
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.YieldJob),
+    job: zod.string(),
+    ageMilliseconds: amount,
+  }),
 ]);
 
 const load = zod.looseObject({
@@ -181,6 +193,9 @@
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.Misdirected) }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.CrashNoted) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobClaimed) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobHeld) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobYielded) }),
   zod.looseObject({
     kind: zod.literal(PeerReplyKind.IncarnationMismatch),
     current: processIdentifier,
--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema_test.ts
@@ -80,6 +80,18 @@
     kind: DispatchRequestKind.ReportCrash,
     suspects: [{ task: { job: "a", step: 0, index: 1 } }],
   },
+  {
+    kind: DispatchRequestKind.ClaimJob,
+    job: "a",
+    address: "127.0.0.1:7720",
+    ageMilliseconds: 0.5,
+    lifetimeMilliseconds: 5_000,
+  },
+  {
+    kind: DispatchRequestKind.YieldJob,
+    job: "a",
+    ageMilliseconds: 0.5,
+  },
 ];
 
 const REPLIES: readonly DispatchReply[] = [
@@ -111,6 +123,9 @@
     knowledge: { members: [MEMBER] },
   },
   { kind: DispatchReplyKind.CrashNoted },
+  { kind: DispatchReplyKind.JobClaimed },
+  { kind: DispatchReplyKind.JobHeld },
+  { kind: DispatchReplyKind.JobYielded },
   { kind: PeerReplyKind.IncarnationMismatch, current: "entry-1~b" },
 ];
 
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -212,6 +212,17 @@
     action:
       "Nothing; two entries that hold one job at the same time are explained by the connections of its client.",
   },
+  [EventNumber.JobHeldElsewhere]: {
+    meaning:
+      "An entry claims a job that this process, the job's arbiter, has granted to another one. The holder is asked to yield it; the claiming entry starts it when no run is left there.",
+    action:
+      "Nothing for single lines; otherwise check why clients get no answer from the holder.",
+  },
+  [EventNumber.ClaimUnanswered]: {
+    meaning:
+      "The arbiter of a job did not answer the claim of this entry. The next one is asked, or the job is run without a grant.",
+    action: "Check whether the named process runs and can be reached.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -89,6 +89,7 @@
     self,
     seeds: settings.seeds,
     graceMilliseconds: settings.graceMilliseconds,
+    resubmissionMilliseconds: settings.resubmissionMilliseconds,
   });
   const ports = { ...shared.ports, clients: listener };
   const running = new DispatchLoop(decisions, ports).run();
--- /dev/null
+++ b/domain/dispatcher/src/arbiter_ranking.ts
@@ -0,0 +1,84 @@
+/**
+ * Choice of the arbiter of a job: the entry that ranks highest by rendezvous hashing among those that have
+ * answered lately, so that all entries choose the same one while they know the same members.
+ */
+import type { FleetDirectory } from "@eelgrassfront/directory";
+import {
+  type FleetMember,
+  type Milliseconds,
+  processName,
+  Role,
+} from "@eelgrassfront/model";
+import { combineHashes, stableHash } from "@eelgrassfront/ownership";
+
+/** First time for which an entry that did not answer is not chosen; it doubles with each further failure. */
+const FIRST_AVOIDANCE_MILLISECONDS: Milliseconds = 500;
+/** Longest such time; an entry that was removed for good stays a member. */
+const MAXIMUM_AVOIDANCE_MILLISECONDS: Milliseconds = 16_000;
+
+interface Avoidance {
+  readonly until: Milliseconds;
+  readonly duration: Milliseconds;
+}
+
+/** The members among which an arbiter is chosen. */
+export interface ArbiterRankingOptions {
+  readonly self: FleetMember;
+  readonly directory: FleetDirectory;
+}
+
+/** Ranks the entries for each job. */
+export class ArbiterRanking {
+  readonly #options: ArbiterRankingOptions;
+  readonly #avoided = new Map<string, Avoidance>();
+  #entries: readonly FleetMember[] = [];
+  #membersRevision = -1;
+
+  constructor(options: ArbiterRankingOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the arbiter of a job. */
+  arbiterOf(job: string, now: Milliseconds): FleetMember {
+    this.#update();
+    const jobHash = stableHash(job);
+    let highest = this.#options.self;
+    let highestRank = -1;
+    for (const entry of this.#entries) {
+      const avoidance = this.#avoided.get(entry.address);
+      if (avoidance !== undefined && now < avoidance.until) continue;
+      const name = processName(entry.process);
+      const rank = combineHashes(stableHash(name), jobHash);
+      if (rank <= highestRank) continue;
+      highest = entry;
+      highestRank = rank;
+    }
+    return highest;
+  }
+
+  /** Records that an entry answered. */
+  recordAnswer(address: string): void {
+    this.#avoided.delete(address);
+  }
+
+  /** Records that an entry did not answer; it is not chosen for some time. */
+  recordFailure(address: string, now: Milliseconds): void {
+    const duration = Math.min(
+      MAXIMUM_AVOIDANCE_MILLISECONDS,
+      2 * (this.#avoided.get(address)?.duration ??
+        FIRST_AVOIDANCE_MILLISECONDS / 2),
+    );
+    this.#avoided.set(address, { until: now + duration, duration });
+  }
+
+  #update(): void {
+    const { self, directory } = this.#options;
+    if (this.#membersRevision === directory.membersRevision) return;
+    this.#membersRevision = directory.membersRevision;
+    const others = directory.membersOf(Role.Entry)
+      .filter(({ process }) =>
+        processName(process) !== processName(self.process)
+      );
+    this.#entries = [self, ...others];
+  }
+}
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -10,8 +10,6 @@
 } from "@eelgrassfront/directory";
 import {
   assertNever,
-  BestEffortJobState,
-  ClientAnswerKind,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
@@ -28,27 +26,23 @@
   type IncomingReply,
   type IncomingRequest,
   InputKind,
-  type JobCancellationRequested,
-  JobRefusalReason,
-  JobRequestKind,
-  type JobStateRequested,
-  type JobSubmitted,
   type Milliseconds,
   OutputCollector,
   OutputKind,
   type PeerRequestLost,
   Role,
-  type RunnableJobRequest,
   Severity,
   type StateMachine,
 } from "@eelgrassfront/model";
+import type { DispatchJob } from "./dispatch_job.ts";
+import { ClientRequests } from "./client_requests.ts";
+import { ClaimExchange } from "./claim_exchange.ts";
 import { type TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
-import { type BacklogSource, JobScheduler } from "./job_scheduler.ts";
-import { DispatchJob } from "./dispatch_job.ts";
-import { latencyObjective } from "./job_admission.ts";
+import type { BacklogSource } from "./backlog_estimator.ts";
+import { JobScheduler } from "./job_scheduler.ts";
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
-import { RouteLookup, type VersionedRoute } from "./route_lookup.ts";
+import { RouteLookup } from "./route_lookup.ts";
 import { TaskPlacer } from "./task_placer.ts";
 import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
 import { WorkerLinks } from "./worker_links.ts";
@@ -60,6 +54,8 @@
   readonly seeds: readonly string[];
   /** Time between the request to stop and the forced termination of the process. */
   readonly graceMilliseconds: Milliseconds;
+  /** Time after which a client whose request got no answer submits its job again. */
+  readonly resubmissionMilliseconds: Milliseconds;
 }
 
 /** Interval of the wake-ups by which a pause of this process is detected. */
@@ -71,8 +67,6 @@
  * first; shorter than the slack of any job.
  */
 const READ_AFTER_PAUSE_MILLISECONDS: Milliseconds = 50;
-/** Deadline of a job whose client specifies none. */
-const DEFAULT_DEADLINE_MILLISECONDS: Milliseconds = 30_000;
 /** Time after the request to stop in which the platform still routes new connections to this process. */
 const DEREGISTRATION_MILLISECONDS: Milliseconds = 3_000;
 /** Part of the grace period that is reserved for the last answers. */
@@ -87,10 +81,10 @@
   readonly #exchange: FleetStateExchange;
   readonly #links: WorkerLinks;
   readonly #attempts = new TaskAttemptIndex();
-  readonly #runTimes = new JobRunTimes();
   readonly #placer: TaskPlacer;
   readonly #answers: JobAnswers;
-  readonly #routes: RouteLookup;
+  readonly #requests: ClientRequests;
+  readonly #claims: ClaimExchange;
   readonly #scheduler: JobScheduler;
   #lastStepAt: Milliseconds | undefined;
   #drainingSince: Milliseconds | undefined;
@@ -115,7 +109,7 @@
       directory,
       isNeeded: () => true,
     });
-    const runTimes = this.#runTimes;
+    const runTimes = new JobRunTimes();
     this.#placer = new TaskPlacer({
       collector,
       links: this.#links,
@@ -127,18 +121,34 @@
       collector,
       shouldCloseConnection: () => this.#drainingSince !== undefined,
     });
-    this.#routes = new RouteLookup({ directory, answers: this.#answers });
     const source: BacklogSource = {
       links: this.#links,
       attempts: this.#attempts,
       entryCount: () => directory.membersOf(Role.Entry).length,
     };
+    this.#claims = new ClaimExchange({
+      self: options.self,
+      collector,
+      directory,
+      yieldOwn: (request) => this.#scheduler.yield(request),
+      hasEarlierRuns: (job) => this.#scheduler.hasEarlierRuns(job),
+    });
     this.#scheduler = new JobScheduler({
       collector,
+      claims: this.#claims,
+      resubmissionMilliseconds: options.resubmissionMilliseconds,
       placer: this.#placer,
       answers: this.#answers,
       source,
     });
+    this.#requests = new ClientRequests({
+      collector,
+      routes: new RouteLookup({ directory, answers: this.#answers }),
+      answers: this.#answers,
+      runTimes,
+      scheduler: this.#scheduler,
+      isClosed: () => this.#isClosed(),
+    });
   }
 
   step(now: Milliseconds, input: DispatchInput): readonly DispatchOutput[] {
@@ -157,23 +167,23 @@
       (this.#lastStepAt ?? 0) + PAUSE_CHECK_INTERVAL_MILLISECONDS,
       this.#exchange.nextAlarm(),
       this.#links.nextAlarm() ?? Infinity,
-      this.#scheduler.nextAlarm() ?? Infinity,
+      this.#scheduler.nextAlarm(),
     );
   }
 
   #handleInput(input: DispatchInput): void {
     switch (input.kind) {
       case DispatchInputKind.JobSubmitted:
-        this.#handleJob(input);
+        this.#requests.submit(input);
         return;
       case DispatchInputKind.SubmissionAbandoned:
         this.#answers.recordAbandonedSubmission(input.target);
         return;
       case DispatchInputKind.JobStateRequested:
-        this.#answerState(input);
+        this.#requests.answerState(input);
         return;
       case DispatchInputKind.JobCancellationRequested:
-        this.#cancel(input);
+        this.#requests.cancel(input);
         return;
       case DispatchInputKind.ClientDisconnected:
         this.#scheduler.handleClientDisconnected(input.request);
@@ -219,92 +229,12 @@
     this.#continueDraining();
   }
 
-  #handleJob(input: JobSubmitted): void {
-    const { request, target, body } = input;
-    const found = this.#routes.find(request, target);
-    if (found === undefined) return;
-    switch (body.kind) {
-      case JobRequestKind.Malformed:
-        this.#answers.answer(request, {
-          kind: ClientAnswerKind.Malformed,
-          detail: body.detail,
-        });
-        return;
-      case JobRequestKind.Unsupported:
-        this.#answers.answer(request, {
-          kind: ClientAnswerKind.Refused,
-          reason: JobRefusalReason.Unsupported,
-        });
-        return;
-      case JobRequestKind.Runnable:
-        this.#admit(input, found, body);
-        return;
-      default:
-        assertNever(body);
-    }
-  }
-
-  #admit(
-    { request, target, deadlineMilliseconds }: JobSubmitted,
-    { route, version }: VersionedRoute,
-    { job }: RunnableJobRequest,
-  ): void {
-    const { now } = this.#collector;
-    const run = this.#runTimes.estimate(route, job);
-    const slack = latencyObjective(route, run) - run;
-    const deadline = deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
-    this.#scheduler.admit(
-      new DispatchJob({
-        id: target.path.slice(route.requestPrefix.length),
-        job,
-        route,
-        configurationVersion: version,
-        arrivedAt: now,
-        expectedRunMilliseconds: run,
-        startBy: now + slack,
-        deadlineAt: now + deadline,
-        request,
-      }),
-      this.#isClosed(),
-    );
-  }
-
   /** Whether new jobs are refused: late in the grace period they could no longer end in time. */
   #isClosed(): boolean {
     return this.#drainingSince !== undefined &&
       this.#collector.now - this.#drainingSince >= DEREGISTRATION_MILLISECONDS;
   }
 
-  #answerState({ request, target }: JobStateRequested): void {
-    const found = this.#routes.find(request, target);
-    if (found === undefined) return;
-    const id = target.path.slice(found.route.requestPrefix.length);
-    if (id === "") {
-      const count = this.#scheduler.countPending(found.route.name);
-      this.#answers.answer(request, { kind: ClientAnswerKind.Pending, count });
-      return;
-    }
-    const job = this.#scheduler.find(id);
-    if (job === undefined) {
-      this.#answers.answer(request, { kind: ClientAnswerKind.NoSuchJob });
-      return;
-    }
-    const state = job.mayHaveStarted || job.placedTaskCount > 0
-      ? BestEffortJobState.Running
-      : BestEffortJobState.Queued;
-    this.#answers.answer(request, { kind: ClientAnswerKind.State, state });
-  }
-
-  #cancel({ request, target }: JobCancellationRequested): void {
-    const found = this.#routes.find(request, target);
-    if (found === undefined) return;
-    const id = target.path.slice(found.route.requestPrefix.length);
-    const isKnown = this.#scheduler.cancel(id);
-    this.#answers.answer(request, {
-      kind: isKnown ? ClientAnswerKind.Cancelled : ClientAnswerKind.NoSuchJob,
-    });
-  }
-
   #handlePeerInput(input: DispatchPeerInput): void {
     switch (input.kind) {
       case InputKind.PeerRequestArrived:
@@ -333,6 +263,12 @@
         this.#placer.crashes.applyReport(message.suspects);
         this.#reply(input, { kind: DispatchReplyKind.CrashNoted });
         return;
+      case DispatchRequestKind.ClaimJob:
+        this.#reply(input, this.#claims.answerClaim(from, message));
+        return;
+      case DispatchRequestKind.YieldJob:
+        this.#reply(input, this.#claims.answerYield(message));
+        return;
       case DispatchRequestKind.OpenSession:
       case DispatchRequestKind.RenewSession:
       case DispatchRequestKind.RunTask:
@@ -362,6 +298,10 @@
       this.#handleLinkChanges(this.#links.handleReply(input));
       return;
     }
+    if (this.#claims.owns(request)) {
+      this.#startGranted(this.#claims.handleReply(request, message));
+      return;
+    }
     const attempt = this.#attempts.find(request);
     if (attempt === undefined) return;
     if (message.kind === DispatchReplyKind.TaskSettled) {
@@ -372,6 +312,10 @@
     this.#handleMismatch(attempt, message);
   }
 
+  #startGranted(job: DispatchJob | undefined): void {
+    if (job !== undefined) this.#scheduler.start(job);
+  }
+
   /** Handles a reply from another incarnation of the sidecar, which does not hold the attempt. */
   #handleMismatch({ address }: TaskAttempt, message: DispatchReply): void {
     if (!("current" in message)) return;
@@ -388,6 +332,10 @@
       this.#links.handleLostRequest(request);
       return;
     }
+    if (this.#claims.owns(request)) {
+      this.#startGranted(this.#claims.handleLostRequest(request));
+      return;
+    }
     const link = this.#links.findProcess(peer);
     if (link !== undefined) this.#links.handleConnectionLoss(link);
   }
@@ -442,6 +390,7 @@
     );
     this.#handleLinkChanges(this.#links.giveUpAll("this process was paused"));
     this.#scheduler.holdPlacements(now + READ_AFTER_PAUSE_MILLISECONDS);
+    this.#scheduler.reclaimAll();
   }
 
   #reportReadiness(): void {
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -14,6 +14,7 @@
   ErrorTag,
   InputKind,
   JobRequestKind,
+  type Milliseconds,
   type OutgoingRequest,
   OutputKind,
   Role,
@@ -25,6 +26,8 @@
 
 /** Capacity of every simulated worker. */
 export const CAPACITY_MILLICORES = 8_000;
+/** Time for which another entry may run a job that it claims. */
+const LIFETIME_MILLISECONDS: Milliseconds = 10_000;
 
 interface JobParameters {
   readonly id: string;
@@ -52,10 +55,12 @@
     },
     seeds: [],
     graceMilliseconds: 6_000,
+    resubmissionMilliseconds: 1_300,
   });
   readonly #answers: AnswerClient[] = [];
   readonly #requests: OutgoingRequest<DispatchRequest>[] = [];
   readonly #placements: string[] = [];
+  readonly #replies: DispatchReply[] = [];
   readonly #renewals: string[] = [];
   readonly #free = new Map<string, number>();
   readonly #slowness = new Map<string, number>();
@@ -224,6 +229,32 @@
     for (const sent of this.#takeRequests(kind)) this.#reportLost(sent);
   }
 
+  /** Answers the pending requests of one kind. */
+  answerRequests(kind: DispatchRequestKind, message: DispatchReply): void {
+    for (const sent of this.#takeRequests(kind)) this.#reply(sent, message);
+  }
+
+  /** Claims a job as another entry. Returns the kind of the reply. */
+  claimAs(entry: string, job: string): DispatchReply["kind"] | undefined {
+    return this.#ask(entry, {
+      kind: DispatchRequestKind.ClaimJob,
+      job,
+      address: entry,
+      ageMilliseconds: 0,
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+  }
+
+  /** Asks the entry, as another one, to yield a job. Returns the kind of the reply. */
+  yieldTo(
+    entry: string,
+    job: string,
+    ageMilliseconds: Milliseconds = 0,
+  ): DispatchReply["kind"] | undefined {
+    const kind = DispatchRequestKind.YieldJob;
+    return this.#ask(entry, { kind, job, ageMilliseconds });
+  }
+
   answerTo(request: number): AnswerClient["answer"] | undefined {
     return this.#answers.find((answer) => answer.request === request)?.answer;
   }
@@ -232,6 +263,19 @@
     return this.#answers.at(-1);
   }
 
+  #ask(
+    entry: string,
+    message: DispatchRequest,
+  ): DispatchReply["kind"] | undefined {
+    this.step({
+      kind: InputKind.PeerRequestArrived,
+      from: `${entry}~a`,
+      request: 1,
+      message,
+    });
+    return this.#replies.at(-1)?.kind;
+  }
+
   #answerSessions({ isUp = true, except = "" }: SidecarAvailability): void {
     const kinds = [
       DispatchRequestKind.OpenSession,
@@ -328,6 +372,9 @@
     if (output.kind === DispatchOutputKind.AnswerClient) {
       this.#answers.push(output);
     }
+    if (output.kind === OutputKind.SendReply) {
+      this.#replies.push(output.message);
+    }
     if (output.kind !== OutputKind.SendRequest) return;
     this.#requests.push(output);
     if (output.message.kind === DispatchRequestKind.RenewSession) {
--- a/domain/dispatcher/src/example.ts
+++ b/domain/dispatcher/src/example.ts
@@ -18,6 +18,7 @@
   },
   seeds: [],
   graceMilliseconds: 6_000,
+  resubmissionMilliseconds: 1_300,
 });
 const outputs = entry.step(0, {
   kind: DispatchInputKind.JobSubmitted,
--- /dev/null
+++ b/domain/dispatcher/src/job_claims_test.ts
@@ -0,0 +1,273 @@
+/**
+ * Claims of jobs, seen from the entry that accepts a job, from the job's arbiter and from the entry that holds it.
+ */
+import { test } from "node:test";
+import { FleetDirectory } from "@eelgrassfront/directory";
+import {
+  ClientAnswerKind,
+  DispatchInputKind,
+  type DispatchReply,
+  DispatchReplyKind,
+  DispatchRequestKind,
+  GivenUpReason,
+  InterruptionReason,
+  type Milliseconds,
+  PeerReplyKind,
+  Role,
+  SettlementKind,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { ArbiterRanking } from "./arbiter_ranking.ts";
+import { DispatcherHarness } from "./dispatcher_harness.ts";
+
+const SIDECARS = ["sidecar-1"];
+const FREE = { "sidecar-1": 8_000 };
+const RESUBMISSION_MILLISECONDS: Milliseconds = 1_300;
+
+/** Returns an entry that knows other entries, `entry-2` and so on. */
+function entryAmong(others: number): DispatcherHarness {
+  const harness = DispatcherHarness.ready(SIDECARS, FREE);
+  harness.learnEntries(others);
+  return harness;
+}
+
+/** Returns a job whose arbiter is one entry and, if that fails, another one, in a fleet of a number of others. */
+function jobOf(arbiter: string, others: number, next?: string): string {
+  const directory = new FleetDirectory();
+  for (let index = 0; index < others; index += 1) {
+    const name = `entry-${index + 2}`;
+    directory.updateMember({
+      process: `${name}~a`,
+      role: Role.Entry,
+      address: name,
+      availabilityZone: "zone-a",
+    });
+  }
+  const self = {
+    process: "entry-1~a",
+    role: Role.Entry,
+    address: "127.0.0.1:7720",
+    availabilityZone: "zone-a",
+  } as const;
+  const ranking = new ArbiterRanking({ self, directory });
+  const rankingAfterFailure = new ArbiterRanking({ self, directory });
+  rankingAfterFailure.recordFailure(arbiter, 0);
+  for (let index = 0; index < 1_000; index += 1) {
+    const job = `job-${index}`;
+    if (ranking.arbiterOf(job, 0).process !== `${arbiter}~a`) continue;
+    const second = rankingAfterFailure.arbiterOf(job, 0).process;
+    if (next === undefined || second === `${next}~a`) return job;
+  }
+  throw new Error(`no job has the arbiter ${arbiter}`);
+}
+
+function placements(harness: DispatcherHarness): number {
+  return harness.sent(DispatchRequestKind.RunTask).length;
+}
+
+test("a job is not placed before its arbiter has granted it", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 2, millicores: 1_000 });
+  expect(placements(harness)).toEqual(0);
+  harness.answerRequests(DispatchRequestKind.ClaimJob, {
+    kind: DispatchReplyKind.JobClaimed,
+  });
+  expect(placements(harness)).toEqual(2);
+});
+
+test("a job is placed at once by the entry that is its arbiter", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-1", 1), tasks: 2, millicores: 1_000 });
+  expect(harness.sent(DispatchRequestKind.ClaimJob)).toEqual([]);
+  expect(placements(harness)).toEqual(2);
+});
+
+test("a job that another entry holds is claimed until it is granted, and not refused as not run", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 1, millicores: 1_000 });
+  for (let time = 200; time <= 4_800; time += 200) {
+    harness.answerRequests(DispatchRequestKind.ClaimJob, {
+      kind: DispatchReplyKind.JobHeld,
+    });
+    harness.runTo(time);
+  }
+  expect(placements(harness)).toEqual(0);
+  expect(harness.answerTo(1)).toEqual(undefined);
+  harness.answerRequests(DispatchRequestKind.ClaimJob, {
+    kind: DispatchReplyKind.JobClaimed,
+  });
+  expect(placements(harness)).toEqual(1);
+});
+
+test("a job that another entry holds is given up at its deadline as one that may have run", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 1, millicores: 1_000 });
+  for (let time = 200; time <= 5_200; time += 200) {
+    harness.answerRequests(DispatchRequestKind.ClaimJob, {
+      kind: DispatchReplyKind.JobHeld,
+    });
+    harness.runTo(time);
+  }
+  expect(harness.answerTo(1)).toEqual({
+    kind: ClientAnswerKind.GivenUp,
+    reason: GivenUpReason.DeadlinePassed,
+  });
+});
+
+test("a job whose arbiter is silent is claimed from the next one, and then run without a grant", () => {
+  const harness = entryAmong(2);
+  const id = jobOf("entry-2", 2, "entry-3");
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.runTo(60);
+  expect(
+    harness.sent(DispatchRequestKind.ClaimJob).map(({ address }) => address),
+  ).toEqual(["entry-2", "entry-3"]);
+  expect(placements(harness)).toEqual(0);
+  harness.runTo(120);
+  expect(placements(harness)).toEqual(1);
+});
+
+test("a job whose claim is lost is claimed from the next arbiter at once", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 1, millicores: 1_000 });
+  harness.loseRequests(DispatchRequestKind.ClaimJob);
+  expect(placements(harness)).toEqual(1);
+});
+
+test("an arbiter that did not answer is not asked again at once", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-2", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.loseRequests(DispatchRequestKind.ClaimJob);
+  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 10 });
+  harness.submit(2, { id, tasks: 1, millicores: 1_000 });
+  expect(harness.sent(DispatchRequestKind.ClaimJob)).toEqual([]);
+});
+
+test("jobs are claimed again after a pause, before they are placed", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-1", 1), tasks: 1, millicores: 1_000 });
+  expect(placements(harness)).toEqual(1);
+  harness.stallUntil(3_000);
+  const [claim] = harness.sent(DispatchRequestKind.ClaimJob);
+  expect(claim?.address).toEqual("entry-2");
+});
+
+test("an arbiter grants a job to one entry, and to another one when the holder has yielded it", () => {
+  const harness = entryAmong(2);
+  expect(harness.claimAs("entry-2", "job")).toEqual(
+    DispatchReplyKind.JobClaimed,
+  );
+  expect(harness.claimAs("entry-2", "job")).toEqual(
+    DispatchReplyKind.JobClaimed,
+  );
+  expect(harness.claimAs("entry-3", "job")).toEqual(DispatchReplyKind.JobHeld);
+  const [request] = harness.sent(DispatchRequestKind.YieldJob);
+  expect(request?.peer).toEqual("entry-2~a");
+  harness.answerRequests(DispatchRequestKind.YieldJob, {
+    kind: DispatchReplyKind.JobYielded,
+  });
+  expect(harness.claimAs("entry-3", "job")).toEqual(
+    DispatchReplyKind.JobClaimed,
+  );
+});
+
+const endedHolders: readonly {
+  readonly name: string;
+  readonly reply: DispatchReply;
+  readonly granted: DispatchReplyKind;
+}[] = [
+  {
+    name: "keeps the grant of a holder that still has runs",
+    reply: { kind: DispatchReplyKind.JobHeld },
+    granted: DispatchReplyKind.JobHeld,
+  },
+  {
+    name: "drops the grant of an entry that has started again",
+    reply: { kind: PeerReplyKind.IncarnationMismatch, current: "entry-2~b" },
+    granted: DispatchReplyKind.JobClaimed,
+  },
+];
+for (const { name, reply, granted } of endedHolders) {
+  test(`an arbiter ${name}`, () => {
+    const harness = entryAmong(2);
+    harness.claimAs("entry-2", "job");
+    harness.claimAs("entry-3", "job");
+    harness.answerRequests(DispatchRequestKind.YieldJob, reply);
+    expect(harness.claimAs("entry-3", "job")).toEqual(granted);
+  });
+}
+
+test("an arbiter grants the job of a silent holder only when its runs have certainly ended", () => {
+  const harness = entryAmong(2);
+  harness.claimAs("entry-2", "job");
+  harness.claimAs("entry-3", "job");
+  harness.loseRequests(DispatchRequestKind.YieldJob);
+  harness.runTo(1_800);
+  expect(harness.claimAs("entry-3", "job")).toEqual(DispatchReplyKind.JobHeld);
+  harness.runTo(2_000);
+  expect(harness.claimAs("entry-3", "job")).toEqual(
+    DispatchReplyKind.JobClaimed,
+  );
+});
+
+test("an entry yields a job that was submitted again, once its runs have ended", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.runTo(RESUBMISSION_MILLISECONDS);
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobHeld);
+  expect(harness.answerTo(1)).toEqual({
+    kind: ClientAnswerKind.GivenUp,
+    reason: GivenUpReason.Resubmitted,
+  });
+  harness.settleAll({
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.Cancelled,
+  });
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobYielded);
+});
+
+test("an entry keeps a job whose other copy is too early for a resubmission", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.runTo(1_000);
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobHeld);
+  harness.runTo(2_000);
+  const age = 1_000;
+  expect(harness.yieldTo("entry-2", id, age)).toEqual(
+    DispatchReplyKind.JobHeld,
+  );
+  expect(harness.answerTo(1)).toEqual(undefined);
+});
+
+test("an entry does not yield a job while a run may be left at a sidecar that it has lost", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.step({ kind: DispatchInputKind.ClientDisconnected, request: 1 });
+  harness.runTo(450, { isUp: false });
+  harness.runTo(500, { isUp: false });
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobHeld);
+  harness.runTo(1_900, { isUp: false });
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobHeld);
+  harness.runTo(2_000, { isUp: false });
+  expect(harness.yieldTo("entry-2", id)).toEqual(DispatchReplyKind.JobYielded);
+});
+
+test("a job that is submitted to the same entry again waits until its cancelled runs have ended", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.step({ kind: DispatchInputKind.ClientDisconnected, request: 1 });
+  harness.submit(2, { id, tasks: 1, millicores: 1_000 });
+  expect(placements(harness)).toEqual(1);
+  harness.settleAll({
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.Cancelled,
+  });
+  harness.runTo(100);
+  expect(placements(harness)).toEqual(1);
+  expect(harness.placementAddresses()).toEqual(["sidecar-1", "sidecar-1"]);
+});
--- a/domain/dispatcher/src/job_queue.ts
+++ b/domain/dispatcher/src/job_queue.ts
@@ -38,6 +38,12 @@
     if (index !== -1) this.#jobs.splice(index, 1);
   }
 
+  /** Returns whether a job that is not queued would wait behind another one. */
+  isBehind(job: DispatchJob): boolean {
+    const [first] = this.#jobs;
+    return first !== undefined && compareJobs(first, job) <= 0;
+  }
+
   /** Returns the queued jobs that are served no later than the given job. */
   jobsUpTo(last: DispatchJob): readonly DispatchJob[] {
     return this.#jobs.filter((job) => compareJobs(job, last) <= 0);
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -15,29 +15,17 @@
   type WaitingDemand,
 } from "@eelgrassfront/model";
 import { ArrivalRates } from "./arrival_rates.ts";
-import type { TaskAttemptIndex } from "./task_attempt_index.ts";
+import type { ClaimExchange } from "./claim_exchange.ts";
+import { EndingRuns } from "./ending_runs.ts";
+import type { YieldRequest } from "./job_arbiter.ts";
 import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
-import {
-  type Backlog,
-  canStartInTime,
-  expectedWait,
-  retryAfter,
-} from "./job_admission.ts";
+import { BacklogEstimator, type BacklogSource } from "./backlog_estimator.ts";
+import { canStartInTime, expectedWait, retryAfter } from "./job_admission.ts";
 import type { JobAnswers } from "./job_answers.ts";
 import { JobQueue } from "./job_queue.ts";
-import { ENTRIES_PER_SIDECAR } from "./sidecar_selection.ts";
 import type { TaskPlacer } from "./task_placer.ts";
 import { isCapableWorkerKnown } from "./worker_choice.ts";
 import { LinkPhase } from "./worker_link_state.ts";
-import type { WorkerLinks } from "./worker_links.ts";
-
-/** Sources from which the backlog is computed. */
-export interface BacklogSource {
-  readonly links: WorkerLinks;
-  readonly attempts: TaskAttemptIndex;
-  /** Number of entries that share the workers, this one among them. */
-  readonly entryCount: () => number;
-}
 
 /** Collaborators of a `JobScheduler`. */
 export interface JobSchedulerOptions {
@@ -45,6 +33,9 @@
   readonly placer: TaskPlacer;
   readonly answers: JobAnswers;
   readonly source: BacklogSource;
+  readonly claims: ClaimExchange;
+  /** Time after which a client whose request got no answer submits its job again. */
+  readonly resubmissionMilliseconds: Milliseconds;
 }
 
 /** Longest interval of placement attempts while jobs wait and no load changes. */
@@ -54,11 +45,12 @@
  * Sessions open within this time, and a refusal would cost the client a longer wait before its retry.
  */
 const NO_WORKER_GRACE_MILLISECONDS: Milliseconds = 1_500;
-/** Share of the capacity that is left to work of any priority, however much more urgent work arrives. */
-const MINIMUM_CAPACITY_SHARE = 1 / 3;
 /** Retry time of a job that no known worker can run: the time that a restart takes. */
 const DEFAULT_RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
 
+/** Longest time from the submission of a job to its acceptance that is allowed for when two copies are compared. */
+const ACCEPTANCE_MILLISECONDS: Milliseconds = 100;
+
 /** A placement that found no worker, which stays so until a load changes or the time has passed. */
 interface BlockedPlacement {
   readonly job: DispatchJob;
@@ -74,6 +66,8 @@
   readonly #queue = new JobQueue();
   readonly #arrivalRates = new ArrivalRates();
   readonly #lastGauges = new Map<Gauge, number>();
+  readonly #endingRuns: EndingRuns;
+  readonly #backlog: BacklogEstimator;
   /** The last placement that found no worker; undefined while none is known to fail. */
   #blocked: BlockedPlacement | undefined;
   #crashRevision = 0;
@@ -82,6 +76,13 @@
 
   constructor(options: JobSchedulerOptions) {
     this.#options = options;
+    this.#endingRuns = new EndingRuns(options.source.attempts);
+    this.#backlog = new BacklogEstimator({
+      ...options,
+      queue: this.#queue,
+      arrivalRates: this.#arrivalRates,
+      crashes: options.placer.crashes,
+    });
   }
 
   /** Number of unanswered jobs. */
@@ -127,7 +128,7 @@
 
   /** Accepts a job or refuses it; a repeated submission joins the job that is already known. */
   admit(job: DispatchJob, isClosed: boolean): void {
-    const { answers, placer } = this.#options;
+    const { answers, placer, claims } = this.#options;
     const { crashes } = placer;
     const known = this.#jobs.get(job.id);
     const [request] = job.requests;
@@ -151,6 +152,14 @@
     this.#jobs.set(job.id, job);
     if (request !== undefined) this.#byRequest.set(request, job);
     answers.recordAccepted(job);
+    if (this.#queue.isBehind(job) && this.#refuseIfOverloaded(job)) return;
+    if (claims.claim(job)) this.start(job);
+  }
+
+  /** Starts a job that is granted to this entry: places or queues its tasks, or refuses it. */
+  start(job: DispatchJob): void {
+    const { placer } = this.#options;
+    placer.crashes.classify(job);
     this.#queue.add(job);
     const isFirst = this.#queue.jobs[0] === job;
     if (isFirst && !this.#isHeld && placer.place(job)) {
@@ -160,6 +169,37 @@
     this.#refuseIfOverloaded(job);
   }
 
+  /** Claims every job again after a pause, in which clients may have submitted it to another entry. */
+  reclaimAll(): void {
+    const { claims } = this.#options;
+    claims.handlePause();
+    for (const job of this.#jobs.values()) {
+      this.#queue.remove(job);
+      if (claims.claim(job)) this.#queue.add(job);
+    }
+  }
+
+  /**
+   * Gives up a job that its client has submitted again through another entry; keeps it when the other copy is so
+   * recent that it must have been delayed. Returns whether no run of the job is left.
+   */
+  yield({ job: id, ageMilliseconds }: YieldRequest): boolean {
+    const { now } = this.#options.collector;
+    const job = this.#jobs.get(id);
+    if (job === undefined) return !this.hasEarlierRuns(id);
+    const lead = now - job.arrivedAt - ageMilliseconds;
+    const isResubmitted = lead >=
+      this.#options.resubmissionMilliseconds - ACCEPTANCE_MILLISECONDS;
+    if (!isResubmitted) return false;
+    this.#giveUp(job, GivenUpReason.Resubmitted);
+    return !this.hasEarlierRuns(id);
+  }
+
+  /** Whether runs of a job that this entry no longer holds may be left. */
+  hasEarlierRuns(id: string): boolean {
+    return this.#endingRuns.has(id, this.#options.collector.now);
+  }
+
   /** Places nothing until a time, by which the clients that have left are known. */
   holdPlacements(until: Milliseconds): void {
     this.#heldUntil = until;
@@ -171,7 +211,10 @@
 
   /** Advances a job after one of its attempts was settled or released: completes, fails or queues it. */
   advance(job: DispatchJob): void {
-    if (this.#jobs.get(job.id) !== job) return;
+    if (this.#jobs.get(job.id) !== job) {
+      this.#endingRuns.record(job, this.#options.collector.now);
+      return;
+    }
     if (job.isCompleted) {
       this.#remove(job);
       this.#options.answers.answerCompleted(job);
@@ -249,18 +292,20 @@
   tick(): void {
     this.#classifyJobs();
     this.#enforceDeadlines();
+    for (const job of this.#options.claims.tick()) this.start(job);
     this.#placeWaiting();
     this.#refuseLate();
     this.#updateGauges();
   }
 
   /** Returns the time of the next deadline or placement attempt. */
-  nextAlarm(): Milliseconds | undefined {
+  nextAlarm(): Milliseconds {
     const times = [...this.#jobs.values()].map(({ deadlineAt }) => deadlineAt);
     if (this.#queue.size > 0) {
       times.push(this.#options.collector.now + PLACEMENT_INTERVAL_MILLISECONDS);
     }
-    return times.length === 0 ? undefined : Math.min(...times);
+    times.push(this.#options.claims.nextAlarm());
+    return Math.min(...times);
   }
 
   /** Marks the waiting jobs that run apart after a crash, or no longer do so. */
@@ -351,16 +396,18 @@
     return true;
   }
 
-  #refuseIfOverloaded(job: DispatchJob): void {
-    if (!job.isRefusable || !this.hasWorkers()) return;
+  /** Refuses a job that cannot start in time. Returns whether it was refused. */
+  #refuseIfOverloaded(job: DispatchJob): boolean {
+    if (!job.isRefusable || !this.hasWorkers()) return false;
     const { now } = this.#options.collector;
-    const backlog = this.#backlogOf(job);
-    if (canStartInTime(job, now, backlog)) return;
+    const backlog = this.#backlog.of(job);
+    if (canStartInTime(job, now, backlog)) return false;
     this.#refuse(job, JobRefusalReason.Overloaded);
+    return true;
   }
 
   #refuse(job: DispatchJob, reason: JobRefusalReason): void {
-    const backlog = this.#backlogOf(job);
+    const backlog = this.#backlog.of(job);
     this.#remove(job);
     this.#options.answers.answerRefused(job, reason, {
       retryAfterMilliseconds: retryAfter(backlog),
@@ -381,63 +428,11 @@
   #remove(job: DispatchJob): void {
     this.#jobs.delete(job.id);
     this.#queue.remove(job);
+    this.#options.claims.forget(job);
+    this.#endingRuns.record(job, this.#options.collector.now);
     for (const request of job.requests) this.#byRequest.delete(request);
   }
 
-  /**
-   * Returns the work until the last task of a job starts, and this entry's part of the workers' capacity.
-   * The work includes the job's own, since its client waits for the last task.
-   */
-  #backlogOf(job: DispatchJob): Backlog {
-    const ahead = this.#queue.jobsUpTo(job).filter((other) =>
-      other !== job && other.isSuspect === job.isSuspect
-    );
-    const workAhead = [...ahead, job].reduce(
-      (sum, { waitingWork }) => sum + waitingWork,
-      0,
-    );
-    const { now } = this.#options.collector;
-    const served = this.#servedMillicores(job);
-    const moreUrgent = this.#arrivalRates.moreUrgentMillicores(
-      now,
-      job.route.priority,
-    );
-    const servedMillicores = Math.max(
-      MINIMUM_CAPACITY_SHARE * served,
-      served - moreUrgent,
-    );
-    return { workAhead, servedMillicores };
-  }
-
-  /**
-   * Returns the capacity that this entry can expect from the workers of a job's service, in millicores:
-   * proportional to its part of the used capacity, and at least an even share among the entries that each
-   * sidecar serves, so that an entry without running tasks does not refuse every job.
-   */
-  #servedMillicores(job: DispatchJob): number {
-    const { links, attempts, entryCount } = this.#options.source;
-    let capacity = 0;
-    let used = 0;
-    let own = 0;
-    const { crashes } = this.#options.placer;
-    for (const { state, address } of crashes.workersOf(job, links.all())) {
-      if (state.phase !== LinkPhase.Open) continue;
-      const { profile, load } = state;
-      if (profile === undefined || load?.isTakingWork !== true) continue;
-      if (profile.service !== job.route.service) continue;
-      capacity += profile.capacity.processorMillicores;
-      used += profile.capacity.processorMillicores -
-        load.free.processorMillicores;
-      for (const { task } of attempts.atSidecar(address)) {
-        own += task.step.resources.processorMillicores;
-      }
-    }
-    const sharing = Math.min(ENTRIES_PER_SIDECAR, entryCount());
-    const evenShare = 1 / Math.max(1, sharing);
-    const share = used === 0 ? 1 : Math.min(1, Math.max(evenShare, own / used));
-    return capacity * share;
-  }
-
   #updateGauges(): void {
     this.#updateGauge(Gauge.QueuedJobs, this.#queue.size);
     this.#updateGauge(Gauge.RunningJobs, this.#jobs.size - this.#queue.size);
--- a/domain/dispatcher/src/sidecar_selection.ts
+++ b/domain/dispatcher/src/sidecar_selection.ts
@@ -5,7 +5,7 @@
  * a member joins or leaves, only its own links change.
  */
 import { type FleetMember, processName } from "@eelgrassfront/model";
-import { stableHash } from "@eelgrassfront/ownership";
+import { combineHashes, stableHash } from "@eelgrassfront/ownership";
 
 /** Entries that one sidecar serves. With fewer entries, every entry uses every sidecar. */
 export const ENTRIES_PER_SIDECAR = 5;
@@ -71,11 +71,3 @@
 function rankedEntry({ process, availabilityZone }: FleetMember): RankedEntry {
   return { hash: stableHash(processName(process)), availabilityZone };
 }
-
-/** Mixes two hashes of 32 bits into one with the finalizer of MurmurHash3. */
-function combineHashes(left: number, right: number): number {
-  let mixed = left ^ right;
-  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-  return (mixed ^ (mixed >>> 16)) >>> 0;
-}
--- a/domain/dispatcher/src/task_attempt_index.ts
+++ b/domain/dispatcher/src/task_attempt_index.ts
@@ -88,6 +88,14 @@
     );
   }
 
+  /** Returns whether there are attempts of tasks of a job, or of an earlier copy of it. */
+  hasJob(id: string): boolean {
+    for (const { job } of this.#byRequest.values()) {
+      if (job.id === id) return true;
+    }
+    return false;
+  }
+
   /** Resources of the attempts at a sidecar that were sent after the first `requestsTaken` requests. */
   unreportedResources(address: string, requestsTaken: number): Resources {
     let sum = NO_RESOURCES;
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -35,6 +35,7 @@
   type WorkerChoice,
   workerStatistics,
 } from "./worker_choice.ts";
+import { RUN_AFTER_SESSION_MILLISECONDS } from "./ending_runs.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
 import { isSidecarUnavailable, isWorkerFault } from "./settlement_reasons.ts";
 import {
@@ -63,12 +64,6 @@
 const RESCHEDULING_FACTOR = 1.5;
 /** Upper bound of the time in which a task is cancelled and placed again. */
 const RESCHEDULING_COST_MILLISECONDS: Milliseconds = 100;
-/**
- * Time for which tasks may run after their session has ended: the longest lease, with a worker's clock that runs
- * slow, and the transit of the call that renewed it.
- */
-const RUN_AFTER_SESSION_MILLISECONDS: Milliseconds = 1_120;
-
 /** Reasons for which a task is retried. */
 type TaskRetryReason =
   | InterruptionReason
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -155,3 +155,12 @@
     pendingSince: 0,
   };
 }
+
+/** Records the sidecar's clock of a reply; replies may overtake each other. */
+export function updateClock(
+  state: OpenLink,
+  clock: Milliseconds | undefined,
+): void {
+  if (clock === undefined) return;
+  state.sidecarClock = Math.max(state.sidecarClock ?? clock, clock);
+}
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -35,6 +35,7 @@
   LinkPhase,
   type OpeningLink,
   type OpenLink,
+  updateClock,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
 import { WorkerLinkSet } from "./worker_link_set.ts";
@@ -188,6 +189,9 @@
       case DispatchReplyKind.FleetStateExchanged:
       case DispatchReplyKind.Misdirected:
       case DispatchReplyKind.CrashNoted:
+      case DispatchReplyKind.JobClaimed:
+      case DispatchReplyKind.JobHeld:
+      case DispatchReplyKind.JobYielded:
         return [];
       case PeerReplyKind.IncarnationMismatch:
         return this.#handleIncarnationMismatch(link, message.current);
@@ -491,8 +495,3 @@
   const due = now + RENEWAL_INTERVAL_MILLISECONDS;
   return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
 }
-
-function updateClock(state: OpenLink, clock: Milliseconds | undefined): void {
-  if (clock === undefined) return;
-  state.sidecarClock = Math.max(state.sidecarClock ?? clock, clock);
-}
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -29,6 +29,8 @@
   WatchLoad = "watch-load",
   ExchangeFleetState = "share-knowledge",
   ReportCrash = "report-crash",
+  ClaimJob = "claim-job",
+  YieldJob = "yield-job",
 }
 
 /**
@@ -161,6 +163,29 @@
   readonly suspects: readonly CrashSuspect[];
 }
 
+/**
+ * An entry asks another one, the arbiter of the job, for the right to run it: a client may have submitted the job
+ * through several entries.
+ */
+export interface ClaimJob {
+  readonly kind: DispatchRequestKind.ClaimJob;
+  readonly job: string;
+  /** Address for peers of the entry that claims the job. */
+  readonly address: string;
+  /** Time since the entry accepted the job. */
+  readonly ageMilliseconds: Milliseconds;
+  /** Time after which no run of the job that the entry has placed can be left. */
+  readonly lifetimeMilliseconds: Milliseconds;
+}
+
+/** The arbiter of a job asks the entry that runs it to end it there, because another entry claims it. */
+export interface YieldJob {
+  readonly kind: DispatchRequestKind.YieldJob;
+  readonly job: string;
+  /** Time since the other entry accepted the job. */
+  readonly ageMilliseconds: Milliseconds;
+}
+
 /** Any request between entries and sidecars. */
 export type DispatchRequest =
   | OpenSession
@@ -169,7 +194,9 @@
   | CancelTaskAttempt
   | WatchLoad
   | ExchangeFleetState
-  | ReportCrash;
+  | ReportCrash
+  | ClaimJob
+  | YieldJob;
 
 /** Properties of a worker that seldom change. */
 export interface WorkerProfile {
@@ -285,6 +312,9 @@
   FleetStateExchanged = "knowledge-shared",
   Misdirected = "misdirected",
   CrashNoted = "crash-noted",
+  JobClaimed = "job-claimed",
+  JobHeld = "job-held",
+  JobYielded = "job-yielded",
 }
 
 /** The session is open. No work of an earlier session is running. */
@@ -356,6 +386,21 @@
   readonly kind: DispatchReplyKind.CrashNoted;
 }
 
+/** The job may be run by the entry that claimed it. */
+export interface JobClaimed {
+  readonly kind: DispatchReplyKind.JobClaimed;
+}
+
+/** The job is held by another entry, or by the one that was asked to yield it; the request is to be repeated. */
+export interface JobHeld {
+  readonly kind: DispatchReplyKind.JobHeld;
+}
+
+/** No run of the job is left at the entry that was asked, and it starts none without another claim. */
+export interface JobYielded {
+  readonly kind: DispatchReplyKind.JobYielded;
+}
+
 /** Any reply between entries and sidecars. */
 export type DispatchReply =
   | SessionGranted
@@ -367,4 +412,7 @@
   | FleetStateExchanged
   | Misdirected
   | CrashNoted
+  | JobClaimed
+  | JobHeld
+  | JobYielded
   | IncarnationMismatch;
--- a/domain/model/src/dispatch_output.ts
+++ b/domain/model/src/dispatch_output.ts
@@ -58,6 +58,8 @@
 export enum GivenUpReason {
   DeadlinePassed = "deadline-passed",
   Leaving = "leaving",
+  /** The client has submitted the job again through another entry, which runs it. */
+  Resubmitted = "resubmitted",
 }
 
 /** Kinds of answers to client accounts. */
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -45,6 +45,8 @@
   KindQuarantined = 3108,
   SubmissionAbandoned = 3109,
   JobAccepted = 3110,
+  JobHeldElsewhere = 3111,
+  ClaimUnanswered = 3112,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/ownership/src/stable_hash.ts
+++ b/domain/ownership/src/stable_hash.ts
@@ -17,3 +17,11 @@
   cache.set(text, hash);
   return hash;
 }
+
+/** Mixes two hashes of 32 bits into one with the finalizer of MurmurHash3, for rendezvous hashing. */
+export function combineHashes(left: number, right: number): number {
+  let mixed = left ^ right;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -84,6 +84,8 @@
         this.#options.watches.add(from, { ...message, request });
         return;
       case DispatchRequestKind.ReportCrash:
+      case DispatchRequestKind.ClaimJob:
+      case DispatchRequestKind.YieldJob:
         this.#reply(from, request, { kind: DispatchReplyKind.Misdirected });
         return;
       default:
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -57,6 +57,8 @@
 const LEASE_MILLISECONDS: Milliseconds = 1_000;
 const STOP_MILLISECONDS: Milliseconds = 50;
 const GRACE_MILLISECONDS: Milliseconds = 6_000;
+/** Time after which a client whose connection has broken submits its job again. */
+export const RESUBMISSION_MILLISECONDS: Milliseconds = 1_300;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
 const CRASH_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
@@ -232,7 +234,12 @@
     const graceMilliseconds = GRACE_MILLISECONDS;
     switch (role) {
       case Role.Entry:
-        return new DispatcherDecisions({ self, seeds, graceMilliseconds });
+        return new DispatcherDecisions({
+          self,
+          seeds,
+          graceMilliseconds,
+          resubmissionMilliseconds: RESUBMISSION_MILLISECONDS,
+        });
       case Role.Sidecar:
         return new WorkerGuardDecisions({
           self,
--- a/emulator/src/overlapping_runs_harness.ts
+++ b/emulator/src/overlapping_runs_harness.ts
@@ -12,6 +12,8 @@
 } from "@eelgrassfront/model";
 import { DispatchChecker, DispatchRule } from "./dispatch_checker.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
+
+export { RESUBMISSION_MILLISECONDS } from "./dispatch_system.ts";
 import type { DispatchVm } from "./dispatch_vm.ts";
 import { NO_NETWORK_FAULTS } from "./fake_network.ts";
 
@@ -39,9 +41,6 @@
   }],
 };
 
-/** Time after which a client whose connection has broken submits its job again. */
-export const RESUBMISSION_MILLISECONDS: Milliseconds = 1_300;
-
 /** A request of a client. */
 export interface SubmittedRequest {
   readonly entry: DispatchVm;
