test(emulator): play late requests, held clients and loops that stall

The randomised runs let a request arrive at the moment at which it was sent, and the end of its connection right when it broke. An event loop ran without delay or was paused as a whole. So a request that reaches its entry after its client has sent the job again, and a process that stalls again and again below the time that counts as a pause, were played nowhere.

- late-requests: a tenth of the requests arrive 1 to 8 s late, the end of their connection with them or up to 1 s later.
- held-clients: what clients send to one entry, or to all, is held up.
- short-deadlines: some clients wait for less than 4 s, and send again.
- entry-lags, sidecar-lags: stalls of 20 to 480 ms with turns of 1 to 60 ms between them.
After a stall a due timer runs before the reads, as in Node.

--- a/emulator/src/dispatch_disruptions.ts
+++ b/emulator/src/dispatch_disruptions.ts
@@ -42,6 +42,16 @@
   EntryKills = "entry-kills",
   /** Workers refuse connections for up to some seconds while they run on. */
   RefusedConnections = "refused-connections",
+  /** A tenth of the requests reach their entry seconds late, with the end of their connection or before it. */
+  LateRequests = "late-requests",
+  /** Some clients wait for an answer for less than the usual time. */
+  ShortDeadlines = "short-deadlines",
+  /** What clients send to an entry, or to all, is held up for some seconds. */
+  HeldClients = "held-clients",
+  /** The event loop of an entry stalls again and again, each time for less than the time that counts as a pause. */
+  EntryLags = "entry-lags",
+  /** The same with a sidecar. */
+  SidecarLags = "sidecar-lags",
 }
 
 /** The system and the time in which disruptions may begin and must end. */
@@ -58,6 +68,8 @@
 const MAXIMUM_HOLD_MILLISECONDS: Milliseconds = 5_000;
 const MAXIMUM_DELAY_STEPS = 6;
 const DELAY_STEP_MILLISECONDS: Milliseconds = 500;
+/** Longest stall of an event loop; the process does not notice it as a pause. */
+const MAXIMUM_LAG_MILLISECONDS: Milliseconds = 480;
 const MAXIMUM_PAUSE_MILLISECONDS: Milliseconds = 5_000;
 
 /** Returns the generator of a kind of disruption. */
@@ -127,6 +139,17 @@
       case Disruption.RefusedConnections:
         this.#refuseConnections(random);
         return;
+      case Disruption.HeldClients:
+        this.#holdClients(random);
+        return;
+      case Disruption.EntryLags:
+        this.#lag(random, system.entries);
+        return;
+      case Disruption.SidecarLags:
+        this.#lag(random, system.sidecars);
+        return;
+      case Disruption.LateRequests:
+      case Disruption.ShortDeadlines:
       case Disruption.LongTasks:
       case Disruption.ClientResubmissions:
       case Disruption.LateDisconnections:
@@ -239,6 +262,37 @@
     system.time.after(duration, () => worker.isRefusingConnections = false);
   }
 
+  #holdClients(random: SeededRandom): void {
+    const { entries, time } = this.#options.system;
+    const until = time.now + random.between(500, MAXIMUM_HOLD_MILLISECONDS);
+    const chosen = random.pick(entries);
+    const isAll = random.happens(0.5);
+    for (const vm of entries) {
+      if (isAll || vm === chosen) vm.heldUntil = until;
+    }
+  }
+
+  #lag(random: SeededRandom, vms: readonly DispatchVm[]): void {
+    const { time } = this.#options.system;
+    const until = time.now + random.between(1_000, MAXIMUM_HOLD_MILLISECONDS);
+    const shortest = random.pick([20, 300]) ?? 20;
+    const longestTurn = random.pick([19, 60]) ?? 60;
+    const chosen = random.pick(vms);
+    const isAll = random.happens(0.3);
+    const stall = (vm: DispatchVm): void => {
+      if (time.now >= until) return;
+      const { process } = vm;
+      process.pause();
+      time.after(random.between(shortest, MAXIMUM_LAG_MILLISECONDS), () => {
+        process.resume(true);
+        time.after(random.between(1, longestTurn), () => stall(vm));
+      });
+    };
+    for (const vm of vms) {
+      if (isAll || vm === chosen) stall(vm);
+    }
+  }
+
   #pause(random: SeededRandom, vms: readonly DispatchVm[]): void {
     const vm = random.pick(vms);
     const duration = random.between(600, MAXIMUM_PAUSE_MILLISECONDS);
--- a/emulator/src/dispatch_disruptions_test.ts
+++ b/emulator/src/dispatch_disruptions_test.ts
@@ -19,6 +19,8 @@
   Disruption.EntryPauses,
   Disruption.SidecarPauses,
   Disruption.EntryKills,
+  Disruption.EntryLags,
+  Disruption.SidecarLags,
 ];
 
 for (const disruption of DISRUPTIONS) {
--- a/emulator/src/dispatch_run.ts
+++ b/emulator/src/dispatch_run.ts
@@ -15,6 +15,10 @@
   type StateMachine,
   WorkerPhase,
 } from "@eelgrassfront/model";
+import {
+  CLIENT_WAIT_MILLISECONDS,
+  DispatchClients,
+} from "./dispatch_clients.ts";
 import {
   DispatchChecker,
   DispatchRule,
@@ -69,8 +73,6 @@
 const LAST_JOB_MILLISECONDS: Milliseconds = 20_000;
 const RECOVERY_CHECK_MILLISECONDS: Milliseconds = 24_000;
 const END_MILLISECONDS: Milliseconds = 32_000;
-const RESEND_MILLISECONDS: Milliseconds = 1_300;
-const CLIENT_WAIT_MILLISECONDS: Milliseconds = 4_000;
 const MAXIMUM_TRIES = 4;
 const MAXIMUM_FAULTS = 10;
 const CAPACITY_MILLICORES = 8_000;
@@ -90,7 +92,7 @@
   readonly #disruptions: readonly Disruption[];
   readonly #onlyDisruptions: boolean;
   readonly #taskRandom: SeededRandom;
-  readonly #clientRandom: SeededRandom;
+  readonly #clients: DispatchClients;
   #jobs = 0;
 
   constructor(
@@ -107,7 +109,6 @@
     this.#disruptions = disruptions;
     this.#onlyDisruptions = onlyDisruptions;
     this.#taskRandom = disruptionRandom(seed, Disruption.LongTasks);
-    this.#clientRandom = disruptionRandom(seed, Disruption.ClientResubmissions);
     this.#random = new SeededRandom(seed + 1_000_003);
     this.#checker = new DispatchChecker(() => this.#system.time);
     this.#system = new DispatchSystem({
@@ -119,6 +120,13 @@
       ...(onEvent === undefined ? {} : { onEvent }),
       ...(wrapDecisions === undefined ? {} : { wrapDecisions }),
     });
+    this.#clients = new DispatchClients({
+      system: this.#system,
+      checker: this.#checker,
+      random: this.#random,
+      seed,
+      disruptions,
+    });
   }
 
   run(): DispatchRunReport {
@@ -167,7 +175,7 @@
     );
     const isDisconnecting = this.#random.happens(0.05);
     this.#checker.trackJob(id, { millicores });
-    this.#sendJob({
+    this.#clients.send({
       id,
       millicores,
       runMilliseconds,
@@ -185,114 +193,6 @@
     return isLong ? this.#taskRandom.between(900, 3_500) : usual;
   }
 
-  #sendJob(job: PlannedJob): void {
-    const { time } = this.#system;
-    const entry = this.#random.pick(this.#system.entries);
-    if (entry === undefined) return;
-    const clientRequest = { isAnswered: false, process: entry.process };
-    const request = this.#submit(entry, job, (answer) => {
-      if (clientRequest.isAnswered) return;
-      clientRequest.isAnswered = true;
-      this.#checker.recordAnswer(job.id, answer);
-      if (answer.kind === ClientAnswerKind.GivenUp) this.#resendJob(job);
-    });
-    if (request === undefined) {
-      this.#checker.recordLostAnswer(job.id);
-      this.#resendJob(job);
-      return;
-    }
-    if (job.disconnectsAfter !== undefined) {
-      time.after(job.disconnectsAfter, () => {
-        if (clientRequest.isAnswered) return;
-        clientRequest.isAnswered = true;
-        this.#checker.recordDisconnect(job.id);
-        this.#system.disconnectClient(entry, request);
-      });
-    }
-    this.#scheduleReset(entry, job, request, clientRequest);
-    this.#watchRequest(entry, job, request, clientRequest);
-  }
-
-  /** Breaks the client's connection to its entry, which learns of it at once, late or never. */
-  #scheduleReset(
-    entry: DispatchVm,
-    job: PlannedJob,
-    request: number,
-    clientRequest: ClientRequest,
-  ): void {
-    if (!this.#disruptions.includes(Disruption.ClientResubmissions)) return;
-    const random = this.#clientRandom;
-    if (!random.happens(0.3)) return;
-    const at = random.between(1, 1_500);
-    const delay = random.between(100, 3_000);
-    const isLate = this.#disruptions.includes(Disruption.LateDisconnections);
-    const knownAfter = isLate ? delay : 0;
-    this.#system.time.after(at, () => {
-      if (clientRequest.isAnswered) return;
-      clientRequest.isAnswered = true;
-      this.#checker.recordLostAnswer(job.id);
-      const { process } = entry;
-      this.#system.time.after(knownAfter, () => {
-        if (entry.process === process) {
-          this.#system.disconnectClient(entry, request);
-        }
-      });
-      this.#resendJob(job);
-    });
-  }
-
-  /** Polls for the end of the entry, and for the end of the client's waiting time. */
-  #watchRequest(
-    entry: DispatchVm,
-    job: PlannedJob,
-    request: number,
-    clientRequest: ClientRequest,
-  ): void {
-    const { time } = this.#system;
-    const startedAt = time.now;
-    let hasPaused = false;
-    const poll = (): void => {
-      if (clientRequest.isAnswered) return;
-      // A paused process handles the request, and starts its deadline, only after it resumes.
-      hasPaused ||= clientRequest.process.state === ProcessState.Paused;
-      if (clientRequest.process.state === ProcessState.Ended) {
-        clientRequest.isAnswered = true;
-        this.#checker.recordLostAnswer(job.id);
-        this.#resendJob(job);
-        return;
-      }
-      if (time.now - startedAt < CLIENT_WAIT_MILLISECONDS + 100) {
-        time.after(20, poll);
-        return;
-      }
-      const isResending = hasPaused && job.remainingTries > 1 &&
-        this.#disruptions.includes(Disruption.ClientResubmissions);
-      if (isResending) {
-        clientRequest.isAnswered = true;
-        this.#checker.recordLostAnswer(job.id);
-        this.#system.disconnectClient(entry, request);
-        this.#resendJob(job);
-        return;
-      }
-      if (!hasPaused) {
-        const waited = Math.round(time.now - startedAt);
-        this.#checker.report(
-          DispatchRule.EveryRequestAnswered,
-          `${job.id} is unanswered after ${waited} ms`,
-        );
-      }
-      this.#checker.recordDisconnect(job.id);
-      this.#system.disconnectClient(entry, request);
-    };
-    poll();
-  }
-
-  #resendJob(job: PlannedJob): void {
-    if (job.remainingTries <= 1) return;
-    const next = { ...job, remainingTries: job.remainingTries - 1 };
-    this.#system.time.after(RESEND_MILLISECONDS, () => this.#sendJob(next));
-  }
-
   #submit(
     entry: DispatchVm,
     job: PlannedJob,
@@ -474,8 +374,3 @@
     return [...this.#system.entries, ...this.#system.sidecars];
   }
 }
-
-interface ClientRequest {
-  isAnswered: boolean;
-  readonly process: { readonly state: ProcessState };
-}
--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -191,6 +191,7 @@
       process: this.#newProcess(role, name, 0),
       worker: undefined,
       incarnations: 0,
+      heldUntil: 0,
     };
     if (role === Role.Sidecar) {
       const labels = this.#options.workerLabels?.[index] ?? [];
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -55,6 +55,8 @@
   process: DispatchProcess;
   worker: FakeWorker | undefined;
   incarnations: number;
+  /** Time until which what clients send to this VM is held up. */
+  heldUntil: Milliseconds;
 }
 
 /** Returns the availability zone of a process: the VMs of a role are spread by their number. */
--- a/emulator/src/virtual_process.ts
+++ b/emulator/src/virtual_process.ts
@@ -73,10 +73,14 @@
     if (this.#state === ProcessState.Running) this.#state = ProcessState.Paused;
   }
 
-  /** Resumes a paused process, which first handles the queued inputs. */
-  resume(): void {
+  /** Resumes a paused process, which first handles the queued inputs, or a due alarm as an event loop does. */
+  resume(isAlarmFirst = false): void {
     if (this.#state !== ProcessState.Paused) return;
     this.#state = ProcessState.Running;
+    const alarmAt = this.#alarmAt ?? Infinity;
+    if (isAlarmFirst && alarmAt <= this.#options.time.now) {
+      this.#fireAlarm(alarmAt);
+    }
     const inputs = this.#queuedInputs;
     this.#queuedInputs = [];
     for (const input of inputs) this.receive(input);
