test(emulator): show that a sidecar that stalls ends no session

Cause: after a gap of 300 ms or more between two steps no session expires for 20 ms, so that renewals that have arrived are read first. When the next stall begins within these 20 ms, the same happens again, and a session stays open as long as the stalls go on. Each is shorter than the 500 ms that count as a pause. Besides, a renewal counts from the moment at which it was read, also for the lease of the runs.

--- a/emulator/src/overlapping_runs_harness.ts
+++ b/emulator/src/overlapping_runs_harness.ts
@@ -47,6 +47,12 @@
   readonly request: RequestIdentifier;
 }
 
+/** A stall of an event loop, and the time for which the loop then turns. */
+export interface Stall {
+  readonly stallMilliseconds: Milliseconds;
+  readonly turnMilliseconds: Milliseconds;
+}
+
 /** A fleet of three entries and two workers without random faults. */
 export class OverlappingRunsHarness {
   readonly system: DispatchSystem;
@@ -148,6 +154,18 @@
       call.kind === kind ? remaining.shift() : undefined;
   }
 
+  /** Stalls the event loop of a VM's process again and again, with a short turn of the loop after each stall. */
+  stall({ process }: DispatchVm, stalls: readonly Stall[]): void {
+    const { time } = this.system;
+    let at = 0;
+    for (const { stallMilliseconds, turnMilliseconds } of stalls) {
+      time.after(at, () => process.pause());
+      at += stallMilliseconds;
+      time.after(at, () => process.resume(true));
+      at += turnMilliseconds;
+    }
+  }
+
   /** Submits a job whose start call is delayed, and returns the VM of its worker. */
   submitWithLateStart(
     job: string,
