fix(worker-guard): end a session in time although the sidecar stalls again and again

What callers saw: a task ran twice at the same time: after its entry was killed while the sidecar stalled, or after its entry had given up the sidecar and placed the task elsewhere.

Cause: after a gap of 300 ms or more between two steps no session expired for 20 ms, so that renewals that had arrived were read first. A stall that began within these 20 ms deferred the expiry again, without bound; stalls below 500 ms do not count as a pause.

Change: the deferral ends when the session does for its entry: 800 ms after the sidecar's latest reply that the entry is known to have. No renewal that waits to be read can extend it further. The expiry precedes the start of tasks in each step, so a request that was read in such a step starts none.

Conclusion: an entry waits for the end of a session by the same 800 ms, so both sides now agree on it whatever the sidecar's loop does. The lease is still renewed for 250 ms after a renewal was read, however late.

--- a/domain/worker_guard/src/entry_sessions.ts
+++ b/domain/worker_guard/src/entry_sessions.ts
@@ -24,6 +24,8 @@
   readonly number: SessionNumber;
   renewedAt: Milliseconds;
   expiresAt: Milliseconds;
+  /** When the session ends for its entry, however long the renewals wait to be read. */
+  endsAt: Milliseconds;
   requestsTaken: number;
 }
 
@@ -55,6 +57,7 @@
       number: this.#lastNumber,
       renewedAt: now,
       expiresAt,
+      endsAt: now + MAXIMUM_SESSION_MILLISECONDS,
       requestsTaken: 0,
     });
     return this.#lastNumber;
@@ -68,10 +71,9 @@
   ): boolean {
     const session = this.#open.get(entry);
     if (session?.number !== number) return false;
-    const expiresAt = Math.min(
-      now + SESSION_MILLISECONDS,
-      knownClock + MAXIMUM_SESSION_MILLISECONDS,
-    );
+    const endsAt = knownClock + MAXIMUM_SESSION_MILLISECONDS;
+    const expiresAt = Math.min(now + SESSION_MILLISECONDS, endsAt);
+    session.endsAt = Math.max(session.endsAt, endsAt);
     session.expiresAt = Math.max(session.expiresAt, expiresAt);
     session.renewedAt = now;
     return true;
@@ -100,18 +102,33 @@
     this.#open.delete(entry);
   }
 
-  /** Ends the sessions that have expired and returns their entries. */
-  expire(now: Milliseconds): readonly ProcessIdentifier[] {
-    const expired = this.entries().filter((entry) =>
-      now >= (this.#open.get(entry)?.expiresAt ?? now)
+  /**
+   * Ends the sessions that have expired and returns their entries. Before `readUntil` renewals may wait to be read,
+   * so that only those sessions end which no renewal can extend any more for their entry.
+   */
+  expire(
+    now: Milliseconds,
+    readUntil: Milliseconds,
+  ): readonly ProcessIdentifier[] {
+    const expired = [...this.#open].flatMap(([entry, session]) =>
+      now >= expiryOf(session, readUntil) ? [entry] : []
     );
     for (const entry of expired) this.end(entry);
     return expired;
   }
 
   /** When the next session expires. */
-  nextExpiry(): Milliseconds | undefined {
-    const times = [...this.#open.values()].map(({ expiresAt }) => expiresAt);
-    return times.length === 0 ? undefined : Math.min(...times);
+  nextExpiry(readUntil: Milliseconds): Milliseconds {
+    const times = [...this.#open.values()].map((session) =>
+      expiryOf(session, readUntil)
+    );
+    return Math.min(Infinity, ...times);
   }
 }
+
+function expiryOf(
+  { expiresAt, endsAt }: Session,
+  readUntil: Milliseconds,
+): Milliseconds {
+  return Math.min(endsAt, Math.max(expiresAt, readUntil));
+}
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -97,7 +97,7 @@
   readonly #requests: EntryRequestHandler;
   readonly #loadReport: LoadReport;
   #lastStepAt: Milliseconds | undefined;
-  /** Time before which no session expires, since its renewal may not have been read. */
+  /** Time before which renewals that have arrived may not have been read. */
   #readUntil: Milliseconds = 0;
   #drainingSince: Milliseconds | undefined;
   #isStopped = false;
@@ -190,7 +190,7 @@
     return Math.min(
       tickAt,
       this.#drainingSince === undefined ? this.#exchange.nextAlarm() : Infinity,
-      Math.max(this.#sessions.nextExpiry() ?? Infinity, this.#readUntil),
+      this.#sessions.nextExpiry(this.#readUntil),
       this.#runController.nextAlarm() ?? Infinity,
       this.#watches.nextAlarm() ?? Infinity,
       this.#suspectRuns.nextAlarm() ?? Infinity,
@@ -299,8 +299,7 @@
 
   #expireSessions(): void {
     const { now } = this.#collector;
-    if (now < this.#readUntil) return;
-    for (const entry of this.#sessions.expire(now)) {
+    for (const entry of this.#sessions.expire(now, this.#readUntil)) {
       this.#requests.stopRuns(entry, SessionEndReason.Expired);
     }
   }
