feat(dispatcher): count contested jobs and unanswered claims

Cause: the claims of jobs had events only. How often two entries hold one job, and why an arbiter did not decide, could not be read from metrics.

Conclusion: no decision is changed.

--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -32,6 +32,10 @@
     "Attempts of an entry that ended without completion and whose task is rescheduled, by reason.",
   [Counter.RunsRefused]: "Calls that a worker refused, by reason.",
   [Counter.RunsDoubtful]: "Task starts that a worker did not answer.",
+  [Counter.JobsContested]:
+    "Jobs that an entry claimed while another one held them, counted by their arbiter.",
+  [Counter.ClaimsUnanswered]:
+    "Claims of jobs that no arbiter decided on, by reason.",
   [Counter.SessionsEnded]:
     "Sessions of entries that a sidecar ended, by reason.",
   [Counter.WorkerCallsMissing]:
--- a/domain/dispatcher/src/job_arbiter.ts
+++ b/domain/dispatcher/src/job_arbiter.ts
@@ -9,6 +9,7 @@
  */
 import {
   type ClaimJob,
+  Counter,
   type DispatchOutput,
   type DispatchReply,
   DispatchReplyKind,
@@ -163,7 +164,9 @@
   ): void {
     if (grant.isContested) return;
     grant.isContested = true;
-    this.#options.collector.record(
+    const { collector } = this.#options;
+    collector.count(Counter.JobsContested);
+    collector.record(
       EventNumber.JobHeldElsewhere,
       "an entry claims a job that another one was granted; the holder is asked to yield it",
       {
--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -7,7 +7,9 @@
  */
 import {
   assertNever,
+  ClaimFailureReason,
   type ClaimJob,
+  Counter,
   type DispatchOutput,
   type DispatchReply,
   DispatchReplyKind,
@@ -125,7 +127,11 @@
       case DispatchReplyKind.LoadReported:
       case DispatchReplyKind.FleetStateExchanged:
       case DispatchReplyKind.CrashNoted:
-        return this.#handleFailure(claim, arbiter, message.kind);
+        return this.#handleFailure(
+          claim,
+          arbiter,
+          ClaimFailureReason.NoArbiter,
+        );
       default:
         return assertNever(message);
     }
@@ -135,7 +141,11 @@
   handleLostRequest(request: RequestIdentifier): DispatchJob | undefined {
     const claim = this.#byRequest.get(request);
     if (claim?.state.phase !== ClaimPhase.Sent) return undefined;
-    return this.#handleFailure(claim, claim.state.arbiter, "request-lost");
+    return this.#handleFailure(
+      claim,
+      claim.state.arbiter,
+      ClaimFailureReason.RequestLost,
+    );
   }
 
   /** Repeats the claims that are due. Returns the jobs that are granted. */
@@ -147,7 +157,11 @@
       if (now < state.dueAt) continue;
       const isGranted = state.phase === ClaimPhase.Waiting
         ? this.#attempt(job, 0)
-        : this.#handleFailure(claim, state.arbiter, "timeout") !== undefined;
+        : this.#handleFailure(
+          claim,
+          state.arbiter,
+          ClaimFailureReason.TimedOut,
+        ) !== undefined;
       if (isGranted) granted.push(job);
     }
     return granted;
@@ -231,10 +245,11 @@
   #handleFailure(
     { job, failures }: PendingClaim,
     arbiter: FleetMember,
-    reason: string,
+    reason: ClaimFailureReason,
   ): DispatchJob | undefined {
     const { collector, ranking } = this.#options;
     ranking.recordFailure(arbiter.address, collector.now);
+    collector.count(Counter.ClaimsUnanswered, reason);
     const isLast = failures + 1 >= MAXIMUM_ARBITERS;
     collector.record(
       EventNumber.ClaimUnanswered,
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -53,6 +53,8 @@
   WorkerCallsMissing = "worker.calls_missing",
   WorkerCrashes = "worker.crashes",
   TasksSuspected = "tasks.suspected",
+  JobsContested = "jobs.contested",
+  ClaimsUnanswered = "claims.unanswered",
 }
 
 /** Names of gauges. */
@@ -89,7 +91,8 @@
   | WorkerRefusalReason
   | WorkerCallKind
   | SessionEndReason
-  | JobFailureReason;
+  | JobFailureReason
+  | ClaimFailureReason;
 
 /** Why a best-effort job failed. */
 export enum JobFailureReason {
@@ -99,6 +102,14 @@
   WorkersCrashed = "workers-crashed",
 }
 
+/** Why an arbiter did not decide on the claim of a job. */
+export enum ClaimFailureReason {
+  TimedOut = "timed-out",
+  RequestLost = "request-lost",
+  /** Another incarnation of the arbiter answered, or a process that decides on no claims. */
+  NoArbiter = "no-arbiter",
+}
+
 /** Why a session between an entry and a sidecar ended. */
 export enum SessionEndReason {
   Expired = "expired",
