--- a/domain/dispatcher/src/arbiter_ranking.ts
+++ b/domain/dispatcher/src/arbiter_ranking.ts
@@ -16,6 +16,11 @@
 /** Longest such time; an entry that was removed for good stays a member. */
 const MAXIMUM_AVOIDANCE_MILLISECONDS: Milliseconds = 16_000;
 
+interface RankedEntry {
+  readonly member: FleetMember;
+  readonly hash: number;
+}
+
 interface Avoidance {
   readonly until: Milliseconds;
   readonly duration: Milliseconds;
@@ -31,7 +36,7 @@
 export class ArbiterRanking {
   readonly #options: ArbiterRankingOptions;
   readonly #avoided = new Map<string, Avoidance>();
-  #entries: readonly FleetMember[] = [];
+  #entries: readonly RankedEntry[] = [];
   #membersRevision = -1;
 
   constructor(options: ArbiterRankingOptions) {
@@ -44,13 +49,12 @@
     const jobHash = stableHash(job);
     let highest = this.#options.self;
     let highestRank = -1;
-    for (const entry of this.#entries) {
-      const avoidance = this.#avoided.get(entry.address);
+    for (const { member, hash } of this.#entries) {
+      const avoidance = this.#avoided.get(member.address);
       if (avoidance !== undefined && now < avoidance.until) continue;
-      const name = processName(entry.process);
-      const rank = combineHashes(stableHash(name), jobHash);
+      const rank = combineHashes(hash, jobHash);
       if (rank <= highestRank) continue;
-      highest = entry;
+      highest = member;
       highestRank = rank;
     }
     return highest;
@@ -79,6 +83,9 @@
       .filter(({ process }) =>
         processName(process) !== processName(self.process)
       );
-    this.#entries = [self, ...others];
+    this.#entries = [self, ...others].map((member) => ({
+      member,
+      hash: stableHash(processName(member.process)),
+    }));
   }
 }
