feat(dispatcher): cancel a job through any entry

Cause: an entry knew only its own jobs, and took a job that it does not hold for one that does not exist.

Change: the arbiter of the job names its holder, and the holder is asked to cancel it; the client gets its answer, or 410 if no entry is known to hold the job. Event 3113 tells the outcome.

Conclusion: a job whose arbiter was lost is still answered 410.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -119,6 +119,14 @@
     job: zod.string(),
     ageMilliseconds: amount,
   }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.LocateJob),
+    job: zod.string(),
+  }),
+  zod.looseObject({
+    kind: zod.literal(DispatchRequestKind.CancelHeldJob),
+    job: zod.string(),
+  }),
 ]);
 
 const load = zod.looseObject({
@@ -196,6 +204,15 @@
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobClaimed) }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobHeld) }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobYielded) }),
+  zod.looseObject({
+    kind: zod.literal(DispatchReplyKind.JobLocated),
+    holder: zod.looseObject({
+      process: processIdentifier,
+      address: zod.string().min(1),
+    }),
+  }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobCancelled) }),
+  zod.looseObject({ kind: zod.literal(DispatchReplyKind.JobUnknown) }),
   zod.looseObject({
     kind: zod.literal(PeerReplyKind.IncarnationMismatch),
     current: processIdentifier,
--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema_test.ts
@@ -92,6 +92,8 @@
     job: "a",
     ageMilliseconds: 0.5,
   },
+  { kind: DispatchRequestKind.LocateJob, job: "a" },
+  { kind: DispatchRequestKind.CancelHeldJob, job: "a" },
 ];
 
 const REPLIES: readonly DispatchReply[] = [
@@ -126,6 +128,12 @@
   { kind: DispatchReplyKind.JobClaimed },
   { kind: DispatchReplyKind.JobHeld },
   { kind: DispatchReplyKind.JobYielded },
+  {
+    kind: DispatchReplyKind.JobLocated,
+    holder: { process: "entry-1~a", address: "127.0.0.1:7720" },
+  },
+  { kind: DispatchReplyKind.JobCancelled },
+  { kind: DispatchReplyKind.JobUnknown },
   { kind: PeerReplyKind.IncarnationMismatch, current: "entry-1~b" },
 ];
 
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -223,6 +223,11 @@
       "The arbiter of a job did not answer the claim of this entry. The next one is asked, or the job is run without a grant.",
     action: "Check whether the named process runs and can be reached.",
   },
+  [EventNumber.JobCancelledElsewhere]: {
+    meaning:
+      "A client cancelled a job through an entry that does not hold it. The line tells whether another entry cancelled it, or none is known to hold it.",
+    action: "Nothing.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/domain/dispatcher/src/claim_exchange.ts
+++ b/domain/dispatcher/src/claim_exchange.ts
@@ -9,6 +9,7 @@
   type DispatchReply,
   DispatchReplyKind,
   type FleetMember,
+  type LocateJob,
   type Milliseconds,
   type OutputCollector,
   type ProcessIdentifier,
@@ -19,6 +20,7 @@
 import type { DispatchJob } from "./dispatch_job.ts";
 import { JobArbiter, type YieldRequest } from "./job_arbiter.ts";
 import { JobClaims } from "./job_claims.ts";
+import type { PeerReference } from "./remote_cancellations.ts";
 
 /** Collaborators of a `ClaimExchange`. */
 export interface ClaimExchangeOptions {
@@ -79,6 +81,27 @@
       : { kind: DispatchReplyKind.JobHeld };
   }
 
+  /** Answers which entry holds a job of which this entry is the arbiter. */
+  answerLocation({ job }: LocateJob): DispatchReply {
+    const holder = this.#arbiter.holderOf(job);
+    return holder === undefined
+      ? { kind: DispatchReplyKind.JobUnknown }
+      : { kind: DispatchReplyKind.JobLocated, holder };
+  }
+
+  /** Returns the arbiter of a job; undefined if it is this entry. */
+  arbiterOf(job: string): PeerReference | undefined {
+    const { self, collector } = this.#options;
+    const arbiter = this.#ranking.arbiterOf(job, collector.now);
+    return arbiter.address === self.address ? undefined : arbiter;
+  }
+
+  /** Returns the holder of a job of which this entry is the arbiter, unless it is this entry. */
+  holderOf(job: string): PeerReference | undefined {
+    const holder = this.#arbiter.holderOf(job);
+    return holder?.process === this.#options.self.process ? undefined : holder;
+  }
+
   /** Returns whether a request was sent from here and has no reply yet. */
   owns(request: RequestIdentifier): boolean {
     return this.#claims.owns(request) || this.#arbiter.owns(request);
--- a/domain/dispatcher/src/client_requests.ts
+++ b/domain/dispatcher/src/client_requests.ts
@@ -20,6 +20,7 @@
 import type { JobAnswers } from "./job_answers.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
 import type { JobScheduler } from "./job_scheduler.ts";
+import type { RemoteCancellations } from "./remote_cancellations.ts";
 import type { RouteLookup, VersionedRoute } from "./route_lookup.ts";
 
 /** Collaborators of `ClientRequests`. */
@@ -29,6 +30,7 @@
   readonly answers: JobAnswers;
   readonly runTimes: JobRunTimes;
   readonly scheduler: JobScheduler;
+  readonly cancellations: RemoteCancellations;
   /** Whether new jobs are refused. */
   readonly isClosed: () => boolean;
 }
@@ -129,9 +131,12 @@
     const found = this.#options.routes.find(request, target);
     if (found === undefined) return;
     const id = target.path.slice(found.route.requestPrefix.length);
-    const isKnown = this.#options.scheduler.cancel(id);
-    this.#options.answers.answer(request, {
-      kind: isKnown ? ClientAnswerKind.Cancelled : ClientAnswerKind.NoSuchJob,
-    });
+    if (this.#options.scheduler.cancel(id)) {
+      this.#options.answers.answer(request, {
+        kind: ClientAnswerKind.Cancelled,
+      });
+      return;
+    }
+    this.#options.cancellations.cancel(id, request);
   }
 }
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -10,6 +10,7 @@
 } from "@eelgrassfront/directory";
 import {
   assertNever,
+  type CancelHeldJob,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
@@ -43,6 +44,7 @@
 import { JobAnswers } from "./job_answers.ts";
 import { JobRunTimes } from "./job_run_times.ts";
 import { RouteLookup } from "./route_lookup.ts";
+import { RemoteCancellations } from "./remote_cancellations.ts";
 import { TaskPlacer } from "./task_placer.ts";
 import { type LinkChange, LinkChangeKind } from "./worker_link_state.ts";
 import { WorkerLinks } from "./worker_links.ts";
@@ -85,6 +87,7 @@
   readonly #answers: JobAnswers;
   readonly #requests: ClientRequests;
   readonly #claims: ClaimExchange;
+  readonly #cancellations: RemoteCancellations;
   readonly #scheduler: JobScheduler;
   #lastStepAt: Milliseconds | undefined;
   #drainingSince: Milliseconds | undefined;
@@ -141,12 +144,19 @@
       answers: this.#answers,
       source,
     });
+    this.#cancellations = new RemoteCancellations({
+      collector,
+      answers: this.#answers,
+      arbiterOf: (job) => this.#claims.arbiterOf(job),
+      holderOf: (job) => this.#claims.holderOf(job),
+    });
     this.#requests = new ClientRequests({
       collector,
       routes: new RouteLookup({ directory, answers: this.#answers }),
       answers: this.#answers,
       runTimes,
       scheduler: this.#scheduler,
+      cancellations: this.#cancellations,
       isClosed: () => this.#isClosed(),
     });
   }
@@ -269,6 +279,12 @@
       case DispatchRequestKind.YieldJob:
         this.#reply(input, this.#claims.answerYield(message));
         return;
+      case DispatchRequestKind.LocateJob:
+        this.#reply(input, this.#claims.answerLocation(message));
+        return;
+      case DispatchRequestKind.CancelHeldJob:
+        this.#cancelForEntry(input, message);
+        return;
       case DispatchRequestKind.OpenSession:
       case DispatchRequestKind.RenewSession:
       case DispatchRequestKind.RunTask:
@@ -281,6 +297,17 @@
     }
   }
 
+  /** Cancels a job for the client of another entry. */
+  #cancelForEntry(
+    input: IncomingRequest<DispatchRequest>,
+    { job }: CancelHeldJob,
+  ): void {
+    const kind = this.#scheduler.cancel(job)
+      ? DispatchReplyKind.JobCancelled
+      : DispatchReplyKind.JobUnknown;
+    this.#reply(input, { kind });
+  }
+
   #reply(
     { from: to, request }: IncomingRequest<DispatchRequest>,
     message: DispatchReply,
@@ -302,6 +329,10 @@
       this.#startGranted(this.#claims.handleReply(request, message));
       return;
     }
+    if (this.#cancellations.owns(request)) {
+      this.#cancellations.handleReply(request, message);
+      return;
+    }
     const attempt = this.#attempts.find(request);
     if (attempt === undefined) return;
     if (message.kind === DispatchReplyKind.TaskSettled) {
@@ -336,6 +367,7 @@
       this.#startGranted(this.#claims.handleLostRequest(request));
       return;
     }
+    this.#cancellations.handleLostRequest(request);
     const link = this.#links.findProcess(peer);
     if (link !== undefined) this.#links.handleConnectionLoss(link);
   }
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -245,6 +245,11 @@
     });
   }
 
+  /** Asks the entry, as another one, to cancel a job. Returns the kind of the reply. */
+  cancelAs(entry: string, job: string): DispatchReply["kind"] | undefined {
+    return this.#ask(entry, { kind: DispatchRequestKind.CancelHeldJob, job });
+  }
+
   /** Asks the entry, as another one, to yield a job. Returns the kind of the reply. */
   yieldTo(
     entry: string,
--- a/domain/dispatcher/src/job_arbiter.ts
+++ b/domain/dispatcher/src/job_arbiter.ts
@@ -22,6 +22,7 @@
   type ProcessIdentifier,
   type RequestIdentifier,
 } from "@eelgrassfront/model";
+import type { PeerReference } from "./remote_cancellations.ts";
 import { RUN_AFTER_SILENCE_MILLISECONDS } from "./ending_runs.ts";
 
 /** A job that an entry asks to yield. */
@@ -91,6 +92,16 @@
     return true;
   }
 
+  /** Returns the entry that a job was granted to last, unless its runs have ended. */
+  holderOf(job: string): PeerReference | undefined {
+    const grant = this.#grants.get(job);
+    if (grant === undefined) return undefined;
+    const { holder: process, address, expiresAt } = grant;
+    return this.#options.collector.now < expiresAt
+      ? { process, address }
+      : undefined;
+  }
+
   /** Returns whether a request to yield a job was sent from here and has no reply yet. */
   owns(request: RequestIdentifier): boolean {
     return this.#yields.has(request);
--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -119,6 +119,9 @@
       case DispatchReplyKind.Misdirected:
       case PeerReplyKind.IncarnationMismatch:
       case DispatchReplyKind.JobYielded:
+      case DispatchReplyKind.JobLocated:
+      case DispatchReplyKind.JobCancelled:
+      case DispatchReplyKind.JobUnknown:
       case DispatchReplyKind.SessionGranted:
       case DispatchReplyKind.SessionRenewed:
       case DispatchReplyKind.SessionPending:
--- a/domain/dispatcher/src/job_claims_test.ts
+++ b/domain/dispatcher/src/job_claims_test.ts
@@ -271,3 +271,52 @@
   expect(placements(harness)).toEqual(1);
   expect(harness.placementAddresses()).toEqual(["sidecar-1", "sidecar-1"]);
 });
+
+test("a job that another entry holds is cancelled there, and its client gets the answer", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-2", 1);
+  harness.step({
+    kind: DispatchInputKind.JobCancellationRequested,
+    request: 1,
+    target: { host: "checks.example", path: `/scan/${id}` },
+  });
+  harness.answerRequests(DispatchRequestKind.LocateJob, {
+    kind: DispatchReplyKind.JobLocated,
+    holder: { process: "entry-3~a", address: "entry-3" },
+  });
+  const [sent] = harness.sent(DispatchRequestKind.CancelHeldJob);
+  expect(sent?.address).toEqual("entry-3");
+  harness.answerRequests(DispatchRequestKind.CancelHeldJob, {
+    kind: DispatchReplyKind.JobCancelled,
+  });
+  expect(harness.answerTo(1)).toEqual({ kind: ClientAnswerKind.Cancelled });
+});
+
+test("the cancellation of a job that no entry holds is answered as of an unknown job", () => {
+  const harness = entryAmong(1);
+  for (const [request, arbiter] of ["entry-1", "entry-2"].entries()) {
+    harness.step({
+      kind: DispatchInputKind.JobCancellationRequested,
+      request,
+      target: { host: "checks.example", path: `/scan/${jobOf(arbiter, 1)}` },
+    });
+    harness.answerRequests(DispatchRequestKind.LocateJob, {
+      kind: DispatchReplyKind.JobUnknown,
+    });
+    expect(harness.answerTo(request)).toEqual({
+      kind: ClientAnswerKind.NoSuchJob,
+    });
+  }
+});
+
+test("an entry cancels a job that it holds for the client of another entry", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  expect(harness.cancelAs("entry-2", id)).toEqual(
+    DispatchReplyKind.JobCancelled,
+  );
+  expect(harness.sent(DispatchRequestKind.CancelTaskAttempt).length).toEqual(1);
+  expect(harness.answerTo(1)).toEqual({ kind: ClientAnswerKind.Cancelled });
+  expect(harness.cancelAs("entry-2", id)).toEqual(DispatchReplyKind.JobUnknown);
+});
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -192,6 +192,9 @@
       case DispatchReplyKind.JobClaimed:
       case DispatchReplyKind.JobHeld:
       case DispatchReplyKind.JobYielded:
+      case DispatchReplyKind.JobLocated:
+      case DispatchReplyKind.JobCancelled:
+      case DispatchReplyKind.JobUnknown:
         return [];
       case PeerReplyKind.IncarnationMismatch:
         return this.#handleIncarnationMismatch(link, message.current);
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -31,6 +31,8 @@
   ReportCrash = "report-crash",
   ClaimJob = "claim-job",
   YieldJob = "yield-job",
+  LocateJob = "locate-job",
+  CancelHeldJob = "cancel-held-job",
 }
 
 /**
@@ -186,6 +188,18 @@
   readonly ageMilliseconds: Milliseconds;
 }
 
+/** An entry asks the arbiter of a job which entry holds the job. */
+export interface LocateJob {
+  readonly kind: DispatchRequestKind.LocateJob;
+  readonly job: string;
+}
+
+/** An entry through which a client has cancelled a job asks the job's holder to cancel it. */
+export interface CancelHeldJob {
+  readonly kind: DispatchRequestKind.CancelHeldJob;
+  readonly job: string;
+}
+
 /** Any request between entries and sidecars. */
 export type DispatchRequest =
   | OpenSession
@@ -196,7 +210,9 @@
   | ExchangeFleetState
   | ReportCrash
   | ClaimJob
-  | YieldJob;
+  | YieldJob
+  | LocateJob
+  | CancelHeldJob;
 
 /** Properties of a worker that seldom change. */
 export interface WorkerProfile {
@@ -315,6 +331,9 @@
   JobClaimed = "job-claimed",
   JobHeld = "job-held",
   JobYielded = "job-yielded",
+  JobLocated = "job-located",
+  JobCancelled = "job-cancelled",
+  JobUnknown = "job-unknown",
 }
 
 /** The session is open. No work of an earlier session is running. */
@@ -401,6 +420,26 @@
   readonly kind: DispatchReplyKind.JobYielded;
 }
 
+/** The entry that the job was granted to last. */
+export interface JobLocated {
+  readonly kind: DispatchReplyKind.JobLocated;
+  readonly holder: {
+    readonly process: ProcessIdentifier;
+    /** Address for peers, as `host:port`. */
+    readonly address: string;
+  };
+}
+
+/** The job was cancelled. */
+export interface JobCancelled {
+  readonly kind: DispatchReplyKind.JobCancelled;
+}
+
+/** The job is not known: it has ended, or was never accepted. */
+export interface JobUnknown {
+  readonly kind: DispatchReplyKind.JobUnknown;
+}
+
 /** Any reply between entries and sidecars. */
 export type DispatchReply =
   | SessionGranted
@@ -415,4 +454,7 @@
   | JobClaimed
   | JobHeld
   | JobYielded
+  | JobLocated
+  | JobCancelled
+  | JobUnknown
   | IncarnationMismatch;
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -47,6 +47,7 @@
   JobAccepted = 3110,
   JobHeldElsewhere = 3111,
   ClaimUnanswered = 3112,
+  JobCancelledElsewhere = 3113,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -86,6 +86,8 @@
       case DispatchRequestKind.ReportCrash:
       case DispatchRequestKind.ClaimJob:
       case DispatchRequestKind.YieldJob:
+      case DispatchRequestKind.LocateJob:
+      case DispatchRequestKind.CancelHeldJob:
         this.#reply(from, request, { kind: DispatchReplyKind.Misdirected });
         return;
       default:
