fix(dispatcher): ask a slow arbiter all the same, and heed its late answer

Cause: an entry that had waited 50 ms for an arbiter avoided it for half a second or more, while other entries went on to ask it; each then had an arbiter of its own for the same job.

Change: a claim also goes to the first arbiter while that is avoided, and the reply of one that timed out is still read. A job that turns out to be held by another entry stops and waits for its grant. The timeout is 100 ms.

Conclusion: an arbiter that is slow, not lost, is the same for all entries.

--- a/domain/dispatcher/src/arbiter_ranking.ts
+++ b/domain/dispatcher/src/arbiter_ranking.ts
@@ -32,6 +32,14 @@
   readonly directory: FleetDirectory;
 }
 
+/** The arbiters of a job. */
+export interface ArbiterRank {
+  /** The arbiter that all entries choose which know the same members. */
+  readonly first: FleetMember;
+  /** The highest-ranked one that has answered lately. */
+  readonly available: FleetMember;
+}
+
 /** Ranks the entries for each job. */
 export class ArbiterRanking {
   readonly #options: ArbiterRankingOptions;
@@ -43,21 +51,31 @@
     this.#options = options;
   }
 
-  /** Returns the arbiter of a job. */
-  arbiterOf(job: string, now: Milliseconds): FleetMember {
+  /** Returns the arbiter of a job, and the one that is asked while that does not answer. */
+  rank(job: string, now: Milliseconds): ArbiterRank {
     this.#update();
+    const { self } = this.#options;
     const jobHash = stableHash(job);
-    let highest = this.#options.self;
-    let highestRank = -1;
+    let first = self;
+    let firstRank = -1;
+    let available = self;
+    let availableRank = -1;
     for (const { member, hash } of this.#entries) {
-      const avoidance = this.#avoided.get(member.address);
-      if (avoidance !== undefined && now < avoidance.until) continue;
       const rank = combineHashes(hash, jobHash);
-      if (rank <= highestRank) continue;
-      highest = member;
-      highestRank = rank;
+      if (rank > firstRank) {
+        first = member;
+        firstRank = rank;
+      }
+      if (rank <= availableRank || this.#isAvoided(member, now)) continue;
+      available = member;
+      availableRank = rank;
     }
-    return highest;
+    return { first, available };
+  }
+
+  #isAvoided({ address }: FleetMember, now: Milliseconds): boolean {
+    const avoidance = this.#avoided.get(address);
+    return avoidance !== undefined && now < avoidance.until;
   }
 
   /** Records that an entry answered. */
--- a/domain/dispatcher/src/claim_exchange.ts
+++ b/domain/dispatcher/src/claim_exchange.ts
@@ -19,7 +19,7 @@
 import { ArbiterRanking } from "./arbiter_ranking.ts";
 import type { DispatchJob } from "./dispatch_job.ts";
 import { JobArbiter, type YieldRequest } from "./job_arbiter.ts";
-import { JobClaims } from "./job_claims.ts";
+import { type ClaimChange, JobClaims } from "./job_claims.ts";
 import type { PeerReference } from "./remote_cancellations.ts";
 
 /** Collaborators of a `ClaimExchange`. */
@@ -56,7 +56,17 @@
     return this.#claims.claim(job);
   }
 
-  /** Drops the claim of a job that has ended. */
+  /** Whether a job waits for its grant. */
+  isPending(job: DispatchJob): boolean {
+    return this.#claims.isPending(job);
+  }
+
+  /** Waits for the entry that holds a job. */
+  wait(job: DispatchJob): void {
+    this.#claims.wait(job);
+  }
+
+  /** Drops the claims of a job that has ended. */
   forget(job: DispatchJob): void {
     this.#claims.forget(job);
   }
@@ -92,7 +102,7 @@
   /** Returns the arbiter of a job; undefined if it is this entry. */
   arbiterOf(job: string): PeerReference | undefined {
     const { self, collector } = this.#options;
-    const arbiter = this.#ranking.arbiterOf(job, collector.now);
+    const { available: arbiter } = this.#ranking.rank(job, collector.now);
     return arbiter.address === self.address ? undefined : arbiter;
   }
 
@@ -107,17 +117,17 @@
     return this.#claims.owns(request) || this.#arbiter.owns(request);
   }
 
-  /** Handles the reply to a request that was sent from here. Returns the job that is granted. */
+  /** Handles the reply to a request that was sent from here. */
   handleReply(
     request: RequestIdentifier,
     message: DispatchReply,
-  ): DispatchJob | undefined {
+  ): ClaimChange | undefined {
     this.#arbiter.handleReply(request, message);
     return this.#claims.handleReply(request, message);
   }
 
-  /** Handles the loss of a request that was sent from here. Returns the job that is granted. */
-  handleLostRequest(request: RequestIdentifier): DispatchJob | undefined {
+  /** Handles the loss of a request that was sent from here. */
+  handleLostRequest(request: RequestIdentifier): ClaimChange | undefined {
     this.#arbiter.handleLostRequest(request);
     return this.#claims.handleLostRequest(request);
   }
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -35,7 +35,7 @@
   Severity,
   type StateMachine,
 } from "@eelgrassfront/model";
-import type { DispatchJob } from "./dispatch_job.ts";
+import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
 import { ClientRequests } from "./client_requests.ts";
 import { ClaimExchange } from "./claim_exchange.ts";
 import { type TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -326,7 +326,7 @@
       return;
     }
     if (this.#claims.owns(request)) {
-      this.#startGranted(this.#claims.handleReply(request, message));
+      this.#applyClaimChange(this.#claims.handleReply(request, message));
       return;
     }
     if (this.#cancellations.owns(request)) {
@@ -343,8 +343,19 @@
     this.#handleMismatch(attempt, message);
   }
 
-  #startGranted(job: DispatchJob | undefined): void {
-    if (job !== undefined) this.#scheduler.start(job);
+  #applyClaimChange(change: ClaimChange | undefined): void {
+    if (change === undefined) return;
+    const { kind, job } = change;
+    switch (kind) {
+      case ClaimChangeKind.Granted:
+        this.#scheduler.start(job);
+        return;
+      case ClaimChangeKind.Contested:
+        this.#scheduler.suspend(job);
+        return;
+      default:
+        assertNever(kind);
+    }
   }
 
   /** Handles a reply from another incarnation of the sidecar, which does not hold the attempt. */
@@ -364,7 +375,7 @@
       return;
     }
     if (this.#claims.owns(request)) {
-      this.#startGranted(this.#claims.handleLostRequest(request));
+      this.#applyClaimChange(this.#claims.handleLostRequest(request));
       return;
     }
     this.#cancellations.handleLostRequest(request);
--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -3,7 +3,8 @@
  * it, so that a job which clients submit through several entries runs at one of them at a time.
  *
  * An arbiter that does not answer is replaced by the next one, and a job is run without a grant if that one does
- * not answer either: two entries may then run it at the same time, but no job waits for an entry that is gone.
+ * not answer either, so that no job waits for an entry that is gone. The first arbiter gets the claim all the same:
+ * if it is only slow, it knows the holder when another entry asks, and its late answer still stops the job here.
  */
 import {
   assertNever,
@@ -28,8 +29,8 @@
 import { RUN_AFTER_SILENCE_MILLISECONDS } from "./ending_runs.ts";
 import type { JobArbiter } from "./job_arbiter.ts";
 
-/** Time without a reply after which the next arbiter is asked: shorter than the slack of any job. */
-const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 50;
+/** Time without a reply after which the next arbiter is asked. */
+const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 100;
 /** Interval at which a job that another entry holds is claimed again. */
 const RETRY_INTERVAL_MILLISECONDS: Milliseconds = 50;
 /** Number of arbiters that are asked before a job is run without a grant. */
@@ -44,7 +45,7 @@
 
 interface SentClaim {
   readonly phase: ClaimPhase.Sent;
-  readonly arbiter: FleetMember;
+  /** The request whose reply decides. */
   readonly request: RequestIdentifier;
   readonly dueAt: Milliseconds;
 }
@@ -55,11 +56,30 @@
 }
 
 interface PendingClaim {
-  readonly job: DispatchJob;
   readonly failures: number;
   readonly state: SentClaim | WaitingClaim;
 }
 
+/** A claim that was sent to an arbiter, whether its reply decides or not. */
+interface SentRequest {
+  readonly job: DispatchJob;
+  readonly arbiter: FleetMember;
+}
+
+/** What the reply of an arbiter changes. */
+export enum ClaimChangeKind {
+  /** The job is granted to this entry. */
+  Granted = "granted",
+  /** A job that this entry runs is held by another one, as an arbiter has answered late. */
+  Contested = "contested",
+}
+
+/** A change of one job. */
+export interface ClaimChange {
+  readonly kind: ClaimChangeKind;
+  readonly job: DispatchJob;
+}
+
 /** Collaborators of `JobClaims`. */
 export interface JobClaimsOptions {
   readonly self: FleetMember;
@@ -75,7 +95,7 @@
 export class JobClaims {
   readonly #options: JobClaimsOptions;
   readonly #pending = new Map<DispatchJob, PendingClaim>();
-  readonly #byRequest = new Map<RequestIdentifier, PendingClaim>();
+  readonly #requests = new Map<RequestIdentifier, SentRequest>();
 
   constructor(options: JobClaimsOptions) {
     this.#options = options;
@@ -86,36 +106,46 @@
     return this.#attempt(job, 0);
   }
 
-  /** Drops the claim of a job that has ended. */
+  /** Whether a job waits for its grant. */
+  isPending(job: DispatchJob): boolean {
+    return this.#pending.has(job);
+  }
+
+  /** Drops the claims of a job that has ended. */
   forget(job: DispatchJob): void {
-    const claim = this.#pending.get(job);
-    if (claim === undefined) return;
     this.#pending.delete(job);
-    this.#forgetRequest(claim);
+    for (const [request, sent] of this.#requests) {
+      if (sent.job === job) this.#requests.delete(request);
+    }
+  }
+
+  /** Waits for the entry that holds a job, which may have started it; a refusal would then be false. */
+  wait(job: DispatchJob): void {
+    job.mayHaveStarted = true;
+    const dueAt = this.#options.collector.now + RETRY_INTERVAL_MILLISECONDS;
+    const state: WaitingClaim = { phase: ClaimPhase.Waiting, dueAt };
+    this.#pending.set(job, { failures: 0, state });
   }
 
   /** Returns whether a claim was sent with a request and has no reply yet. */
   owns(request: RequestIdentifier): boolean {
-    return this.#byRequest.has(request);
+    return this.#requests.has(request);
   }
 
-  /** Handles the reply of an arbiter. Returns the job that is granted. */
+  /** Handles the reply of an arbiter. */
   handleReply(
     request: RequestIdentifier,
     message: DispatchReply,
-  ): DispatchJob | undefined {
-    const claim = this.#byRequest.get(request);
-    if (claim?.state.phase !== ClaimPhase.Sent) return undefined;
-    const { arbiter } = claim.state;
+  ): ClaimChange | undefined {
+    const sent = this.#requests.get(request);
+    if (sent === undefined) return undefined;
     switch (message.kind) {
       case DispatchReplyKind.JobClaimed:
-        this.#options.ranking.recordAnswer(arbiter.address);
-        this.forget(claim.job);
-        return claim.job;
+        this.#options.ranking.recordAnswer(sent.arbiter.address);
+        return this.#handleGrant(request, sent);
       case DispatchReplyKind.JobHeld:
-        this.#options.ranking.recordAnswer(arbiter.address);
-        this.#wait(claim.job);
-        return undefined;
+        this.#options.ranking.recordAnswer(sent.arbiter.address);
+        return this.#handleHeld(request, sent);
       case DispatchReplyKind.Misdirected:
       case PeerReplyKind.IncarnationMismatch:
       case DispatchReplyKind.JobYielded:
@@ -130,41 +160,26 @@
       case DispatchReplyKind.LoadReported:
       case DispatchReplyKind.FleetStateExchanged:
       case DispatchReplyKind.CrashNoted:
-        return this.#handleFailure(
-          claim,
-          arbiter,
-          ClaimFailureReason.NoArbiter,
-        );
+        return this.#handleFailure(request, ClaimFailureReason.NoArbiter);
       default:
         return assertNever(message);
     }
   }
 
-  /** Handles the loss of a claim. Returns the job that is granted. */
-  handleLostRequest(request: RequestIdentifier): DispatchJob | undefined {
-    const claim = this.#byRequest.get(request);
-    if (claim?.state.phase !== ClaimPhase.Sent) return undefined;
-    return this.#handleFailure(
-      claim,
-      claim.state.arbiter,
-      ClaimFailureReason.RequestLost,
-    );
+  /** Handles the loss of a claim. */
+  handleLostRequest(request: RequestIdentifier): ClaimChange | undefined {
+    return this.#handleFailure(request, ClaimFailureReason.RequestLost);
   }
 
   /** Repeats the claims that are due. Returns the jobs that are granted. */
   tick(): readonly DispatchJob[] {
     const { now } = this.#options.collector;
     const granted: DispatchJob[] = [];
-    for (const claim of [...this.#pending.values()]) {
-      const { job, state } = claim;
+    for (const [job, { state, failures }] of [...this.#pending]) {
       if (now < state.dueAt) continue;
       const isGranted = state.phase === ClaimPhase.Waiting
         ? this.#attempt(job, 0)
-        : this.#handleFailure(
-          claim,
-          state.arbiter,
-          ClaimFailureReason.TimedOut,
-        ) !== undefined;
+        : this.#handleTimeout(job, state.request, failures);
       if (isGranted) granted.push(job);
     }
     return granted;
@@ -179,18 +194,94 @@
     return next;
   }
 
+  #handleGrant(
+    request: RequestIdentifier,
+    { job }: SentRequest,
+  ): ClaimChange | undefined {
+    this.#requests.delete(request);
+    if (!this.#isDecisive(job, request)) return undefined;
+    this.#pending.delete(job);
+    return { kind: ClaimChangeKind.Granted, job };
+  }
+
+  #handleHeld(
+    request: RequestIdentifier,
+    { job }: SentRequest,
+  ): ClaimChange | undefined {
+    this.#requests.delete(request);
+    if (!this.isPending(job)) return { kind: ClaimChangeKind.Contested, job };
+    this.wait(job);
+    return undefined;
+  }
+
+  #handleFailure(
+    request: RequestIdentifier,
+    reason: ClaimFailureReason,
+  ): ClaimChange | undefined {
+    const sent = this.#requests.get(request);
+    this.#requests.delete(request);
+    if (sent === undefined) return undefined;
+    const { job, arbiter } = sent;
+    const failures = this.#pending.get(job)?.failures ?? 0;
+    const isDecisive = this.#isDecisive(job, request);
+    this.#recordFailure(job, arbiter, reason);
+    return isDecisive && this.#attemptNext(job, failures)
+      ? { kind: ClaimChangeKind.Granted, job }
+      : undefined;
+  }
+
+  /** Asks the next arbiter; the reply of the slow one is still read. */
+  #handleTimeout(
+    job: DispatchJob,
+    request: RequestIdentifier,
+    failures: number,
+  ): boolean {
+    const arbiter = this.#requests.get(request)?.arbiter;
+    if (arbiter !== undefined) {
+      this.#recordFailure(job, arbiter, ClaimFailureReason.TimedOut);
+    }
+    return this.#attemptNext(job, failures);
+  }
+
+  #isDecisive(job: DispatchJob, request: RequestIdentifier): boolean {
+    const state = this.#pending.get(job)?.state;
+    return state?.phase === ClaimPhase.Sent && state.request === request;
+  }
+
+  #attemptNext(job: DispatchJob, failures: number): boolean {
+    if (failures + 1 < MAXIMUM_ARBITERS) {
+      return this.#attempt(job, failures + 1);
+    }
+    this.#pending.delete(job);
+    return true;
+  }
+
   #attempt(job: DispatchJob, failures: number): boolean {
     const { self, collector, ranking, arbiter, hasEarlierRuns } = this.#options;
-    if (hasEarlierRuns(job.id)) return this.#wait(job);
-    const chosen = ranking.arbiterOf(job.id, collector.now);
+    if (hasEarlierRuns(job.id)) {
+      this.wait(job);
+      return false;
+    }
+    const { first, available } = ranking.rank(job.id, collector.now);
     const claim = this.#claimOf(job);
-    if (chosen.address !== self.address) {
-      this.#send(job, failures, chosen, claim);
+    const isOwn = first.address === self.address ||
+      available.address === self.address;
+    if (isOwn && !arbiter.claim(self.process, claim)) {
+      this.wait(job);
       return false;
     }
-    if (!arbiter.claim(self.process, claim)) return this.#wait(job);
-    this.forget(job);
-    return true;
+    const isFirstSilent = first.address !== available.address &&
+      first.address !== self.address && failures === 0;
+    if (isFirstSilent) this.#send(job, first, claim);
+    if (available.address === self.address) {
+      this.#pending.delete(job);
+      return true;
+    }
+    const request = this.#send(job, available, claim);
+    const dueAt = collector.now + REPLY_TIMEOUT_MILLISECONDS;
+    const state: SentClaim = { phase: ClaimPhase.Sent, request, dueAt };
+    this.#pending.set(job, { failures, state });
+    return false;
   }
 
   #claimOf(job: DispatchJob): Omit<ClaimJob, "kind"> {
@@ -206,25 +297,12 @@
 
   #send(
     job: DispatchJob,
-    failures: number,
     arbiter: FleetMember,
     claim: Omit<ClaimJob, "kind">,
-  ): void {
+  ): RequestIdentifier {
     const { collector } = this.#options;
-    this.forget(job);
     const request = collector.nextRequest();
-    const pending: PendingClaim = {
-      job,
-      failures,
-      state: {
-        phase: ClaimPhase.Sent,
-        arbiter,
-        request,
-        dueAt: collector.now + REPLY_TIMEOUT_MILLISECONDS,
-      },
-    };
-    this.#pending.set(job, pending);
-    this.#byRequest.set(request, pending);
+    this.#requests.set(request, { job, arbiter });
     collector.add({
       kind: OutputKind.SendRequest,
       request,
@@ -232,49 +310,24 @@
       address: arbiter.address,
       message: { kind: DispatchRequestKind.ClaimJob, ...claim },
     });
+    return request;
   }
 
-  /** Waits for the entry that holds a job, which may have started it; a refusal would then be false. */
-  #wait(job: DispatchJob): false {
-    this.forget(job);
-    job.mayHaveStarted = true;
-    const dueAt = this.#options.collector.now + RETRY_INTERVAL_MILLISECONDS;
-    const state: WaitingClaim = { phase: ClaimPhase.Waiting, dueAt };
-    this.#pending.set(job, { job, failures: 0, state });
-    return false;
-  }
-
-  /** Asks the next arbiter in place of one that failed. Returns the job if it is granted. */
-  #handleFailure(
-    { job, failures }: PendingClaim,
+  #recordFailure(
+    job: DispatchJob,
     arbiter: FleetMember,
     reason: ClaimFailureReason,
-  ): DispatchJob | undefined {
+  ): void {
     const { collector, ranking } = this.#options;
     ranking.recordFailure(arbiter.address, collector.now);
     collector.count(Counter.ClaimsUnanswered, reason);
-    const isLast = failures + 1 >= MAXIMUM_ARBITERS;
     collector.record(
       EventNumber.ClaimUnanswered,
       "an arbiter did not answer the claim of a job",
       {
         severity: Severity.Warning,
-        context: {
-          job: job.id,
-          arbiter: arbiter.process,
-          reason,
-          isRunWithoutGrant: isLast,
-        },
+        context: { job: job.id, arbiter: arbiter.process, reason },
       },
     );
-    if (isLast) {
-      this.forget(job);
-      return job;
-    }
-    return this.#attempt(job, failures + 1) ? job : undefined;
-  }
-
-  #forgetRequest({ state }: PendingClaim): void {
-    if (state.phase === ClaimPhase.Sent) this.#byRequest.delete(state.request);
   }
 }
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -169,6 +169,13 @@
     this.#refuseIfOverloaded(job);
   }
 
+  /** Stops a job that another entry turns out to hold; it waits for its grant. */
+  suspend(job: DispatchJob): void {
+    this.#queue.remove(job);
+    this.#options.placer.cancelTasks(job);
+    this.#options.claims.wait(job);
+  }
+
   /** Claims every job again after a pause, in which clients may have submitted it to another entry. */
   reclaimAll(): void {
     const { claims } = this.#options;
@@ -230,7 +237,7 @@
     this.#options.placer.crashes.classify(job);
     job.unblockTasks();
     const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
-    if (isWaiting) this.#queue.add(job);
+    if (isWaiting && !this.#options.claims.isPending(job)) this.#queue.add(job);
   }
 
   #failureOf(job: DispatchJob): JobFailureReason | undefined {
