fix(dispatcher): keep the holder of a job known when its arbiter fails

Cause: an entry's view of the arbiters was its own. Claims that failed together counted as one failure each, so that one stall of an arbiter kept it from being asked for 16 s by one entry and by no other; a timer that fired late took the delay of the process itself for the silence of the arbiter; an arbiter knew the jobs that it runs itself only while it had granted them; a restart of the holder counted as the end of its runs; and the grants of an arbiter that had ended were gone.

Change: an entry tells the arbiters that are asked from now on which jobs run there whenever it chooses others than before: after a failure, its end, a start or a new member. A job that one of them knows at another entry stops and waits. An entry answers for the jobs that it runs itself whoever has granted them, and yields a job that only waits there. Failures count once for all requests that fail together, and a pause of the entry itself for half a second only. Only the word of the holder ends a grant, or its silence while it is asked without a gap. A timeout that is noticed late leaves the replies 20 ms to be read. A job that another entry was known to hold is not run without a grant before that entry's runs have ended. A job that is granted while all its tasks wait for earlier runs stays queued. The age of a copy counts from its latest submission, and a grant lasts two minutes at most.

Conclusion: the window that is left: the arbiter fails and a second entry claims the job before the holder has told the next one; a holder that the arbiter cannot reach, though sidecars can.

--- a/domain/dispatcher/src/arbiter_ranking.ts
+++ b/domain/dispatcher/src/arbiter_ranking.ts
@@ -24,6 +24,8 @@
 interface Avoidance {
   readonly until: Milliseconds;
   readonly duration: Milliseconds;
+  /** Whether the entry is chosen again; the next failure still doubles the time. */
+  hasEnded: boolean;
 }
 
 /** The members among which an arbiter is chosen. */
@@ -46,14 +48,21 @@
   readonly #avoided = new Map<string, Avoidance>();
   #entries: readonly RankedEntry[] = [];
   #membersRevision = -1;
+  #revision = 0;
 
   constructor(options: ArbiterRankingOptions) {
     this.#options = options;
   }
 
+  /** Returns a number that rises whenever other arbiters may be chosen than before. */
+  revision(now: Milliseconds): number {
+    this.#update(now);
+    return this.#revision;
+  }
+
   /** Returns the arbiter of a job, and the one that is asked while that does not answer. */
   rank(job: string, now: Milliseconds): ArbiterRank {
-    this.#update();
+    this.#update(now);
     const { self } = this.#options;
     const jobHash = stableHash(job);
     let first = self;
@@ -66,37 +75,58 @@
         first = member;
         firstRank = rank;
       }
-      if (rank <= availableRank || this.#isAvoided(member, now)) continue;
+      if (rank <= availableRank || this.#isAvoided(member)) continue;
       available = member;
       availableRank = rank;
     }
     return { first, available };
   }
 
-  #isAvoided({ address }: FleetMember, now: Milliseconds): boolean {
-    const avoidance = this.#avoided.get(address);
-    return avoidance !== undefined && now < avoidance.until;
+  #isAvoided({ address }: FleetMember): boolean {
+    return this.#avoided.get(address)?.hasEnded === false;
   }
 
   /** Records that an entry answered. */
   recordAnswer(address: string): void {
+    if (this.#avoided.get(address)?.hasEnded === false) this.#revision += 1;
     this.#avoided.delete(address);
   }
 
-  /** Records that an entry did not answer; it is not chosen for some time. */
+  /**
+   * Records that an entry did not answer; it is not chosen for some time. Requests that fail together count as one
+   * failure.
+   */
   recordFailure(address: string, now: Milliseconds): void {
-    const duration = Math.min(
-      MAXIMUM_AVOIDANCE_MILLISECONDS,
-      2 * (this.#avoided.get(address)?.duration ??
-        FIRST_AVOIDANCE_MILLISECONDS / 2),
-    );
-    this.#avoided.set(address, { until: now + duration, duration });
+    const known = this.#avoided.get(address);
+    if (known !== undefined && now < known.until) return;
+    const duration = known === undefined
+      ? FIRST_AVOIDANCE_MILLISECONDS
+      : Math.min(MAXIMUM_AVOIDANCE_MILLISECONDS, 2 * known.duration);
+    this.#avoided.set(address, {
+      until: now + duration,
+      duration,
+      hasEnded: false,
+    });
+    this.#revision += 1;
+  }
+
+  /** Leaves the part of this entry to others for a short time. */
+  avoidSelf(now: Milliseconds): void {
+    const { address } = this.#options.self;
+    this.#avoided.delete(address);
+    this.recordFailure(address, now);
   }
 
-  #update(): void {
+  #update(now: Milliseconds): void {
+    for (const avoidance of this.#avoided.values()) {
+      if (avoidance.hasEnded || now < avoidance.until) continue;
+      avoidance.hasEnded = true;
+      this.#revision += 1;
+    }
     const { self, directory } = this.#options;
     if (this.#membersRevision === directory.membersRevision) return;
     this.#membersRevision = directory.membersRevision;
+    this.#revision += 1;
     const others = directory.membersOf(Role.Entry)
       .filter(({ process }) =>
         processName(process) !== processName(self.process)
--- a/domain/dispatcher/src/claim_exchange.ts
+++ b/domain/dispatcher/src/claim_exchange.ts
@@ -73,8 +73,7 @@
 
   /** Leaves the jobs of this entry to other arbiters for some time, since entries have turned to them. */
   handlePause(): void {
-    const { self, collector } = this.#options;
-    this.#ranking.recordFailure(self.address, collector.now);
+    this.#ranking.avoidSelf(this.#options.collector.now);
   }
 
   /** Decides on the claim of another entry. */
@@ -132,8 +131,8 @@
     return this.#claims.handleLostRequest(request);
   }
 
-  /** Repeats the claims that are due. Returns the jobs that are granted. */
-  tick(): readonly DispatchJob[] {
+  /** Repeats the claims that are due. */
+  tick(): readonly ClaimChange[] {
     return this.#claims.tick();
   }
 
--- a/domain/dispatcher/src/dispatch_job.ts
+++ b/domain/dispatcher/src/dispatch_job.ts
@@ -66,6 +66,8 @@
   readonly tasks: readonly DispatchTask[];
   /** Client requests that wait for the answer; a repeated submission adds one. */
   readonly requests: RequestIdentifier[];
+  /** Time of the latest submission of the job to this entry. */
+  submittedAt: Milliseconds;
   /** Time at which the first task was sent to a sidecar. */
   firstPlacedAt: Milliseconds | undefined;
   /** Whether a task has started or may have started; such a job is never refused. */
@@ -86,6 +88,7 @@
     this.route = options.route;
     this.configurationVersion = options.configurationVersion;
     this.arrivedAt = options.arrivedAt;
+    this.submittedAt = options.arrivedAt;
     this.startBy = options.startBy;
     this.deadlineAt = options.deadlineAt;
     this.requests = [options.request];
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -35,7 +35,7 @@
   Severity,
   type StateMachine,
 } from "@eelgrassfront/model";
-import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
+import type { ClaimChange } from "./job_claims.ts";
 import { ClientRequests } from "./client_requests.ts";
 import { ClaimExchange } from "./claim_exchange.ts";
 import { type TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -344,18 +344,7 @@
   }
 
   #applyClaimChange(change: ClaimChange | undefined): void {
-    if (change === undefined) return;
-    const { kind, job } = change;
-    switch (kind) {
-      case ClaimChangeKind.Granted:
-        this.#scheduler.start(job);
-        return;
-      case ClaimChangeKind.Contested:
-        this.#scheduler.suspend(job);
-        return;
-      default:
-        assertNever(kind);
-    }
+    if (change !== undefined) this.#scheduler.applyClaimChange(change);
   }
 
   /** Handles a reply from another incarnation of the sidecar, which does not hold the attempt. */
--- a/domain/dispatcher/src/job_arbiter.ts
+++ b/domain/dispatcher/src/job_arbiter.ts
@@ -40,6 +40,10 @@
   readonly yieldOwn: (request: YieldRequest) => boolean;
 }
 
+/** Longest time between two claims of a waiting entry; after it the silence of the holder counts anew. */
+const ASKING_MILLISECONDS: Milliseconds = 500;
+/** Longest time for which a grant is kept; the deadlines of jobs come from clients. */
+const MAXIMUM_LIFETIME_MILLISECONDS: Milliseconds = 120_000;
 /** Interval at which expired grants are removed. */
 const SWEEP_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
 
@@ -51,6 +55,7 @@
   pendingYield: RequestIdentifier | undefined;
   /** When the holder was first asked since its latest reply; undefined if it was not. */
   askedAt: Milliseconds | undefined;
+  lastAskedAt: Milliseconds;
   isContested: boolean;
 }
 
@@ -76,6 +81,7 @@
   ): boolean {
     const { now } = this.#options.collector;
     this.#sweep();
+    if (!this.#isFreeHere(claimant, { job, ageMilliseconds })) return false;
     const grant = this.#grants.get(job);
     const isHeld = grant !== undefined && grant.holder !== claimant &&
       now < grant.expiresAt &&
@@ -84,14 +90,22 @@
     this.#grants.set(job, {
       holder: claimant,
       address,
-      expiresAt: now + lifetimeMilliseconds,
+      expiresAt: now +
+        Math.min(lifetimeMilliseconds, MAXIMUM_LIFETIME_MILLISECONDS),
       pendingYield: undefined,
       askedAt: undefined,
+      lastAskedAt: now,
       isContested: false,
     });
     return true;
   }
 
+  /** Whether this entry holds no run of a job that another one claims; the next arbiter may have granted it. */
+  #isFreeHere(claimant: ProcessIdentifier, request: YieldRequest): boolean {
+    const { self, yieldOwn } = this.#options;
+    return claimant === self.process || yieldOwn(request);
+  }
+
   /** Returns the entry that a job was granted to last, unless its runs have ended. */
   holderOf(job: string): PeerReference | undefined {
     const grant = this.#grants.get(job);
@@ -107,13 +121,16 @@
     return this.#yields.has(request);
   }
 
-  /** Handles the reply of a holder; another incarnation of it holds nothing. */
+  /**
+   * Handles the reply of a holder. Another incarnation of it knows nothing of the runs, which end as those of a
+   * silent holder.
+   */
   handleReply(request: RequestIdentifier, message: DispatchReply): void {
     const job = this.#takeYield(request);
     const grant = this.#grants.get(job ?? "");
     if (job === undefined || grant === undefined) return;
-    grant.askedAt = undefined;
-    if (message.kind !== DispatchReplyKind.JobHeld) this.#grants.delete(job);
+    if (message.kind === DispatchReplyKind.JobHeld) grant.askedAt = undefined;
+    if (message.kind === DispatchReplyKind.JobYielded) this.#grants.delete(job);
   }
 
   /** Handles the loss of a request to a holder, which the next claim asks again. */
@@ -139,11 +156,13 @@
     claimant: ProcessIdentifier,
     request: YieldRequest,
   ): boolean {
-    const { self, yieldOwn } = this.#options;
     this.#recordContest(grant, claimant, request);
-    if (grant.holder === self.process) return yieldOwn(request);
+    // What this entry itself holds was decided before.
+    if (grant.holder === this.#options.self.process) return true;
     const { now } = this.#options.collector;
+    if (now - grant.lastAskedAt > ASKING_MILLISECONDS) grant.askedAt = now;
     grant.askedAt ??= now;
+    grant.lastAskedAt = now;
     if (now - grant.askedAt >= RUN_AFTER_SILENCE_MILLISECONDS) return true;
     if (grant.pendingYield === undefined) {
       grant.pendingYield = this.#sendYield(grant, request);
--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -21,6 +21,7 @@
   type OutputCollector,
   OutputKind,
   PeerReplyKind,
+  type ProcessIdentifier,
   type RequestIdentifier,
   Severity,
 } from "@eelgrassfront/model";
@@ -33,6 +34,10 @@
 const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 100;
 /** Interval at which a job that another entry holds is claimed again. */
 const RETRY_INTERVAL_MILLISECONDS: Milliseconds = 50;
+/** Delay of a timer after which replies may be waiting to be read. */
+const LATE_ALARM_MILLISECONDS: Milliseconds = 15;
+/** Time in which the replies that arrived during a stall of this process are read. */
+const READ_MILLISECONDS: Milliseconds = 20;
 /** Number of arbiters that are asked before a job is run without a grant. */
 const MAXIMUM_ARBITERS = 2;
 /** Phases of a claim. */
@@ -48,6 +53,7 @@
   /** The request whose reply decides. */
   readonly request: RequestIdentifier;
   readonly dueAt: Milliseconds;
+  readonly isDeferred: boolean;
 }
 
 interface WaitingClaim {
@@ -96,6 +102,11 @@
   readonly #options: JobClaimsOptions;
   readonly #pending = new Map<DispatchJob, PendingClaim>();
   readonly #requests = new Map<RequestIdentifier, SentRequest>();
+  /** Jobs that run here, each with the arbiter that knows it. */
+  readonly #granted = new Map<DispatchJob, ProcessIdentifier>();
+  /** When an arbiter last answered that another entry holds a job. */
+  readonly #heldAt = new Map<DispatchJob, Milliseconds>();
+  #rankingRevision = 0;
 
   constructor(options: JobClaimsOptions) {
     this.#options = options;
@@ -114,6 +125,8 @@
   /** Drops the claims of a job that has ended. */
   forget(job: DispatchJob): void {
     this.#pending.delete(job);
+    this.#granted.delete(job);
+    this.#heldAt.delete(job);
     for (const [request, sent] of this.#requests) {
       if (sent.job === job) this.#requests.delete(request);
     }
@@ -122,8 +135,10 @@
   /** Waits for the entry that holds a job, which may have started it; a refusal would then be false. */
   wait(job: DispatchJob): void {
     job.mayHaveStarted = true;
-    const dueAt = this.#options.collector.now + RETRY_INTERVAL_MILLISECONDS;
+    const { now } = this.#options.collector;
+    const dueAt = now + RETRY_INTERVAL_MILLISECONDS;
     const state: WaitingClaim = { phase: ClaimPhase.Waiting, dueAt };
+    this.#granted.delete(job);
     this.#pending.set(job, { failures: 0, state });
   }
 
@@ -171,18 +186,56 @@
     return this.#handleFailure(request, ClaimFailureReason.RequestLost);
   }
 
-  /** Repeats the claims that are due. Returns the jobs that are granted. */
-  tick(): readonly DispatchJob[] {
+  /** Repeats the claims that are due, and claims the jobs that run here from other arbiters after a change. */
+  tick(): readonly ClaimChange[] {
     const { now } = this.#options.collector;
-    const granted: DispatchJob[] = [];
-    for (const [job, { state, failures }] of [...this.#pending]) {
-      if (now < state.dueAt) continue;
+    const changes: ClaimChange[] = [];
+    for (const [job, claim] of [...this.#pending]) {
+      const { state, failures } = claim;
+      if (now < state.dueAt || this.#isDeferred(job, claim)) continue;
       const isGranted = state.phase === ClaimPhase.Waiting
         ? this.#attempt(job, 0)
         : this.#handleTimeout(job, state.request, failures);
-      if (isGranted) granted.push(job);
+      if (isGranted) changes.push({ kind: ClaimChangeKind.Granted, job });
+    }
+    return [...changes, ...this.#registerAgain()];
+  }
+
+  /**
+   * Gives the replies that arrived during a stall of this process the time to be read, since timers run before reads.
+   * Returns whether the timeout of a claim is deferred for that.
+   */
+  #isDeferred(job: DispatchJob, claim: PendingClaim): boolean {
+    const { now } = this.#options.collector;
+    const { state, failures } = claim;
+    if (state.phase !== ClaimPhase.Sent || state.isDeferred) return false;
+    if (now - state.dueAt < LATE_ALARM_MILLISECONDS) return false;
+    const dueAt = now + READ_MILLISECONDS;
+    this.#pending.set(job, {
+      failures,
+      state: { ...state, dueAt, isDeferred: true },
+    });
+    return true;
+  }
+
+  /** Tells the arbiters that are asked from now on which jobs run here. */
+  #registerAgain(): readonly ClaimChange[] {
+    const { self, collector, ranking, arbiter } = this.#options;
+    const revision = ranking.revision(collector.now);
+    if (revision === this.#rankingRevision) return [];
+    this.#rankingRevision = revision;
+    const changes: ClaimChange[] = [];
+    for (const [job, known] of this.#granted) {
+      const { available } = ranking.rank(job.id, collector.now);
+      if (available.process === known) continue;
+      this.#granted.set(job, available.process);
+      const claim = this.#claimOf(job);
+      if (available.address !== self.address) this.#send(job, available, claim);
+      else if (!arbiter.claim(self.process, claim)) {
+        changes.push({ kind: ClaimChangeKind.Contested, job });
+      }
     }
-    return granted;
+    return changes;
   }
 
   /** Returns the time of the next claim or timeout. */
@@ -196,11 +249,11 @@
 
   #handleGrant(
     request: RequestIdentifier,
-    { job }: SentRequest,
+    { job, arbiter }: SentRequest,
   ): ClaimChange | undefined {
     this.#requests.delete(request);
     if (!this.#isDecisive(job, request)) return undefined;
-    this.#pending.delete(job);
+    this.#recordGrant(job, arbiter.process);
     return { kind: ClaimChangeKind.Granted, job };
   }
 
@@ -209,6 +262,7 @@
     { job }: SentRequest,
   ): ClaimChange | undefined {
     this.#requests.delete(request);
+    this.#heldAt.set(job, this.#options.collector.now);
     if (!this.isPending(job)) return { kind: ClaimChangeKind.Contested, job };
     this.wait(job);
     return undefined;
@@ -252,10 +306,22 @@
     if (failures + 1 < MAXIMUM_ARBITERS) {
       return this.#attempt(job, failures + 1);
     }
-    this.#pending.delete(job);
+    const { self, collector } = this.#options;
+    const heldAt = this.#heldAt.get(job) ?? -Infinity;
+    if (collector.now - heldAt < RUN_AFTER_SILENCE_MILLISECONDS) {
+      this.wait(job);
+      return false;
+    }
+    this.#recordGrant(job, self.process);
     return true;
   }
 
+  #recordGrant(job: DispatchJob, arbiter: ProcessIdentifier): void {
+    this.#pending.delete(job);
+    this.#heldAt.delete(job);
+    this.#granted.set(job, arbiter);
+  }
+
   #attempt(job: DispatchJob, failures: number): boolean {
     const { self, collector, ranking, arbiter, hasEarlierRuns } = this.#options;
     if (hasEarlierRuns(job.id)) {
@@ -274,12 +340,17 @@
       first.address !== self.address && failures === 0;
     if (isFirstSilent) this.#send(job, first, claim);
     if (available.address === self.address) {
-      this.#pending.delete(job);
+      this.#recordGrant(job, self.process);
       return true;
     }
     const request = this.#send(job, available, claim);
     const dueAt = collector.now + REPLY_TIMEOUT_MILLISECONDS;
-    const state: SentClaim = { phase: ClaimPhase.Sent, request, dueAt };
+    const state: SentClaim = {
+      phase: ClaimPhase.Sent,
+      request,
+      dueAt,
+      isDeferred: false,
+    };
     this.#pending.set(job, { failures, state });
     return false;
   }
@@ -289,7 +360,7 @@
     return {
       job: job.id,
       address: self.address,
-      ageMilliseconds: now - job.arrivedAt,
+      ageMilliseconds: now - job.submittedAt,
       lifetimeMilliseconds: job.deadlineAt - now +
         RUN_AFTER_SILENCE_MILLISECONDS,
     };
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -2,6 +2,7 @@
  * Scheduler of an entry's jobs from submission to answer: admission, queueing, retries and deadlines.
  */
 import {
+  assertNever,
   ClientAnswerKind,
   type DispatchOutput,
   Gauge,
@@ -16,6 +17,7 @@
 } from "@eelgrassfront/model";
 import { ArrivalRates } from "./arrival_rates.ts";
 import type { ClaimExchange } from "./claim_exchange.ts";
+import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
 import { EndingRuns } from "./ending_runs.ts";
 import type { YieldRequest } from "./job_arbiter.ts";
 import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
@@ -134,6 +136,7 @@
     const [request] = job.requests;
     if (known !== undefined && request !== undefined) {
       known.requests.push(request);
+      known.submittedAt = this.#options.collector.now;
       this.#byRequest.set(request, known);
       return;
     }
@@ -163,12 +166,32 @@
     this.#queue.add(job);
     const isFirst = this.#queue.jobs[0] === job;
     if (isFirst && !this.#isHeld && placer.place(job)) {
-      this.#queue.remove(job);
+      this.#removePlaced(job);
       return;
     }
     this.#refuseIfOverloaded(job);
   }
 
+  /** Removes a job from the queue unless a task waits for the end of an earlier run. */
+  #removePlaced(job: DispatchJob): void {
+    const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
+    if (!isWaiting) this.#queue.remove(job);
+  }
+
+  /** Applies the change of a claim to its job. */
+  applyClaimChange({ kind, job }: ClaimChange): void {
+    switch (kind) {
+      case ClaimChangeKind.Granted:
+        this.start(job);
+        return;
+      case ClaimChangeKind.Contested:
+        this.suspend(job);
+        return;
+      default:
+        assertNever(kind);
+    }
+  }
+
   /** Stops a job that another entry turns out to hold; it waits for its grant. */
   suspend(job: DispatchJob): void {
     this.#queue.remove(job);
@@ -194,7 +217,12 @@
     const { now } = this.#options.collector;
     const job = this.#jobs.get(id);
     if (job === undefined) return !this.hasEarlierRuns(id);
-    const lead = now - job.arrivedAt - ageMilliseconds;
+    if (this.#options.claims.isPending(job) && !this.hasEarlierRuns(id)) {
+      // The job waits here, too; it is claimed again, also if its claim is being granted.
+      this.#options.claims.wait(job);
+      return true;
+    }
+    const lead = now - job.submittedAt - ageMilliseconds;
     const isResubmitted = lead >=
       this.#options.resubmissionMilliseconds - ACCEPTANCE_MILLISECONDS;
     if (!isResubmitted) return false;
@@ -299,7 +327,9 @@
   tick(): void {
     this.#classifyJobs();
     this.#enforceDeadlines();
-    for (const job of this.#options.claims.tick()) this.start(job);
+    for (const change of this.#options.claims.tick()) {
+      this.applyClaimChange(change);
+    }
     this.#placeWaiting();
     this.#refuseLate();
     this.#updateGauges();
@@ -339,8 +369,7 @@
         isBlocked = true;
         continue;
       }
-      const isHeld = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
-      if (!isHeld) this.#queue.remove(job);
+      this.#removePlaced(job);
     }
   }
 
