test(emulator): show that an arbiter grants a job whose first grant it does not know

Cause: grants are kept at one process and in memory. The second entry asks a process that has not heard of the first grant: the arbiter has started again or ended, the first entry could not reach it or avoids it for 500 ms after one claim that took 50 ms, or leaves its own part to others after a pause. The arbiter grants a job that it runs itself, and grants itself a job again that the next arbiter granted to another entry. It takes another incarnation of the holder, or 1.92 s without an answer to one request, as the end of the holder's runs, although a holder that cannot be heard renews its sessions.

Change: eight tests, one for each way; no logic is changed.

--- /dev/null
+++ b/emulator/src/lost_grants_test.ts
@@ -0,0 +1,155 @@
+/**
+ * Jobs whose grants are unknown to the arbiter that decides on the resubmission.
+ */
+import { test } from "node:test";
+import type { Milliseconds } from "@eelgrassfront/model";
+import { combineHashes, stableHash } from "@eelgrassfront/ownership";
+import { expect } from "earl";
+import type { DispatchVm } from "./dispatch_vm.ts";
+import {
+  OverlappingRunsHarness,
+  RESUBMISSION_MILLISECONDS,
+} from "./overlapping_runs_harness.ts";
+
+const RUN_MILLISECONDS: Milliseconds = 5_000;
+const ENTRIES = ["entry-1", "entry-2", "entry-3"];
+
+/** Returns a job whose arbiters are the given entries, in this order. */
+function jobOf(...arbiters: readonly string[]): string {
+  for (let index = 0; index < 1_000; index += 1) {
+    const job = `job-${index}`;
+    const rank = (name: string) =>
+      combineHashes(stableHash(name), stableHash(job));
+    const ranked = [...ENTRIES].sort((left, right) => rank(right) - rank(left));
+    if (arbiters.every((name, position) => ranked[position] === name)) {
+      return job;
+    }
+  }
+  throw new Error(`no job has the arbiters ${arbiters.join(", ")}`);
+}
+
+function entryOf(harness: OverlappingRunsHarness, index: number): DispatchVm {
+  const entry = harness.system.entries[index];
+  if (entry === undefined) throw new TypeError(`there is no entry ${index}`);
+  return entry;
+}
+
+// The grants are kept in memory only, and the next incarnation grants at once.
+test("a job does not run beside its resubmission after a restart of its arbiter", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(300);
+  const arbiter = entryOf(harness, 2);
+  harness.system.kill(arbiter);
+  harness.system.restart(arbiter);
+  harness.advance(RESUBMISSION_MILLISECONDS - 300);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// The entry that ranks next has not heard of the job.
+test("a job does not run beside its resubmission after the end of its arbiter", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3", "entry-2");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(300);
+  harness.system.kill(entryOf(harness, 2));
+  harness.advance(RESUBMISSION_MILLISECONDS - 300);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// Another incarnation of the holder counts as the end of its runs, which last until their session has expired.
+test("a job does not run beside its resubmission after a restart of the entry that holds it", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(1_000);
+  const holder = entryOf(harness, 0);
+  harness.system.kill(holder);
+  harness.system.restart(holder);
+  harness.advance(RESUBMISSION_MILLISECONDS - 1_000);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// A holder that is not heard by the arbiter still renews its sessions.
+test("a job does not run beside its resubmission while its holder cannot hear its arbiter", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(300);
+  harness.system.network.holdLink("entry-3~", "entry-1~");
+  harness.advance(RESUBMISSION_MILLISECONDS - 300);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// The second entry asks the arbiter that the first one could not reach.
+test("a job does not run beside its resubmission if its first entry cannot reach its arbiter", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3");
+  harness.system.network.cutLink("entry-1~", "entry-3~");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(RESUBMISSION_MILLISECONDS);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// One claim without an answer turns all jobs of an entry to other arbiters for 500 ms.
+test("a job does not run beside its resubmission if its arbiter has stalled for 60 ms before", () => {
+  const harness = new OverlappingRunsHarness();
+  const [first, second] = [
+    jobOf("entry-3", "entry-2"),
+    jobOf("entry-3", "entry-1"),
+  ];
+  const { process } = entryOf(harness, 2);
+  process.pause();
+  harness.submit(0, first, 100);
+  harness.advance(60);
+  process.resume();
+  harness.advance(100);
+  harness.submit(0, second, RUN_MILLISECONDS);
+  harness.advance(RESUBMISSION_MILLISECONDS);
+  harness.submit(1, second, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// An entry that was paused leaves its part as arbiter to others, but still grants jobs, also those that it runs itself.
+test("an entry does not grant a job that it runs itself to another entry", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-1", "entry-2");
+  const { process } = entryOf(harness, 0);
+  process.pause();
+  harness.advance(600);
+  process.resume();
+  harness.advance(200);
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(RESUBMISSION_MILLISECONDS);
+  harness.submit(2, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
+
+// While the entry was paused, the next arbiter granted the job to another one; its own grant still stands.
+test("a paused entry does not grant itself a job again that another entry was granted meanwhile", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-1", "entry-3");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(100);
+  const { process } = entryOf(harness, 0);
+  process.pause();
+  harness.advance(300);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(300);
+  process.resume();
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
