test(dispatcher): show that claims take delays of their own for the silence of others

Cause: the timeout of a claim is checked before the replies that arrived during a stall are read; a lost arbiter counts as the end of a holder that it has named; the silence of a holder counts from one lost request, however long ago; the time for which an entry leaves its own part as arbiter doubles with each pause, as nothing records its recovery; the age of a job that was submitted to its entry again counts from the first copy.

Change: five tests; no logic is changed.

Conclusion: each is a time that something delayed can extend or shorten.

--- /dev/null
+++ b/domain/dispatcher/src/claim_timeouts_test.ts
@@ -0,0 +1,118 @@
+/**
+ * Claims whose arbiter fails, or seems to fail, while its answer is known or waits to be read.
+ */
+import { test } from "node:test";
+import { FleetDirectory } from "@eelgrassfront/directory";
+import {
+  DispatchReplyKind,
+  DispatchRequestKind,
+  Role,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { ArbiterRanking } from "./arbiter_ranking.ts";
+import { DispatcherHarness } from "./dispatcher_harness.ts";
+
+const SIDECARS = ["sidecar-1"];
+const FREE = { "sidecar-1": 8_000 };
+
+/** Returns an entry that knows other entries, `entry-2` and so on. */
+function entryAmong(others: number): DispatcherHarness {
+  const harness = DispatcherHarness.ready(SIDECARS, FREE);
+  harness.learnEntries(others);
+  return harness;
+}
+
+/** Returns a job whose arbiter is one entry and, if that fails, another one, in a fleet of a number of others. */
+function jobOf(arbiter: string, others: number, next?: string): string {
+  const directory = new FleetDirectory();
+  for (let index = 0; index < others; index += 1) {
+    const name = `entry-${index + 2}`;
+    directory.updateMember({
+      process: `${name}~a`,
+      role: Role.Entry,
+      address: name,
+      availabilityZone: "zone-a",
+    });
+  }
+  const self = {
+    process: "entry-1~a",
+    role: Role.Entry,
+    address: "127.0.0.1:7720",
+    availabilityZone: "zone-a",
+  } as const;
+  const ranking = new ArbiterRanking({ self, directory });
+  const rankingAfterFailure = new ArbiterRanking({ self, directory });
+  rankingAfterFailure.recordFailure(arbiter, 0);
+  for (let index = 0; index < 1_000; index += 1) {
+    const job = `job-${index}`;
+    if (ranking.arbiterOf(job, 0).process !== `${arbiter}~a`) continue;
+    const second = rankingAfterFailure.arbiterOf(job, 0).process;
+    if (next === undefined || second === `${next}~a`) return job;
+  }
+  throw new Error(`no job has the arbiter ${arbiter}`);
+}
+
+function placements(harness: DispatcherHarness): number {
+  return harness.sent(DispatchRequestKind.RunTask).length;
+}
+
+// The timer of a stalled process runs before it reads the answers.
+test("a stall of the claiming entry does not count as the silence of an arbiter", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 1, millicores: 1_000 });
+  harness.stallUntil(150);
+  expect(placements(harness)).toEqual(0);
+  harness.answerRequests(DispatchRequestKind.ClaimJob, {
+    kind: DispatchReplyKind.JobHeld,
+  });
+  harness.runTo(190);
+  expect(placements(harness)).toEqual(0);
+});
+
+// The loss of the arbiter does not end the runs of a holder that the claimant was told of.
+test("a job that another entry holds is not run without a grant when its arbiter is lost", () => {
+  const harness = entryAmong(1);
+  harness.submit(1, { id: jobOf("entry-2", 1), tasks: 1, millicores: 1_000 });
+  harness.answerRequests(DispatchRequestKind.ClaimJob, {
+    kind: DispatchReplyKind.JobHeld,
+  });
+  harness.runTo(60);
+  harness.loseRequests(DispatchRequestKind.ClaimJob);
+  harness.runTo(100);
+  expect(placements(harness)).toEqual(0);
+});
+
+// The time for which an entry leaves its jobs to others doubles with each pause and is never reset.
+test("an entry arbitrates its own jobs again half a second after a pause, however often it was paused", () => {
+  const harness = entryAmong(1);
+  for (let pause = 1; pause <= 6; pause += 1) {
+    harness.stallUntil(20_000 * pause);
+    harness.runTo(20_000 * pause + 18_000);
+  }
+  harness.stallUntil(140_000);
+  harness.runTo(142_000);
+  harness.submit(1, { id: jobOf("entry-1", 1), tasks: 1, millicores: 1_000 });
+  expect(harness.sent(DispatchRequestKind.ClaimJob)).toEqual([]);
+});
+
+// The silence counts from the first request that was lost, however long ago that was.
+test("a holder whose answer was lost once is asked again before its job is granted to another entry", () => {
+  const harness = entryAmong(2);
+  harness.claimAs("entry-2", "job");
+  harness.claimAs("entry-3", "job");
+  harness.loseRequests(DispatchRequestKind.YieldJob);
+  harness.runTo(5_000);
+  expect(harness.claimAs("entry-3", "job")).toEqual(DispatchReplyKind.JobHeld);
+});
+
+// The age of a job counts from its first copy, although its client submitted it again to the same entry.
+test("an entry keeps a job that was submitted to it again when another copy arrives", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-1", 1);
+  harness.submit(1, { id, tasks: 1, millicores: 1_000 });
+  harness.runTo(1_300);
+  harness.submit(2, { id, tasks: 1, millicores: 1_000 });
+  harness.runTo(1_350);
+  harness.yieldTo("entry-2", id);
+  expect(harness.answerTo(2)).toEqual(undefined);
+});
