test(emulator,dispatcher): show that one stall of an arbiter is avoided for 16 s

Cause: ArbiterRanking.recordFailure doubles the avoidance for each claim, also for claims that were in flight together when the arbiter stalled. Six of them give 16 s. A paused entry claims all its jobs at once, so one pause has the same effect on an arbiter that is still paused. Until then the entry claims its jobs elsewhere than the others do.

Change: two tests; no logic is changed.

Conclusion: claims that fail together are one failure.

--- a/domain/dispatcher/src/claim_timeouts_test.ts
+++ b/domain/dispatcher/src/claim_timeouts_test.ts
@@ -116,3 +116,17 @@
   harness.yieldTo("entry-2", id);
   expect(harness.answerTo(2)).toEqual(undefined);
 });
+
+// Each claim that is lost with a connection counts as a failure of its own.
+test("an arbiter that lost several claims at once is asked again after half a second", () => {
+  const harness = entryAmong(1);
+  const id = jobOf("entry-2", 1);
+  const others = Array.from({ length: 200 }, (_, index) => `other-${index}`);
+  for (const [request, other] of others.entries()) {
+    harness.submit(request + 10, { id: other, tasks: 1, millicores: 10 });
+  }
+  harness.loseRequests(DispatchRequestKind.ClaimJob);
+  harness.runTo(2_000);
+  harness.submit(1, { id, tasks: 1, millicores: 10 });
+  expect(harness.sent(DispatchRequestKind.ClaimJob).length).toEqual(1);
+});
--- a/emulator/src/lost_grants_test.ts
+++ b/emulator/src/lost_grants_test.ts
@@ -14,13 +14,17 @@
 const RUN_MILLISECONDS: Milliseconds = 5_000;
 const ENTRIES = ["entry-1", "entry-2", "entry-3"];
 
+function arbitersOf(job: string): readonly string[] {
+  const rank = (name: string) =>
+    combineHashes(stableHash(name), stableHash(job));
+  return [...ENTRIES].sort((left, right) => rank(right) - rank(left));
+}
+
 /** Returns a job whose arbiters are the given entries, in this order. */
 function jobOf(...arbiters: readonly string[]): string {
   for (let index = 0; index < 1_000; index += 1) {
     const job = `job-${index}`;
-    const rank = (name: string) =>
-      combineHashes(stableHash(name), stableHash(job));
-    const ranked = [...ENTRIES].sort((left, right) => rank(right) - rank(left));
+    const ranked = arbitersOf(job);
     if (arbiters.every((name, position) => ranked[position] === name)) {
       return job;
     }
@@ -153,3 +157,26 @@
   harness.advance(8_000);
   expect(harness.overlaps).toEqual([]);
 });
+
+// Each of the claims that time out together doubles the time for which the arbiter is avoided, to 16 s.
+test("a job does not run beside its resubmission 10 s after six claims were answered late at once", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3", "entry-1");
+  const { process } = entryOf(harness, 2);
+  process.pause();
+  let claims = 0;
+  for (let index = 0; claims < 6; index += 1) {
+    const other = `other-${index}`;
+    if (arbitersOf(other)[0] !== "entry-3") continue;
+    claims += 1;
+    harness.submit(0, other, 1);
+  }
+  harness.advance(60);
+  process.resume();
+  harness.advance(10_000);
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(RESUBMISSION_MILLISECONDS);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
