test(emulator): show that a drained arbiter takes its grants with it

Cause: an entry that drains ends without handing over its grants; the entry that ranks next has not heard of them.

Change: a test; no logic is changed.

Conclusion: planned work is enough, as in each rolling restart.

--- a/emulator/src/lost_grants_test.ts
+++ b/emulator/src/lost_grants_test.ts
@@ -2,7 +2,7 @@
  * Jobs whose grants are unknown to the arbiter that decides on the resubmission.
  */
 import { test } from "node:test";
-import type { Milliseconds } from "@eelgrassfront/model";
+import { InputKind, type Milliseconds } from "@eelgrassfront/model";
 import { combineHashes, stableHash } from "@eelgrassfront/ownership";
 import { expect } from "earl";
 import type { DispatchVm } from "./dispatch_vm.ts";
@@ -180,3 +180,16 @@
   harness.advance(8_000);
   expect(harness.overlaps).toEqual([]);
 });
+
+// A drained entry ends without handing over its grants.
+test("a job does not run beside its resubmission after its arbiter was drained", () => {
+  const harness = new OverlappingRunsHarness();
+  const job = jobOf("entry-3");
+  harness.submit(0, job, RUN_MILLISECONDS);
+  harness.advance(100);
+  entryOf(harness, 2).process.receive({ kind: InputKind.DrainRequested });
+  harness.advance(3_500);
+  harness.submit(1, job, RUN_MILLISECONDS);
+  harness.advance(8_000);
+  expect(harness.overlaps).toEqual([]);
+});
