test(emulator): keep the seeds in which two entries held one job

Cause: late requests, held clients and late ends of connections let two entries hold one job, and its tasks ran twice at the same time.

Change: ten seeds of three mixes are played as regression cases: late requests 1, 4, 11 and 13; short deadlines with held clients 29, 31 and 57; late disconnections 9001, 9003 and 9006.

Conclusion: the mixes are covered from now on.

--- a/emulator/src/overlapping_runs_test.ts
+++ b/emulator/src/overlapping_runs_test.ts
@@ -55,6 +55,37 @@
     onlyDisruptions: true,
     seeds: [2042, 2053, 2087],
   },
+  // Two entries held a job: its first request arrived after its client had submitted it again.
+  {
+    disruptions: [
+      Disruption.LongTasks,
+      Disruption.ClientResubmissions,
+      Disruption.LateRequests,
+    ],
+    onlyDisruptions: true,
+    seeds: [1, 4, 11, 13],
+  },
+  // The same, since all requests and ends of connections of some seconds arrived at once.
+  {
+    disruptions: [
+      Disruption.LongTasks,
+      Disruption.ClientResubmissions,
+      Disruption.ShortDeadlines,
+      Disruption.HeldClients,
+    ],
+    onlyDisruptions: true,
+    seeds: [29, 31, 57],
+  },
+  // Two entries held a job: the first one read the end of its client's connection after the second submission.
+  {
+    disruptions: [
+      Disruption.LongTasks,
+      Disruption.ClientResubmissions,
+      Disruption.LateDisconnections,
+    ],
+    onlyDisruptions: true,
+    seeds: [9001, 9003, 9006],
+  },
 ];
 
 for (const { disruptions, onlyDisruptions, seeds } of FAILED_RUNS) {
