test(emulator): drain entries, disturb links between entries and kill the fleet

Cause: the claims of use links between entries, which no disruption touched; drained entries and kills of the whole fleet were among the usual faults only.

Holding and slowing take the links as an argument.

Conclusion: the soak can play the faults that hit the claims.

--- a/emulator/src/dispatch_disruptions.ts
+++ b/emulator/src/dispatch_disruptions.ts
@@ -5,6 +5,7 @@
  */
 import {
   assertNever,
+  InputKind,
   type Milliseconds,
   type ProcessIdentifier,
 } from "@eelgrassfront/model";
@@ -52,6 +53,16 @@
   EntryLags = "entry-lags",
   /** The same with a sidecar. */
   SidecarLags = "sidecar-lags",
+  /** Entries are asked to stop, and start again when they have ended. */
+  EntryDrains = "entry-drains",
+  /** Links between two entries, or between one and all others, are cut for up to some seconds. */
+  CutEntries = "cut-entries",
+  /** Messages between entries are held for up to some seconds, and then delivered in order. */
+  HeldEntries = "held-entries",
+  /** Messages from one entry to another take longer and longer, up to some seconds. */
+  SlowEntries = "slow-entries",
+  /** All processes are killed at once. */
+  FleetKills = "fleet-kills",
 }
 
 /** The system and the time in which disruptions may begin and must end. */
@@ -62,6 +73,9 @@
   readonly until: Milliseconds;
 }
 
+/** A link from one VM to another. */
+type Link = readonly [ProcessIdentifier, ProcessIdentifier];
+
 const KINDS = Object.values(Disruption);
 const SEED_OFFSET = 7_000_003;
 const MAXIMUM_REPEATS = 4;
@@ -70,6 +84,8 @@
 const DELAY_STEP_MILLISECONDS: Milliseconds = 500;
 /** Longest stall of an event loop; the process does not notice it as a pause. */
 const MAXIMUM_LAG_MILLISECONDS: Milliseconds = 480;
+/** Time after which a drained entry has ended. */
+const DRAIN_MILLISECONDS: Milliseconds = 6_500;
 const MAXIMUM_PAUSE_MILLISECONDS: Milliseconds = 5_000;
 
 /** Returns the generator of a kind of disruption. */
@@ -116,10 +132,27 @@
         this.#setFaults(random, { delayedStops: random.between(0.5, 0.9) });
         return;
       case Disruption.HeldMessages:
-        this.#holdMessages(random);
+        this.#hold(random, this.#pickLinks(random));
+        return;
+      case Disruption.HeldEntries:
+        this.#hold(random, this.#pickEntryLinks(random));
         return;
       case Disruption.SlowLinks:
-        this.#slowLinks(random);
+        this.#slow(random, this.#pickLinks(random));
+        return;
+      case Disruption.SlowEntries:
+        this.#slow(random, this.#pickEntryLinks(random));
+        return;
+      case Disruption.CutEntries:
+        this.#cut(random, this.#pickEntryLinks(random));
+        return;
+      case Disruption.EntryDrains:
+        this.#drain(random);
+        return;
+      case Disruption.FleetKills:
+        for (const vm of [...system.entries, ...system.sidecars]) {
+          this.#kill(random, [vm], [400, 1_200]);
+        }
         return;
       case Disruption.SidecarOutages:
         this.#kill(random, system.sidecars, [3_000, 6_000]);
@@ -173,19 +206,19 @@
     );
   }
 
-  #holdMessages(random: SeededRandom): void {
+  #hold(random: SeededRandom, links: readonly Link[]): void {
     const { network, time } = this.#options.system;
     const duration = random.between(100, MAXIMUM_HOLD_MILLISECONDS);
-    for (const [from, to] of this.#pickLinks(random)) {
+    for (const [from, to] of links) {
       network.holdLink(from, to);
       time.after(duration, () => network.releaseLink(from, to));
     }
   }
 
-  #slowLinks(random: SeededRandom): void {
+  #slow(random: SeededRandom, links: readonly Link[]): void {
     const { network, time } = this.#options.system;
     const step = random.between(50, 400);
-    for (const [from, to] of this.#pickLinks(random)) {
+    for (const [from, to] of links) {
       for (let count = 1; count <= MAXIMUM_DELAY_STEPS; count += 1) {
         const at = count * DELAY_STEP_MILLISECONDS;
         time.after(at, () => network.delayLink(from, to, count * step));
@@ -197,16 +230,52 @@
     }
   }
 
+  #cut(random: SeededRandom, links: readonly Link[]): void {
+    const { network, time } = this.#options.system;
+    for (const [from, to] of links) network.cutLink(from, to);
+    time.after(
+      random.between(100, MAXIMUM_HOLD_MILLISECONDS),
+      () => network.restoreAllLinks(),
+    );
+  }
+
+  #drain(random: SeededRandom): void {
+    const { system } = this.#options;
+    const vm = random.pick(system.entries);
+    if (vm === undefined) return;
+    vm.process.receive({ kind: InputKind.DrainRequested });
+    system.time.after(DRAIN_MILLISECONDS, () => {
+      if (vm.process.state === ProcessState.Ended) system.restart(vm);
+    });
+  }
+
+  /** Links in one or both directions between two entries, or between one and all others. */
+  #pickEntryLinks(random: SeededRandom): readonly Link[] {
+    const { entries } = this.#options.system;
+    const isAll = random.happens(0.5);
+    const direction = random.below(3);
+    const chosen = random.pick(entries);
+    const other = random.pick(entries.filter((entry) => entry !== chosen));
+    const links: Link[] = [];
+    for (const entry of entries) {
+      if (chosen === undefined || entry === chosen) continue;
+      if (!isAll && entry !== other) continue;
+      const near: ProcessIdentifier = `${chosen.name}~`;
+      const far: ProcessIdentifier = `${entry.name}~`;
+      if (direction !== 0) links.push([near, far]);
+      if (direction !== 1) links.push([far, near]);
+    }
+    return links;
+  }
+
   /** Links in one or both directions between some entries and some sidecars. */
-  #pickLinks(
-    random: SeededRandom,
-  ): readonly (readonly [ProcessIdentifier, ProcessIdentifier])[] {
+  #pickLinks(random: SeededRandom): readonly Link[] {
     const { entries, sidecars } = this.#options.system;
     const share = random.pick([0.3, 1]) ?? 1;
     const direction = random.below(3);
     const chosenEntry = random.pick(entries);
     const chosenSidecar = random.pick(sidecars);
-    const links: [ProcessIdentifier, ProcessIdentifier][] = [];
+    const links: Link[] = [];
     for (const entry of entries) {
       for (const sidecar of sidecars) {
         const isChosen = share === 1
