--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -36,8 +36,13 @@
   type DispatchProcess,
   type DispatchSystemOptions,
   type DispatchVm,
+  GRACE_MILLISECONDS,
+  LEASE_MILLISECONDS,
   outstandingKey,
+  REPORT_MILLISECONDS,
   requestLost,
+  RESUBMISSION_MILLISECONDS,
+  STOP_MILLISECONDS,
   vmNameOf,
   zoneOf,
 } from "./dispatch_vm.ts";
@@ -53,12 +58,6 @@
 }
 
 const NETWORK_DELAY_MILLISECONDS: Milliseconds = 0.5;
-const REPORT_MILLISECONDS: Milliseconds = 1_500;
-const LEASE_MILLISECONDS: Milliseconds = 1_000;
-const STOP_MILLISECONDS: Milliseconds = 50;
-const GRACE_MILLISECONDS: Milliseconds = 6_000;
-/** Time after which a client whose connection has broken submits its job again. */
-export const RESUBMISSION_MILLISECONDS: Milliseconds = 1_300;
 const STORE_MILLISECONDS: Milliseconds = 4;
 const MINIMUM_CLOCK_RATE = 0.98;
 const CRASH_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
@@ -232,20 +231,16 @@
       availabilityZone: zoneOf(identifier, this.#options.fleet.zones),
     };
     const seeds = ["entry-1", "entry-2", "entry-3"];
-    const graceMilliseconds = GRACE_MILLISECONDS;
+    const common = { self, seeds, graceMilliseconds: GRACE_MILLISECONDS };
     switch (role) {
       case Role.Entry:
         return new DispatcherDecisions({
-          self,
-          seeds,
-          graceMilliseconds,
+          ...common,
           resubmissionMilliseconds: RESUBMISSION_MILLISECONDS,
         });
       case Role.Sidecar:
         return new WorkerGuardDecisions({
-          self,
-          seeds,
-          graceMilliseconds,
+          ...common,
           leaseMilliseconds: LEASE_MILLISECONDS,
           stopMilliseconds: STOP_MILLISECONDS,
           firstFencingToken: Math.floor(this.time.now) + 1,
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -19,6 +19,17 @@
 import type { FakeWorker, WorkerObserver } from "./fake_worker.ts";
 import type { VirtualProcess } from "./virtual_process.ts";
 
+/** Interval of a worker's reports. */
+export const REPORT_MILLISECONDS: Milliseconds = 1_500;
+/** The longest lease that a worker grants. */
+export const LEASE_MILLISECONDS: Milliseconds = 1_000;
+/** Longest time that a worker needs to stop a run. */
+export const STOP_MILLISECONDS: Milliseconds = 50;
+/** Time between the request to stop and the kill of a process. */
+export const GRACE_MILLISECONDS: Milliseconds = 6_000;
+/** Time after which a client whose connection has broken submits its job again. */
+export const RESUBMISSION_MILLISECONDS: Milliseconds = 1_300;
+
 /** The process on a VM. */
 export type DispatchProcess = VirtualProcess<DispatchInput, DispatchOutput>;
 
--- a/emulator/src/lost_claims_test.ts
+++ b/emulator/src/lost_claims_test.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import type { Milliseconds } from "@eelgrassfront/model";
 import { expect } from "earl";
-import type { DispatchVm } from "./dispatch_vm.ts";
+import { entryOf } from "./claims_harness.ts";
 import {
   OverlappingRunsHarness,
   RESUBMISSION_MILLISECONDS,
@@ -22,15 +22,6 @@
 /** Times at which an entry under load would ask again an arbiter that stays away. */
 const GAPS: readonly Milliseconds[] = [530, 1_030, 2_030, 50];
 
-function entryOf(
-  { system }: OverlappingRunsHarness,
-  index: number,
-): DispatchVm {
-  const entry = system.entries[index];
-  if (entry === undefined) throw new TypeError("the fleet has no such entry");
-  return entry;
-}
-
 /** Submits a job through the first entry, and through the second one when its client submits it again. */
 function submitTwice(harness: OverlappingRunsHarness): void {
   harness.submit(0, JOB, RUN_MILLISECONDS);
@@ -136,17 +127,3 @@
   harness.advance(2 * RUN_MILLISECONDS);
   expect(harness.overlaps).toEqual([]);
 });
-
-// The holder's sessions with the sidecars are renewed all the time, so that its runs do not end.
-test("a holder that only its arbiter cannot reach does not count as silent", () => {
-  const harness = new OverlappingRunsHarness();
-  const { network } = harness.system;
-  harness.submit(0, JOB, RUN_MILLISECONDS);
-  harness.advance(500);
-  network.cutLink("entry-1~", "entry-3~");
-  network.cutLink("entry-3~", "entry-1~");
-  harness.advance(RESUBMISSION_MILLISECONDS);
-  harness.submit(1, JOB, RUN_MILLISECONDS);
-  harness.advance(2 * RUN_MILLISECONDS);
-  expect(harness.overlaps).toEqual([]);
-});
--- a/emulator/src/lost_grants_test.ts
+++ b/emulator/src/lost_grants_test.ts
@@ -3,40 +3,14 @@
  */
 import { test } from "node:test";
 import { InputKind, type Milliseconds } from "@eelgrassfront/model";
-import { combineHashes, stableHash } from "@eelgrassfront/ownership";
 import { expect } from "earl";
-import type { DispatchVm } from "./dispatch_vm.ts";
+import { arbitersOf, entryOf, jobOf } from "./claims_harness.ts";
 import {
   OverlappingRunsHarness,
   RESUBMISSION_MILLISECONDS,
 } from "./overlapping_runs_harness.ts";
 
 const RUN_MILLISECONDS: Milliseconds = 5_000;
-const ENTRIES = ["entry-1", "entry-2", "entry-3"];
-
-function arbitersOf(job: string): readonly string[] {
-  const rank = (name: string) =>
-    combineHashes(stableHash(name), stableHash(job));
-  return [...ENTRIES].sort((left, right) => rank(right) - rank(left));
-}
-
-/** Returns a job whose arbiters are the given entries, in this order. */
-function jobOf(...arbiters: readonly string[]): string {
-  for (let index = 0; index < 1_000; index += 1) {
-    const job = `job-${index}`;
-    const ranked = arbitersOf(job);
-    if (arbiters.every((name, position) => ranked[position] === name)) {
-      return job;
-    }
-  }
-  throw new Error(`no job has the arbiters ${arbiters.join(", ")}`);
-}
-
-function entryOf(harness: OverlappingRunsHarness, index: number): DispatchVm {
-  const entry = harness.system.entries[index];
-  if (entry === undefined) throw new TypeError(`there is no entry ${index}`);
-  return entry;
-}
 
 // The grants are kept in memory only, and the next incarnation grants at once.
 test("a job does not run beside its resubmission after a restart of its arbiter", () => {
@@ -94,18 +68,6 @@
   expect(harness.overlaps).toEqual([]);
 });
 
-// The second entry asks the arbiter that the first one could not reach.
-test("a job does not run beside its resubmission if its first entry cannot reach its arbiter", () => {
-  const harness = new OverlappingRunsHarness();
-  const job = jobOf("entry-3");
-  harness.system.network.cutLink("entry-1~", "entry-3~");
-  harness.submit(0, job, RUN_MILLISECONDS);
-  harness.advance(RESUBMISSION_MILLISECONDS);
-  harness.submit(1, job, RUN_MILLISECONDS);
-  harness.advance(8_000);
-  expect(harness.overlaps).toEqual([]);
-});
-
 // One claim without an answer turns all jobs of an entry to other arbiters for 500 ms.
 test("a job does not run beside its resubmission if its arbiter has stalled for 60 ms before", () => {
   const harness = new OverlappingRunsHarness();
@@ -142,22 +104,6 @@
   expect(harness.overlaps).toEqual([]);
 });
 
-// While the entry was paused, the next arbiter granted the job to another one; its own grant still stands.
-test("a paused entry does not grant itself a job again that another entry was granted meanwhile", () => {
-  const harness = new OverlappingRunsHarness();
-  const job = jobOf("entry-1", "entry-3");
-  harness.submit(0, job, RUN_MILLISECONDS);
-  harness.advance(100);
-  const { process } = entryOf(harness, 0);
-  process.pause();
-  harness.advance(300);
-  harness.submit(1, job, RUN_MILLISECONDS);
-  harness.advance(300);
-  process.resume();
-  harness.advance(8_000);
-  expect(harness.overlaps).toEqual([]);
-});
-
 // Each of the claims that time out together doubles the time for which the arbiter is avoided, to 16 s.
 test("a job does not run beside its resubmission 10 s after six claims were answered late at once", () => {
   const harness = new OverlappingRunsHarness();
--- a/emulator/src/overlapping_runs_harness.ts
+++ b/emulator/src/overlapping_runs_harness.ts
@@ -13,7 +13,7 @@
 import { DispatchChecker, DispatchRule } from "./dispatch_checker.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
 
-export { RESUBMISSION_MILLISECONDS } from "./dispatch_system.ts";
+export { RESUBMISSION_MILLISECONDS } from "./dispatch_vm.ts";
 import type { DispatchVm } from "./dispatch_vm.ts";
 import { NO_NETWORK_FAULTS } from "./fake_network.ts";
 
