--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -42,6 +42,7 @@
 const READ_MILLISECONDS: Milliseconds = 20;
 /** Number of arbiters that are asked before a job is run without a grant. */
 const MAXIMUM_ARBITERS = 2;
+
 /** Phases of a claim. */
 enum ClaimPhase {
   /** The arbiter has not replied yet. */
@@ -55,6 +56,7 @@
   /** The request whose reply decides. */
   readonly request: RequestIdentifier;
   readonly dueAt: Milliseconds;
+  /** Whether the timeout was put off once, because it was noticed late. */
   readonly isDeferred: boolean;
 }
 
