feat(worker-guard): show in the event of a crash which runs had begun

Cause: event 4109 named the tasks at a crashed worker with their ages, so a run that had begun could not be told from one whose start call was still on its way or had been refused.

Change: the line contains the phase of each run and how many runs are suspects. No decision changes.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -270,7 +270,7 @@
   },
   [EventNumber.WorkerCrashed]: {
     meaning:
-      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since its start, and how many there were.",
+      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since it was accepted and the phase of its run, how many there were, and how many of them are suspects.",
     action:
       "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
   },
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -66,8 +66,8 @@
       for (const run of runs) table.settle(run, settlement);
       return;
     }
-    this.#recordCrash(worker, runs);
     const suspects = suspectRuns.suspectsOf(runs);
+    this.#recordCrash(worker, runs, suspects);
     this.#reportSuspects(suspects);
     for (const run of runs) {
       const reason = suspects.includes(run)
@@ -103,22 +103,28 @@
     });
   }
 
-  #recordCrash(worker: WorkerDescription, runs: readonly WorkerRun[]): void {
+  #recordCrash(
+    worker: WorkerDescription,
+    runs: readonly WorkerRun[],
+    suspects: readonly WorkerRun[],
+  ): void {
     const { collector } = this.#options;
     collector.count(Counter.WorkerCrashes);
     const tasks = runs
-      .map(({ task, acceptedAt }) => ({
+      .map(({ task, acceptedAt, state }) => ({
         task: jobTaskKey(task),
         age: collector.now - acceptedAt,
+        phase: state.phase,
       }))
       .sort((left, right) => left.age - right.age)
       .slice(0, MAXIMUM_TASKS_IN_EVENT)
-      .map(({ task, age }) => `${task} ${Math.round(age)}`);
+      .map(({ task, age, phase }) => `${task} ${Math.round(age)} ${phase}`);
     collector.record(EventNumber.WorkerCrashed, "a worker has crashed", {
       severity: Severity.Warning,
       context: {
         worker: worker.incarnation.id,
         runs: runs.length,
+        suspects: suspects.length,
         tasks: tasks.join(", "),
       },
     });
--- a/domain/worker_guard/src/lost_runs_test.ts
+++ b/domain/worker_guard/src/lost_runs_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import {
   DispatchInputKind,
+  EventNumber,
   InterruptionReason,
   WorkerPhase,
 } from "@eelgrassfront/model";
@@ -51,3 +52,14 @@
     interrupted(InterruptionReason.WorkerLost),
   );
 });
+
+test("the event of a crash shows which runs had begun", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.runTask(11, { job: "b", millicores: 1_000 });
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  const tasks = harness.eventContexts(EventNumber.WorkerCrashed)
+    .map((context) => context["tasks"]);
+  expect(tasks).toEqual(["a.0.0 0 running, b.0.0 0 starting"]);
+});
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -13,9 +13,11 @@
   type DispatchRequest,
   DispatchRequestKind,
   ErrorTag,
+  type EventNumber,
   InputKind,
   type OutgoingRequest,
   OutputKind,
+  type ProcessEvent,
   type ProcessIdentifier,
   type RenewSession,
   Role,
@@ -79,6 +81,7 @@
   readonly #calls: CallWorker[] = [];
   readonly #started: string[] = [];
   readonly #replies = new Map<number, DispatchReply[]>();
+  readonly #events: ProcessEvent[] = [];
   readonly #sessions = new Map<ProcessIdentifier, number>();
   #now = 0;
   /** How far the worker's clock is ahead of the sidecar's. */
@@ -268,6 +271,12 @@
     });
   }
 
+  /** The contexts of the recorded events with a number. */
+  eventContexts(number: EventNumber): readonly ProcessEvent["context"][] {
+    return this.#events.filter((event) => event.number === number)
+      .map(({ context }) => context);
+  }
+
   messagesTo(request: number): readonly DispatchReply[] {
     return this.#replies.get(request) ?? [];
   }
@@ -386,6 +395,7 @@
 
   #add(output: DispatchOutput): void {
     if (output.kind === OutputKind.Stop) this.hasStopped = true;
+    if (output.kind === OutputKind.RecordEvent) this.#events.push(output.event);
     if (output.kind === OutputKind.SendReply) {
       const replies = this.#replies.get(output.request) ?? [];
       this.#replies.set(output.request, [...replies, output.message]);
