--- /dev/null
+++ b/domain/dispatcher/src/outage_crash_test.ts
@@ -0,0 +1,136 @@
+/**
+ * What an entry makes of crashes that tasks have not caused: workers that crash in one outage, or again and again.
+ */
+import { test } from "node:test";
+import {
+  BestEffortJobState,
+  type ClientAnswer,
+  ClientAnswerKind,
+  type CrashSuspect,
+  DispatchRequestKind,
+  InputKind,
+  InterruptionReason,
+  SettlementKind,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import {
+  CAPACITY_MILLICORES,
+  DispatcherHarness,
+} from "./dispatcher_harness.ts";
+
+const SIDECARS = ["a", "b", "c", "d", "e", "f"];
+const SECOND = 1_000;
+const FAILED: ClientAnswer = {
+  kind: ClientAnswerKind.Ended,
+  state: BestEffortJobState.Failed,
+};
+const COMPLETED: ClientAnswer = {
+  kind: ClientAnswerKind.Ended,
+  state: BestEffortJobState.Completed,
+};
+
+function readyHarness(): DispatcherHarness {
+  const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
+  return DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
+}
+
+function submit(harness: DispatcherHarness, request: number, id: string): void {
+  harness.submit(request, { id, tasks: 1, millicores: 1_000 });
+}
+
+function crashWorkers(harness: DispatcherHarness): void {
+  harness.settleAll({
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.WorkerCrashed,
+  });
+}
+
+function completeAll(harness: DispatcherHarness): void {
+  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 100 });
+}
+
+/** Reports a crash at a sidecar; without suspects no run there explains it. */
+function reportCrash(
+  harness: DispatcherHarness,
+  suspects: readonly CrashSuspect[] = [],
+): void {
+  harness.step({
+    kind: InputKind.PeerRequestArrived,
+    from: "z~a",
+    request: 900,
+    message: { kind: DispatchRequestKind.ReportCrash, suspects },
+  });
+}
+
+/** How many of the unsettled runs are apart from others. */
+function runsApart(harness: DispatcherHarness): number {
+  return harness.sent(DispatchRequestKind.RunTask).filter(({ message }) =>
+    message.kind === DispatchRequestKind.RunTask &&
+    message.suspectRoute !== undefined
+  ).length;
+}
+
+test("a job is not failed for two workers that crashed in one outage", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  crashWorkers(harness);
+  reportCrash(harness);
+  crashWorkers(harness);
+  completeAll(harness);
+  expect(harness.answerTo(1)).toEqual(COMPLETED);
+});
+
+test("a job is not failed for crashes of an outage that the entry heard of first", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  reportCrash(harness);
+  harness.runTo(100);
+  crashWorkers(harness);
+  crashWorkers(harness);
+  completeAll(harness);
+  expect(harness.answerTo(1)).toEqual(COMPLETED);
+});
+
+test("jobs that had just started when an outage ended their workers do not run apart", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  reportCrash(harness);
+  crashWorkers(harness);
+  expect(runsApart(harness)).toEqual(0);
+});
+
+test("a kind of work is not put under quarantine for crashes of an outage, of which the entry hears later", () => {
+  const harness = readyHarness();
+  reportCrash(harness, [{
+    task: { job: "other", step: 0, index: 0 },
+    route: "scan",
+  }]);
+  submit(harness, 1, "a");
+  expect(runsApart(harness)).toEqual(1);
+  reportCrash(harness);
+  submit(harness, 2, "b");
+  expect(runsApart(harness)).toEqual(1);
+});
+
+test("while workers crash without a cause among their runs, a job is failed after three crashes", () => {
+  const harness = readyHarness();
+  reportCrash(harness);
+  harness.runTo(SECOND);
+  submit(harness, 1, "a");
+  crashWorkers(harness);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual(undefined);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual(FAILED);
+});
+
+test("a task is started no more after five crashes, though an outage surrounds each of them", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  for (let crash = 1; crash <= 8; crash += 1) {
+    reportCrash(harness);
+    crashWorkers(harness);
+  }
+  expect(harness.placementAddresses().length).toEqual(5);
+  expect(harness.answerTo(1)).toEqual(FAILED);
+});
--- /dev/null
+++ b/domain/worker_guard/src/unstarted_runs_test.ts
@@ -0,0 +1,79 @@
+/**
+ * What a sidecar says of the runs of a crashed worker that had not begun, and of crashes that no run explains.
+ */
+import { test } from "node:test";
+import {
+  ErrorTag,
+  InterruptionReason,
+  NotStartedReason,
+  Step,
+  SUSPICION_MILLISECONDS,
+  type WorkerAnswer,
+  WorkerAnswerKind,
+} from "@eelgrassfront/model";
+import { expect } from "earl";
+import { interrupted, notStarted } from "./run_settlement.ts";
+import {
+  BORN_AT,
+  CONNECTION_REFUSED,
+  ENTRY,
+  WorkerGuardHarness,
+} from "./worker_guard_harness.ts";
+
+const BESIDE = interrupted(InterruptionReason.BesideCrash);
+
+const CONNECTION_LOST: WorkerAnswer = {
+  kind: WorkerAnswerKind.Unanswered,
+  error: {
+    tag: ErrorTag.ConnectionLost,
+    step: Step.ExecuteTask,
+    peer: "i-1",
+    detail: "the connection ended",
+  },
+};
+
+test("a start call that the worker's address refuses does not count as a crash under its task", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.answer(harness.takeCalls("start")[0], CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(
+    notStarted(NotStartedReason.NoWorker),
+  );
+});
+
+test("a run whose start call has no answer yet is not suspected when its worker has crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(BESIDE);
+});
+
+test("a run whose start call broke with its connection is suspected when its worker has crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.answer(harness.takeCalls("start")[0], CONNECTION_LOST);
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.WorkerCrashed),
+  );
+});
+
+test("a run that a later incarnation of the worker ends before its start is answered is not suspected", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.report({ bornAt: BORN_AT + 500 });
+  harness.answerPoll({});
+  expect(harness.settlementOf(10)).toEqual(BESIDE);
+});
+
+test("runs that began long before a crash are not suspected, and the entries hear that no run explains it", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.learnEntries([ENTRY]);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.advanceTo(SUSPICION_MILLISECONDS);
+  harness.runTask(11, { job: "b", millicores: 1_000 });
+  harness.answer(harness.takeCalls("start")[0], CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(BESIDE);
+  expect(harness.crashReports).toEqual([{ to: ENTRY, suspects: [] }]);
+});
