fix(worker-guard): blame a crash only on tasks that had evidently begun

Cause: when a worker ended, every run sent to it counted as begun. A start call whose connection the worker's address refused thus became a crash under its task, and the next such call the second one, after which the job fails. Class: a conclusion from circumstances (a call was under way) in place of evidence (the run had begun).

Change: the run of a refused start call is settled as not started. Of the others, only those whose beginning is evident (answered, listed, or the call's connection broke) are suspects, and only if they began in the last 150 ms; where none had, all runs were suspects so far. The test on a new incarnation asserted the fault: its start call had no answer. It answers the call now, and unstarted_runs_test holds the case without an answer.

Conclusion: a task is not blamed for a worker that it never reached. What remains: a task that crashes its worker later than 150 ms after its start is never named, so that its bound is five crashes.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -11,6 +11,7 @@
   Counter,
   type DispatchOutput,
   DispatchOutputKind,
+  ErrorTag,
   EventNumber,
   Histogram,
   InterruptionReason,
@@ -178,10 +179,11 @@
         // A late stop does no harm, and a higher token would void those that are on their way.
         if (!this.#stops.isStopPending) link.raiseFencingToken();
         collector.count(Counter.WorkerCallsMissing, pending.kind);
-        this.#onUnanswered(pending);
+        this.#onUnanswered(pending, answer.error.tag);
         return true;
       case WorkerAnswerKind.ConnectionRefused:
         collector.recordError(EventNumber.WorkerLost, answer.error);
+        this.#onStartUndelivered(pending);
         return false;
       default:
         return assertNever(answer);
@@ -285,18 +287,13 @@
     }
   }
 
-  #onRefused(
-    { kind, run: target, fencingToken }: PendingCall,
-    reason: WorkerRefusalReason,
-  ): boolean {
+  #onRefused(pending: PendingCall, reason: WorkerRefusalReason): boolean {
     if (reason === WorkerRefusalReason.IncarnationMismatch) return false;
     if (reason === WorkerRefusalReason.Fenced) {
-      this.#options.link.raiseFence(fencingToken);
+      this.#options.link.raiseFence(pending.fencingToken);
     }
-    const run = this.#findRun(target);
-    const isStart = kind === WorkerCallKind.Start &&
-      run?.state.phase === RunPhase.Starting;
-    if (isStart) this.#retryStart(run, reason);
+    const run = this.#findStartingRun(pending);
+    if (run !== undefined) this.#retryStart(run, reason);
     return true;
   }
 
@@ -318,10 +315,16 @@
     this.#settle(run, notStarted(NotStartedReason.WorkerRefused));
   }
 
-  #onUnanswered({ kind, run: target }: PendingCall): void {
-    const run = this.#findRun(target);
-    if (kind !== WorkerCallKind.Start || run === undefined) return;
-    if (run.state.phase !== RunPhase.Starting) return;
+  /** Settles the run of a start call whose connection was refused: it has not begun and never will. */
+  #onStartUndelivered(pending: PendingCall): void {
+    const run = this.#findStartingRun(pending);
+    if (run === undefined) return;
+    this.#settle(run, notStarted(NotStartedReason.NoWorker));
+  }
+
+  #onUnanswered(pending: PendingCall, tag: ErrorTag): void {
+    const run = this.#findStartingRun(pending);
+    if (run?.state.phase !== RunPhase.Starting) return;
     const { collector } = this.#options;
     collector.count(Counter.RunsDoubtful);
     collector.record(
@@ -336,6 +339,7 @@
       phase: RunPhase.Indeterminate,
       run: run.state.run,
       since: collector.now,
+      hasConnectionBroken: tag === ErrorTag.ConnectionLost,
     };
     this.#pollNow();
   }
@@ -474,6 +478,15 @@
     table.settle(run, settlement);
   }
 
+  /** The run of a start call, while nothing else shows whether it has begun. */
+  #findStartingRun(
+    { kind, run: target }: PendingCall,
+  ): WorkerRun | undefined {
+    if (kind !== WorkerCallKind.Start) return undefined;
+    const run = this.#findRun(target);
+    return run?.state.phase === RunPhase.Starting ? run : undefined;
+  }
+
   #findRun(target: RunReference | undefined): WorkerRun | undefined {
     if (target === undefined) return undefined;
     const run = this.#options.table.find(target.task);
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -12,7 +12,7 @@
   SUSPICION_MILLISECONDS,
 } from "@eelgrassfront/model";
 import type { RunTable } from "./run_table.ts";
-import type { WorkerRun } from "./worker_run.ts";
+import { beginningOf, RunBeginning, type WorkerRun } from "./worker_run.ts";
 
 /** Collaborators of a `SuspectRuns`. */
 export interface SuspectRunsOptions {
@@ -64,14 +64,15 @@
     return times.length === 0 ? undefined : Math.max(...times);
   }
 
-  /** The runs among those of a crashed worker that may have crashed it. */
+  /** The runs among those of a crashed worker that may have crashed it: they began shortly before. */
   suspectsOf(runs: readonly WorkerRun[]): readonly WorkerRun[] {
-    const recent = runs.filter((run) => this.#isRecent(run));
-    const apart = recent.filter(({ suspectRoute }) =>
+    const begun = runs.filter((run) =>
+      this.#isRecent(run) && beginningOf(run) === RunBeginning.Evident
+    );
+    const apart = begun.filter(({ suspectRoute }) =>
       suspectRoute !== undefined
     );
-    if (apart.length > 0) return apart;
-    return recent.length > 0 ? recent : runs;
+    return apart.length > 0 ? apart : begun;
   }
 
   #reserving(): readonly WorkerRun[] {
--- a/domain/worker_guard/src/unstarted_runs_test.ts
+++ b/domain/worker_guard/src/unstarted_runs_test.ts
@@ -66,7 +66,7 @@
   expect(harness.settlementOf(10)).toEqual(BESIDE);
 });
 
-test("runs that began long before a crash are not suspected, and the entries hear that no run explains it", () => {
+test("the entries hear of a crash that no run explains, as when its runs had begun long before", () => {
   const harness = WorkerGuardHarness.ready();
   harness.learnEntries([ENTRY]);
   harness.runTask(10, { job: "a", millicores: 1_000 });
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -413,6 +413,7 @@
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
   const [start] = harness.takeCalls("start");
+  harness.answer(start, { kind: WorkerAnswerKind.Accepted, clock: 0 });
   harness.report({ bornAt: BORN_AT + 500 });
   const poll = harness.takeCalls("hold").at(-1);
   expect(poll?.fencingToken ?? 0).toBeGreaterThan(start?.fencingToken ?? 0);
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -1,16 +1,17 @@
 /**
  * The run of a task attempt at a sidecar, from the acceptance of the attempt to its settlement.
  */
-import type {
+import {
+  assertNever,
   InterruptionReason,
-  JobTaskReference,
-  Milliseconds,
-  ProcessIdentifier,
-  RequestIdentifier,
-  Resources,
-  RunReference,
-  SessionNumber,
-  WorkerRequirements,
+  type JobTaskReference,
+  type Milliseconds,
+  type ProcessIdentifier,
+  type RequestIdentifier,
+  type Resources,
+  type RunReference,
+  type SessionNumber,
+  type WorkerRequirements,
 } from "@eelgrassfront/model";
 
 /** Phases of a run. */
@@ -44,6 +45,8 @@
   readonly phase: RunPhase.Indeterminate;
   readonly run: number;
   readonly since: Milliseconds;
+  /** Whether the connection of the start call broke, as when the run crashes the worker at once. */
+  readonly hasConnectionBroken: boolean;
 }
 
 /** The run is active. */
@@ -81,6 +84,16 @@
   | ActiveRun
   | StoppingRun;
 
+/** What is known of the beginning of a run at the worker. */
+export enum RunBeginning {
+  /** Nothing shows that the worker has executed the start call. */
+  Unproven = "unproven",
+  /** The worker was there, but did not answer the start call in time. */
+  Possible = "possible",
+  /** The worker has answered the start call or listed the run, or ended while it handled the call. */
+  Evident = "evident",
+}
+
 /** The run of an accepted attempt. */
 export interface WorkerRun {
   readonly task: JobTaskReference;
@@ -109,3 +122,25 @@
     ? undefined
     : { task, run: state.run };
 }
+
+/** Returns what is known of the beginning of a run. */
+export function beginningOf({ state }: WorkerRun): RunBeginning {
+  switch (state.phase) {
+    case RunPhase.Waiting:
+    case RunPhase.Starting:
+      return RunBeginning.Unproven;
+    case RunPhase.Indeterminate:
+      return state.hasConnectionBroken
+        ? RunBeginning.Evident
+        : RunBeginning.Possible;
+    case RunPhase.Running:
+      return RunBeginning.Evident;
+    case RunPhase.Stopping:
+      // A list of the worker lacked the run.
+      return state.reason === InterruptionReason.WorkerLost
+        ? RunBeginning.Unproven
+        : RunBeginning.Evident;
+    default:
+      return assertNever(state);
+  }
+}
