fix(worker-guard): count no crash under a run whose beginning nothing shows

Cause: when one start call is refused, the answers of its sibling calls are dropped with the worker, and their runs were settled as beside the crash. That counts towards the bound of five and clears suspects that never ran.

Change: such runs are settled with worker-lost, which counts nowhere. The run may have begun, so the job is still not refused.

--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -25,7 +25,7 @@
 import { interrupted } from "./run_settlement.ts";
 import type { RunTable } from "./run_table.ts";
 import type { SuspectRuns } from "./suspect_runs.ts";
-import type { WorkerRun } from "./worker_run.ts";
+import { beginningOf, RunBeginning, type WorkerRun } from "./worker_run.ts";
 
 /** How a worker ended. */
 export enum WorkerEnd {
@@ -72,6 +72,8 @@
     for (const run of runs) {
       const reason = suspects.includes(run)
         ? InterruptionReason.WorkerCrashed
+        : beginningOf(run) === RunBeginning.Unproven
+        ? InterruptionReason.WorkerLost
         : InterruptionReason.BesideCrash;
       table.settle(run, interrupted(reason));
     }
