fix(worker-guard): blame no task whose start call broke after its worker had fallen silent

Cause: a start call whose connection breaks counts as a run that may have crashed its worker at once. After the end of a worker its poll breaks first; start calls that follow on its idle connections break too, though they reach nobody.

Change: such a call is evidence only if the worker had left no earlier call unanswered when it was sent.

Figures: the new test in unstarted_runs_test failed before (worker-crashed in place of beside-crash).

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -210,6 +210,7 @@
       run: number,
       call,
       sentAt: collector.now,
+      isWorkerSilent: link.isSilent,
     };
   }
 
@@ -339,7 +340,8 @@
       phase: RunPhase.Indeterminate,
       run: run.state.run,
       since: collector.now,
-      hasConnectionBroken: tag === ErrorTag.ConnectionLost,
+      hasConnectionBroken: tag === ErrorTag.ConnectionLost &&
+        !run.state.isWorkerSilent,
     };
     this.#pollNow();
   }
--- a/domain/worker_guard/src/unstarted_runs_test.ts
+++ b/domain/worker_guard/src/unstarted_runs_test.ts
@@ -59,6 +59,15 @@
   );
 });
 
+test("a run whose start call broke after the poll had is not suspected when its worker has crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_LOST);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.answer(harness.takeCalls("start")[0], CONNECTION_LOST);
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(BESIDE);
+});
+
 test("a run that a later incarnation of the worker ends before its start is answered does not count among those of a crash", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -38,6 +38,8 @@
   readonly run: number;
   readonly call: RequestIdentifier;
   readonly sentAt: Milliseconds;
+  /** Whether the worker had left an earlier call unanswered, so that it may have ended before. */
+  readonly isWorkerSilent: boolean;
 }
 
 /** The run may be active, or may start until the deadline of its start call. */
@@ -45,7 +47,7 @@
   readonly phase: RunPhase.Indeterminate;
   readonly run: number;
   readonly since: Milliseconds;
-  /** Whether the connection of the start call broke, as when the run crashes the worker at once. */
+  /** Whether the connection to a worker that had answered broke, as when the run crashes it at once. */
   readonly hasConnectionBroken: boolean;
 }
 
