fix(dispatcher,worker-guard): count crashes of an outage against no task

Cause: an entry judged each crash by the runs of that worker alone. In an outage every worker has runs that have just begun, so each of them became a suspect, and a second crash failed its job. Class: a common cause taken for many separate ones, since the judgement sees one of its effects.

Change: a sidecar whose worker crashed under no run that had just begun tells every entry (a report without suspects, which earlier versions ignore). Crashes reported within 250 ms of it, before or after, count against no task; a quarantine for them is lifted. Crashes beside a task no longer add up with one where it ran apart. Event 3114, and the crashes under a failed job in 3101.

Conclusion: this narrows a window. A conviction is not put off: an outage whose workers end one after the other is not recognised before the first report of a crash that no run explains.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -158,8 +158,9 @@
   },
   [EventNumber.JobEnded]: {
     meaning:
-      "A best-effort job completed or failed; the line contains its waiting time and the number of attempts of its tasks.",
-    action: "Nothing; for a failed job check the failed attempts of its tasks.",
+      "A best-effort job completed or failed; the line contains its waiting time and the number of attempts of its tasks. With the reason workers-crashed it also lists the crashes under the tasks, the first one first, each with its evidence and the milliseconds since.",
+    action:
+      "Nothing; for a failed job check the failed attempts of its tasks, and the crashes (4109) at the times listed.",
   },
   [EventNumber.JobRefused]: {
     meaning:
@@ -201,6 +202,12 @@
     action:
       "Check the jobs of this kind that failed with the reason workers-crashed, and stop their source.",
   },
+  [EventNumber.CrashUnexplained]: {
+    meaning:
+      "A sidecar reported a crash of its worker under no run that had just begun. Crashes reported within 250 ms of it count against no task, quarantines for them are lifted, and for 30 s a task is given up after three suspected crashes in place of two.",
+    action:
+      "If several workers crash at one moment, look for the failure that they share: a rack, a switch, a release.",
+  },
   [EventNumber.SubmissionAbandoned]: {
     meaning:
       "A client had closed its connection before its job was handled, as after a pause of the entry (1007) that was longer than the client waits. The job was not accepted.",
--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -97,7 +97,7 @@
     );
   }
 
-  /** Records the crashes that a sidecar reports of other entries' tasks. */
+  /** Records a crash that a sidecar reports, with the suspects among other entries' tasks. */
   applyReport(suspects: readonly CrashSuspect[]): void {
     this.#observe();
     this.#suspects.recordReport(suspects);
@@ -109,6 +109,11 @@
     job.trialRank = job.isSuspect ? this.#suspects.trialRank(job) : 0;
   }
 
+  /** Describes the crashes under a job, for the log. */
+  describe(job: DispatchJob): string {
+    return this.#suspects.describe(job);
+  }
+
   /** Whether a job is given up because of the workers that crashed under it. */
   isConvicted(job: DispatchJob): boolean {
     return this.#suspects.isConvicted(job);
--- a/domain/dispatcher/src/crash_suspects.ts
+++ b/domain/dispatcher/src/crash_suspects.ts
@@ -4,6 +4,19 @@
  * no other job starts beside it. If it crashes such a worker too, it is given up. A task that crashes a worker
  * where it ran apart also puts its kind of work under quarantine: for some seconds all its jobs run apart, so
  * that further jobs of the kind take only these few workers from others.
+ *
+ * Workers also crash for other reasons, several at once in an outage. What a crash says of a task:
+ *
+ * | the task at the crashed worker                        | counts as                                 |
+ * | ----------------------------------------------------- | ----------------------------------------- |
+ * | its start is not evident                              | nothing                                   |
+ * | it began long before, or another one is more likely   | a crash beside it                         |
+ * | it had just begun                                     | a suspected crash                         |
+ * | it had just begun, apart from other jobs              | a crash apart                             |
+ * | one of the last two, near a crash that no run explains | a crash beside it, and no quarantine      |
+ *
+ * A job fails after two suspected crashes of a task, one of them apart; after three while workers also crash
+ * without a run that explains it; and after five crashes of any kind that count.
  */
 import {
   type CrashSuspect,
@@ -17,6 +30,7 @@
 } from "@eelgrassfront/model";
 import { ExpiringMap } from "@eelgrassfront/retention";
 import type { DispatchJob } from "./dispatch_job.ts";
+import { UnexplainedCrashes } from "./unexplained_crashes.ts";
 
 /** How a crash relates to a task. */
 export enum CrashEvidence {
@@ -33,15 +47,16 @@
 const MAXIMUM_JOBS = 10_000;
 /** Time without a crash of a kind of work after which its jobs run among others again. */
 const QUARANTINE_MILLISECONDS: Milliseconds = 5_000;
-/** Crashes under a task after which it is given up if it ran apart in one of them. */
+/** Suspected crashes of a task after which it is given up if it ran apart in one of them. */
 const MAXIMUM_CRASHES = 2;
-/** Crashes after which it is given up in any case. */
+/** The same while workers crash without a run that explains it, so that a task may meet two such crashes. */
+const MAXIMUM_CRASHES_AMONG_UNEXPLAINED = 3;
+/** Crashes under a task after which it is given up in any case. */
 const MAXIMUM_DOUBTFUL_CRASHES = 5;
 
-interface TaskCrashes {
-  beside: number;
-  suspected: number;
-  apart: number;
+interface TaskCrash {
+  readonly at: Milliseconds;
+  evidence: CrashEvidence;
 }
 
 /** Collaborators of a `CrashSuspects`. */
@@ -52,18 +67,20 @@
 /** Remembers crashes, and decides which jobs run apart and which are given up. */
 export class CrashSuspects {
   readonly #options: CrashSuspectsOptions;
-  readonly #jobs = new ExpiringMap<string, Map<string, TaskCrashes>>({
+  readonly #jobs = new ExpiringMap<string, Map<string, TaskCrash[]>>({
     horizonMilliseconds: MEMORY_MILLISECONDS,
     maximumWeight: MAXIMUM_JOBS,
     weigh: () => 1,
   });
-  /** End of the quarantine of each kind of work. */
-  readonly #quarantines = new Map<string, Milliseconds>();
+  /** Times of the crashes that keep a kind of work under quarantine. */
+  readonly #quarantines = new Map<string, Milliseconds[]>();
+  readonly #unexplained: UnexplainedCrashes;
   #isAlertUntil: Milliseconds = 0;
   #revision = 0;
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
+    this.#unexplained = new UnexplainedCrashes(options);
   }
 
   /** Rises whenever a job may have become a suspect or no longer be one. */
@@ -87,15 +104,20 @@
 
   /** Clears a task that has run apart and did not crash its worker; its crashes still count. */
   clear(task: JobTaskReference): void {
-    const crashes = this.#jobs.get(task.job)?.get(jobTaskKey(task));
-    if (crashes === undefined || crashes.suspected === 0) return;
-    crashes.beside += crashes.suspected;
-    crashes.suspected = 0;
-    this.#revision += 1;
+    const crashes = this.#jobs.get(task.job)?.get(jobTaskKey(task)) ?? [];
+    for (const crash of crashes) {
+      if (crash.evidence !== CrashEvidence.Suspected) continue;
+      crash.evidence = CrashEvidence.Beside;
+      this.#revision += 1;
+    }
   }
 
-  /** Records the suspects among the tasks of other entries; their jobs may be submitted to this one. */
+  /**
+   * Records a crash at a sidecar by the suspects among the tasks of other entries, whose jobs may be submitted to
+   * this one. A report without suspects says that no run there explains the crash.
+   */
   recordReport(suspects: readonly CrashSuspect[]): void {
+    if (suspects.length === 0) this.#recordUnexplained();
     for (const { task, route } of suspects) {
       const evidence = route === undefined
         ? CrashEvidence.Suspected
@@ -106,15 +128,33 @@
 
   /** Whether a job runs apart. */
   isSuspect({ id, route }: DispatchJob): boolean {
-    if (this.#quarantines.has(route.name)) return true;
-    const tasks = this.#jobs.get(id);
-    return tasks !== undefined && [...tasks.values()].some(isSuspectTask);
+    return this.#isUnderQuarantine(route.name) ||
+      this.#crashesOf(id).some((crashes) => this.#weigh(crashes).total > 0);
   }
 
   /** Whether a job is given up, because workers have crashed under one of its tasks too often. */
   isConvicted({ id }: DispatchJob): boolean {
-    const tasks = this.#jobs.get(id);
-    return tasks !== undefined && [...tasks.values()].some(isConvictedTask);
+    const maximum = this.#unexplained.isAny
+      ? MAXIMUM_CRASHES_AMONG_UNEXPLAINED
+      : MAXIMUM_CRASHES;
+    return this.#crashesOf(id).some((crashes) => {
+      const { apart, total } = this.#weigh(crashes);
+      return (apart > 0 && total >= maximum) ||
+        crashes.length >= MAXIMUM_DOUBTFUL_CRASHES;
+    });
+  }
+
+  /** Describes the crashes under the tasks of a job: their evidence and age, the first crash first. */
+  describe({ id }: DispatchJob): string {
+    const { now } = this.#options.collector;
+    return this.#crashesOf(id).flat()
+      .sort((left, right) => left.at - right.at)
+      .slice(0, MAXIMUM_DOUBTFUL_CRASHES)
+      .map(({ at, evidence }) => {
+        const weight = this.#unexplained.isNear(at) ? " unexplained" : "";
+        return `${evidence}${weight} ${Math.round(now - at)}`;
+      })
+      .join(", ");
   }
 
   /**
@@ -123,26 +163,51 @@
    * crashed no worker are the most likely to complete.
    */
   trialRank({ id, route }: DispatchJob): number {
-    let suspected = 0;
-    let apart = 0;
-    for (const crashes of this.#jobs.get(id)?.values() ?? []) {
-      suspected += crashes.suspected;
-      apart += crashes.apart;
-    }
-    return this.#quarantines.has(route.name) ? suspected + apart : -suspected;
+    const weights = this.#crashesOf(id).map((crashes) => this.#weigh(crashes));
+    return weights.reduce(
+      (rank, { apart, total }) =>
+        this.#isUnderQuarantine(route.name)
+          ? rank + total
+          : rank - (total - apart),
+      0,
+    );
   }
 
   /** Ends the quarantines that are due. */
   tick(): void {
     const { now } = this.#options.collector;
     this.#jobs.purge(now);
-    for (const [route, until] of this.#quarantines) {
-      if (now < until) continue;
+    this.#unexplained.purge();
+    for (const route of this.#quarantines.keys()) {
+      if (this.#isUnderQuarantine(route)) continue;
       this.#quarantines.delete(route);
       this.#revision += 1;
     }
   }
 
+  #crashesOf(job: string): readonly (readonly TaskCrash[])[] {
+    return [...this.#jobs.get(job)?.values() ?? []];
+  }
+
+  /** Counts the crashes that speak against a task. */
+  #weigh(crashes: readonly TaskCrash[]) {
+    let apart = 0;
+    let total = 0;
+    for (const { at, evidence } of crashes) {
+      if (evidence === CrashEvidence.Beside) continue;
+      if (this.#unexplained.isNear(at)) continue;
+      total += 1;
+      if (evidence === CrashEvidence.Apart) apart += 1;
+    }
+    return { apart, total };
+  }
+
+  #isUnderQuarantine(route: string): boolean {
+    const from = this.#options.collector.now - QUARANTINE_MILLISECONDS;
+    const crashes = this.#quarantines.get(route) ?? [];
+    return crashes.some((at) => at > from && !this.#unexplained.isNear(at));
+  }
+
   #add(
     task: JobTaskReference,
     evidence: CrashEvidence,
@@ -151,22 +216,35 @@
     const { now } = this.#options.collector;
     this.#isAlertUntil = now + QUARANTINE_MILLISECONDS;
     this.#revision += 1;
-    const tasks = this.#jobs.get(task.job) ?? new Map<string, TaskCrashes>();
+    const tasks = this.#jobs.get(task.job) ?? new Map<string, TaskCrash[]>();
     const key = jobTaskKey(task);
-    const crashes = tasks.get(key) ?? { beside: 0, suspected: 0, apart: 0 };
-    crashes[evidence] += 1;
-    tasks.set(key, crashes);
+    tasks.set(key, [...tasks.get(key) ?? [], { at: now, evidence }]);
     this.#jobs.set(now, task.job, tasks);
     if (evidence === CrashEvidence.Apart && route !== undefined) {
       this.#quarantine(route);
     }
   }
 
+  #recordUnexplained(): void {
+    this.#unexplained.record();
+    this.#revision += 1;
+    const { collector } = this.#options;
+    const lifted = [...this.#quarantines.keys()]
+      .filter((route) => !this.#isUnderQuarantine(route));
+    collector.record(
+      EventNumber.CrashUnexplained,
+      "a worker crashed under no run that had just begun; crashes near it count against no task",
+      { context: { liftedQuarantines: lifted.join(", ") } },
+    );
+  }
+
   #quarantine(route: string): void {
     const { collector } = this.#options;
-    const isNew = !this.#quarantines.has(route);
-    this.#quarantines.set(route, collector.now + QUARANTINE_MILLISECONDS);
-    if (!isNew) return;
+    const from = collector.now - QUARANTINE_MILLISECONDS;
+    const wasUnderQuarantine = this.#isUnderQuarantine(route);
+    const recent = this.#quarantines.get(route)?.filter((at) => at > from);
+    this.#quarantines.set(route, [...recent ?? [], collector.now]);
+    if (wasUnderQuarantine || !this.#isUnderQuarantine(route)) return;
     collector.record(
       EventNumber.KindQuarantined,
       "a kind of work crashes workers; its jobs run apart",
@@ -174,14 +252,3 @@
     );
   }
 }
-
-function isSuspectTask({ suspected, apart }: TaskCrashes): boolean {
-  return suspected + apart > 0;
-}
-
-function isConvictedTask({ beside, suspected, apart }: TaskCrashes): boolean {
-  const crashes = beside + suspected + apart;
-  return apart > 0
-    ? crashes >= MAXIMUM_CRASHES
-    : crashes >= MAXIMUM_DOUBTFUL_CRASHES;
-}
--- a/domain/dispatcher/src/job_answers.ts
+++ b/domain/dispatcher/src/job_answers.ts
@@ -57,10 +57,17 @@
     this.#answerEnded(job, BestEffortJobState.Completed, {});
   }
 
-  /** Answers a job that failed. */
-  answerFailed(job: DispatchJob, reason: JobFailureReason): void {
+  /** Answers a job that failed; the log event names the crashes under its tasks. */
+  answerFailed(
+    job: DispatchJob,
+    reason: JobFailureReason,
+    crashes: string,
+  ): void {
     this.#options.collector.count(Counter.JobsFailed, reason);
-    this.#answerEnded(job, BestEffortJobState.Failed, { reason });
+    this.#answerEnded(job, BestEffortJobState.Failed, {
+      reason,
+      ...(crashes === "" ? {} : { crashes }),
+    });
   }
 
   #answerEnded(
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -145,7 +145,7 @@
       return;
     }
     if (crashes.isConvicted(job)) {
-      answers.answerFailed(job, JobFailureReason.WorkersCrashed);
+      this.#answerFailed(job, JobFailureReason.WorkersCrashed);
       return;
     }
     if (this.#refuseUnrunnable(job)) return;
@@ -261,7 +261,7 @@
     if (failure !== undefined) {
       this.#options.placer.cancelTasks(job);
       this.#remove(job);
-      this.#options.answers.answerFailed(job, failure);
+      this.#answerFailed(job, failure);
       return;
     }
     this.#options.placer.crashes.classify(job);
@@ -270,6 +270,11 @@
     if (isWaiting && !this.#options.claims.isPending(job)) this.#queue.add(job);
   }
 
+  #answerFailed(job: DispatchJob, reason: JobFailureReason): void {
+    const { answers, placer } = this.#options;
+    answers.answerFailed(job, reason, placer.crashes.describe(job));
+  }
+
   #failureOf(job: DispatchJob): JobFailureReason | undefined {
     if (this.#options.placer.crashes.isConvicted(job)) {
       return JobFailureReason.WorkersCrashed;
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -159,7 +159,10 @@
   readonly route?: string;
 }
 
-/** A sidecar tells the entries that it serves which tasks of other entries may have crashed its worker. */
+/**
+ * A sidecar tells the entries that it serves which tasks of other entries may have crashed its worker. Without
+ * suspects, no run explains the crash.
+ */
 export interface ReportCrash {
   readonly kind: DispatchRequestKind.ReportCrash;
   readonly suspects: readonly CrashSuspect[];
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -48,6 +48,7 @@
   JobHeldElsewhere = 3111,
   ClaimUnanswered = 3112,
   JobCancelledElsewhere = 3113,
+  CrashUnexplained = 3114,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -68,7 +68,8 @@
     }
     const suspects = suspectRuns.suspectsOf(runs);
     this.#recordCrash(worker, runs, suspects);
-    this.#reportSuspects(suspects);
+    if (suspectRuns.isUnexplained(runs)) this.#reportUnexplained();
+    else this.#reportSuspects(suspects);
     for (const run of runs) {
       const reason = suspects.includes(run)
         ? InterruptionReason.WorkerCrashed
@@ -88,6 +89,13 @@
     }
   }
 
+  /** Tells each entry with a session of a crash that no run explains. */
+  #reportUnexplained(): void {
+    for (const entry of this.#options.sessions.entries()) {
+      this.#report(entry, []);
+    }
+  }
+
   #report(
     entry: ProcessIdentifier,
     suspects: readonly CrashSuspect[],
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -75,6 +75,13 @@
     return apart.length > 0 ? apart : begun;
   }
 
+  /** Whether none of the runs of a crashed worker can have crashed it shortly after its start. */
+  isUnexplained(runs: readonly WorkerRun[]): boolean {
+    return runs.every((run) =>
+      !this.#isRecent(run) || beginningOf(run) === RunBeginning.Unproven
+    );
+  }
+
   #reserving(): readonly WorkerRun[] {
     return this.#options.table.all().filter((run) =>
       run.suspectRoute !== undefined && this.#isRecent(run)
