fix(dispatcher,worker-guard): judge crashes by what is known of each run, also later

Cause, each found by the review of the fix by reading, the first two with a test that failed before: - A run that was stopped before its start call was answered counted as begun. - A task's crashes were remembered for 30 s after its last one, a crash that no run explains for 30 s after itself. Crashes of an outage therefore counted again once the outage was forgotten. - A suspect whose start call had timed out within the 150 ms counted as having outlived the crash, and was cleared. - A crash under a run apart that began over 150 ms before counted as one that no run explains, and thus withdrew the evidence against work that crashes its workers late.

Change: a stopped run keeps what was known of its beginning; a crash counts for 30 s, and the outage near it is known at least as long; a suspect outlives a crash only after the 150 ms; a run apart may explain a crash at any age.

Conclusion: late-crashing work is still bounded by five crashes only.

--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -71,13 +71,15 @@
 
   /** Records the crash that a settlement shows, if it shows one. */
   applySettlement(attempt: TaskAttempt, settlement: TaskSettlement): void {
-    const { job, task, address, isApart } = attempt;
+    const { job, task, address, isApart, sentAt } = attempt;
+    const { collector } = this.#options;
     const evidence = evidenceOf(attempt, settlement);
-    const hasSurvived = isApart && (evidence === CrashEvidence.Beside ||
-      settlement.kind === SettlementKind.Completed);
+    const hasOutlivedCrash = evidence === CrashEvidence.Beside &&
+      collector.now >= sentAt + SUSPICION_MILLISECONDS;
+    const hasSurvived = isApart &&
+      (hasOutlivedCrash || settlement.kind === SettlementKind.Completed);
     if (hasSurvived) this.#suspects.clear(task.name);
     if (evidence === undefined) return;
-    const { collector } = this.#options;
     this.#observe();
     this.#suspects.record(job, task.name, evidence);
     if (evidence === CrashEvidence.Beside) return;
--- a/domain/dispatcher/src/crash_suspects.ts
+++ b/domain/dispatcher/src/crash_suspects.ts
@@ -144,6 +144,10 @@
     });
   }
 
+  #isRemembered(at: Milliseconds): boolean {
+    return at >= this.#options.collector.now - MEMORY_MILLISECONDS;
+  }
+
   /** Describes the crashes under the tasks of a job: their evidence and age, the first crash first. */
   describe({ id }: DispatchJob): string {
     const { now } = this.#options.collector;
@@ -195,7 +199,7 @@
     let total = 0;
     for (const { at, evidence } of crashes) {
       if (evidence === CrashEvidence.Beside) continue;
-      if (this.#unexplained.isNear(at)) continue;
+      if (!this.#isRemembered(at) || this.#unexplained.isNear(at)) continue;
       total += 1;
       if (evidence === CrashEvidence.Apart) apart += 1;
     }
@@ -218,7 +222,8 @@
     this.#revision += 1;
     const tasks = this.#jobs.get(task.job) ?? new Map<string, TaskCrash[]>();
     const key = jobTaskKey(task);
-    tasks.set(key, [...tasks.get(key) ?? [], { at: now, evidence }]);
+    const earlier = tasks.get(key)?.filter(({ at }) => this.#isRemembered(at));
+    tasks.set(key, [...earlier ?? [], { at: now, evidence }]);
     this.#jobs.set(now, task.job, tasks);
     if (evidence === CrashEvidence.Apart && route !== undefined) {
       this.#quarantine(route);
--- a/domain/dispatcher/src/outage_crash_test.ts
+++ b/domain/dispatcher/src/outage_crash_test.ts
@@ -134,3 +134,16 @@
   expect(harness.placementAddresses().length).toEqual(5);
   expect(harness.answerTo(1)).toEqual(FAILED);
 });
+
+test("crashes of an outage do not count against a task once the outage is forgotten", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  reportCrash(harness);
+  crashWorkers(harness);
+  const task = { job: "a", step: 0, index: 0 };
+  harness.runTo(20 * SECOND);
+  reportCrash(harness, [{ task, route: "scan" }]);
+  harness.runTo(31 * SECOND);
+  submit(harness, 2, "a");
+  expect(harness.answerTo(2)).toEqual(undefined);
+});
--- a/domain/dispatcher/src/unexplained_crashes.ts
+++ b/domain/dispatcher/src/unexplained_crashes.ts
@@ -44,7 +44,10 @@
 
   /** Whether a crash at a time may have the same cause as one of them. */
   isNear(time: Milliseconds): boolean {
-    return this.#times.some((at) => Math.abs(at - time) <= OUTAGE_MILLISECONDS);
+    const from = time - OUTAGE_MILLISECONDS;
+    const until = time + OUTAGE_MILLISECONDS;
+    const candidate = this.#times.findLast((at) => at <= until);
+    return candidate !== undefined && candidate >= from;
   }
 
   /** Forgets old crashes. */
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -6,7 +6,7 @@
 import {
   type DispatchOutput,
   EventNumber,
-  type InterruptionReason,
+  InterruptionReason,
   jobTaskKey,
   type ListedRun,
   type Milliseconds,
@@ -18,7 +18,13 @@
 import type { PendingCalls } from "./pending_call.ts";
 import type { RunNumbers } from "./run_numbers.ts";
 import type { RunTable } from "./run_table.ts";
-import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
+import {
+  beginningOf,
+  RunBeginning,
+  RunPhase,
+  runReferenceOf,
+  type WorkerRun,
+} from "./worker_run.ts";
 
 /** Time between two stop calls for a run whose stop the worker has accepted. */
 export const STOP_INTERVAL_MILLISECONDS: Milliseconds = 100;
@@ -59,6 +65,10 @@
       phase: RunPhase.Stopping,
       run: state.run,
       reason,
+      // A run that the worker's list lacks is stopped as lost.
+      beginning: reason === InterruptionReason.WorkerLost
+        ? RunBeginning.Unproven
+        : beginningOf(run),
       since: this.#options.collector.now,
       nextStopAt: this.#options.collector.now,
       isRepeated: false,
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -75,10 +75,11 @@
     return apart.length > 0 ? apart : begun;
   }
 
-  /** Whether none of the runs of a crashed worker can have crashed it shortly after its start. */
+  /** Whether no run of a crashed worker may explain the crash: none had just begun or ran apart. */
   isUnexplained(runs: readonly WorkerRun[]): boolean {
     return runs.every((run) =>
-      !this.#isRecent(run) || beginningOf(run) === RunBeginning.Unproven
+      beginningOf(run) === RunBeginning.Unproven ||
+      (!this.#isRecent(run) && run.suspectRoute === undefined)
     );
   }
 
--- a/domain/worker_guard/src/unstarted_runs_test.ts
+++ b/domain/worker_guard/src/unstarted_runs_test.ts
@@ -87,3 +87,11 @@
   expect(harness.settlementOf(10)).toEqual(BESIDE);
   expect(harness.crashReports).toEqual([{ to: ENTRY, suspects: [] }]);
 });
+
+test("a run that was cancelled before its start call was answered is not suspected when its worker has crashed", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.cancelTask(11, { job: "a" });
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(LOST);
+});
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -3,7 +3,7 @@
  */
 import {
   assertNever,
-  InterruptionReason,
+  type InterruptionReason,
   type JobTaskReference,
   type Milliseconds,
   type ProcessIdentifier,
@@ -68,6 +68,8 @@
   readonly phase: RunPhase.Stopping;
   readonly run: number;
   readonly reason: InterruptionReason;
+  /** What was known of its beginning when it was stopped. */
+  readonly beginning: RunBeginning;
   /** When the first stop call was sent. */
   readonly since: Milliseconds;
   /** When the stop call is sent again. */
@@ -138,10 +140,7 @@
     case RunPhase.Running:
       return RunBeginning.Evident;
     case RunPhase.Stopping:
-      // A list of the worker lacked the run.
-      return state.reason === InterruptionReason.WorkerLost
-        ? RunBeginning.Unproven
-        : RunBeginning.Evident;
+      return state.beginning;
     default:
       return assertNever(state);
   }
