test(emulator): jobs that can be done are shown as failed after outages

Cause: callers got "failed" for jobs that crash no worker, after an outage had ended six of eleven workers. No test crashed several workers at once: in the loads, only tasks crashed workers, and one at a time.

Change: a load may have outages (worker_outages.ts): several workers end at one moment or within 40 ms, each is back as a new incarnation after 1.2 to 3 s. A crash breaks connections, where a waiting poll notices up to 50 ms later and a call that arrives is refused, also a start call on its way; or it is silent, and calls get no answer until another incarnation runs there.

The decisions are not changed here.

--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -54,6 +54,35 @@
   delayedStops: 0,
 };
 
+/** How a worker crashes. */
+export enum CrashKind {
+  /** Connections break, and new ones are refused. */
+  Breaking = "breaking",
+  /** No connection breaks, and no call is answered until another incarnation runs there. */
+  Silent = "silent",
+}
+
+/** A crash that breaks connections. */
+export interface BreakingCrash {
+  readonly kind: CrashKind.Breaking;
+  /** Time after which a poll that waits notices the end of its connection. */
+  readonly breakMilliseconds: Milliseconds;
+}
+
+/** A crash that breaks no connection. */
+export interface SilentCrash {
+  readonly kind: CrashKind.Silent;
+}
+
+/** A crash of a worker. */
+export type WorkerCrash = BreakingCrash | SilentCrash;
+
+/** A crash that breaks all connections at once. */
+const CLEAN_CRASH: WorkerCrash = {
+  kind: CrashKind.Breaking,
+  breakMilliseconds: 0,
+};
+
 /** Callbacks for the start and the end of each run. */
 export interface WorkerObserver {
   readonly onStart: (worker: FakeWorker, run: RunReference) => void;
@@ -113,7 +142,8 @@
   #fence = 0;
   #leaseUntil: Milliseconds = 0;
   #sequence = 0;
-  #isAlive = true;
+  /** How the worker has crashed; undefined while it runs. */
+  #crash: WorkerCrash | undefined;
   #waitingPolls: (() => void)[] = [];
 
   constructor(options: FakeWorkerOptions) {
@@ -122,7 +152,7 @@
 
   /** Whether the worker runs; false after a crash. */
   get isAlive(): boolean {
-    return this.#isAlive;
+    return this.#crash === undefined;
   }
 
   /** The worker's own clock. */
@@ -157,8 +187,8 @@
   }
 
   /** Ends the worker and all its runs. */
-  crash(): void {
-    this.#isAlive = false;
+  crash(crash: WorkerCrash = CLEAN_CRASH): void {
+    this.#crash = crash;
     for (const { reference } of this.#running.values()) {
       this.options.observer.onEnd(this, reference);
     }
@@ -170,7 +200,11 @@
   call(output: CallWorker, answer: (answer: WorkerAnswer) => void): void {
     const { time, random } = this.options;
     const { request, fencingToken, timeoutMilliseconds: timeout } = output;
-    if (!this.#isAlive || this.isRefusingConnections) {
+    if (this.#crash !== undefined) {
+      this.#answerAfterCrash(this.#crash, output, answer);
+      return;
+    }
+    if (this.isRefusingConnections) {
       time.after(ANSWER_MILLISECONDS, () => answer(connectionRefused(output)));
       return;
     }
@@ -195,7 +229,12 @@
       return;
     }
     const isLost = random.happens(this.faults.lostAnswers);
+    const sentAt = time.now;
     time.after(ANSWER_MILLISECONDS / 2, () => {
+      if (this.#crash !== undefined) {
+        this.#answerAfterCrash(this.#crash, output, answer);
+        return;
+      }
       const result = this.#execute(request, fencingToken);
       if (isLost) {
         time.after(timeout, () => answer(unanswered(output)));
@@ -203,12 +242,14 @@
       }
       const reply = () =>
         time.after(ANSWER_MILLISECONDS / 2, () => {
-          if (!this.#isAlive) answer(unanswered(output));
-          else {
-            answer(
-              result.kind === WorkerAnswerKind.Listed ? this.#list() : result,
-            );
+          if (this.#crash !== undefined) {
+            const delay = breakDelay(this.#crash, sentAt + timeout - time.now);
+            time.after(delay, () => answer(unanswered(output)));
+            return;
           }
+          answer(
+            result.kind === WorkerAnswerKind.Listed ? this.#list() : result,
+          );
         });
       const isLongPoll = request.kind === WorkerCallKind.PollRuns &&
         request.waitMilliseconds > 0 && this.#ends.length === 0 &&
@@ -218,6 +259,31 @@
     });
   }
 
+  /** Answers a call that reaches the address of the crashed worker. */
+  #answerAfterCrash(
+    crash: WorkerCrash,
+    output: CallWorker,
+    answer: (answer: WorkerAnswer) => void,
+  ): void {
+    const { time } = this.options;
+    switch (crash.kind) {
+      case CrashKind.Breaking:
+        time.after(
+          ANSWER_MILLISECONDS,
+          () => answer(connectionRefused(output)),
+        );
+        return;
+      case CrashKind.Silent:
+        time.after(
+          output.timeoutMilliseconds,
+          () => answer(unanswered(output)),
+        );
+        return;
+      default:
+        assertNever(crash);
+    }
+  }
+
   /**
    * Executes a call after a delay, with a lease that counts from then. The incarnation that has the worker's
    * identifier at that time executes it.
@@ -260,7 +326,7 @@
   }
 
   #execute(request: WorkerCall, fencingToken: number): WorkerAnswer {
-    if (!this.#isAlive) return refused(WorkerRefusalReason.IncarnationMismatch);
+    if (!this.isAlive) return refused(WorkerRefusalReason.IncarnationMismatch);
     if (request.kind === WorkerCallKind.CheckHealth) return this.#health();
     if (fencingToken < this.#fence) return refused(WorkerRefusalReason.Fenced);
     this.#fence = fencingToken;
@@ -344,7 +410,7 @@
 
   #end(run: Run, kind: RunEndKind): void {
     const key = jobTaskKey(run.reference.task);
-    if (!this.#isAlive || this.#running.get(key) !== run) return;
+    if (!this.isAlive || this.#running.get(key) !== run) return;
     this.#running.delete(key);
     this.#lastEnd += 1;
     this.#ends.push({ number: this.#lastEnd, run: run.reference, kind });
@@ -360,7 +426,7 @@
     );
     const { time, clockRate } = this.options;
     time.after((this.#leaseUntil - this.clock) / clockRate + 1, () => {
-      if (!this.#isAlive || this.clock < this.#leaseUntil) return;
+      if (!this.isAlive || this.clock < this.#leaseUntil) return;
       for (const run of [...this.#running.values()]) {
         this.#end(run, RunEndKind.LeaseExpired);
       }
@@ -396,6 +462,18 @@
   }
 }
 
+/** Time after which a call in progress notices a crash; its timeout has so much time left. */
+function breakDelay(crash: WorkerCrash, left: Milliseconds): Milliseconds {
+  switch (crash.kind) {
+    case CrashKind.Breaking:
+      return Math.min(left, crash.breakMilliseconds);
+    case CrashKind.Silent:
+      return left;
+    default:
+      return assertNever(crash);
+  }
+}
+
 /** Moves the end of a call's lease, if it has one. */
 function moveLease(request: WorkerCall, by: Milliseconds): WorkerCall {
   switch (request.kind) {
--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -17,6 +17,7 @@
 } from "@eelgrassfront/model";
 import { SeededRandom } from "./seeded_random.ts";
 import type { WorkerObserver } from "./fake_worker.ts";
+import { startOutages, type WorkerOutages } from "./worker_outages.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
 import type { FleetSize } from "./dispatch_vm.ts";
 import {
@@ -58,10 +59,19 @@
   };
   /** Jobs that crash workers. They are not counted: they cannot be served. */
   readonly crashingJobs?: CrashingJobs;
+  readonly outages?: WorkerOutages;
   readonly observer?: WorkerObserver;
-  readonly onEvent?: (process: ProcessIdentifier, event: ProcessEvent) => void;
+  readonly onEvent?: (
+    process: ProcessIdentifier,
+    event: ProcessEvent,
+    at: Milliseconds,
+  ) => void;
   /** Called with each answer to a counted job. */
-  readonly onAnswer?: (answer: ClientAnswer) => void;
+  readonly onAnswer?: (
+    answer: ClientAnswer,
+    job: ArrivingJob,
+    elapsed: Milliseconds,
+  ) => void;
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
   readonly countFrom?: Milliseconds;
   /** Size of the fleet; that of the users' smallest deployments by default. */
@@ -86,7 +96,8 @@
 /** Capacity of each worker. Two thirds of the users' workers have 32 cores, one third 48 faster ones. */
 export const WORKER_MILLICORES = 36_000;
 const NO_OBSERVER: WorkerObserver = { onStart: () => {}, onEnd: () => {} };
-const START_MILLISECONDS: Milliseconds = 3_000;
+/** Time before the first arrival, in which the fleet starts. */
+export const START_MILLISECONDS: Milliseconds = 3_000;
 /** Time after the last arrival in which all jobs are answered. */
 export const DRAIN_MILLISECONDS: Milliseconds = 8_000;
 const CLIENT_WAIT_MILLISECONDS: Milliseconds = 5_000;
@@ -147,7 +158,8 @@
       fleet,
       capacityMillicores: WORKER_MILLICORES,
       observer,
-      ...(onEvent === undefined ? {} : { onEvent }),
+      onEvent: (process, event) =>
+        onEvent?.(process, event, this.#system.time.now),
       runMilliseconds: Number.parseFloat,
       crashMilliseconds: (content) =>
         content.endsWith(CRASH_MARK)
@@ -169,6 +181,7 @@
     for (const slow of slowWorkers) this.#slowDown(slow);
     time.after(START_MILLISECONDS, () => this.#delayCalls());
     this.#loseSidecars();
+    this.#startOutages();
     this.#system.runUntil(
       START_MILLISECONDS + durationMilliseconds + DRAIN_MILLISECONDS,
     );
@@ -192,6 +205,16 @@
     });
   }
 
+  #startOutages(): void {
+    const { outages, seed, durationMilliseconds: until } = this.#load;
+    if (outages === undefined) return;
+    const system = this.#system;
+    system.time.after(
+      START_MILLISECONDS,
+      () => startOutages({ system, outages, seed, until }),
+    );
+  }
+
   #slowDown({ count, from, until, factor }: SlowWorkers): void {
     const { time, sidecars } = this.#system;
     for (const { worker } of sidecars.slice(0, count)) {
@@ -243,8 +266,8 @@
       (answer) => {
         const elapsed = time.now - sentAt;
         if (!isCounted) return;
-        count(outcome, answer, elapsed, objectiveMilliseconds);
-        onAnswer?.(answer);
+        countAnswer(outcome, answer, elapsed, objectiveMilliseconds);
+        onAnswer?.(answer, job, elapsed);
       },
     );
   }
@@ -289,7 +312,8 @@
   };
 }
 
-function count(
+/** Counts the answer to a job. */
+export function countAnswer(
   outcome: KindOutcome,
   answer: ClientAnswer,
   elapsed: Milliseconds,
--- a/emulator/src/soak.ts
+++ b/emulator/src/soak.ts
@@ -1,24 +1,27 @@
 /**
  * Runs the randomised run with many seeds: `npm run soak -- --seeds 1000 --from 1`, or with
  * `--work best-effort` for best-effort work, there with `--disruptions delayed-grants,sidecar-outages` for
- * further faults and `--only-disruptions` to leave out the usual ones. Prints a line for each violation and, as the last line, the
- * totals as JSON. The exit code is 1 when a seed failed.
+ * further faults and `--only-disruptions` to leave out the usual ones. `--work worker-outages` plays the users' load
+ * beside outages of workers. Prints each violation and, as the last line, the totals as JSON. The exit code is 1 when
+ * a seed failed.
  */
 import { parseArgs } from "node:util";
 import { Disruption } from "./dispatch_disruptions.ts";
 import { runDispatch } from "./dispatch_run.ts";
+import { runAllOutages } from "./outage_run.ts";
 import { runRandomized } from "./randomized_run.ts";
 
 const DEFAULT_SEEDS = "1000";
 const DEFAULT_FIRST_SEED = "1";
 
-/** The two guarantees of work, each with its own randomised run. */
+/** The randomised runs: one for each of the two guarantees of work, and one for outages of workers. */
 enum SoakWorkload {
   AtMostOnce = "at-most-once",
   BestEffort = "best-effort",
+  WorkerOutages = "worker-outages",
 }
 
-/** The part of a run's report that both randomised runs have in common. */
+/** The part of a run's report that the randomised runs have in common. */
 interface SoakReport {
   readonly seed: number;
   readonly starts: number;
@@ -85,9 +88,11 @@
       return (seed) => runRandomized({ seed });
     case SoakWorkload.BestEffort:
       return (seed) => runDispatch({ seed, ...selection });
+    case SoakWorkload.WorkerOutages:
+      return runAllOutages;
     default:
       throw new RangeError(
-        `--work ${work} is neither at-most-once nor best-effort`,
+        `--work ${work} is none of ${Object.values(SoakWorkload).join(", ")}`,
       );
   }
 }
