fix(dispatcher): judge a crash by the kinds of work under which others crash near it

One crash was compared with crashes that no run at all explains, not with those that work of this kind does not explain; and the age of a run alone decided whether it is a suspect.

Change: entries say the kind of work of each task, and reports of crashes name it (optional fields). A crash near one under work of other kinds only counts for nothing; nor does one beside work of another kind that crashed workers apart. While other jobs are suspects near the crashes, the verdict waits 250 ms. Where no run had just begun, all that ran are suspects again, but only run apart. The bound of three holds as at the time of the crash, and crashes are forgotten no sooner than those near them.

Ruled out, since deadly tasks then crashed a third worker there: to ignore a crash near two or four others under other jobs of any kind.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -76,6 +76,7 @@
     }).optional(),
     expectedMilliseconds: amount,
     suspectRoute: zod.string().optional(),
+    workKind: zod.string().optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.CancelTaskAttempt),
@@ -104,7 +105,11 @@
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.ReportCrash),
     suspects: zod.array(
-      zod.looseObject({ task, route: zod.string().optional() }),
+      zod.looseObject({
+        task,
+        route: zod.string().optional(),
+        workKind: zod.string().optional(),
+      }),
     ),
   }),
   zod.looseObject({
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -204,7 +204,7 @@
   },
   [EventNumber.CrashUnexplained]: {
     meaning:
-      "A sidecar reported a crash of its worker under no run that had just begun. Crashes reported within 250 ms of it count against no task, quarantines for them are lifted, and for 30 s a task is given up after three suspected crashes in place of two.",
+      "A sidecar reported a crash of its worker under no run that had just begun. Crashes reported within 250 ms of it count against no task, quarantines for them are lifted, and for 30 s a task is given up after three suspected crashes in place of two. The line names the quarantines that are lifted.",
     action:
       "If several workers crash at one moment, look for the failure that they share: a rack, a switch, a release.",
   },
--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -11,11 +11,16 @@
   jobTaskKey,
   type Milliseconds,
   type OutputCollector,
+  type ProcessIdentifier,
   SettlementKind,
   SUSPICION_MILLISECONDS,
   type TaskSettlement,
 } from "@eelgrassfront/model";
-import { CrashEvidence, CrashSuspects } from "./crash_suspects.ts";
+import {
+  CrashEvidence,
+  CrashSuspects,
+  type CrashVerdict,
+} from "./crash_suspects.ts";
 import type { DispatchJob } from "./dispatch_job.ts";
 import type { TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
 import { TrialWorkers } from "./trial_workers.ts";
@@ -30,6 +35,9 @@
 /** Interval at which the workers are observed while none has crashed. */
 const OBSERVATION_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
 
+/** Time after which a crash is late: a sidecar counts from the acceptance, and notices the crash later. */
+const LATE_MILLISECONDS: Milliseconds = 2 * SUSPICION_MILLISECONDS;
+
 /** Collaborators of a `CrashPolicy`. */
 export interface CrashPolicyOptions {
   readonly collector: OutputCollector<DispatchOutput>;
@@ -73,7 +81,7 @@
   applySettlement(attempt: TaskAttempt, settlement: TaskSettlement): void {
     const { job, task, address, isApart, sentAt } = attempt;
     const { collector } = this.#options;
-    const evidence = evidenceOf(attempt, settlement);
+    const evidence = evidenceOf(attempt, settlement, collector.now);
     const hasOutlivedCrash = evidence === CrashEvidence.Beside &&
       collector.now >= sentAt + SUSPICION_MILLISECONDS;
     const hasSurvived = isApart &&
@@ -81,7 +89,8 @@
     if (hasSurvived) this.#suspects.clear(task.name);
     if (evidence === undefined) return;
     this.#observe();
-    this.#suspects.record(job, task.name, evidence);
+    const sidecar = this.#options.links.find(address)?.process ?? address;
+    this.#suspects.record(sidecar, job, task.name, evidence);
     if (evidence === CrashEvidence.Beside) return;
     collector.count(Counter.TasksSuspected);
     collector.record(
@@ -100,9 +109,12 @@
   }
 
   /** Records a crash that a sidecar reports, with the suspects among other entries' tasks. */
-  applyReport(suspects: readonly CrashSuspect[]): void {
+  applyReport(
+    sidecar: ProcessIdentifier,
+    suspects: readonly CrashSuspect[],
+  ): void {
     this.#observe();
-    this.#suspects.recordReport(suspects);
+    this.#suspects.recordReport(sidecar, suspects);
   }
 
   /** Marks a job as suspect or not. */
@@ -117,8 +129,8 @@
   }
 
   /** Whether a job is given up because of the workers that crashed under it. */
-  isConvicted(job: DispatchJob): boolean {
-    return this.#suspects.isConvicted(job);
+  verdictOn(job: DispatchJob): CrashVerdict {
+    return this.#suspects.verdictOn(job);
   }
 
   /** Chooses a worker for a task. */
@@ -170,13 +182,17 @@
 }
 
 function evidenceOf(
-  { isApart }: TaskAttempt,
+  { isApart, sentAt }: TaskAttempt,
   settlement: TaskSettlement,
+  now: Milliseconds,
 ): CrashEvidence | undefined {
   if (settlement.kind !== SettlementKind.Interrupted) return undefined;
   switch (settlement.reason) {
     case InterruptionReason.WorkerCrashed:
-      return isApart ? CrashEvidence.Apart : CrashEvidence.Suspected;
+      if (isApart) return CrashEvidence.Apart;
+      return now < sentAt + LATE_MILLISECONDS
+        ? CrashEvidence.Suspected
+        : CrashEvidence.Late;
     case InterruptionReason.BesideCrash:
       return CrashEvidence.Beside;
     case InterruptionReason.Cancelled:
--- a/domain/dispatcher/src/crash_suspects.ts
+++ b/domain/dispatcher/src/crash_suspects.ts
@@ -7,18 +7,24 @@
  *
  * Workers also crash for other reasons, several at once in an outage. What a crash says of a task:
  *
- * | the task at the crashed worker                        | counts as                                 |
- * | ----------------------------------------------------- | ----------------------------------------- |
- * | its start is not evident                              | nothing                                   |
- * | it began long before, or another one is more likely   | a crash beside it                         |
- * | it had just begun                                     | a suspected crash                         |
- * | it had just begun, apart from other jobs              | a crash apart                             |
- * | one of the last two, near a crash that no run explains | a crash beside it, and no quarantine      |
+ * | the task at the crashed worker                                   | counts as                   |
+ * | ---------------------------------------------------------------- | --------------------------- |
+ * | nothing shows its start                                          | nothing                     |
+ * | its start is only possible, or another one is the likelier cause | a crash beside it           |
+ * | it began long before, and none had just begun                    | a late crash                |
+ * | it had just begun, beside work of a kind that crashes workers    | a late crash                |
+ * | it had just begun                                                | a suspected crash           |
+ * | it ran apart, and had just begun or none had                     | a suspected one, apart      |
+ * | one of the last two, in what may be an outage                    | a doubtful crash            |
  *
- * A job fails after two suspected crashes of a task, one of them apart; after three while workers also crash
- * without a run that explains it; and after five crashes of any kind that count.
+ * A job runs apart after a late or suspected crash, or two doubtful ones. It fails after two suspected crashes of a
+ * task, one of them apart; after three if workers also crash without a run that explains it. If other jobs are
+ * suspects of crashes near these, the verdict is put off until the crashes of an outage are known, and the job is
+ * not started meanwhile. After five crashes of any of these kinds it is given up, without a claim that it cannot be
+ * done.
  */
 import {
+  assertNever,
   type CrashSuspect,
   type DispatchOutput,
   EventNumber,
@@ -29,34 +35,71 @@
   Severity,
 } from "@eelgrassfront/model";
 import { ExpiringMap } from "@eelgrassfront/retention";
+import {
+  type CrashCandidate,
+  CrashHistory,
+  MEMORY_MILLISECONDS,
+  OUTAGE_MILLISECONDS,
+} from "./crash_history.ts";
 import type { DispatchJob } from "./dispatch_job.ts";
-import { UnexplainedCrashes } from "./unexplained_crashes.ts";
 
 /** How a crash relates to a task. */
 export enum CrashEvidence {
   /** Another task is the more likely cause. */
   Beside = "beside",
+  /** The task was among those that ran when none had just started. */
+  Late = "late",
   /** The task was among those that had just started. */
   Suspected = "suspected",
   /** The task ran apart. */
   Apart = "apart",
 }
 
-/** How long crashes are remembered: longer than clients submit a job again. */
-const MEMORY_MILLISECONDS: Milliseconds = 30_000;
+/** What the crashes under the tasks of a job lead to. */
+export enum CrashVerdict {
+  /** The job may run. */
+  None = "none",
+  /** The job may have crashed too many workers; it does not run until that is known. */
+  Pending = "pending",
+  /** A task of the job crashes workers. */
+  Failed = "failed",
+  /** Too many workers have crashed under a task, whatever the cause. */
+  GivenUp = "given-up",
+}
+
 const MAXIMUM_JOBS = 10_000;
+/** Crashes that keep a kind of work under quarantine; a few show it. */
+const MAXIMUM_QUARANTINE_CRASHES = 20;
 /** Time without a crash of a kind of work after which its jobs run among others again. */
 const QUARANTINE_MILLISECONDS: Milliseconds = 5_000;
 /** Suspected crashes of a task after which it is given up if it ran apart in one of them. */
 const MAXIMUM_CRASHES = 2;
 /** The same while workers crash without a run that explains it, so that a task may meet two such crashes. */
 const MAXIMUM_CRASHES_AMONG_UNEXPLAINED = 3;
+/** Doubtful crashes of a job after which it runs apart. */
+const MAXIMUM_DOUBTFUL_STARTS = 2;
 /** Crashes under a task after which it is given up in any case. */
 const MAXIMUM_DOUBTFUL_CRASHES = 5;
 
-interface TaskCrash {
+/** A crash of which a job is a suspect. */
+interface SuspectedCrash extends CrashCandidate {
   readonly at: Milliseconds;
+}
+
+interface TaskCrash extends SuspectedCrash {
   evidence: CrashEvidence;
+  /** Whether workers crashed at the time under no run that explains it. */
+  readonly isAmongUnexplained: boolean;
+}
+
+/** The crashes that speak against a task. */
+interface CrashWeight {
+  readonly apart: number;
+  /** Suspected crashes, those apart included. */
+  readonly suspected: number;
+  readonly late: number;
+  /** Times of the crashes that may be of an outage. */
+  readonly doubtful: readonly Milliseconds[];
 }
 
 /** Collaborators of a `CrashSuspects`. */
@@ -72,15 +115,17 @@
     maximumWeight: MAXIMUM_JOBS,
     weigh: () => 1,
   });
-  /** Times of the crashes that keep a kind of work under quarantine. */
-  readonly #quarantines = new Map<string, Milliseconds[]>();
-  readonly #unexplained: UnexplainedCrashes;
+  /** The crashes that keep a kind of work under quarantine. */
+  readonly #quarantines = new Map<string, readonly SuspectedCrash[]>();
+  readonly #history: CrashHistory;
   #isAlertUntil: Milliseconds = 0;
+  /** Until when reports may change what the latest crash says. */
+  #isOpenUntil: Milliseconds = 0;
   #revision = 0;
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
-    this.#unexplained = new UnexplainedCrashes(options);
+    this.#history = new CrashHistory(options);
   }
 
   /** Rises whenever a job may have become a suspect or no longer be one. */
@@ -93,55 +138,81 @@
     return this.#options.collector.now < this.#isAlertUntil;
   }
 
-  /** Records a crash under a task of this entry. */
+  /** Records a crash of a sidecar's worker under a task of this entry. */
   record(
+    sidecar: string,
     job: DispatchJob,
     task: JobTaskReference,
     evidence: CrashEvidence,
   ): void {
-    this.#add(task, evidence, job.route.name);
+    this.#add(sidecar, task, evidence, job.route.name);
   }
 
   /** Clears a task that has run apart and did not crash its worker; its crashes still count. */
   clear(task: JobTaskReference): void {
     const crashes = this.#jobs.get(task.job)?.get(jobTaskKey(task)) ?? [];
     for (const crash of crashes) {
-      if (crash.evidence !== CrashEvidence.Suspected) continue;
+      const isSuspicion = crash.evidence === CrashEvidence.Suspected ||
+        crash.evidence === CrashEvidence.Late;
+      if (!isSuspicion) continue;
       crash.evidence = CrashEvidence.Beside;
       this.#revision += 1;
     }
   }
 
   /**
-   * Records a crash at a sidecar by the suspects among the tasks of other entries, whose jobs may be submitted to
-   * this one. A report without suspects says that no run there explains the crash.
+   * Records a crash that a sidecar reports, by the suspects among the tasks of other entries, whose jobs may be
+   * submitted to this one. A report without suspects says that no run there explains the crash.
    */
-  recordReport(suspects: readonly CrashSuspect[]): void {
-    if (suspects.length === 0) this.#recordUnexplained();
-    for (const { task, route } of suspects) {
+  recordReport(sidecar: string, suspects: readonly CrashSuspect[]): void {
+    if (suspects.length === 0) this.#recordUnexplained(sidecar);
+    for (const { task, route, workKind } of suspects) {
       const evidence = route === undefined
         ? CrashEvidence.Suspected
         : CrashEvidence.Apart;
-      this.#add(task, evidence, route);
+      this.#add(sidecar, task, evidence, route ?? workKind);
     }
   }
 
   /** Whether a job runs apart. */
   isSuspect({ id, route }: DispatchJob): boolean {
-    return this.#isUnderQuarantine(route.name) ||
-      this.#crashesOf(id).some((crashes) => this.#weigh(crashes).total > 0);
+    if (this.#isUnderQuarantine(route.name)) return true;
+    const weights = this.#crashesOf(id).map((crashes) => this.#weigh(crashes));
+    const doubtful = new Set(weights.flatMap((weight) => weight.doubtful));
+    return weights.some(({ suspected, late }) => suspected + late > 0) ||
+      doubtful.size >= MAXIMUM_DOUBTFUL_STARTS;
+  }
+
+  /** Returns what the crashes under the tasks of a job lead to. */
+  verdictOn({ id }: DispatchJob): CrashVerdict {
+    const tasks = this.#crashesOf(id);
+    const convicting = tasks.find((crashes) => this.#isBlamed(crashes));
+    if (convicting !== undefined) {
+      return this.#isOutagePossible(convicting)
+        ? CrashVerdict.Pending
+        : CrashVerdict.Failed;
+    }
+    return tasks.some(({ length }) => length >= MAXIMUM_DOUBTFUL_CRASHES)
+      ? CrashVerdict.GivenUp
+      : CrashVerdict.None;
   }
 
-  /** Whether a job is given up, because workers have crashed under one of its tasks too often. */
-  isConvicted({ id }: DispatchJob): boolean {
-    const maximum = this.#unexplained.isAny
+  #isBlamed(crashes: readonly TaskCrash[]): boolean {
+    const { apart, suspected } = this.#weigh(crashes);
+    const isAmongUnexplained = this.#history.hasUnexplained ||
+      crashes.some((crash) => crash.isAmongUnexplained);
+    const maximum = isAmongUnexplained
       ? MAXIMUM_CRASHES_AMONG_UNEXPLAINED
       : MAXIMUM_CRASHES;
-    return this.#crashesOf(id).some((crashes) => {
-      const { apart, total } = this.#weigh(crashes);
-      return (apart > 0 && total >= maximum) ||
-        crashes.length >= MAXIMUM_DOUBTFUL_CRASHES;
-    });
+    return apart > 0 && suspected >= maximum;
+  }
+
+  /** Whether an outage of which not all crashes are reported yet may have caused crashes under a task. */
+  #isOutagePossible(crashes: readonly TaskCrash[]): boolean {
+    const { now } = this.#options.collector;
+    const last = Math.max(...crashes.map(({ at }) => at));
+    return now <= last + OUTAGE_MILLISECONDS &&
+      crashes.some(({ job, at }) => this.#history.hasOtherSuspects(job, at));
   }
 
   #isRemembered(at: Milliseconds): boolean {
@@ -154,9 +225,10 @@
     return this.#crashesOf(id).flat()
       .sort((left, right) => left.at - right.at)
       .slice(0, MAXIMUM_DOUBTFUL_CRASHES)
-      .map(({ at, evidence }) => {
-        const weight = this.#unexplained.isNear(at) ? " unexplained" : "";
-        return `${evidence}${weight} ${Math.round(now - at)}`;
+      .map((crash) => {
+        const { at, evidence } = crash;
+        const outage = this.#history.isOutage(crash, at) ? " outage" : "";
+        return `${evidence}${outage} ${Math.round(now - at)}`;
       })
       .join(", ");
   }
@@ -167,23 +239,21 @@
    * crashed no worker are the most likely to complete.
    */
   trialRank({ id, route }: DispatchJob): number {
-    const weights = this.#crashesOf(id).map((crashes) => this.#weigh(crashes));
-    return weights.reduce(
-      (rank, { apart, total }) =>
-        this.#isUnderQuarantine(route.name)
-          ? rank + total
-          : rank - (total - apart),
-      0,
-    );
+    const isUnderQuarantine = this.#isUnderQuarantine(route.name);
+    return this.#crashesOf(id).reduce((rank, crashes) => {
+      const { apart, suspected } = this.#weigh(crashes);
+      return isUnderQuarantine ? rank + suspected : rank - (suspected - apart);
+    }, 0);
   }
 
   /** Ends the quarantines that are due. */
   tick(): void {
     const { now } = this.#options.collector;
     this.#jobs.purge(now);
-    this.#unexplained.purge();
+    this.#history.purge();
+    if (now <= this.#isOpenUntil) this.#revision += 1;
     for (const route of this.#quarantines.keys()) {
-      if (this.#isUnderQuarantine(route)) continue;
+      if (this.#crashesApart(route).length > 0) continue;
       this.#quarantines.delete(route);
       this.#revision += 1;
     }
@@ -193,62 +263,100 @@
     return [...this.#jobs.get(job)?.values() ?? []];
   }
 
-  /** Counts the crashes that speak against a task. */
-  #weigh(crashes: readonly TaskCrash[]) {
+  #weigh(crashes: readonly TaskCrash[]): CrashWeight {
     let apart = 0;
-    let total = 0;
-    for (const { at, evidence } of crashes) {
-      if (evidence === CrashEvidence.Beside) continue;
-      if (!this.#isRemembered(at) || this.#unexplained.isNear(at)) continue;
-      total += 1;
-      if (evidence === CrashEvidence.Apart) apart += 1;
+    let suspected = 0;
+    let late = 0;
+    const doubtful: Milliseconds[] = [];
+    for (const crash of crashes) {
+      const { at, evidence } = crash;
+      if (!this.#isRemembered(at)) continue;
+      switch (evidence) {
+        case CrashEvidence.Beside:
+          break;
+        case CrashEvidence.Late:
+          late += 1;
+          break;
+        case CrashEvidence.Suspected:
+        case CrashEvidence.Apart:
+          if (this.#history.isOutage(crash, at)) doubtful.push(at);
+          else if (this.#isOtherKindToBlame(crash)) late += 1;
+          else {
+            suspected += 1;
+            if (evidence === CrashEvidence.Apart) apart += 1;
+          }
+          break;
+        default:
+          assertNever(evidence);
+      }
     }
-    return { apart, total };
+    return { apart, suspected, late, doubtful };
+  }
+
+  /** Whether a kind of work, other than its own, that crashed workers apart may have caused a crash. */
+  #isOtherKindToBlame(crash: TaskCrash): boolean {
+    return this.#history.otherKinds(crash, crash.at)
+      .some((kind) => this.#crashesApart(kind).length > 0);
   }
 
   #isUnderQuarantine(route: string): boolean {
+    return this.#crashesApart(route).some((crash) =>
+      !this.#history.isOutage(crash, crash.at)
+    );
+  }
+
+  /** The crashes of the last seconds under work of a kind that ran apart. */
+  #crashesApart(route: string): readonly SuspectedCrash[] {
     const from = this.#options.collector.now - QUARANTINE_MILLISECONDS;
-    const crashes = this.#quarantines.get(route) ?? [];
-    return crashes.some((at) => at > from && !this.#unexplained.isNear(at));
+    return this.#quarantines.get(route)?.filter(({ at }) => at > from) ?? [];
   }
 
   #add(
+    sidecar: string,
     task: JobTaskReference,
     evidence: CrashEvidence,
-    route: string | undefined,
+    workKind: string | undefined,
   ): void {
     const { now } = this.#options.collector;
+    const { job } = task;
     this.#isAlertUntil = now + QUARANTINE_MILLISECONDS;
+    this.#isOpenUntil = now + OUTAGE_MILLISECONDS;
     this.#revision += 1;
-    const tasks = this.#jobs.get(task.job) ?? new Map<string, TaskCrash[]>();
+    const tasks = this.#jobs.get(job) ?? new Map<string, TaskCrash[]>();
     const key = jobTaskKey(task);
     const earlier = tasks.get(key)?.filter(({ at }) => this.#isRemembered(at));
-    tasks.set(key, [...earlier ?? [], { at: now, evidence }]);
-    this.#jobs.set(now, task.job, tasks);
-    if (evidence === CrashEvidence.Apart && route !== undefined) {
-      this.#quarantine(route);
+    const isAmongUnexplained = this.#history.hasUnexplained;
+    const crash = { at: now, job, workKind, evidence, isAmongUnexplained };
+    tasks.set(key, [...earlier ?? [], crash]);
+    this.#jobs.set(now, job, tasks);
+    if (evidence === CrashEvidence.Beside) return;
+    this.#history.recordSuspect(sidecar, crash);
+    if (evidence === CrashEvidence.Apart && workKind !== undefined) {
+      this.#quarantine(workKind, crash);
     }
   }
 
-  #recordUnexplained(): void {
-    this.#unexplained.record();
-    this.#revision += 1;
+  #recordUnexplained(sidecar: string): void {
     const { collector } = this.#options;
-    const lifted = [...this.#quarantines.keys()]
-      .filter((route) => !this.#isUnderQuarantine(route));
+    const routes = [...this.#quarantines.keys()]
+      .filter((route) => this.#isUnderQuarantine(route));
+    this.#history.recordUnexplained(sidecar);
+    this.#revision += 1;
+    const lifted = routes.filter((route) => !this.#isUnderQuarantine(route));
     collector.record(
       EventNumber.CrashUnexplained,
       "a worker crashed under no run that had just begun; crashes near it count against no task",
-      { context: { liftedQuarantines: lifted.join(", ") } },
+      { context: { sidecar, liftedQuarantines: lifted.join(", ") } },
     );
   }
 
-  #quarantine(route: string): void {
+  #quarantine(route: string, crash: SuspectedCrash): void {
     const { collector } = this.#options;
-    const from = collector.now - QUARANTINE_MILLISECONDS;
     const wasUnderQuarantine = this.#isUnderQuarantine(route);
-    const recent = this.#quarantines.get(route)?.filter((at) => at > from);
-    this.#quarantines.set(route, [...recent ?? [], collector.now]);
+    this.#quarantines.set(
+      route,
+      [...this.#crashesApart(route), crash].slice(-MAXIMUM_QUARANTINE_CRASHES),
+    );
     if (wasUnderQuarantine || !this.#isUnderQuarantine(route)) return;
     collector.record(
       EventNumber.KindQuarantined,
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -270,7 +270,7 @@
         }
         return;
       case DispatchRequestKind.ReportCrash:
-        this.#placer.crashes.applyReport(message.suspects);
+        this.#placer.crashes.applyReport(from, message.suspects);
         this.#reply(input, { kind: DispatchReplyKind.CrashNoted });
         return;
       case DispatchRequestKind.ClaimJob:
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -5,13 +5,11 @@
   assertNever,
   ClientAnswerKind,
   type DispatchOutput,
-  Gauge,
   GivenUpReason,
   JobFailureReason,
   JobRefusalReason,
   type Milliseconds,
   type OutputCollector,
-  OutputKind,
   type RequestIdentifier,
   type WaitingDemand,
 } from "@eelgrassfront/model";
@@ -20,10 +18,12 @@
 import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
 import { EndingRuns } from "./ending_runs.ts";
 import type { YieldRequest } from "./job_arbiter.ts";
+import { CrashVerdict } from "./crash_suspects.ts";
 import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
 import { BacklogEstimator, type BacklogSource } from "./backlog_estimator.ts";
 import { canStartInTime, expectedWait, retryAfter } from "./job_admission.ts";
 import type { JobAnswers } from "./job_answers.ts";
+import { JobGauges } from "./job_gauges.ts";
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
 import { isCapableWorkerKnown } from "./worker_choice.ts";
@@ -49,7 +49,6 @@
 const NO_WORKER_GRACE_MILLISECONDS: Milliseconds = 1_500;
 /** Retry time of a job that no known worker can run: the time that a restart takes. */
 const DEFAULT_RETRY_AFTER_MILLISECONDS: Milliseconds = 1_000;
-
 /** Longest time from the submission of a job to its acceptance that is allowed for when two copies are compared. */
 const ACCEPTANCE_MILLISECONDS: Milliseconds = 100;
 
@@ -67,7 +66,7 @@
   readonly #byRequest = new Map<RequestIdentifier, DispatchJob>();
   readonly #queue = new JobQueue();
   readonly #arrivalRates = new ArrivalRates();
-  readonly #lastGauges = new Map<Gauge, number>();
+  readonly #gauges: JobGauges;
   readonly #endingRuns: EndingRuns;
   readonly #backlog: BacklogEstimator;
   /** The last placement that found no worker; undefined while none is known to fail. */
@@ -78,6 +77,7 @@
 
   constructor(options: JobSchedulerOptions) {
     this.#options = options;
+    this.#gauges = new JobGauges(options);
     this.#endingRuns = new EndingRuns(options.source.attempts);
     this.#backlog = new BacklogEstimator({
       ...options,
@@ -130,8 +130,7 @@
 
   /** Accepts a job or refuses it; a repeated submission joins the job that is already known. */
   admit(job: DispatchJob, isClosed: boolean): void {
-    const { answers, placer, claims } = this.#options;
-    const { crashes } = placer;
+    const { answers, placer: { crashes }, claims } = this.#options;
     const known = this.#jobs.get(job.id);
     const [request] = job.requests;
     if (known !== undefined && request !== undefined) {
@@ -144,10 +143,7 @@
       answers.answerRefused(job, JobRefusalReason.Leaving, { context: {} });
       return;
     }
-    if (crashes.isConvicted(job)) {
-      this.#answerFailed(job, JobFailureReason.WorkersCrashed);
-      return;
-    }
+    if (this.#endIfHopeless(job)) return;
     if (this.#refuseUnrunnable(job)) return;
     crashes.classify(job);
     const { now } = this.#options.collector;
@@ -165,7 +161,8 @@
     placer.crashes.classify(job);
     this.#queue.add(job);
     const isFirst = this.#queue.jobs[0] === job;
-    if (isFirst && !this.#isHeld && placer.place(job)) {
+    const isPlaceable = isFirst && !this.#isHeld && !this.#isOnTrial(job);
+    if (isPlaceable && placer.place(job)) {
       this.#removePlaced(job);
       return;
     }
@@ -257,32 +254,42 @@
       this.#options.answers.answerCompleted(job);
       return;
     }
-    const failure = this.#failureOf(job);
-    if (failure !== undefined) {
-      this.#options.placer.cancelTasks(job);
-      this.#remove(job);
-      this.#answerFailed(job, failure);
-      return;
-    }
+    if (this.#endIfHopeless(job)) return;
     this.#options.placer.crashes.classify(job);
     job.unblockTasks();
     const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
     if (isWaiting && !this.#options.claims.isPending(job)) this.#queue.add(job);
   }
 
-  #answerFailed(job: DispatchJob, reason: JobFailureReason): void {
-    const { answers, placer } = this.#options;
-    answers.answerFailed(job, reason, placer.crashes.describe(job));
-  }
-
-  #failureOf(job: DispatchJob): JobFailureReason | undefined {
-    if (this.#options.placer.crashes.isConvicted(job)) {
-      return JobFailureReason.WorkersCrashed;
+  /** Ends a job of which a task has failed or crashed workers too often. Returns whether it has. */
+  #endIfHopeless(job: DispatchJob): boolean {
+    const verdict = this.#options.placer.crashes.verdictOn(job);
+    switch (verdict) {
+      case CrashVerdict.Failed:
+        this.#fail(job, JobFailureReason.WorkersCrashed);
+        return true;
+      case CrashVerdict.GivenUp:
+        this.#giveUp(job, GivenUpReason.WorkersCrashed);
+        return true;
+      case CrashVerdict.None:
+      case CrashVerdict.Pending:
+        break;
+      default:
+        assertNever(verdict);
     }
     const { maximumAttempts } = job.route;
-    return job.tasks.some(({ failures }) => failures >= maximumAttempts)
-      ? JobFailureReason.TaskFailed
-      : undefined;
+    const isFailed = job.tasks.some(({ failures }) =>
+      failures >= maximumAttempts
+    );
+    if (isFailed) this.#fail(job, JobFailureReason.TaskFailed);
+    return isFailed;
+  }
+
+  #fail(job: DispatchJob, reason: JobFailureReason): void {
+    const { answers, placer } = this.#options;
+    placer.cancelTasks(job);
+    this.#remove(job);
+    answers.answerFailed(job, reason, placer.crashes.describe(job));
   }
 
   /** Allows the tasks of a lost sidecar to be placed again, since they have ended there. */
@@ -333,13 +340,14 @@
   /** Enforces deadlines, places waiting tasks, and refuses jobs that can no longer start in time. */
   tick(): void {
     this.#classifyJobs();
+    this.#endHopeless();
     this.#enforceDeadlines();
     for (const change of this.#options.claims.tick()) {
       this.applyClaimChange(change);
     }
     this.#placeWaiting();
     this.#refuseLate();
-    this.#updateGauges();
+    this.#gauges.update(this.#queue.size, this.#jobs.size - this.#queue.size);
   }
 
   /** Returns the time of the next deadline or placement attempt. */
@@ -362,6 +370,13 @@
     this.#queue.sort();
   }
 
+  /** Ends the jobs whose verdict was put off. */
+  #endHopeless(): void {
+    for (const job of [...this.#queue.jobs]) {
+      if (job.isSuspect) this.#endIfHopeless(job);
+    }
+  }
+
   #placeWaiting(): void {
     const isSuspectWaiting = this.#queue.jobs.at(-1)?.isSuspect === true;
     this.#options.placer.crashes.setSuspectWaiting(isSuspectWaiting);
@@ -370,6 +385,7 @@
     for (const job of [...this.#queue.jobs]) {
       // Suspects wait for workers of their own, so others neither block them nor are blocked.
       if (isBlocked && !job.isSuspect) continue;
+      if (this.#isOnTrial(job)) continue;
       if (!this.#options.placer.place(job)) {
         if (job === this.#queue.jobs[0]) this.#recordBlocked(job);
         if (job.isSuspect) return;
@@ -380,6 +396,12 @@
     }
   }
 
+  /** Whether a suspect must not run until the verdict on the crashes under it. */
+  #isOnTrial(job: DispatchJob): boolean {
+    return job.isSuspect && this.#options.placer.crashes.verdictOn(job) ===
+        CrashVerdict.Pending;
+  }
+
   #isStillBlocked(): boolean {
     if (this.#blocked === undefined) return false;
     const { job, loadRevision, until } = this.#blocked;
@@ -475,15 +497,4 @@
     this.#endingRuns.record(job, this.#options.collector.now);
     for (const request of job.requests) this.#byRequest.delete(request);
   }
-
-  #updateGauges(): void {
-    this.#updateGauge(Gauge.QueuedJobs, this.#queue.size);
-    this.#updateGauge(Gauge.RunningJobs, this.#jobs.size - this.#queue.size);
-  }
-
-  #updateGauge(gauge: Gauge, value: number): void {
-    if (this.#lastGauges.get(gauge) === value) return;
-    this.#lastGauges.set(gauge, value);
-    this.#options.collector.add({ kind: OutputKind.SetGauge, gauge, value });
-  }
 }
--- a/domain/dispatcher/src/outage_crash_test.ts
+++ b/domain/dispatcher/src/outage_crash_test.ts
@@ -8,6 +8,7 @@
   ClientAnswerKind,
   type CrashSuspect,
   DispatchRequestKind,
+  GivenUpReason,
   InputKind,
   InterruptionReason,
   SettlementKind,
@@ -132,7 +133,10 @@
     crashWorkers(harness);
   }
   expect(harness.placementAddresses().length).toEqual(5);
-  expect(harness.answerTo(1)).toEqual(FAILED);
+  expect(harness.answerTo(1)).toEqual({
+    kind: ClientAnswerKind.GivenUp,
+    reason: GivenUpReason.WorkersCrashed,
+  });
 });
 
 test("crashes of an outage do not count against a task once the outage is forgotten", () => {
@@ -147,3 +151,63 @@
   submit(harness, 2, "a");
   expect(harness.answerTo(2)).toEqual(undefined);
 });
+
+test("a job is not failed for crashes of an outage that the entry hears of last, while other jobs are suspects", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  submit(harness, 2, "b");
+  crashWorkers(harness);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual(undefined);
+  expect(harness.sent(DispatchRequestKind.RunTask).length).toEqual(0);
+  harness.runTo(50);
+  reportCrash(harness);
+  harness.runTo(100);
+  completeAll(harness);
+  expect(harness.answerTo(1)).toEqual(COMPLETED);
+});
+
+test("a job whose verdict was put off fails once no report of an outage can follow", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  submit(harness, 2, "b");
+  crashWorkers(harness);
+  crashWorkers(harness);
+  harness.runTo(300);
+  expect(harness.answerTo(1)).toEqual(FAILED);
+});
+
+test("a job that crashes workers during an outage runs apart after two crashes", () => {
+  const harness = readyHarness();
+  reportCrash(harness);
+  submit(harness, 1, "a");
+  crashWorkers(harness);
+  expect(runsApart(harness)).toEqual(0);
+  harness.runTo(1);
+  crashWorkers(harness);
+  expect(runsApart(harness)).toEqual(1);
+});
+
+test("a job is not failed for crashes near one that its kind of work does not explain", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  crashWorkers(harness);
+  const task = { job: "other", step: 0, index: 0 };
+  reportCrash(harness, [{ task, workKind: "later" }]);
+  crashWorkers(harness);
+  harness.runTo(100);
+  completeAll(harness);
+  expect(harness.answerTo(1)).toEqual(COMPLETED);
+});
+
+test("a task that had run for long when its worker crashed runs apart, and that crash does not fail its job", () => {
+  const harness = readyHarness();
+  submit(harness, 1, "a");
+  harness.runTo(400);
+  crashWorkers(harness);
+  expect(runsApart(harness)).toEqual(1);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual(undefined);
+  crashWorkers(harness);
+  expect(harness.answerTo(1)).toEqual(FAILED);
+});
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -429,6 +429,7 @@
       resources: task.step.resources,
       expectedMilliseconds: Math.round(job.expectedRunMilliseconds),
       requirements: requirementsOf(job, task.step),
+      workKind: job.route.name,
       ...(isApart ? { suspectRoute: job.route.name } : {}),
     };
   }
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -80,6 +80,8 @@
   readonly expectedMilliseconds: Milliseconds;
   /** Kind of work of a task that is suspected to crash workers and therefore runs apart from other jobs. */
   readonly suspectRoute?: string;
+  /** Kind of work of the task; absent from entries of earlier versions. */
+  readonly workKind?: string;
 }
 
 /** An entry cancels a task attempt, whether it is waiting or running. */
@@ -157,6 +159,8 @@
   readonly task: JobTaskReference;
   /** Kind of work, where the task ran apart: then hardly another task has crashed the worker. */
   readonly route?: string;
+  /** Kind of work of the task, if its entry has said it. */
+  readonly workKind?: string;
 }
 
 /**
--- a/domain/model/src/dispatch_output.ts
+++ b/domain/model/src/dispatch_output.ts
@@ -60,6 +60,8 @@
   Leaving = "leaving",
   /** The client has submitted the job again through another entry, which runs it. */
   Resubmitted = "resubmitted",
+  /** Workers have crashed under it again and again, and nothing shows whether it is the cause. */
+  WorkersCrashed = "workers-crashed",
 }
 
 /** Kinds of answers to client accounts. */
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -5,6 +5,7 @@
  * since a job whose entry ends is submitted to another one.
  */
 import {
+  assertNever,
   Counter,
   type CrashSuspect,
   type DispatchOutput,
@@ -73,9 +74,7 @@
     for (const run of runs) {
       const reason = suspects.includes(run)
         ? InterruptionReason.WorkerCrashed
-        : beginningOf(run) === RunBeginning.Unproven
-        ? InterruptionReason.WorkerLost
-        : InterruptionReason.BesideCrash;
+        : reasonBeside(run);
       table.settle(run, interrupted(reason));
     }
   }
@@ -141,6 +140,26 @@
   }
 }
 
-function suspectOf({ task, suspectRoute: route }: WorkerRun): CrashSuspect {
-  return route === undefined ? { task } : { task, route };
+/** Why a run ended with its worker that is not a suspect of the crash. */
+function reasonBeside(run: WorkerRun): InterruptionReason {
+  const beginning = beginningOf(run);
+  switch (beginning) {
+    case RunBeginning.Unproven:
+      return InterruptionReason.WorkerLost;
+    case RunBeginning.Possible:
+    case RunBeginning.Evident:
+      return InterruptionReason.BesideCrash;
+    default:
+      return assertNever(beginning);
+  }
+}
+
+function suspectOf(
+  { task, suspectRoute: route, workKind }: WorkerRun,
+): CrashSuspect {
+  return {
+    task,
+    ...(route === undefined ? {} : { route }),
+    ...(workKind === undefined ? {} : { workKind }),
+  };
 }
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -111,6 +111,7 @@
       expectedMilliseconds: message.expectedMilliseconds,
       acceptedAt: this.#options.collector.now,
       suspectRoute: message.suspectRoute,
+      workKind: message.workKind,
       request: waiter.request,
       state: { phase: RunPhase.Waiting },
     };
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -64,15 +64,17 @@
     return times.length === 0 ? undefined : Math.max(...times);
   }
 
-  /** The runs among those of a crashed worker that may have crashed it: they began shortly before. */
+  /** The runs among those of a crashed worker that may have crashed it: where none has just begun, all that run. */
   suspectsOf(runs: readonly WorkerRun[]): readonly WorkerRun[] {
     const begun = runs.filter((run) =>
-      this.#isRecent(run) && beginningOf(run) === RunBeginning.Evident
+      beginningOf(run) === RunBeginning.Evident
     );
-    const apart = begun.filter(({ suspectRoute }) =>
+    const recent = begun.filter((run) => this.#isRecent(run));
+    const candidates = recent.length > 0 ? recent : begun;
+    const apart = candidates.filter(({ suspectRoute }) =>
       suspectRoute !== undefined
     );
-    return apart.length > 0 ? apart : begun;
+    return apart.length > 0 ? apart : candidates;
   }
 
   /** Whether no run of a crashed worker may explain the crash: none had just begun or ran apart. */
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -113,6 +113,8 @@
   readonly acceptedAt: Milliseconds;
   /** Kind of work of a task that runs apart because it may crash the worker. */
   readonly suspectRoute: string | undefined;
+  /** Kind of work; undefined if its entry did not say. */
+  readonly workKind: string | undefined;
   /** The request that the settlement answers; a repeated request replaces it. */
   request: RequestIdentifier;
   state: RunState;
