test(emulator): a crash breaks the calls that are in progress

Cause: the fake worker reported a call that its crash interrupted as timed out, where the platform's adapter reports a connection that broke. What a broken start call says of a crash could not be seen.

Change: a crash that breaks connections answers such calls so, at once or up to 50 ms later.

--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -6,14 +6,12 @@
 import {
   assertNever,
   type CallWorker,
-  ErrorTag,
   jobTaskKey,
   type ListedRun,
   type Milliseconds,
   type RunEnd,
   RunEndKind,
   type RunReference,
-  Step,
   type WorkerAnswer,
   WorkerAnswerKind,
   type WorkerCall,
@@ -22,6 +20,18 @@
   WorkerPhase,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
+import {
+  answerAfterCrash,
+  breakCall,
+  CLEAN_CRASH,
+  type WorkerCrash,
+} from "./worker_crash.ts";
+import {
+  ANSWER_MILLISECONDS,
+  connectionRefused,
+  refused,
+  unanswered,
+} from "./worker_answers.ts";
 import type { SeededRandom } from "./seeded_random.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
@@ -54,35 +64,6 @@
   delayedStops: 0,
 };
 
-/** How a worker crashes. */
-export enum CrashKind {
-  /** Connections break, and new ones are refused. */
-  Breaking = "breaking",
-  /** No connection breaks, and no call is answered until another incarnation runs there. */
-  Silent = "silent",
-}
-
-/** A crash that breaks connections. */
-export interface BreakingCrash {
-  readonly kind: CrashKind.Breaking;
-  /** Time after which a poll that waits notices the end of its connection. */
-  readonly breakMilliseconds: Milliseconds;
-}
-
-/** A crash that breaks no connection. */
-export interface SilentCrash {
-  readonly kind: CrashKind.Silent;
-}
-
-/** A crash of a worker. */
-export type WorkerCrash = BreakingCrash | SilentCrash;
-
-/** A crash that breaks all connections at once. */
-const CLEAN_CRASH: WorkerCrash = {
-  kind: CrashKind.Breaking,
-  breakMilliseconds: 0,
-};
-
 /** Callbacks for the start and the end of each run. */
 export interface WorkerObserver {
   readonly onStart: (worker: FakeWorker, run: RunReference) => void;
@@ -120,7 +101,6 @@
 }
 
 const MAXIMUM_LEASE_MILLISECONDS: Milliseconds = 1_000;
-const ANSWER_MILLISECONDS: Milliseconds = 0.5;
 const MINIMUM_CALL_DELAY_MILLISECONDS: Milliseconds = 2_000;
 const MAXIMUM_CALL_DELAY_MILLISECONDS: Milliseconds = 12_000;
 
@@ -201,7 +181,7 @@
     const { time, random } = this.options;
     const { request, fencingToken, timeoutMilliseconds: timeout } = output;
     if (this.#crash !== undefined) {
-      this.#answerAfterCrash(this.#crash, output, answer);
+      answerAfterCrash({ crash: this.#crash, time, output, answer });
       return;
     }
     if (this.isRefusingConnections) {
@@ -232,7 +212,7 @@
     const sentAt = time.now;
     time.after(ANSWER_MILLISECONDS / 2, () => {
       if (this.#crash !== undefined) {
-        this.#answerAfterCrash(this.#crash, output, answer);
+        answerAfterCrash({ crash: this.#crash, time, output, answer });
         return;
       }
       const result = this.#execute(request, fencingToken);
@@ -243,8 +223,8 @@
       const reply = () =>
         time.after(ANSWER_MILLISECONDS / 2, () => {
           if (this.#crash !== undefined) {
-            const delay = breakDelay(this.#crash, sentAt + timeout - time.now);
-            time.after(delay, () => answer(unanswered(output)));
+            const left = sentAt + timeout - time.now;
+            breakCall({ crash: this.#crash, time, output, answer, left });
             return;
           }
           answer(
@@ -259,31 +239,6 @@
     });
   }
 
-  /** Answers a call that reaches the address of the crashed worker. */
-  #answerAfterCrash(
-    crash: WorkerCrash,
-    output: CallWorker,
-    answer: (answer: WorkerAnswer) => void,
-  ): void {
-    const { time } = this.options;
-    switch (crash.kind) {
-      case CrashKind.Breaking:
-        time.after(
-          ANSWER_MILLISECONDS,
-          () => answer(connectionRefused(output)),
-        );
-        return;
-      case CrashKind.Silent:
-        time.after(
-          output.timeoutMilliseconds,
-          () => answer(unanswered(output)),
-        );
-        return;
-      default:
-        assertNever(crash);
-    }
-  }
-
   /**
    * Executes a call after a delay, with a lease that counts from then. The incarnation that has the worker's
    * identifier at that time executes it.
@@ -462,18 +417,6 @@
   }
 }
 
-/** Time after which a call in progress notices a crash; its timeout has so much time left. */
-function breakDelay(crash: WorkerCrash, left: Milliseconds): Milliseconds {
-  switch (crash.kind) {
-    case CrashKind.Breaking:
-      return Math.min(left, crash.breakMilliseconds);
-    case CrashKind.Silent:
-      return left;
-    default:
-      return assertNever(crash);
-  }
-}
-
 /** Moves the end of a call's lease, if it has one. */
 function moveLease(request: WorkerCall, by: Milliseconds): WorkerCall {
   switch (request.kind) {
@@ -490,31 +433,3 @@
       return assertNever(request);
   }
 }
-
-function refused(reason: WorkerRefusalReason): WorkerAnswer {
-  return { kind: WorkerAnswerKind.Refused, reason };
-}
-
-function unanswered({ worker }: CallWorker): WorkerAnswer {
-  return {
-    kind: WorkerAnswerKind.Unanswered,
-    error: {
-      tag: ErrorTag.TimedOut,
-      step: Step.ExecuteTask,
-      peer: worker,
-      detail: "no answer in time",
-    },
-  };
-}
-
-function connectionRefused({ worker }: CallWorker): WorkerAnswer {
-  return {
-    kind: WorkerAnswerKind.ConnectionRefused,
-    error: {
-      tag: ErrorTag.Unreachable,
-      step: Step.ExecuteTask,
-      peer: worker,
-      detail: "connection refused",
-    },
-  };
-}
--- a/emulator/src/worker_outages.ts
+++ b/emulator/src/worker_outages.ts
@@ -5,8 +5,9 @@
 import type { Milliseconds } from "@eelgrassfront/model";
 import type { DispatchSystem } from "./dispatch_system.ts";
 import type { DispatchVm } from "./dispatch_vm.ts";
-import { CrashKind, type FakeWorker, type WorkerCrash } from "./fake_worker.ts";
+import type { FakeWorker } from "./fake_worker.ts";
 import { SeededRandom } from "./seeded_random.ts";
+import { CrashKind, type WorkerCrash } from "./worker_crash.ts";
 
 /** Outages of workers, one in each interval of a load. */
 export interface WorkerOutages {
