fix(worker-guard): let runs of the last 300 ms explain a crash

Cause: such a crash was reported as one that no run explains, since the run was over 150 ms old when the crash was noticed. The report withdrew the evidence against other work of the kind. Class: one threshold for two questions, whom to suspect and what to rule out.

Change: a crash is without explanation only if no run apart or of the last 300 ms was there.

--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -14,6 +14,9 @@
 import type { RunTable } from "./run_table.ts";
 import { beginningOf, RunBeginning, type WorkerRun } from "./worker_run.ts";
 
+/** Time after its start in which a run may explain a crash. */
+const EXPLANATION_MILLISECONDS: Milliseconds = 2 * SUSPICION_MILLISECONDS;
+
 /** Collaborators of a `SuspectRuns`. */
 export interface SuspectRunsOptions {
   readonly collector: OutputCollector<DispatchOutput>;
@@ -77,11 +80,15 @@
     return apart.length > 0 ? apart : candidates;
   }
 
-  /** Whether no run of a crashed worker may explain the crash: none had just begun or ran apart. */
+  /**
+   * Whether no run of a crashed worker may explain the crash: none ran apart or has begun lately. The time is longer
+   * than that of a suspicion, so that work that crashes its worker later than usual explains it, too.
+   */
   isUnexplained(runs: readonly WorkerRun[]): boolean {
+    const from = this.#options.collector.now - EXPLANATION_MILLISECONDS;
     return runs.every((run) =>
       beginningOf(run) === RunBeginning.Unproven ||
-      (!this.#isRecent(run) && run.suspectRoute === undefined)
+      (run.acceptedAt <= from && run.suspectRoute === undefined)
     );
   }
 
