--- a/emulator/src/outage_run.ts
+++ b/emulator/src/outage_run.ts
@@ -86,7 +86,7 @@
 const SECOND = 1_000;
 const FLEET: FleetSize = { entries: 4, workers: WORKERS, zones: 4 };
 /** Duration of the loads in `runAllOutages`. */
-const LONG_MILLISECONDS: Milliseconds = 20 * SECOND;
+export const LONG_MILLISECONDS: Milliseconds = 20 * SECOND;
 const KINDS = kindsAtUtilisation(0.5);
 /** Time after an outage in which jobs are counted apart. */
 const OUTAGE_MILLISECONDS: Milliseconds = 2 * SECOND;
