fix(worker-guard): check a later incarnation that a poll shows before its runs are settled

What callers would see: a task placed again while a run of it goes on, until the worker's next report or the end of the lease.

Cause: a list of runs with a later time of birth was taken as the end of every run, although the run that it lists, or a start call still on its way, belongs to the incarnation that has answered. The sidecar also forgot the worker, so that it sent no stop until the next report.

Change: such a list begins the same check as a report does. It is asked with a raised fencing token, and its list settles what has ended. An incarnation of which only a list is known counts as draining until it reports, since its labels and capacity are not known.

Figures: two tests of lost_runs_test failed before ("a run that a poll shows at the next incarnation ...", "an incarnation of which only a list is known ...").

Conclusion: both ways in which the sidecar learns of a restart under the same identifier now settle by a list that is a barrier. A refused connection still settles at once (live_worker_test, late_starts_test).

--- a/domain/worker_guard/src/lost_runs_test.ts
+++ b/domain/worker_guard/src/lost_runs_test.ts
@@ -50,6 +50,35 @@
     .toEqual([ended, ended]);
 });
 
+test("a run that a poll shows at the next incarnation of the worker is not settled as ended", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.acceptStarts();
+  harness.restartWorker(BORN_AT + 500);
+  harness.answerPoll({ running: ["a"] });
+  expect(harness.settlementOf(10)).toEqual(undefined);
+  harness.answerPoll({ running: ["a"] }, 0);
+  expect(harness.settlementOf(10)).toEqual(undefined);
+  expect(harness.takeCalls("stop").length).toEqual(1);
+  harness.advanceTo(40);
+  harness.answerPoll({ ended: [{ job: "a", kind: RunEndKind.Stopped }] });
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.WorkerLost),
+  );
+});
+
+test("an incarnation of which only a list is known gets no task before it reports", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.restartWorker(BORN_AT + 500);
+  harness.answerPoll({});
+  harness.answerPoll({}, 0);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  expect(harness.startedJobs()).toEqual([]);
+  harness.report();
+  harness.runTask(11, { job: "b", millicores: 1_000 });
+  expect(harness.startedJobs()).toEqual(["b"]);
+});
+
 test("the runs of a worker that ends after it has drained are not settled as crashed", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -346,8 +346,8 @@
   ): boolean {
     const { link } = this.#options;
     const known = link.description?.incarnation.bornAt ?? answer.bornAt;
-    if (answer.bornAt > known) return false;
-    if (answer.bornAt < known) return true;
+    // A list of a later incarnation does not show which calls have reached it; the lifecycle checks that.
+    if (answer.bornAt !== known) return true;
     for (const end of answer.ended) this.#onEnd(end);
     const listed = new Map(
       answer.running.map((item) => [runKey(item.run), item]),
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -182,6 +182,12 @@
     this.step({ kind: DispatchInputKind.WorkerReported, description });
   }
 
+  /** Lets another incarnation of the worker answer from now on, which has not reported yet. */
+  restartWorker(bornAt: number): void {
+    this.#bornAt = bornAt;
+    this.#lastEnd = 0;
+  }
+
   /** Passes the saved description of the worker to the sidecar. */
   readSavedWorker(): void {
     const description = this.#describe(WorkerPhase.Ready);
@@ -325,11 +331,14 @@
     }
   }
 
-  /** Answers the latest poll. */
-  answerPoll({ running = [], ended = [], percent = 0 }: RunListOptions): void {
+  /** Answers the latest poll, or another one by its position. */
+  answerPoll(
+    { running = [], ended = [], percent = 0 }: RunListOptions,
+    position = -1,
+  ): void {
     const polls = this.takeCalls("hold");
-    const call = polls.at(-1);
-    this.#calls.push(...polls.slice(0, -1));
+    const call = polls.at(position);
+    this.#calls.push(...polls.filter((poll) => poll !== call));
     this.answer(call, {
       kind: WorkerAnswerKind.Listed,
       bornAt: this.#bornAt,
--- a/domain/worker_guard/src/worker_lifecycle.ts
+++ b/domain/worker_guard/src/worker_lifecycle.ts
@@ -12,7 +12,9 @@
   type Milliseconds,
   type OutputCollector,
   Severity,
+  type WorkerAnswer,
   type WorkerAnswered,
+  WorkerAnswerKind,
   type WorkerDescription,
   WorkerPhase,
 } from "@eelgrassfront/model";
@@ -150,6 +152,25 @@
       table.raiseRevision();
     }
     if (!runController.handleAnswer(call, answer)) this.#handleEnd();
+    this.#checkSuccessor(answer);
+  }
+
+  /**
+   * Checks a later incarnation that answers under the identifier of the known one, whose calls it may have executed.
+   * It gets no tasks before its own report, since its labels and capacity are not known.
+   */
+  #checkSuccessor(answer: WorkerAnswer): void {
+    const known = this.#options.link.description;
+    if (answer.kind !== WorkerAnswerKind.Listed || known === undefined) return;
+    const { bornAt, clock } = answer;
+    if (bornAt <= known.incarnation.bornAt) return;
+    this.#incarnationChecks.begin({
+      ...known,
+      incarnation: { ...known.incarnation, bornAt },
+      phase: WorkerPhase.Draining,
+      sequence: 0,
+      clock,
+    });
   }
 
   /** Returns why a report is not one of the worker on this VM; undefined if it may be. */
