test(emulator): a paused sidecar's late start call overlaps, too

The known red late_starts_test covers a killed sidecar and a restarted worker. A sidecar that is only paused, as by node_freeze, is the more usual case: nothing of it calls the worker meanwhile, so that no later fencing token reaches the worker.

--- a/emulator/src/late_starts_test.ts
+++ b/emulator/src/late_starts_test.ts
@@ -16,6 +16,14 @@
   expect(harness.overlaps).toEqual([]);
 });
 
+test("a start call of a paused sidecar that is executed late starts no task that runs elsewhere", () => {
+  const harness = new OverlappingRunsHarness();
+  const vm = harness.submitWithLateStart("job", RUN_MILLISECONDS, 4_000);
+  vm.process.pause();
+  harness.advance(RUN_MILLISECONDS);
+  expect(harness.overlaps).toEqual([]);
+});
+
 test("a start call that reaches the next incarnation of a worker starts no task that runs elsewhere", () => {
   const harness = new OverlappingRunsHarness();
   const vm = harness.submitWithLateStart("job", RUN_MILLISECONDS, 2_000);
