--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -27,7 +27,12 @@
 import { interrupted } from "./run_settlement.ts";
 import type { RunTable } from "./run_table.ts";
 import type { SuspectRuns } from "./suspect_runs.ts";
-import { runReferenceOf, type WorkerRun } from "./worker_run.ts";
+import {
+  beginningOf,
+  RunBeginning,
+  runReferenceOf,
+  type WorkerRun,
+} from "./worker_run.ts";
 
 /** How a worker ended. */
 export enum WorkerEnd {
@@ -79,12 +84,15 @@
       for (const run of runs) table.settle(run, settlement);
       return;
     }
-    this.#recordCrash(worker, runs);
     const suspects = suspectRuns.suspectsOf(runs);
-    this.#reportSuspects(suspects);
+    this.#recordCrash(worker, runs, suspects);
+    if (suspectRuns.isUnexplained(runs)) this.#reportUnexplained();
+    else this.#reportSuspects(suspects);
     for (const run of runs) {
       const reason = suspects.includes(run)
         ? InterruptionReason.WorkerCrashed
+        : beginningOf(run) === RunBeginning.Unproven
+        ? InterruptionReason.WorkerLost
         : InterruptionReason.BesideCrash;
       table.settle(run, interrupted(reason));
     }
@@ -99,6 +107,13 @@
     }
   }
 
+  /** Tells each entry with a session of a crash that no run explains. */
+  #reportUnexplained(): void {
+    for (const entry of this.#options.sessions.entries()) {
+      this.#report(entry, []);
+    }
+  }
+
   #report(
     entry: ProcessIdentifier,
     suspects: readonly CrashSuspect[],
@@ -116,22 +131,28 @@
     });
   }
 
-  #recordCrash(worker: WorkerDescription, runs: readonly WorkerRun[]): void {
+  #recordCrash(
+    worker: WorkerDescription,
+    runs: readonly WorkerRun[],
+    suspects: readonly WorkerRun[],
+  ): void {
     const { collector } = this.#options;
     collector.count(Counter.WorkerCrashes);
     const tasks = runs
-      .map(({ task, acceptedAt }) => ({
+      .map(({ task, acceptedAt, state }) => ({
         task: jobTaskKey(task),
         age: collector.now - acceptedAt,
+        phase: state.phase,
       }))
       .sort((left, right) => left.age - right.age)
       .slice(0, MAXIMUM_TASKS_IN_EVENT)
-      .map(({ task, age }) => `${task} ${Math.round(age)}`);
+      .map(({ task, age, phase }) => `${task} ${Math.round(age)} ${phase}`);
     collector.record(EventNumber.WorkerCrashed, "a worker has crashed", {
       severity: Severity.Warning,
       context: {
         worker: worker.incarnation.id,
         runs: runs.length,
+        suspects: suspects.length,
         tasks: tasks.join(", "),
       },
     });
