feat(worker-guard): say in 4107 what was known of the beginning of the run

Cause: no line tells whether a run that a sidecar stops after it was silent had begun, or only had a start call without an answer.

Change: 4107 contains `beginning` (unproven, possible or evident).

Conclusion: 4107 with `evident` and the reason session-ended after a 3106 of the same task is a run that outlived its session; with `possible` or `unproven` it is a candidate for a start that is executed late.

--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -140,7 +140,7 @@
     const { collector } = this.#options;
     const target = runReferenceOf(run);
     if (target === undefined || run.state.phase !== RunPhase.Stopping) return;
-    const { since, reason, acceptedAt, isRepeated } = run.state;
+    const { since, reason, beginning, acceptedAt, isRepeated } = run.state;
     if (isRepeated) return;
     collector.record(
       EventNumber.RunStopRepeated,
@@ -150,6 +150,7 @@
         context: {
           ...contextOf(target),
           reason,
+          beginning,
           isAccepted: acceptedAt !== undefined,
           elapsedMilliseconds: Math.round(collector.now - since),
         },
