--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -71,13 +71,15 @@
 
   /** Records the crash that a settlement shows, if it shows one. */
   applySettlement(attempt: TaskAttempt, settlement: TaskSettlement): void {
-    const { job, task, address, isApart } = attempt;
+    const { job, task, address, isApart, sentAt } = attempt;
+    const { collector } = this.#options;
     const evidence = evidenceOf(attempt, settlement);
-    const hasSurvived = isApart && (evidence === CrashEvidence.Beside ||
-      settlement.kind === SettlementKind.Completed);
+    const hasOutlivedCrash = evidence === CrashEvidence.Beside &&
+      collector.now >= sentAt + SUSPICION_MILLISECONDS;
+    const hasSurvived = isApart &&
+      (hasOutlivedCrash || settlement.kind === SettlementKind.Completed);
     if (hasSurvived) this.#suspects.clear(task.name);
     if (evidence === undefined) return;
-    const { collector } = this.#options;
     this.#observe();
     this.#suspects.record(job, task.name, evidence);
     if (evidence === CrashEvidence.Beside) return;
@@ -97,7 +99,7 @@
     );
   }
 
-  /** Records the crashes that a sidecar reports of other entries' tasks. */
+  /** Records a crash that a sidecar reports, with the suspects among other entries' tasks. */
   applyReport(suspects: readonly CrashSuspect[]): void {
     this.#observe();
     this.#suspects.recordReport(suspects);
@@ -109,6 +111,11 @@
     job.trialRank = job.isSuspect ? this.#suspects.trialRank(job) : 0;
   }
 
+  /** Describes the crashes under a job, for the log. */
+  describe(job: DispatchJob): string {
+    return this.#suspects.describe(job);
+  }
+
   /** Whether a job is given up because of the workers that crashed under it. */
   isConvicted(job: DispatchJob): boolean {
     return this.#suspects.isConvicted(job);
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -12,6 +12,7 @@
   EventNumber,
   InterruptionReason,
   jobTaskKey,
+  type ListedRun,
   type OutputCollector,
   OutputKind,
   type ProcessIdentifier,
@@ -22,10 +23,16 @@
 } from "@eelgrassfront/model";
 import type { FleetDirectory } from "@eelgrassfront/directory";
 import type { EntrySessions } from "./entry_sessions.ts";
+import { runKey } from "./pending_call.ts";
 import { interrupted } from "./run_settlement.ts";
 import type { RunTable } from "./run_table.ts";
 import type { SuspectRuns } from "./suspect_runs.ts";
-import type { WorkerRun } from "./worker_run.ts";
+import {
+  beginningOf,
+  RunBeginning,
+  runReferenceOf,
+  type WorkerRun,
+} from "./worker_run.ts";
 
 /** How a worker ended. */
 export enum WorkerEnd {
@@ -55,10 +62,21 @@
     this.#options = options;
   }
 
-  /** Settles every run of the described worker. A worker that was draining has not crashed. */
-  settle(end: WorkerEnd, worker: WorkerDescription | undefined): void {
+  /**
+   * Settles the runs of the described worker, but not those that the next incarnation has listed: their start calls
+   * reached it. A worker that was draining has not crashed.
+   */
+  settle(
+    end: WorkerEnd,
+    worker: WorkerDescription | undefined,
+    listed: readonly ListedRun[] = [],
+  ): void {
     const { table, suspectRuns } = this.#options;
-    const runs = table.sentToWorker();
+    const listedKeys = new Set(listed.map(({ run }) => runKey(run)));
+    const runs = table.sentToWorker().filter((run) => {
+      const target = runReferenceOf(run);
+      return target === undefined || !listedKeys.has(runKey(target));
+    });
     const isCrash = end === WorkerEnd.Unannounced &&
       worker?.phase === WorkerPhase.Ready;
     if (!isCrash) {
@@ -66,12 +84,15 @@
       for (const run of runs) table.settle(run, settlement);
       return;
     }
-    this.#recordCrash(worker, runs);
     const suspects = suspectRuns.suspectsOf(runs);
-    this.#reportSuspects(suspects);
+    this.#recordCrash(worker, runs, suspects);
+    if (suspectRuns.isUnexplained(runs)) this.#reportUnexplained();
+    else this.#reportSuspects(suspects);
     for (const run of runs) {
       const reason = suspects.includes(run)
         ? InterruptionReason.WorkerCrashed
+        : beginningOf(run) === RunBeginning.Unproven
+        ? InterruptionReason.WorkerLost
         : InterruptionReason.BesideCrash;
       table.settle(run, interrupted(reason));
     }
@@ -86,6 +107,13 @@
     }
   }
 
+  /** Tells each entry with a session of a crash that no run explains. */
+  #reportUnexplained(): void {
+    for (const entry of this.#options.sessions.entries()) {
+      this.#report(entry, []);
+    }
+  }
+
   #report(
     entry: ProcessIdentifier,
     suspects: readonly CrashSuspect[],
@@ -103,22 +131,28 @@
     });
   }
 
-  #recordCrash(worker: WorkerDescription, runs: readonly WorkerRun[]): void {
+  #recordCrash(
+    worker: WorkerDescription,
+    runs: readonly WorkerRun[],
+    suspects: readonly WorkerRun[],
+  ): void {
     const { collector } = this.#options;
     collector.count(Counter.WorkerCrashes);
     const tasks = runs
-      .map(({ task, acceptedAt }) => ({
+      .map(({ task, acceptedAt, state }) => ({
         task: jobTaskKey(task),
         age: collector.now - acceptedAt,
+        phase: state.phase,
       }))
       .sort((left, right) => left.age - right.age)
       .slice(0, MAXIMUM_TASKS_IN_EVENT)
-      .map(({ task, age }) => `${task} ${Math.round(age)}`);
+      .map(({ task, age, phase }) => `${task} ${Math.round(age)} ${phase}`);
     collector.record(EventNumber.WorkerCrashed, "a worker has crashed", {
       severity: Severity.Warning,
       context: {
         worker: worker.incarnation.id,
         runs: runs.length,
+        suspects: suspects.length,
         tasks: tasks.join(", "),
       },
     });
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -13,9 +13,11 @@
   type DispatchRequest,
   DispatchRequestKind,
   ErrorTag,
+  type EventNumber,
   InputKind,
   type OutgoingRequest,
   OutputKind,
+  type ProcessEvent,
   type ProcessIdentifier,
   type RenewSession,
   Role,
@@ -79,6 +81,7 @@
   readonly #calls: CallWorker[] = [];
   readonly #started: string[] = [];
   readonly #replies = new Map<number, DispatchReply[]>();
+  readonly #events: ProcessEvent[] = [];
   readonly #sessions = new Map<ProcessIdentifier, number>();
   #now = 0;
   /** How far the worker's clock is ahead of the sidecar's. */
@@ -182,6 +185,12 @@
     this.step({ kind: DispatchInputKind.WorkerReported, description });
   }
 
+  /** Lets another incarnation of the worker answer from now on, which has not reported yet. */
+  restartWorker(bornAt: number): void {
+    this.#bornAt = bornAt;
+    this.#lastEnd = 0;
+  }
+
   /** Passes the saved description of the worker to the sidecar. */
   readSavedWorker(): void {
     const description = this.#describe(WorkerPhase.Ready);
@@ -268,6 +277,12 @@
     });
   }
 
+  /** The contexts of the recorded events with a number. */
+  eventContexts(number: EventNumber): readonly ProcessEvent["context"][] {
+    return this.#events.filter((event) => event.number === number)
+      .map(({ context }) => context);
+  }
+
   messagesTo(request: number): readonly DispatchReply[] {
     return this.#replies.get(request) ?? [];
   }
@@ -325,11 +340,14 @@
     }
   }
 
-  /** Answers the latest poll. */
-  answerPoll({ running = [], ended = [], percent = 0 }: RunListOptions): void {
+  /** Answers the latest poll, or another one by its position. */
+  answerPoll(
+    { running = [], ended = [], percent = 0 }: RunListOptions,
+    position = -1,
+  ): void {
     const polls = this.takeCalls("hold");
-    const call = polls.at(-1);
-    this.#calls.push(...polls.slice(0, -1));
+    const call = polls.at(position);
+    this.#calls.push(...polls.filter((poll) => poll !== call));
     this.answer(call, {
       kind: WorkerAnswerKind.Listed,
       bornAt: this.#bornAt,
@@ -386,6 +404,7 @@
 
   #add(output: DispatchOutput): void {
     if (output.kind === OutputKind.Stop) this.hasStopped = true;
+    if (output.kind === OutputKind.RecordEvent) this.#events.push(output.event);
     if (output.kind === OutputKind.SendReply) {
       const replies = this.#replies.get(output.request) ?? [];
       this.#replies.set(output.request, [...replies, output.message]);
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -1,16 +1,17 @@
 /**
  * The run of a task attempt at a sidecar, from the acceptance of the attempt to its settlement.
  */
-import type {
-  InterruptionReason,
-  JobTaskReference,
-  Milliseconds,
-  ProcessIdentifier,
-  RequestIdentifier,
-  Resources,
-  RunReference,
-  SessionNumber,
-  WorkerRequirements,
+import {
+  assertNever,
+  type InterruptionReason,
+  type JobTaskReference,
+  type Milliseconds,
+  type ProcessIdentifier,
+  type RequestIdentifier,
+  type Resources,
+  type RunReference,
+  type SessionNumber,
+  type WorkerRequirements,
 } from "@eelgrassfront/model";
 
 /** Phases of a run. */
@@ -37,6 +38,8 @@
   readonly run: number;
   readonly call: RequestIdentifier;
   readonly sentAt: Milliseconds;
+  /** Whether the worker had left an earlier call unanswered, so that it may have ended before. */
+  readonly isWorkerSilent: boolean;
 }
 
 /** The run may be active, or may start until the deadline of its start call. */
@@ -44,6 +47,8 @@
   readonly phase: RunPhase.Indeterminate;
   readonly run: number;
   readonly since: Milliseconds;
+  /** Whether the connection to a worker that had answered broke, as when the run crashes it at once. */
+  readonly hasConnectionBroken: boolean;
 }
 
 /** The run is active. */
@@ -63,6 +68,8 @@
   readonly phase: RunPhase.Stopping;
   readonly run: number;
   readonly reason: InterruptionReason;
+  /** What was known of its beginning when it was stopped. */
+  readonly beginning: RunBeginning;
   /** When the first stop call was sent. */
   readonly since: Milliseconds;
   /** When the stop call is sent again. */
@@ -81,6 +88,16 @@
   | ActiveRun
   | StoppingRun;
 
+/** What is known of the beginning of a run at the worker. */
+export enum RunBeginning {
+  /** Nothing shows that the worker has executed the start call. */
+  Unproven = "unproven",
+  /** The worker was there, but did not answer the start call in time. */
+  Possible = "possible",
+  /** The worker has answered the start call or listed the run, or ended while it handled the call. */
+  Evident = "evident",
+}
+
 /** The run of an accepted attempt. */
 export interface WorkerRun {
   readonly task: JobTaskReference;
@@ -109,3 +126,22 @@
     ? undefined
     : { task, run: state.run };
 }
+
+/** Returns what is known of the beginning of a run. */
+export function beginningOf({ state }: WorkerRun): RunBeginning {
+  switch (state.phase) {
+    case RunPhase.Waiting:
+    case RunPhase.Starting:
+      return RunBeginning.Unproven;
+    case RunPhase.Indeterminate:
+      return state.hasConnectionBroken
+        ? RunBeginning.Evident
+        : RunBeginning.Possible;
+    case RunPhase.Running:
+      return RunBeginning.Evident;
+    case RunPhase.Stopping:
+      return state.beginning;
+    default:
+      return assertNever(state);
+  }
+}
