--- a/domain/worker_guard/src/worker_lifecycle.ts
+++ b/domain/worker_guard/src/worker_lifecycle.ts
@@ -8,10 +8,13 @@
   type DispatchOutput,
   DispatchOutputKind,
   EventNumber,
+  InterruptionReason,
   type Milliseconds,
   type OutputCollector,
   Severity,
+  type WorkerAnswer,
   type WorkerAnswered,
+  WorkerAnswerKind,
   type WorkerDescription,
   WorkerPhase,
 } from "@eelgrassfront/model";
@@ -149,6 +152,25 @@
       table.raiseRevision();
     }
     if (!runController.handleAnswer(call, answer)) this.#handleEnd();
+    this.#checkSuccessor(answer);
+  }
+
+  /**
+   * Checks a later incarnation that answers under the identifier of the known one, whose calls it may have executed.
+   * It gets no tasks before its own report, since its labels and capacity are not known.
+   */
+  #checkSuccessor(answer: WorkerAnswer): void {
+    const known = this.#options.link.description;
+    if (answer.kind !== WorkerAnswerKind.Listed || known === undefined) return;
+    const { bornAt, clock } = answer;
+    if (bornAt <= known.incarnation.bornAt) return;
+    this.#incarnationChecks.begin({
+      ...known,
+      incarnation: { ...known.incarnation, bornAt },
+      phase: WorkerPhase.Draining,
+      sequence: 0,
+      clock,
+    });
   }
 
   /** Returns why a report is not one of the worker on this VM; undefined if it may be. */
@@ -199,8 +221,12 @@
     const earlier = link.description;
     this.#stoppedAt = undefined;
     link.useIncarnation(description);
-    lostRuns.settle(WorkerEnd.Unannounced, earlier);
+    lostRuns.settle(WorkerEnd.Unannounced, earlier, list.running);
     runController.useFirstList(list, requestedAt);
+    // What is left was accepted for the earlier incarnation, which may have had other labels and capacity.
+    for (const run of table.sentToWorker()) {
+      runController.stop(run, InterruptionReason.WorkerLost);
+    }
     table.raiseRevision();
     this.#record(
       EventNumber.WorkerAnnounced,
