--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -353,7 +353,7 @@
     const { link } = this.#options;
     const known = link.description?.incarnation.bornAt ?? answer.bornAt;
     // A list of a later incarnation does not show which calls have reached it; the lifecycle checks that.
-    if (answer.bornAt !== known || !link.recordList(answer.clock)) return true;
+    if (answer.bornAt !== known) return true;
     for (const end of answer.ended) this.#onEnd(end);
     const listed = new Map(
       answer.running.map((item) => [runKey(item.run), item]),
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -70,8 +70,6 @@
   #renewedUntil: Milliseconds = 0;
   /** When every lease that was renewed has certainly expired. */
   #leaseExpiresAt: Milliseconds = 0;
-  /** Worker's clock in the latest list of its runs. */
-  #listedAtClock: Milliseconds = 0;
   #isLeaving = false;
   #previousLeaseExpiresAt: Milliseconds = Infinity;
 
@@ -189,7 +187,6 @@
     this.#description = description;
     this.#isConfirmed = true;
     this.#isLeaving = false;
-    this.#listedAtClock = 0;
     this.#clock = new WorkerClock();
     this.#responseTimes = new ResponseTimes();
     this.#recordClock(description.clock);
@@ -219,13 +216,6 @@
     this.#recordClock(clock);
   }
 
-  /** Records a list of runs. Returns false if a later list has overtaken it. */
-  recordList(clock: Milliseconds): boolean {
-    if (clock < this.#listedAtClock) return false;
-    this.#listedAtClock = clock;
-    return true;
-  }
-
   #recordClock(clock: Milliseconds | undefined): void {
     if (clock === undefined) return;
     this.#clock.record(this.#options.collector.now, clock);
