--- a/domain/dispatcher/src/crash_history.ts
+++ b/domain/dispatcher/src/crash_history.ts
@@ -12,7 +12,7 @@
 
 /** Longest time between the reports of two crashes that may have one cause. */
 export const OUTAGE_MILLISECONDS: Milliseconds = 250;
-/** How long the crashes under a task count. */
+/** How long the crashes under a task count: longer than clients submit its job again. */
 export const MEMORY_MILLISECONDS: Milliseconds = 30_000;
 /** Longest time between the settlements and the report of one crash. */
 const SAME_CRASH_MILLISECONDS: Milliseconds = 50;
--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -34,7 +34,6 @@
 
 /** Interval at which the workers are observed while none has crashed. */
 const OBSERVATION_INTERVAL_MILLISECONDS: Milliseconds = 1_000;
-
 /** Time after which a crash is late: a sidecar counts from the acceptance, and notices the crash later. */
 const LATE_MILLISECONDS: Milliseconds = 2 * SUSPICION_MILLISECONDS;
 
@@ -128,7 +127,7 @@
     return this.#suspects.describe(job);
   }
 
-  /** Whether a job is given up because of the workers that crashed under it. */
+  /** Returns what the crashes under the tasks of a job lead to. */
   verdictOn(job: DispatchJob): CrashVerdict {
     return this.#suspects.verdictOn(job);
   }
