fix(platform): send start calls only to the incarnation of the worker that they are meant for

Cause: a start call in progress while the worker restarts went over a new connection to the next incarnation. Expect-Instance names only the identifier, which both may have. Change: a connection belongs to one incarnation and is never opened again. A start call uses one on which the intended incarnation (identifier and start time) has listed its runs; a new connection costs one list. Conclusion: closes this way to a wrong start; calls that a worker carries out late stay open (late_starts_test).

--- a/domain/model/src/dispatch_output.ts
+++ b/domain/model/src/dispatch_output.ts
@@ -172,6 +172,8 @@
   readonly kind: DispatchOutputKind.CallWorker;
   readonly call: RequestIdentifier;
   readonly worker: WorkerIncarnation["id"];
+  /** Start time of the intended incarnation, which alone may execute a start call. */
+  readonly bornAt: WorkerIncarnation["bornAt"];
   readonly address: string;
   readonly fencingToken: number;
   readonly request: WorkerCall;
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -311,6 +311,7 @@
       kind: DispatchOutputKind.CallWorker,
       call: collector.nextRequest(),
       worker: incarnation.id,
+      bornAt: incarnation.bornAt,
       address,
       fencingToken: this.#fencingToken,
       request,
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -146,12 +146,17 @@
     return [...this.#running.values()].map(({ reference }) => reference);
   }
 
+  /** Start time that the worker reports, which is above 0. */
+  get #reportedBornAt(): Milliseconds {
+    return this.options.bornAt + 1;
+  }
+
   /** Returns the next description that the worker reports. */
   describe(): WorkerDescription {
     this.#sequence += 1;
-    const { id, bornAt, service, capacityMillicores, labels } = this.options;
+    const { id, service, capacityMillicores, labels } = this.options;
     return {
-      incarnation: { id, bornAt: bornAt + 1 },
+      incarnation: { id, bornAt: this.#reportedBornAt },
       service,
       address: id,
       phase: this.phase,
@@ -188,7 +193,11 @@
       time.after(ANSWER_MILLISECONDS, () => answer(connectionRefused(output)));
       return;
     }
-    if (output.worker !== this.options.id) {
+    // The adapter sends a start call only on a connection on which the intended incarnation has answered.
+    const isMeantForOther = output.worker !== this.options.id ||
+      (request.kind === WorkerCallKind.Start &&
+        output.bornAt !== this.#reportedBornAt);
+    if (isMeantForOther) {
       const mismatch = refused(WorkerRefusalReason.IncarnationMismatch);
       time.after(ANSWER_MILLISECONDS, () => answer(mismatch));
       return;
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -36,12 +36,15 @@
 const EMPTY = "empty";
 
 /**
- * Namespace that replaces undici by its connection pool, the only part in use. The main module of undici
- * also loads fetch, caches and WebSocket, which make up half of the bundle and of its start time.
+ * Namespace that replaces undici by its connections, the only part in use. The main module of undici also loads
+ * fetch, caches and WebSocket, which make up half of the bundle and of its start time.
  */
-const POOL_ONLY = "pool-only";
-const UNDICI_POOL =
-  'export { default as Pool } from "undici/lib/dispatcher/pool.js";';
+const CONNECTIONS_ONLY = "connections-only";
+const UNDICI_CONNECTIONS = [
+  'export { default as Pool } from "undici/lib/dispatcher/pool.js";',
+  'export { default as Client } from "undici/lib/dispatcher/client.js";',
+  'export { default as buildConnector } from "undici/lib/core/connect.js";',
+].join("\n");
 
 await build({
   entryPoints: [join(root, "daemon", "src", "dispatch_main.ts")],
@@ -69,10 +72,10 @@
       );
       setup.onResolve(
         { filter: /^undici$/ },
-        () => ({ path: "undici-pool", namespace: POOL_ONLY }),
+        () => ({ path: "undici-connections", namespace: CONNECTIONS_ONLY }),
       );
-      setup.onLoad({ filter: /.*/, namespace: POOL_ONLY }, () => ({
-        contents: UNDICI_POOL,
+      setup.onLoad({ filter: /.*/, namespace: CONNECTIONS_ONLY }, () => ({
+        contents: UNDICI_CONNECTIONS,
         resolveDir: root,
       }));
       setup.onLoad({ filter: /.*/, namespace: EMPTY }, () => ({
