feat(dispatcher): place tasks at the fastest kind of worker with free capacity

Cause: where kinds of worker differ by more than twice, jobs miss their objective on slow workers while fast ones are free, and healthy slow workers come near the mark of slow outliers. The penalty for another zone was one task of large tasks, and five of small ones. Change: KindSpeeds learns run times by kind of work and worker; distinct kinds decide first. The zone penalty is two and a half tasks. Conclusion: nothing changes where kinds differ by less than twice, except the zone penalty (7,750 millicores for tasks of 3,100, before 8,000).

--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -37,6 +37,7 @@
 } from "./worker_choice.ts";
 import { RUN_AFTER_SESSION_MILLISECONDS } from "./ending_runs.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
+import { KindSpeeds } from "./kind_speeds.ts";
 import { isSidecarUnavailable, isWorkerFault } from "./settlement_reasons.ts";
 import {
   type LinkLost,
@@ -84,6 +85,7 @@
   /** Keeps tasks that may crash their workers apart. */
   readonly crashes: CrashPolicy;
   readonly #options: TaskPlacerOptions;
+  readonly #speeds = new KindSpeeds();
   #lastAttempt = 0;
   #nextReschedulingAt: Milliseconds = 0;
   /** Whether a worker appears slow and the replies of its peers are awaited. */
@@ -101,13 +103,14 @@
     const ready = job.readyTasks(now);
     if (ready.length === 0) return true;
     const links = this.#options.links.all();
-    const statistics = workerStatistics(now, links);
+    const statistics = workerStatistics(now, links, this.#speeds);
     let last: WorkerLinkState | undefined;
     for (const task of ready) {
       const options = {
         now,
         statistics,
         attempts,
+        speeds: this.#speeds,
         job,
         task,
         availabilityZone: this.#options.availabilityZone,
@@ -140,7 +143,7 @@
       RESCHEDULING_INTERVAL_MILLISECONDS;
     this.#isConfirmationPending = false;
     const all = links.all();
-    const median = medianSlowness(all);
+    const median = medianSlowness(all, this.#speeds);
     for (const link of all) {
       if (!this.#isConfirmedSlow(link, all, median)) continue;
       for (const attempt of attempts.atSidecar(link.address)) {
@@ -159,7 +162,10 @@
     median: number,
   ): boolean {
     const { state } = link;
-    if (state.phase !== LinkPhase.Open || !isSlowWorker(link, median)) {
+    if (
+      state.phase !== LinkPhase.Open ||
+      !isSlowWorker(link, median, this.#speeds)
+    ) {
       link.slowSince = undefined;
       return false;
     }
@@ -328,13 +334,20 @@
   /** Updates the health of a worker by the settlement of a task. */
   #updateWorkerHealth(
     link: WorkerLinkState,
-    { task }: TaskAttempt,
+    { job, task }: TaskAttempt,
     settlement: TaskSettlement,
   ): void {
     const { now } = this.#options.collector;
     switch (settlement.kind) {
       case SettlementKind.Completed:
         link.detector.recordSuccess();
+        if (link.state.phase === LinkPhase.Open && link.state.profile) {
+          this.#speeds.observe(
+            link.state.profile,
+            job.route.name,
+            settlement.runMilliseconds,
+          );
+        }
         return;
       case SettlementKind.Failed:
         link.detector.recordFailure(now);
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -1,6 +1,6 @@
 /**
  * Selection of the worker for a task: the one with the most free processor capacity among those that can
- * run it. A worker that fails far more often than its peers, or is far slower, gets only probe tasks. If no
+ * run it, of the fastest kind where kinds differ widely. A worker that fails far more often than its peers, or is far slower, gets only probe tasks. If no
  * worker has free capacity, the task waits at the entry. There it can be placed wherever capacity becomes
  * free first, be overtaken by more urgent tasks, or be refused.
  */
@@ -13,14 +13,15 @@
   type WorkerRequirements,
 } from "@eelgrassfront/model";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
+import type { KindSpeeds } from "./kind_speeds.ts";
 import type { TaskAttemptIndex } from "./task_attempt_index.ts";
 import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
 
 /**
- * Additional free capacity that a worker in another availability zone must have to be chosen: that of two
- * or three tasks, so that tasks cross zones only when this evens out the load.
+ * Additional free capacity that a worker in another availability zone must have to be chosen, in tasks: tasks cross
+ * zones only when this evens out the load.
  */
-const OTHER_ZONE_PENALTY_MILLICORES = 8_000;
+const OTHER_ZONE_PENALTY_TASKS = 2.5;
 /**
  * Multiple of the median slowness above which a worker counts as slow: healthy workers differ by a factor
  * below 2, by their speed and by the actual run time of their tasks.
@@ -51,6 +52,7 @@
   readonly links: readonly WorkerLinkState[];
   readonly statistics: WorkerStatistics;
   readonly attempts: TaskAttemptIndex;
+  readonly speeds: KindSpeeds;
   readonly job: DispatchJob;
   readonly task: DispatchTask;
   /** Availability zone of the entry. */
@@ -61,6 +63,8 @@
   readonly link: WorkerLinkState;
   readonly session: number;
   readonly isSlow: boolean;
+  /** Run time there as a multiple of that at the fastest kind of worker. */
+  readonly relativeRunTime: number;
   /** Free millicores, less the penalty for another availability zone. */
   readonly preference: number;
 }
@@ -86,35 +90,54 @@
 export function workerStatistics(
   now: Milliseconds,
   links: readonly WorkerLinkState[],
+  speeds: KindSpeeds,
 ): WorkerStatistics {
   const rates = links
     .filter(({ avoidUntil }) => now >= avoidUntil)
     .map(({ detector }) => detector.failureRate);
   return {
-    medianSlowness: medianSlowness(links),
+    medianSlowness: medianSlowness(links, speeds),
     meanFailureRate: mean(rates),
   };
 }
 
-/** Returns the median of the workers' run times as multiples of the expected ones; 1 if no load is known. */
-export function medianSlowness(links: readonly WorkerLinkState[]): number {
+/**
+ * Returns the median of the workers' run times as multiples of those that are expected of their kinds; 1 if no load is
+ * known.
+ */
+export function medianSlowness(
+  links: readonly WorkerLinkState[],
+  speeds: KindSpeeds,
+): number {
   const known = links
-    .flatMap(({ state }) =>
-      state.phase === LinkPhase.Open && state.load !== undefined
-        ? [state.load.slowness]
-        : []
-    )
+    .map((link) => slownessInKind(link, speeds))
+    .filter((slowness) => slowness !== undefined)
     .sort((left, right) => left - right);
   return known[Math.floor(known.length / 2)] ?? 1;
 }
 
-/** Returns whether a worker is far slower than the median worker. */
+/** Returns whether a worker is far slower than the median worker, apart from the difference of their kinds. */
 export function isSlowWorker(
-  { state }: WorkerLinkState,
+  link: WorkerLinkState,
   median: number,
+  speeds: KindSpeeds,
 ): boolean {
-  return state.phase === LinkPhase.Open && state.load !== undefined &&
-    state.load.slowness > SLOW_FACTOR * median;
+  const slowness = slownessInKind(link, speeds);
+  return slowness !== undefined && slowness > SLOW_FACTOR * median;
+}
+
+/** Returns the run time of tasks at a worker as a multiple of that at its kind; undefined without a load. */
+function slownessInKind(
+  { state }: WorkerLinkState,
+  speeds: KindSpeeds,
+): number | undefined {
+  if (state.phase !== LinkPhase.Open || state.load === undefined) {
+    return undefined;
+  }
+  const { load: { slowness }, profile } = state;
+  // An idle worker of a slow kind reports 1, too.
+  if (profile === undefined || slowness <= 1) return slowness;
+  return Math.max(1, slowness / speeds.relativeRunTime(profile));
 }
 
 function findCandidates(options: WorkerChoiceOptions): readonly Candidate[] {
@@ -152,15 +175,20 @@
   const isProbed = !detector.isOutlier(statistics.meanFailureRate) ||
     detector.isProbeTaskDue(now, job.tasks.length);
   if (!isProbed) return undefined;
-  const isSlow = isSlowWorker(link, statistics.medianSlowness);
+  const isSlow = isSlowWorker(
+    link,
+    statistics.medianSlowness,
+    options.speeds,
+  );
   if (isSlow && now < link.nextProbeAt) return undefined;
   const isNear = link.availabilityZone === options.availabilityZone;
   return {
     link,
     session: state.session,
     isSlow,
+    relativeRunTime: options.speeds.relativeRunTime(profile),
     preference: free.processorMillicores -
-      (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES),
+      (isNear ? 0 : OTHER_ZONE_PENALTY_TASKS * resources.processorMillicores),
   };
 }
 
@@ -207,13 +235,18 @@
   const preferred = others.length > 0 ? others : candidates;
   let best: Candidate | undefined;
   for (const candidate of preferred) {
-    const isBetter = best === undefined ||
-      candidate.preference > best.preference;
-    if (isBetter) best = candidate;
+    if (best === undefined || isBetter(candidate, best)) best = candidate;
   }
   return best;
 }
 
+/** The fastest kind goes first, and the slower ones get what it has no capacity for. */
+function isBetter(left: Candidate, right: Candidate): boolean {
+  return left.relativeRunTime === right.relativeRunTime
+    ? left.preference > right.preference
+    : left.relativeRunTime < right.relativeRunTime;
+}
+
 function mean(values: readonly number[]): number {
   if (values.length === 0) return 0;
   return values.reduce((sum, value) => sum + value, 0) / values.length;
