feat(evacuation): evacuated zones from the store and from peers, kept by every process

Change: domain/evacuation keeps the zones with the offset of the operators' topic; the higher offset holds. The fleet state exchange and the renewals of sessions carry the state in optional fields, once an evacuation is known. A sidecar of an evacuated zone refuses and returns tasks, reports that it takes no work, and lets active runs end. Its load says while the worker is cold after a restoration. Gauge zones.evacuated, events 2501, 2502. Conclusion: without such a record no message has a new field.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -50,6 +50,11 @@
   routes: zod.array(route),
 });
 
+const evacuations = zod.looseObject({
+  offset: count,
+  zones: zod.array(zod.string()),
+});
+
 const requestSchema = zod.discriminatedUnion("kind", [
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.OpenSession),
@@ -62,6 +67,7 @@
     knownProfile: count.optional(),
     knownRevision: count.optional(),
     knownClock: amount.optional(),
+    evacuations: evacuations.optional(),
   }),
   zod.looseObject({
     kind: zod.literal(DispatchRequestKind.RunTask),
@@ -100,6 +106,7 @@
     sender: member,
     configurationVersion: count,
     membersDigest: zod.number().int(),
+    evacuationOffset: count.optional(),
     configuration: configuration.optional(),
   }),
   zod.looseObject({
@@ -140,6 +147,7 @@
   free: resources,
   slowness: amount,
   isTakingWork: zod.boolean(),
+  isCold: zod.literal(true).optional(),
   requestsTaken: count,
 });
 
@@ -202,6 +210,7 @@
     knowledge: zod.looseObject({
       configuration: configuration.optional(),
       members: zod.array(member),
+      evacuations: evacuations.optional(),
     }),
   }),
   zod.looseObject({ kind: zod.literal(DispatchReplyKind.Misdirected) }),
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -156,6 +156,16 @@
       "The process received a member from a peer and not from the platform's store.",
     action: "Nothing; if it repeats, check whether the store can be reached.",
   },
+  [EventNumber.ZoneEvacuated]: {
+    meaning:
+      "The process learnt that the operators have evacuated an availability zone; no task starts there.",
+    action: "Nothing; restore the zone by removing its record.",
+  },
+  [EventNumber.ZoneRestored]: {
+    meaning:
+      "The process learnt that the operators have restored an availability zone; tasks start there again.",
+    action: "Nothing.",
+  },
   [EventNumber.JobEnded]: {
     meaning:
       "A best-effort job completed or failed; the line contains its waiting time and the number of attempts of its tasks. With the reason workers-crashed it also lists the crashes under the tasks, the first one first, each with its evidence and the milliseconds since.",
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -52,6 +52,8 @@
   [Gauge.OwnedShards]: "Shards that this process owns.",
   [Gauge.ConfigurationOffset]: "Version of the configuration in force.",
   [Gauge.LogOffset]: "Offset at which the log is read next.",
+  [Gauge.EvacuatedZones]:
+    "Availability zones that the operators have evacuated, as far as this process knows.",
   [Gauge.Members]: "Members of the fleet, as this process sees it.",
   [Gauge.ConfigurationVersion]:
     "Version of the configuration in force at an entry that runs best-effort jobs.",
--- a/domain/directory/src/directory_inputs.ts
+++ b/domain/directory/src/directory_inputs.ts
@@ -10,6 +10,7 @@
   type OutputCollector,
   type SettingsChanged,
 } from "@eelgrassfront/model";
+import { applyEvacuationRead } from "./evacuation_changes.ts";
 import type { FleetDirectory } from "./fleet_directory.ts";
 
 /**
@@ -25,6 +26,9 @@
   switch (input.kind) {
     case DispatchInputKind.ConfigurationRead:
       return directory.updateConfiguration(input.configuration);
+    case DispatchInputKind.EvacuationsRead:
+      applyEvacuationRead(input.read, directory, collector);
+      return false;
     case DispatchInputKind.MembersRead:
       for (const member of input.members) directory.updateMember(member);
       for (const name of input.removedNames) directory.removeMember(name);
--- a/domain/directory/src/fleet_directory.ts
+++ b/domain/directory/src/fleet_directory.ts
@@ -1,8 +1,9 @@
 /**
- * A process's view of the members and the configuration, from the platform's store and from peers. The
- * version of the configuration never decreases. Of two incarnations of a process, the one received last from
+ * A process's view of the members, the configuration and the evacuated zones, from the platform's store and from
+ * peers. The version of the configuration never decreases. Of two incarnations of a process, the one received last from
  * the store or from the process itself counts.
  */
+import { ZoneEvacuations } from "@eelgrassfront/evacuation";
 import {
   type ExchangeFleetState,
   type FleetMember,
@@ -13,8 +14,9 @@
 } from "@eelgrassfront/model";
 import { stableHash } from "@eelgrassfront/ownership";
 
-/** Members and configuration known to one process. */
+/** Members, configuration and evacuated zones known to one process. */
 export class FleetDirectory {
+  readonly evacuations = new ZoneEvacuations();
   readonly #members = new Map<string, FleetMember>();
   #configuration: WorkConfiguration | undefined;
   #membersRevision = 0;
@@ -80,19 +82,23 @@
   }
 
   /**
-   * Returns what a peer lacks: all members if its digest of them differs, and the configuration if it is newer
-   * than the peer's version.
+   * Returns what a peer lacks: all members if its digest of them differs, and the configuration and the evacuated
+   * zones if they are newer than the peer's.
    */
   stateFor(
-    { configurationVersion, membersDigest }: ExchangeFleetState,
+    { configurationVersion, membersDigest, evacuationOffset }:
+      ExchangeFleetState,
   ): FleetState {
+    const { state, isInUse } = this.evacuations;
+    const isEvacuationNewer = isInUse && state.offset > (evacuationOffset ?? 0);
+    const evacuations = isEvacuationNewer ? { evacuations: state } : {};
     const members = membersDigest === this.#membersDigest
       ? []
       : [...this.#members.values()];
     const isNewer = this.configurationVersion > configurationVersion;
     return this.#configuration === undefined || !isNewer
-      ? { members }
-      : { configuration: this.#configuration, members };
+      ? { members, ...evacuations }
+      : { configuration: this.#configuration, members, ...evacuations };
   }
 
   /** Adds a member to the digest, or takes it out again. */
--- a/domain/directory/src/fleet_state_exchange.ts
+++ b/domain/directory/src/fleet_state_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Exchange of the fleet state (members and configuration) between processes, so that a process gets the state
+ * Exchange of the fleet state (members, configuration and evacuated zones) between processes, so that a process gets the state
  * while the store is unavailable or rejects only this process. Each round contacts a few peers in rotation, so
  * that the number of messages of one process does not grow with the fleet.
  */
@@ -21,6 +21,7 @@
   type RequestIdentifier,
   Role,
 } from "@eelgrassfront/model";
+import { mergeEvacuations } from "./evacuation_changes.ts";
 import type { FleetDirectory } from "./fleet_directory.ts";
 
 /** Identity of the process, its directory, and the peers to contact. */
@@ -104,6 +105,10 @@
   ): boolean {
     const { directory, collector } = this.#options;
     this.#updateMember(message.sender);
+    // The sender may have an older state than this process, which has seen no evacuated zone.
+    if (message.evacuationOffset !== undefined) {
+      directory.evacuations.markInUse();
+    }
     const isNewer = message.configuration !== undefined &&
       directory.updateConfiguration(message.configuration);
     collector.add({
@@ -116,7 +121,8 @@
       },
     });
     const isBehind =
-      message.configurationVersion > directory.configurationVersion;
+      message.configurationVersion > directory.configurationVersion ||
+      (message.evacuationOffset ?? 0) > directory.evacuations.state.offset;
     if (isBehind) this.#send(from, message.sender.address);
     return isNewer;
   }
@@ -162,6 +168,7 @@
 
   #send(peer: ProcessIdentifier, address: string): void {
     const { collector, directory, self } = this.#options;
+    const { isInUse, state } = directory.evacuations;
     const request = collector.nextRequest();
     this.#pending.set(request, address);
     collector.add({
@@ -174,12 +181,14 @@
         sender: self,
         configurationVersion: directory.configurationVersion,
         membersDigest: directory.membersDigest,
+        ...(isInUse ? { evacuationOffset: state.offset } : {}),
       },
     });
   }
 
-  #applyState({ configuration, members }: FleetState): boolean {
-    const { directory, self } = this.#options;
+  #applyState({ configuration, members, evacuations }: FleetState): boolean {
+    const { directory, self, collector } = this.#options;
+    mergeEvacuations(evacuations, directory, collector);
     for (const member of members) {
       const isOther = member.address !== self.address;
       if (isOther && directory.addMemberFromPeer(member)) this.#record(member);
--- a/domain/dispatcher/src/dispatcher_decisions.ts
+++ b/domain/dispatcher/src/dispatcher_decisions.ts
@@ -199,6 +199,7 @@
         this.#scheduler.handleClientDisconnected(input.request);
         return;
       case DispatchInputKind.ConfigurationRead:
+      case DispatchInputKind.EvacuationsRead:
       case DispatchInputKind.MembersRead:
       case DispatchInputKind.StoreAvailable:
       case DispatchInputKind.StoreUnavailable:
--- a/domain/dispatcher/src/settlement_reasons.ts
+++ b/domain/dispatcher/src/settlement_reasons.ts
@@ -22,6 +22,7 @@
     case NotStartedReason.WorkerRefused:
     case NotStartedReason.WorkerUnresponsive:
     case NotStartedReason.Reserved:
+    case NotStartedReason.ZoneEvacuated:
       return true;
     default:
       return assertNever(reason);
--- a/domain/model/src/dispatch_input.ts
+++ b/domain/model/src/dispatch_input.ts
@@ -7,6 +7,7 @@
   DispatchRequest,
   FleetMember,
 } from "./dispatch_message.ts";
+import type { EvacuationRead } from "./evacuation.ts";
 import type { Milliseconds, RequestIdentifier } from "./identifiers.ts";
 import type { ProcessError } from "./process_error.ts";
 import type {
@@ -31,6 +32,7 @@
   JobCancellationRequested = "job-cancel-asked",
   ClientDisconnected = "client-gone",
   ConfigurationRead = "configuration-read",
+  EvacuationsRead = "evacuations-read",
   MembersRead = "members-read",
   StoreAvailable = "store-available",
   StoreUnavailable = "store-unavailable",
@@ -91,6 +93,12 @@
   readonly configuration: WorkConfiguration;
 }
 
+/** The operators' records of evacuated zones were read from the platform's store. */
+export interface EvacuationsRead {
+  readonly kind: DispatchInputKind.EvacuationsRead;
+  readonly read: EvacuationRead;
+}
+
 /** Members were read from the platform's store. */
 export interface MembersRead {
   readonly kind: DispatchInputKind.MembersRead;
@@ -165,6 +173,7 @@
 /** Inputs from the platform's store. */
 export type DirectoryInput =
   | ConfigurationRead
+  | EvacuationsRead
   | MembersRead
   | StoreAvailable
   | StoreUnavailable
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -4,6 +4,7 @@
  * ends with the session.
  */
 import type { JobTaskReference } from "./best_effort_job.ts";
+import type { EvacuationState } from "./evacuation.ts";
 import type { Milliseconds, ProcessIdentifier } from "./identifiers.ts";
 import type { Role } from "./log_record.ts";
 import type { IncarnationMismatch } from "./peer_message.ts";
@@ -57,6 +58,8 @@
   readonly knownRevision?: number;
   /** Sidecar's clock in the latest reply that the entry has; entries of earlier versions leave it out. */
   readonly knownClock?: Milliseconds;
+  /** Evacuated zones, where they have changed since the session last carried them. */
+  readonly evacuations?: EvacuationState;
 }
 
 /**
@@ -128,6 +131,8 @@
 export interface FleetState {
   readonly configuration?: WorkConfiguration;
   readonly members: readonly FleetMember[];
+  /** Evacuated zones, where the receiver's offset is lower. */
+  readonly evacuations?: EvacuationState;
 }
 
 /**
@@ -141,6 +146,8 @@
   readonly configurationVersion: number;
   /** Digest of the members that the sender knows. */
   readonly membersDigest: number;
+  /** Offset of the evacuated zones that the sender knows; absent while it knows of no evacuation, past or present. */
+  readonly evacuationOffset?: number;
   /**
    * The receiver adopts this version if it is newer. Senders leave the field out: a receiver that is
    * behind requests the version itself.
@@ -244,6 +251,8 @@
    */
   readonly slowness: number;
   readonly isTakingWork: boolean;
+  /** Present while the worker runs tasks slowly after its zone was restored. */
+  readonly isCold?: true;
   /** Number of the entry's requests to run tasks, in its current session, that this load includes. */
   readonly requestsTaken: number;
 }
@@ -264,6 +273,8 @@
   WorkerUnresponsive = "worker-silent",
   /** A task that may crash the worker runs apart there. */
   Reserved = "reserved",
+  /** The operators have evacuated the availability zone. */
+  ZoneEvacuated = "zone-evacuated",
 }
 
 /** Why a run ended before the task completed or failed. */
--- a/domain/model/src/dispatch_output.ts
+++ b/domain/model/src/dispatch_output.ts
@@ -51,6 +51,8 @@
   WaitedTooLong = "waited-too-long",
   /** At least one task of the job is one that no known worker could ever run. */
   NoCapableWorker = "no-capable-worker",
+  /** Every known worker that could run some task of the job is in an evacuated availability zone. */
+  ZonesEvacuated = "zones-evacuated",
   Unsupported = "unsupported",
 }
 
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -35,6 +35,8 @@
   SessionLost = 2402,
   SessionEnded = 2403,
   MemberLearnt = 2404,
+  ZoneEvacuated = 2501,
+  ZoneRestored = 2502,
   JobEnded = 3101,
   JobRefused = 3102,
   JobGivenUp = 3103,
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -69,6 +69,7 @@
   FreeMillicores = "worker.free_millicores",
   LogOffset = "log.offset",
   Members = "members",
+  EvacuatedZones = "zones.evacuated",
 }
 
 /** Reason attached to a counter. The reason of a message counter is the kind of the message. */
--- a/domain/model/src/mod.ts
+++ b/domain/model/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./dispatch_input.ts";
 export * from "./dispatch_message.ts";
 export * from "./dispatch_output.ts";
+export * from "./evacuation.ts";
 export * from "./event.ts";
 export * from "./identifiers.ts";
 export * from "./log_record.ts";
--- a/domain/model/src/worker_call.ts
+++ b/domain/model/src/worker_call.ts
@@ -38,6 +38,8 @@
   readonly clock?: Milliseconds;
   /** While draining: the minimum time that is left. */
   readonly remainingMilliseconds?: Milliseconds;
+  /** Time for which the worker still runs tasks slowly after its start; absent when it does not. */
+  readonly coldMilliseconds?: Milliseconds;
 }
 
 /** One run of a task on a worker. */
--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -1,6 +1,10 @@
 /**
  * Handles the requests of entries to a sidecar: sessions, task attempts and load watches.
  */
+import {
+  type FleetDirectory,
+  mergeEvacuations,
+} from "@eelgrassfront/directory";
 import {
   assertNever,
   type CancelTaskAttempt,
@@ -50,7 +54,10 @@
   readonly watches: LoadWatches;
   readonly suspectRuns: SuspectRuns;
   readonly load: (entry: ProcessIdentifier) => WorkerLoad | undefined;
+  readonly directory: FleetDirectory;
   readonly isDraining: () => boolean;
+  /** Whether the operators have evacuated the zone. */
+  readonly isEvacuated: () => boolean;
 }
 
 /** Handles and answers requests of entries. */
@@ -132,7 +139,8 @@
     { from, request }: RunWaiter,
     message: RenewSession,
   ): void {
-    const { collector, sessions, link } = this.#options;
+    const { collector, sessions, link, directory } = this.#options;
+    mergeEvacuations(message.evacuations, directory, collector);
     const { session, knownWorker, knownProfile, knownRevision } = message;
     if (!sessions.renew(collector.now, from, message)) {
       this.#reply(from, request, { kind: DispatchReplyKind.SessionPending });
@@ -213,6 +221,7 @@
       known !== undefined;
     if (isStale) return NotStartedReason.StaleSession;
     if (this.#options.isDraining()) return NotStartedReason.Leaving;
+    if (this.#options.isEvacuated()) return NotStartedReason.ZoneEvacuated;
     if (description === undefined || !this.#options.link.isConfirmed) {
       return NotStartedReason.NoWorker;
     }
--- a/domain/worker_guard/src/load_report.ts
+++ b/domain/worker_guard/src/load_report.ts
@@ -2,6 +2,7 @@
  * The load of the worker as each entry is told. Capacity that is offered to another entry, or reserved for a
  * suspect job of another entry, does not appear as free.
  */
+import type { FleetDirectory } from "@eelgrassfront/directory";
 import {
   NO_RESOURCES,
   type ProcessIdentifier,
@@ -24,7 +25,10 @@
   readonly sessions: EntrySessions;
   readonly watches: LoadWatches;
   readonly suspectRuns: SuspectRuns;
+  readonly directory: FleetDirectory;
   readonly isDraining: () => boolean;
+  /** Whether the operators have evacuated the zone. */
+  readonly isEvacuated: () => boolean;
 }
 
 /** Reports the load of the worker. */
@@ -54,9 +58,16 @@
       slowness: roundSlowness(runController.slowness),
       isTakingWork: this.#isTakingWork(),
       requestsTaken: sessions.requestsTaken(entry),
+      ...(this.isReportedCold ? { isCold: true } : {}),
     };
   }
 
+  /** Whether entries are told that the worker is cold, which matters only where zones are evacuated and restored. */
+  get isReportedCold(): boolean {
+    const { link, directory } = this.#options;
+    return directory.evacuations.isInUse && link.isCold;
+  }
+
   /** Returns the capacity that accepted attempts leave free; negative while a shrunken capacity is exceeded. */
   freeResources(): Resources {
     const { link, table } = this.#options;
@@ -72,8 +83,9 @@
   }
 
   #isTakingWork(): boolean {
-    const { link, runController, isDraining } = this.#options;
-    return link.isTakingWork && runController.isReconciled && !isDraining();
+    const { link, runController, isDraining, isEvacuated } = this.#options;
+    return link.isTakingWork && runController.isReconciled && !isDraining() &&
+      !isEvacuated();
   }
 }
 
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -106,6 +106,8 @@
   #isAnnouncementStored = false;
   #reportedFreeMillicores = 0;
   #reportedSlowness = 1;
+  #isReportedEvacuated = false;
+  #isReportedCold = false;
 
   constructor(options: WorkerGuardOptions) {
     this.#options = options;
@@ -155,7 +157,9 @@
       runController: this.#runController,
       watches: this.#watches,
       suspectRuns: this.#suspectRuns,
+      directory: this.#directory,
       isDraining: () => this.#drainingSince !== undefined,
+      isEvacuated: () => this.#isEvacuated,
     });
     this.#loadReport = new LoadReport({
       link: this.#link,
@@ -164,7 +168,9 @@
       sessions: this.#sessions,
       watches: this.#watches,
       suspectRuns: this.#suspectRuns,
+      directory: this.#directory,
       isDraining: () => this.#drainingSince !== undefined,
+      isEvacuated: () => this.#isEvacuated,
     });
     this.#exchange = new FleetStateExchange({
       ...options,
@@ -206,6 +212,7 @@
         this.#handlePeerInput(input);
         return;
       case DispatchInputKind.ConfigurationRead:
+      case DispatchInputKind.EvacuationsRead:
       case DispatchInputKind.MembersRead:
       case DispatchInputKind.StoreAvailable:
       case DispatchInputKind.StoreUnavailable:
@@ -278,6 +285,7 @@
     this.#expireSessions();
     this.#lifecycle.tick();
     this.#runController.tick();
+    this.#reportEvacuation();
     this.#startWaitingRuns();
     this.#runController.tick();
     this.#reportSlowness();
@@ -297,6 +305,24 @@
     this.#table.raiseRevision();
   }
 
+  /** Whether the operators have evacuated this sidecar's zone. */
+  get #isEvacuated(): boolean {
+    const { availabilityZone } = this.#options.self;
+    return this.#directory.evacuations.isEvacuated(availabilityZone);
+  }
+
+  /** Makes an evacuation, a restoration and the end of the time in which the worker is cold part of a new load. */
+  #reportEvacuation(): void {
+    const isEvacuated = this.#isEvacuated;
+    const isCold = this.#loadReport.isReportedCold;
+    const hasChanged = this.#isReportedEvacuated !== isEvacuated ||
+      this.#isReportedCold !== isCold;
+    if (!hasChanged) return;
+    this.#isReportedEvacuated = isEvacuated;
+    this.#isReportedCold = isCold;
+    this.#table.raiseRevision();
+  }
+
   #expireSessions(): void {
     const { now } = this.#collector;
     for (const entry of this.#sessions.expire(now, this.#readUntil)) {
@@ -337,7 +363,7 @@
 
   #startWaitingRuns(): void {
     const { description, isTakingWork } = this.#link;
-    if (description === undefined || !isTakingWork) {
+    if (description === undefined || !isTakingWork || this.#isEvacuated) {
       this.#refuseWaitingRuns();
       return;
     }
@@ -370,6 +396,8 @@
       ? NotStartedReason.NoWorker
       : this.#link.isUnresponsive
       ? NotStartedReason.WorkerUnresponsive
+      : this.#isEvacuated
+      ? NotStartedReason.ZoneEvacuated
       : NotStartedReason.Draining;
     for (const run of this.#table.all()) {
       if (run.state.phase !== RunPhase.Waiting) continue;
--- a/domain/worker_guard/src/worker_link.ts
+++ b/domain/worker_guard/src/worker_link.ts
@@ -56,6 +56,7 @@
 export class WorkerLink {
   readonly #options: WorkerLinkOptions;
   #description: WorkerDescription | undefined;
+  #coldUntil: Milliseconds = 0;
   #profileRevision = 0;
   #isConfirmed = true;
   #isDoubtful = false;
@@ -168,9 +169,19 @@
     this.#description = description;
     this.#isConfirmed = true;
     this.#isLeaving = false;
+    this.#recordCold(description);
     this.#recordClock(description.clock);
   }
 
+  /** Whether the worker still runs tasks slowly after its start, as its latest report says. */
+  get isCold(): boolean {
+    return this.#options.collector.now < this.#coldUntil;
+  }
+
+  #recordCold({ coldMilliseconds }: WorkerDescription): void {
+    this.#coldUntil = this.#options.collector.now + (coldMilliseconds ?? 0);
+  }
+
   /** Records that the known incarnation has announced its end; it gets no new tasks unless it reports again. */
   recordGoodbye(): void {
     if (this.#description === undefined) return;
@@ -189,6 +200,7 @@
     this.#isLeaving = false;
     this.#clock = new WorkerClock();
     this.#responseTimes = new ResponseTimes();
+    this.#recordCold(description);
     this.#recordClock(description.clock);
     this.#unansweredCalls = 0;
     // Calls to the previous incarnation may still be in transit; the new one refuses their lower token.
