feat(dispatcher): place nothing in evacuated zones

Cause: entries placed tasks at sidecars of evacuated zones and admitted jobs by their capacity. Change: a link of an evacuated zone is no candidate and counts neither as capacity nor for hasWorkers. A job that could run only there is refused with 503 (zones-evacuated) on submission, or when it is next to be placed; one that may have started is overtaken. Warm workers go before cold ones. The search for a capable worker moves to job_capability.ts, for room.

--- a/domain/dispatcher/src/backlog_estimator.ts
+++ b/domain/dispatcher/src/backlog_estimator.ts
@@ -76,8 +76,9 @@
     let used = 0;
     let own = 0;
     const { crashes } = this.#options;
-    for (const { state, address } of crashes.workersOf(job, links.all())) {
-      if (state.phase !== LinkPhase.Open) continue;
+    for (const link of crashes.workersOf(job, links.all())) {
+      const { state, address, isEvacuated } = link;
+      if (state.phase !== LinkPhase.Open || isEvacuated) continue;
       const { profile, load } = state;
       if (profile === undefined || load?.isTakingWork !== true) continue;
       if (profile.service !== job.route.service) continue;
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -22,12 +22,15 @@
 import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
 import { BacklogEstimator, type BacklogSource } from "./backlog_estimator.ts";
 import { canStartInTime, expectedWait, retryAfter } from "./job_admission.ts";
+import {
+  findCapabilityRefusal,
+  isConfinedToEvacuatedZones,
+} from "./job_capability.ts";
 import type { JobAnswers } from "./job_answers.ts";
 import { JobGauges } from "./job_gauges.ts";
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
-import { isCapableWorkerKnown } from "./worker_choice.ts";
-import { LinkPhase } from "./worker_link_state.ts";
+import { isTakingWork } from "./worker_link_state.ts";
 
 /** Collaborators of a `JobScheduler`. */
 export interface JobSchedulerOptions {
@@ -116,9 +119,7 @@
 
   /** Returns whether any worker accepts work. */
   hasWorkers(): boolean {
-    return this.#options.source.links.all().some(({ state }) =>
-      state.phase === LinkPhase.Open && state.load?.isTakingWork === true
-    );
+    return this.#options.source.links.all().some(isTakingWork);
   }
 
   /** Counts the queued jobs of a route of which no task has started or is placed. */
@@ -387,6 +388,7 @@
       if (isBlocked && !job.isSuspect) continue;
       if (this.#isOnTrial(job)) continue;
       if (!this.#options.placer.place(job)) {
+        if (this.#skipEvacuated(job)) continue;
         if (job === this.#queue.jobs[0]) this.#recordBlocked(job);
         if (job.isSuspect) return;
         isBlocked = true;
@@ -396,6 +398,14 @@
     }
   }
 
+  /** Refuses a job that waits only for evacuated zones, or lets others overtake it once it may have started. */
+  #skipEvacuated(job: DispatchJob): boolean {
+    const links = this.#options.source.links.all();
+    if (!isConfinedToEvacuatedZones(job, links)) return false;
+    if (job.isRefusable) this.#refuse(job, JobRefusalReason.ZonesEvacuated);
+    return true;
+  }
+
   /** Whether a suspect must not run until the verdict on the crashes under it. */
   #isOnTrial(job: DispatchJob): boolean {
     return job.isSuspect && this.#options.placer.crashes.verdictOn(job) ===
@@ -437,26 +447,14 @@
     }
   }
 
-  /** Refuses a job that no known worker could ever run, provided that workers are known. */
+  /** Refuses a job that no known worker could ever run. */
   #refuseUnrunnable(job: DispatchJob): boolean {
     const { source, answers } = this.#options;
-    if (!this.hasWorkers()) return false;
-    const links = source.links.all();
-    const isUnrunnable = job.tasks.some((task) =>
-      !isCapableWorkerKnown({ links, job, task })
-    );
-    if (!isUnrunnable) return false;
-    // A label may be rare, so a worker that is not in use may have it.
-    const isLabelled = job.tasks.some(({ step }) =>
-      step.requiredLabel !== undefined
-    );
-    if (isLabelled && source.links.hasUnknownWorkers) {
-      source.links.useAll();
-      return false;
-    }
-    answers.answerRefused(job, JobRefusalReason.NoCapableWorker, {
+    const reason = findCapabilityRefusal(job, source.links);
+    if (reason === undefined) return false;
+    answers.answerRefused(job, reason, {
       retryAfterMilliseconds: DEFAULT_RETRY_AFTER_MILLISECONDS,
-      context: { sidecars: links.length },
+      context: { sidecars: source.links.all().length },
     });
     return true;
   }
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -61,6 +61,8 @@
   readonly link: WorkerLinkState;
   readonly session: number;
   readonly isSlow: boolean;
+  /** Whether the worker runs tasks slowly for a time after its zone was restored. */
+  readonly isCold: boolean;
   /** Free millicores, less the penalty for another availability zone. */
   readonly preference: number;
 }
@@ -134,6 +136,7 @@
   const { now, statistics, attempts, job, task } = options;
   const { state, detector } = link;
   if (now < link.avoidUntil || state.phase !== LinkPhase.Open) return undefined;
+  if (link.isEvacuated) return undefined;
   const { load, profile } = state;
   if (load?.isTakingWork !== true || profile === undefined) return undefined;
   const isSilent = state.unansweredSince !== undefined &&
@@ -159,6 +162,7 @@
     link,
     session: state.session,
     isSlow,
+    isCold: load.isCold === true,
     preference: free.processorMillicores -
       (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES),
   };
@@ -204,7 +208,10 @@
   const others = candidates.filter(({ link }) =>
     link.address !== avoidedAddress
   );
-  const preferred = others.length > 0 ? others : candidates;
+  const allowed = others.length > 0 ? others : candidates;
+  // Cold workers get what the others have no free capacity for, so they are used by degrees after a restoration.
+  const warm = allowed.filter(({ isCold }) => !isCold);
+  const preferred = warm.length > 0 ? warm : allowed;
   let best: Candidate | undefined;
   for (const candidate of preferred) {
     const isBetter = best === undefined ||
--- a/domain/dispatcher/src/worker_link_set.ts
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -80,6 +80,15 @@
 
   /** Brings the links up to date with the members of the fleet. */
   update(): void {
+    this.#updateMembers();
+    const { evacuations } = this.#options.directory;
+    if (!evacuations.isInUse) return;
+    for (const link of this.#links.values()) {
+      link.isEvacuated = evacuations.isEvacuated(link.availabilityZone);
+    }
+  }
+
+  #updateMembers(): void {
     const { directory, collector } = this.#options;
     const isWidened = collector.now < this.#widenedUntil;
     const hasChanged = this.#membersRevision !== directory.membersRevision ||
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -2,15 +2,18 @@
  * State of an entry's link to a sidecar: unused, without a session, or with a session and the load that the
  * sidecar reported last.
  */
-import type {
-  FleetMember,
-  Milliseconds,
-  ProcessIdentifier,
-  RenewSession,
-  RequestIdentifier,
-  SessionNumber,
-  WorkerLoad,
-  WorkerProfile,
+import type { ZoneEvacuations } from "@eelgrassfront/evacuation";
+import {
+  DispatchRequestKind,
+  type FleetMember,
+  type Milliseconds,
+  type ProcessIdentifier,
+  type RenewSession,
+  type RequestIdentifier,
+  type SessionGranted,
+  type SessionNumber,
+  type WorkerLoad,
+  type WorkerProfile,
 } from "@eelgrassfront/model";
 import { OutlierDetector } from "@eelgrassfront/placement";
 
@@ -67,6 +70,8 @@
   watch: LoadWatch | undefined;
   /** Worker whose load was reported without a profile; the session was renewed early to get its profile. */
   unprofiledWorker: string | undefined;
+  /** Offset of the evacuated zones that the session carried last; undefined if it may not have carried any. */
+  carriedEvacuations: number | undefined;
 }
 
 /** The link to a sidecar, with the health of its worker. */
@@ -74,6 +79,8 @@
   readonly address: string;
   process: ProcessIdentifier;
   availabilityZone: string;
+  /** Whether the operators have evacuated the sidecar's availability zone; nothing is placed there. */
+  isEvacuated: boolean;
   state: UnusedLink | OpeningLink | OpenLink;
   /** Newest session that was given up with the present incarnation of the sidecar; 0 for none. */
   givenUp: SessionNumber;
@@ -115,8 +122,29 @@
 /** A change of one link. */
 export type LinkChange = LinkLost | LinkOpened;
 
+/** Whether the worker of a link takes tasks of this entry now. */
+export function isTakingWork({ state, isEvacuated }: WorkerLinkState): boolean {
+  return state.phase === LinkPhase.Open && !isEvacuated &&
+    state.load?.isTakingWork === true;
+}
+
+/** Returns the renewal of a session, with the evacuated zones where the session has not carried them yet. */
+export function renewalOf(
+  state: OpenLink,
+  { isInUse, state: evacuations }: ZoneEvacuations,
+): RenewSession {
+  const isCarried = !isInUse || state.carriedEvacuations === evacuations.offset;
+  if (!isCarried) state.carriedEvacuations = evacuations.offset;
+  return {
+    kind: DispatchRequestKind.RenewSession,
+    session: state.session,
+    ...knownStateOf(state),
+    ...(isCarried ? {} : { evacuations }),
+  };
+}
+
 /** Returns what the entry knows of a worker, which the reply to a renewal leaves out. */
-export function knownStateOf(
+function knownStateOf(
   { profile, load, sidecarClock }: OpenLink,
 ): Omit<RenewSession, "kind" | "session"> {
   return {
@@ -135,6 +163,7 @@
     address: member.address,
     process: member.process,
     availabilityZone: member.availabilityZone,
+    isEvacuated: false,
     state: UNUSED_LINK,
     givenUp: 0,
     detector: new OutlierDetector(),
@@ -156,6 +185,27 @@
   };
 }
 
+/** Returns the state of a link whose session was granted. */
+export function newOpenLink(
+  { session, profile, load, clock }: SessionGranted,
+  now: Milliseconds,
+  nextRenewAt: Milliseconds,
+): OpenLink {
+  return {
+    phase: LinkPhase.Open,
+    session,
+    lastReplyAt: now,
+    nextRenewAt,
+    sidecarClock: clock,
+    unansweredSince: undefined,
+    profile,
+    load,
+    watch: undefined,
+    unprofiledWorker: undefined,
+    carriedEvacuations: undefined,
+  };
+}
+
 /** Records the sidecar's clock of a reply; replies may overtake each other. */
 export function updateClock(
   state: OpenLink,
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -29,12 +29,13 @@
 import { CallPurpose, LinkCalls, type PendingCall } from "./link_calls.ts";
 import {
   INITIAL_OPEN_INTERVAL_MILLISECONDS,
-  knownStateOf,
   type LinkChange,
   LinkChangeKind,
   LinkPhase,
+  newOpenLink,
   type OpeningLink,
   type OpenLink,
+  renewalOf,
   updateClock,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
@@ -220,6 +221,8 @@
     if (link.state.phase !== LinkPhase.Open) return;
     const { now } = this.#options.collector;
     link.state.watch = undefined;
+    // A renewal with evacuated zones may be among what was lost.
+    link.state.carriedEvacuations = undefined;
     if (this.#interrupted.has(link.address)) return;
     this.#interrupted.add(link.address);
     link.state.nextRenewAt = now;
@@ -331,12 +334,9 @@
     const { now } = this.#options.collector;
     state.nextRenewAt = nextRenewal(now);
     state.unansweredSince ??= now;
-    const { session } = state;
-    this.#calls.send(link, CallPurpose.Renew, session, {
-      kind: DispatchRequestKind.RenewSession,
-      session,
-      ...knownStateOf(state),
-    });
+    const { evacuations } = this.#options.directory;
+    const renewal = renewalOf(state, evacuations);
+    this.#calls.send(link, CallPurpose.Renew, state.session, renewal);
   }
 
   /** Watches the load for a waiting task, unless it is watched for one that is as urgent. */
@@ -355,8 +355,9 @@
 
   #handleGranted(
     link: WorkerLinkState,
-    { session, profile, load, clock }: SessionGranted,
+    granted: SessionGranted,
   ): readonly LinkChange[] {
+    const { session, profile, load, clock } = granted;
     const { state } = link;
     const { now } = this.#options.collector;
     if (state.phase === LinkPhase.Open) {
@@ -374,19 +375,7 @@
     link.requestsSent = 0;
     this.#loadRevision += 1;
     this.#interrupted.delete(link.address);
-    const opened: OpenLink = {
-      phase: LinkPhase.Open,
-      session,
-      lastReplyAt: now,
-      nextRenewAt: nextRenewal(now),
-      sidecarClock: clock,
-      unansweredSince: undefined,
-      profile,
-      load,
-      watch: undefined,
-      unprofiledWorker: undefined,
-    };
-    link.state = opened;
+    link.state = newOpenLink(granted, now, nextRenewal(now));
     this.#options.collector.record(
       EventNumber.SessionOpened,
       "a session with a sidecar was opened",
