--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema_test.ts
@@ -41,9 +41,16 @@
   requestsTaken: 0,
 };
 
+const EVACUATIONS = { offset: 4, zones: ["zone-a"] };
+
 const REQUESTS: readonly DispatchRequest[] = [
   { kind: DispatchRequestKind.OpenSession, givenUp: 0 },
   { kind: DispatchRequestKind.RenewSession, session: 1 },
+  {
+    kind: DispatchRequestKind.RenewSession,
+    session: 1,
+    evacuations: EVACUATIONS,
+  },
   {
     kind: DispatchRequestKind.RunTask,
     session: 1,
@@ -76,6 +83,13 @@
     configurationVersion: 0,
     membersDigest: -7,
   },
+  {
+    kind: DispatchRequestKind.ExchangeFleetState,
+    sender: MEMBER,
+    configurationVersion: 0,
+    membersDigest: -7,
+    evacuationOffset: 4,
+  },
   {
     kind: DispatchRequestKind.ReportCrash,
     suspects: [{ task: { job: "a", step: 0, index: 1 } }],
@@ -124,6 +138,14 @@
     kind: DispatchReplyKind.FleetStateExchanged,
     knowledge: { members: [MEMBER] },
   },
+  {
+    kind: DispatchReplyKind.FleetStateExchanged,
+    knowledge: { members: [MEMBER], evacuations: EVACUATIONS },
+  },
+  {
+    kind: DispatchReplyKind.LoadReported,
+    load: { ...LOAD, isCold: true },
+  },
   { kind: DispatchReplyKind.CrashNoted },
   { kind: DispatchReplyKind.JobClaimed },
   { kind: DispatchReplyKind.JobHeld },
@@ -138,7 +160,13 @@
 ];
 
 /** Fields that a sender may leave out. */
-const OPTIONAL = new Set(["profile", "load"]);
+const OPTIONAL = new Set([
+  "profile",
+  "load",
+  "evacuations",
+  "evacuationOffset",
+  "isCold",
+]);
 
 for (const request of REQUESTS) {
   test(`a request "${request.kind}" is accepted, and rejected with a damaged field`, () => {
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -43,6 +43,12 @@
   readonly except?: string;
 }
 
+/** A renewal with evacuated zones, and the offset of their state. */
+interface CarriedEvacuations {
+  readonly address: string;
+  readonly offset: number;
+}
+
 /** An entry with simulated sidecars and clients. */
 export class DispatcherHarness {
   hasStopped = false;
@@ -64,6 +70,8 @@
   readonly #renewals: string[] = [];
   readonly #free = new Map<string, number>();
   readonly #slowness = new Map<string, number>();
+  readonly #cold = new Set<string>();
+  readonly #carriedEvacuations: CarriedEvacuations[] = [];
   #revision = 1;
   #now = 0;
 
@@ -128,6 +136,11 @@
     this.#slowness.set(address, slowness);
   }
 
+  /** Marks the worker of a sidecar as cold from its next load on. */
+  setCold(address: string): void {
+    this.#cold.add(address);
+  }
+
   nextAlarm(): number | undefined {
     return this.#entry.nextAlarm();
   }
@@ -201,6 +214,11 @@
     return new Set(this.#renewals.splice(0));
   }
 
+  /** The renewals that carried evacuated zones. */
+  carriedEvacuations(): readonly CarriedEvacuations[] {
+    return this.#carriedEvacuations;
+  }
+
   placementAddresses(): readonly string[] {
     return this.#placements;
   }
@@ -347,6 +365,7 @@
       slowness: this.#slowness.get(address) ?? 1,
       isTakingWork: true,
       requestsTaken: 0,
+      ...(this.#cold.has(address) ? { isCold: true } : {}),
     };
   }
 
@@ -384,6 +403,11 @@
     this.#requests.push(output);
     if (output.message.kind === DispatchRequestKind.RenewSession) {
       this.#renewals.push(output.address);
+      const { evacuations } = output.message;
+      if (evacuations !== undefined) {
+        const { address } = output;
+        this.#carriedEvacuations.push({ address, offset: evacuations.offset });
+      }
     }
     if (output.message.kind === DispatchRequestKind.RunTask) {
       this.#placements.push(output.address);
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -170,18 +170,24 @@
       bornAt = this.#bornAt,
       capacityMillicores = this.#capacityMillicores,
       labels = this.#labels,
+      coldMilliseconds = 0,
     }: {
       readonly phase?: WorkerPhase;
       readonly bornAt?: number;
       readonly capacityMillicores?: number;
       readonly labels?: readonly string[];
+      readonly coldMilliseconds?: number;
     } = {},
   ): void {
     this.#bornAt = bornAt;
     this.#capacityMillicores = capacityMillicores;
     this.#labels = labels;
     this.#sequence += 1;
-    const description = { ...this.#describe(phase), clock: this.#workerClock };
+    const description = {
+      ...this.#describe(phase),
+      clock: this.#workerClock,
+      ...(coldMilliseconds > 0 ? { coldMilliseconds } : {}),
+    };
     this.step({ kind: DispatchInputKind.WorkerReported, description });
   }
 
@@ -394,6 +400,15 @@
       : undefined;
   }
 
+  /** The load in the reply to the opening or the renewal of a session. */
+  sessionLoadOf(request: number): WorkerLoad | undefined {
+    const [reply] = this.#replies.get(request) ?? [];
+    return reply?.kind === DispatchReplyKind.SessionGranted ||
+        reply?.kind === DispatchReplyKind.SessionRenewed
+      ? reply.load
+      : undefined;
+  }
+
   #request(
     from: ProcessIdentifier,
     request: number,
