--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -65,6 +65,8 @@
   readonly isSlow: boolean;
   /** Run time there as a multiple of that at the fastest kind of worker. */
   readonly relativeRunTime: number;
+  /** Whether the worker runs tasks slowly for a time after its zone was restored. */
+  readonly isCold: boolean;
   /** Free millicores, less the penalty for another availability zone. */
   readonly preference: number;
 }
@@ -157,6 +159,7 @@
   const { now, statistics, attempts, job, task } = options;
   const { state, detector } = link;
   if (now < link.avoidUntil || state.phase !== LinkPhase.Open) return undefined;
+  if (link.isEvacuated) return undefined;
   const { load, profile } = state;
   if (load?.isTakingWork !== true || profile === undefined) return undefined;
   const isSilent = state.unansweredSince !== undefined &&
@@ -187,6 +190,7 @@
     session: state.session,
     isSlow,
     relativeRunTime: options.speeds.relativeRunTime(profile),
+    isCold: load.isCold === true,
     preference: free.processorMillicores -
       (isNear ? 0 : OTHER_ZONE_PENALTY_TASKS * resources.processorMillicores),
   };
@@ -240,8 +244,12 @@
   return best;
 }
 
-/** The fastest kind goes first, and the slower ones get what it has no capacity for. */
+/**
+ * Whether the left worker is preferred. Cold workers and slower kinds get what the others have no capacity for, so
+ * cold workers get tasks by degrees after their zone is restored.
+ */
 function isBetter(left: Candidate, right: Candidate): boolean {
+  if (left.isCold !== right.isCold) return right.isCold;
   return left.relativeRunTime === right.relativeRunTime
     ? left.preference > right.preference
     : left.relativeRunTime < right.relativeRunTime;
