--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -235,6 +235,12 @@
       "A client cancelled a job through an entry that does not hold it. The line tells whether another entry cancelled it, or none is known to hold it.",
     action: "Nothing.",
   },
+  [EventNumber.ClientRejected]: {
+    meaning:
+      "A listener refused a client with 503 or closed its connection because a limit was reached. Nothing of a refused request runs. The line contains the listener, the reason and the address of the client.",
+    action:
+      "Find the client by its address. If ordinary clients are rejected, add entries, or raise the limit in the settings.",
+  },
   [EventNumber.WorkerAnnounced]: {
     meaning: "A worker announced itself to its sidecar.",
     action: "Nothing.",
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -36,6 +36,8 @@
     "Jobs that an entry claimed while another one held them, counted by their arbiter.",
   [Counter.ClaimsUnanswered]:
     "Claims of jobs that no arbiter decided on, by reason.",
+  [Counter.ClientsRejected]:
+    "Clients of an HTTP server that were refused with 503 or disconnected because of its limits, by reason.",
   [Counter.SessionsEnded]:
     "Sessions of entries that a sidecar ended, by reason.",
   [Counter.WorkerCallsMissing]:
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -49,6 +49,7 @@
   ClaimUnanswered = 3112,
   JobCancelledElsewhere = 3113,
   CrashUnexplained = 3114,
+  ClientRejected = 3201,
   WorkerAnnounced = 4101,
   WorkerDraining = 4102,
   WorkerLost = 4103,
--- a/domain/model/src/metric.ts
+++ b/domain/model/src/metric.ts
@@ -55,6 +55,7 @@
   TasksSuspected = "tasks.suspected",
   JobsContested = "jobs.contested",
   ClaimsUnanswered = "claims.unanswered",
+  ClientsRejected = "clients.rejected",
 }
 
 /** Names of gauges. */
@@ -92,7 +93,8 @@
   | WorkerCallKind
   | SessionEndReason
   | JobFailureReason
-  | ClaimFailureReason;
+  | ClaimFailureReason
+  | ClientRejectionReason;
 
 /** Why a best-effort job failed. */
 export enum JobFailureReason {
@@ -110,6 +112,17 @@
   NoArbiter = "no-arbiter",
 }
 
+/** Why an HTTP server refused a client or closed its connection. */
+export enum ClientRejectionReason {
+  TooManyConnections = "too-many-connections",
+  TooManyConnectionsOfAddress = "too-many-connections-of-address",
+  TooManyRequests = "too-many-requests",
+  TooManyBodyBytes = "too-many-body-bytes",
+  HeaderTooSlow = "header-too-slow",
+  BodyTooSlow = "body-too-slow",
+  UnreadResponses = "unread-responses",
+}
+
 /** Why a session between an entry and a sidecar ended. */
 export enum SessionEndReason {
   Expired = "expired",
