fix(platform): limit what clients hold at every HTTP listener

A process kept every chunk, request and unread response that clients sent. BoundedHttpServer carries out the decisions of front-limits and passes data to Node's parser in slices of 4 kB, so that a pause takes effect within a read. The listeners for clients, readiness, reports and metrics use it. A body is collected in one buffer.

--- /dev/null
+++ b/adapters/bounded_http/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * HTTP server whose clients are limited by the decisions of `@eelgrassfront/front-limits`.
+ */
+export * from "./bounded_http_server.ts";
--- a/adapters/metrics_prometheus/src/prometheus_metrics.ts
+++ b/adapters/metrics_prometheus/src/prometheus_metrics.ts
@@ -1,7 +1,12 @@
 /**
  * Keeps counters, gauges and histograms with prom-client and serves them as text over HTTP.
  */
-import { createServer, type Server } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  BoundedHttpServer,
+  type ClientRejection,
+} from "@eelgrassfront/bounded-http";
+import type { FrontLimitSettings } from "@eelgrassfront/front-limits";
 import {
   assertNever,
   Counter,
@@ -21,10 +26,12 @@
   Registry,
 } from "prom-client";
 
-/** Address that serves the metrics. */
+/** Address that serves the metrics, and what the clients there may hold. */
 export interface PrometheusMetricsOptions {
   readonly host: string;
   readonly port: number;
+  readonly limits: FrontLimitSettings;
+  readonly onRejected: (rejection: ClientRejection) => void;
 }
 
 const PATH = "/metrics";
@@ -51,7 +58,7 @@
   readonly #counters = new Map<Counter, CounterMetric>();
   readonly #gauges = new Map<Gauge, GaugeMetric>();
   readonly #histograms = new Map<Histogram, HistogramMetric>();
-  readonly #server: Server;
+  #server: BoundedHttpServer | undefined;
 
   private constructor() {
     const registers = [this.#registry];
@@ -82,17 +89,6 @@
       });
       this.#histograms.set(histogram, metric);
     }
-    this.#server = createServer((request, response) => {
-      if (request.url !== PATH) {
-        response.writeHead(404).end();
-        return;
-      }
-      this.#registry.metrics().then((text) => {
-        response.writeHead(200, { "content-type": "text/plain" }).end(text);
-      }, (error: unknown) => {
-        response.writeHead(500).end(String(error));
-      });
-    });
   }
 
   /**
@@ -101,12 +97,14 @@
    * @throws when the server cannot listen on the address
    */
   static async listen(
-    { host, port }: PrometheusMetricsOptions,
+    { host, port, limits, onRejected }: PrometheusMetricsOptions,
   ): Promise<PrometheusMetrics> {
     const metrics = new PrometheusMetrics();
-    await new Promise<void>((resolve, reject) => {
-      metrics.#server.once("error", reject);
-      metrics.#server.listen(port, host, resolve);
+    metrics.#server = await BoundedHttpServer.listen({ host, port }, {
+      name: "metrics",
+      limits,
+      serve: (request, response) => metrics.#serve(request, response),
+      onRejected,
     });
     return metrics;
   }
@@ -133,9 +131,19 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    const closed = new Promise((resolve) => this.#server.close(resolve));
-    this.#server.closeAllConnections();
-    await closed;
+    await this.#server?.[Symbol.asyncDispose]();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url !== PATH) {
+      response.writeHead(404).end();
+      return;
+    }
+    this.#registry.metrics().then((text) => {
+      response.writeHead(200, { "content-type": "text/plain" }).end(text);
+    }, (error: unknown) => {
+      response.writeHead(500).end(String(error));
+    });
   }
 }
 
--- a/daemon/src/dispatch_process.ts
+++ b/daemon/src/dispatch_process.ts
@@ -39,6 +39,7 @@
 import {
   recordInvalidRecord,
   recordRejectedMessage,
+  recordRejection,
 } from "./rejected_message.ts";
 
 const INCARNATION_BYTES = 6;
@@ -84,7 +85,13 @@
   if (clients === undefined || readiness === undefined) {
     throw new Error("the settings contain no address for client accounts");
   }
-  await using listener = await ClientListener.listen({ clients, readiness });
+  await using listener = await ClientListener.listen({
+    clients,
+    readiness,
+    clientLimits: settings.clientLimits,
+    readinessLimits: settings.singleLimits,
+    onRejected: (rejection) => recordRejection(shared.ports, rejection),
+  });
   const decisions = new DispatcherDecisions({
     self,
     seeds: settings.seeds,
@@ -104,7 +111,10 @@
   if (settings.workerReports === undefined) {
     throw new Error("the settings contain no address for the worker's reports");
   }
-  await using worker = await WorkerChannel.listen(settings.workerReports);
+  await using worker = await WorkerChannel.listen(settings.workerReports, {
+    limits: settings.singleLimits,
+    onRejected: (rejection) => recordRejection(shared.ports, rejection),
+  });
   const decisions = new WorkerGuardDecisions({
     self,
     seeds: settings.seeds,
@@ -216,6 +226,12 @@
   const { host, port } = settings.peers;
   const store = new StoreClient(settings.storeAddress);
   const journal = new RateLimitedJournal(self.process);
+  const metrics: PrometheusMetrics = await PrometheusMetrics.listen({
+    host,
+    port: METRICS_PORT,
+    limits: settings.singleLimits,
+    onRejected: (rejection) => recordRejection({ journal, metrics }, rejection),
+  });
   const ports = {
     clock: new MonotonicClock(),
     peers: await TrpcPeers.listen<DispatchRequest, DispatchReply>({
@@ -237,7 +253,7 @@
     signals: new ProcessSignals(),
     settings: new SettingsWatcher(),
     journal,
-    metrics: await PrometheusMetrics.listen({ host, port: METRICS_PORT }),
+    metrics,
   };
   return new SharedPorts(self.process, ports, store);
 }
--- a/daemon/src/rejected_message.ts
+++ b/daemon/src/rejected_message.ts
@@ -1,9 +1,16 @@
 /**
- * The log events of messages and stored records that were rejected for their form.
+ * The log events of messages and stored records that were rejected for their form, and of clients that were rejected
+ * because of the limits of a listener.
  */
-import { EventNumber, Severity } from "@eelgrassfront/model";
+import type { ClientRejection } from "@eelgrassfront/bounded-http";
+import {
+  Counter,
+  EventNumber,
+  OutputKind,
+  Severity,
+} from "@eelgrassfront/model";
 import type { InvalidRecord } from "@eelgrassfront/platform";
-import type { JournalPort } from "@eelgrassfront/ports";
+import type { JournalPort, MetricsPort } from "@eelgrassfront/ports";
 
 /** Records that a message of a peer was rejected. */
 export function recordRejectedMessage(
@@ -30,3 +37,24 @@
     context: { topic, key, detail },
   });
 }
+
+/** Counts and records that a listener refused or disconnected a client. */
+export function recordRejection(
+  { journal, metrics }: {
+    readonly journal: JournalPort;
+    readonly metrics: MetricsPort;
+  },
+  { listener, reason, address }: ClientRejection,
+): void {
+  metrics.measure({
+    kind: OutputKind.IncrementCounter,
+    counter: Counter.ClientsRejected,
+    reason,
+  });
+  journal.record({
+    number: EventNumber.ClientRejected,
+    severity: Severity.Warning,
+    message: "rejected a client",
+    context: { listener, reason, address },
+  });
+}
