perf(peers-trpc): check messages of best-effort work by hand

Cause: each message between entries and sidecars was checked by a zod schema.

Change: isDispatchRequest and isDispatchReply are written by hand, with a switch over the kinds that the compiler checks for completeness. The schemas stay as the reference of a property test (fast-check, fixed seed, 20,000 messages with up to three changed fields per direction), and no process loads them. The existing test of damaged messages is renamed with the module that it tests and otherwise unchanged.

--- a/adapters/peers_trpc/src/dispatch_message_schema_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_checks_test.ts
@@ -18,7 +18,7 @@
 import {
   isDispatchReply,
   isDispatchRequest,
-} from "./dispatch_message_schema.ts";
+} from "./dispatch_message_checks.ts";
 
 const RESOURCES = {
   processorMillicores: 1_000,
--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -1,7 +1,7 @@
 /**
- * Schemas of the messages of best-effort work between processes. A message that a faulty or newer peer sends in
- * another form is rejected before it reaches the state machine, where it would end the process. Unknown fields
- * are kept, since a newer version may have sent them.
+ * Schemas of the messages of best-effort work between processes. They are the reference for the tests of the
+ * checks in `dispatch_message_checks.ts`, and no process loads them. Unknown fields are kept, since a newer
+ * version may have sent them.
  */
 import {
   DispatchReplyKind,
@@ -224,12 +224,12 @@
   }),
 ]);
 
-/** Whether a value is a request between entries and sidecars. */
-export function isDispatchRequest(value: unknown): boolean {
+/** Whether the schema of the requests between entries and sidecars accepts a value. */
+export function matchesRequestSchema(value: unknown): boolean {
   return requestSchema.safeParse(value).success;
 }
 
-/** Whether a value is a reply between entries and sidecars. */
-export function isDispatchReply(value: unknown): boolean {
+/** Whether the schema of the replies between entries and sidecars accepts a value. */
+export function matchesReplySchema(value: unknown): boolean {
   return replySchema.safeParse(value).success;
 }
--- a/adapters/peers_trpc/src/mod.ts
+++ b/adapters/peers_trpc/src/mod.ts
@@ -5,5 +5,5 @@
 export {
   isDispatchReply,
   isDispatchRequest,
-} from "./dispatch_message_schema.ts";
+} from "./dispatch_message_checks.ts";
 export { PeerMessageSchema } from "./peer_message_schema.ts";
