--- a/adapters/peers_trpc/src/dispatch_message_agreement_test.ts
+++ b/adapters/peers_trpc/src/dispatch_message_agreement_test.ts
@@ -313,7 +313,7 @@
   if (place === undefined) return;
   const { owner, name } = place;
   if (replacement === undefined) Reflect.deleteProperty(owner, name);
-  else Reflect.set(owner, name, replacement.value);
+  else Reflect.set(owner, name, structuredCopy(replacement.value));
 }
 
 interface Place {
