--- a/adapters/journal_roarr/src/line_writer.ts
+++ b/adapters/journal_roarr/src/line_writer.ts
@@ -11,8 +11,11 @@
   Error = 2,
 }
 
-/** Time for which lines are buffered; too short for an operator to notice. */
-const BUFFER_MILLISECONDS: Milliseconds = 50;
+/**
+ * Time for which lines are buffered; too short for an operator to notice. Each write takes a thread of the pool and
+ * wakes the process twice. A process that is killed loses the buffered lines.
+ */
+const BUFFER_MILLISECONDS: Milliseconds = 250;
 /** Size of the unwritten text, in bytes, above which new lines are dropped. */
 const MAXIMUM_PENDING_BYTES = 1024 * 1024;
 
