perf(peers-trpc): send frames with a mask that changes no byte

Cause: a client masks each frame with random bytes, byte by byte, after copying the text to a buffer, and the server reverses that.

Change: the mask is zero, for which ws skips both steps and writes the text itself. RFC 6455 asks for unpredictable masks to protect caches between browsers and servers, which do not exist between these processes.

--- a/adapters/peers_trpc/src/persistent_connection.ts
+++ b/adapters/peers_trpc/src/persistent_connection.ts
@@ -55,6 +55,7 @@
       handshakeTimeout: CONNECT_TIMEOUT_MILLISECONDS,
       perMessageDeflate: false,
       maxPayload: MAXIMUM_MESSAGE_BYTES,
+      generateMask: clearMask,
     });
     this.#writer = new FrameWriter(this.#socket);
     this.#socket.on("message", (data) => this.#receive(String(data)));
@@ -150,3 +151,11 @@
     else call?.fail(response.error);
   }
 }
+
+/**
+ * Sets a mask that changes no byte, so that neither end transforms the content of a frame. Masks protect caches
+ * between browsers and servers, and nothing lies between these processes.
+ */
+function clearMask(mask: Buffer): void {
+  mask.fill(0);
+}
