perf(worker_guard): keep the list of attempts until one is added or removed

Cause: each step of a sidecar copied and filtered all attempts several times: to find one that waits for its start, repeated stops, reservations for suspects, and the next alarm.

Change: the run table keeps its list of attempts until the attempts change, the attempts that may still wait for their start, and the number of suspects. Stops and alarms are computed without intermediate arrays.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -139,15 +139,12 @@
   /** When the next call or expiry is due. */
   nextAlarm(): Milliseconds | undefined {
     if (this.#options.link.description === undefined) return undefined;
-    const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
-    if (this.#pollCall === undefined) {
-      times.push(
-        this.#isReconciled
-          ? this.#nextPollAt
-          : Math.max(this.#nextPollAt, this.#nextReconciliationAt),
-      );
-    }
-    return Math.min(...times);
+    const stopAt = this.#stops.nextAlarm() ?? Infinity;
+    if (this.#pollCall !== undefined) return stopAt;
+    const pollAt = this.#isReconciled
+      ? this.#nextPollAt
+      : Math.max(this.#nextPollAt, this.#nextReconciliationAt);
+    return Math.min(stopAt, pollAt);
   }
 
   /** Handles an answer of the worker. Returns false when this incarnation of the worker has ended. */
@@ -225,7 +222,7 @@
     const isEarly = !this.#isReconciled &&
       collector.now < this.#nextReconciliationAt;
     if (isEarly) return;
-    const isActive = this.#isReconciled && table.sentToWorker().length > 0;
+    const isActive = this.#isReconciled && table.hasSentToWorker;
     const isWithheld = this.#isRenewalWithheld();
     this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -51,7 +51,7 @@
   /** Whether the worker has not accepted a stop yet, or its latest list had a run without an attempt. */
   get isStopPending(): boolean {
     return this.#hasUnknownRuns ||
-      this.#options.table.sentToWorker().some(({ state }) =>
+      this.#options.table.all().some(({ state }) =>
         state.phase === RunPhase.Stopping && state.acceptedAt === undefined
       );
   }
@@ -84,7 +84,7 @@
   /** Repeats the stop calls that are due. */
   tick(): void {
     const { collector, table } = this.#options;
-    for (const run of table.sentToWorker()) {
+    for (const run of table.all()) {
       const { state } = run;
       const isDue = state.phase === RunPhase.Stopping &&
         collector.now >= state.nextStopAt;
@@ -96,10 +96,12 @@
 
   /** When the next stop call is due. */
   nextAlarm(): Milliseconds | undefined {
-    const times = this.#options.table.sentToWorker().flatMap(({ state }) =>
-      state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
-    );
-    return times.length === 0 ? undefined : Math.min(...times);
+    let next: Milliseconds | undefined;
+    for (const { state } of this.#options.table.all()) {
+      if (state.phase !== RunPhase.Stopping) continue;
+      next = Math.min(next ?? Infinity, state.nextStopAt);
+    }
+    return next;
   }
 
   /** Stops the listed runs without an active attempt. Returns whether there were any. */
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -57,6 +57,11 @@
   });
   #used: Resources = NO_RESOURCES;
   #revision = 0;
+  /** The attempts as `all` returned them last; undefined since one was added or removed. */
+  #snapshot: readonly WorkerRun[] | undefined;
+  /** Attempts from the oldest that may not have been sent to the worker; an attempt never waits again. */
+  #unsent: WorkerRun[] = [];
+  #suspectCount = 0;
 
   constructor(options: RunTableOptions) {
     this.#options = options;
@@ -77,9 +82,15 @@
     return this.#runs.size;
   }
 
-  /** All attempts. */
+  /** Whether there are attempts that run apart because they may crash the worker. */
+  get hasSuspects(): boolean {
+    return this.#suspectCount > 0;
+  }
+
+  /** All attempts. The list does not change when attempts are added or removed. */
   all(): readonly WorkerRun[] {
-    return [...this.#runs.values()];
+    this.#snapshot ??= [...this.#runs.values()];
+    return this.#snapshot;
   }
 
   /** Attempts whose start was sent to the worker. */
@@ -87,6 +98,11 @@
     return this.all().filter(({ state }) => state.phase !== RunPhase.Waiting);
   }
 
+  /** Whether the start of any attempt was sent to the worker. */
+  get hasSentToWorker(): boolean {
+    return this.all().some(({ state }) => state.phase !== RunPhase.Waiting);
+  }
+
   /** Finds the active attempt at a task. */
   find(task: JobTaskReference): WorkerRun | undefined {
     return this.#runs.get(jobTaskKey(task));
@@ -116,6 +132,9 @@
       state: { phase: RunPhase.Waiting },
     };
     this.#runs.set(jobTaskKey(task), run);
+    this.#snapshot = undefined;
+    this.#unsent.push(run);
+    if (run.suspectRoute !== undefined) this.#suspectCount += 1;
     this.#used = addResources(this.#used, resources);
     this.raiseRevision();
     return run;
@@ -123,7 +142,11 @@
 
   /** The next attempt that was not sent to the worker yet. */
   nextToStart(): WorkerRun | undefined {
-    return this.all().find(({ state }) => state.phase === RunPhase.Waiting);
+    if (this.#unsent.length === 0) return undefined;
+    this.#unsent = this.#unsent.filter((run) =>
+      run.state.phase === RunPhase.Waiting && this.find(run.task) === run
+    );
+    return this.#unsent[0];
   }
 
   /** Whether the resources are free at a worker of this capacity. */
@@ -134,6 +157,8 @@
   /** Removes an attempt, frees its resources and sends the settlement to its entry. */
   settle(run: WorkerRun, settlement: TaskSettlement): void {
     this.#runs.delete(jobTaskKey(run.task));
+    this.#snapshot = undefined;
+    if (run.suspectRoute !== undefined) this.#suspectCount -= 1;
     this.#used = subtractResources(this.#used, run.resources);
     this.raiseRevision();
     this.recordSettlement(run.entry, run, settlement);
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -14,6 +14,8 @@
 import type { RunTable } from "./run_table.ts";
 import { beginningOf, RunBeginning, type WorkerRun } from "./worker_run.ts";
 
+const NO_RUNS: readonly WorkerRun[] = [];
+
 /** Time after its start in which a run may explain a crash. */
 const EXPLANATION_MILLISECONDS: Milliseconds = 2 * SUSPICION_MILLISECONDS;
 
@@ -93,6 +95,7 @@
   }
 
   #reserving(): readonly WorkerRun[] {
+    if (!this.#options.table.hasSuspects) return NO_RUNS;
     return this.#options.table.all().filter((run) =>
       run.suspectRoute !== undefined && this.#isRecent(run)
     );
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -118,7 +118,8 @@
       link: this.#link,
       table: this.#table,
       isRenewalOverdue: () =>
-        this.#table.sentToWorker().some(({ entry }) =>
+        this.#table.all().some(({ entry, state }) =>
+          state.phase !== RunPhase.Waiting &&
           this.#sessions.isRenewalOverdue(collector.now, entry)
         ),
     });
