perf(worker_guard): compute expiries, due watches and run keys once per change

Cause: each step of a sidecar scanned all sessions twice for their expiry, sorted all watches although none was due, and built the key of each listed run twice and that of each settled run three times.

Change: the earliest expiry of the sessions is kept until a session changes; only due watches are sorted; a run holds its key, and a list of runs is matched with the attempts by run. Alarms are computed without arrays.

--- a/domain/worker_guard/src/entry_sessions.ts
+++ b/domain/worker_guard/src/entry_sessions.ts
@@ -20,6 +20,14 @@
 /** Interval of renewals, with some delay; after it the entry has missed one. */
 const RENEWAL_OVERDUE_MILLISECONDS: Milliseconds = 250;
 
+const NO_ENTRIES: readonly ProcessIdentifier[] = [];
+
+/** The earliest expiry of the open sessions for one `readUntil`. */
+interface EarliestExpiry {
+  readonly readUntil: Milliseconds;
+  readonly at: Milliseconds;
+}
+
 interface Session {
   readonly number: SessionNumber;
   renewedAt: Milliseconds;
@@ -33,6 +41,8 @@
 export class EntrySessions {
   readonly #open = new Map<ProcessIdentifier, Session>();
   #lastNumber: SessionNumber = 0;
+  /** Undefined since a session was opened, renewed or ended. */
+  #earliestExpiry: EarliestExpiry | undefined;
 
   /** Number of open sessions. */
   get size(): number {
@@ -53,6 +63,7 @@
   open(now: Milliseconds, entry: ProcessIdentifier): SessionNumber {
     this.#lastNumber += 1;
     const expiresAt = now + SESSION_MILLISECONDS;
+    this.#earliestExpiry = undefined;
     this.#open.set(entry, {
       number: this.#lastNumber,
       renewedAt: now,
@@ -71,6 +82,7 @@
   ): boolean {
     const session = this.#open.get(entry);
     if (session?.number !== number) return false;
+    this.#earliestExpiry = undefined;
     const endsAt = knownClock + MAXIMUM_SESSION_MILLISECONDS;
     const expiresAt = Math.min(now + SESSION_MILLISECONDS, endsAt);
     session.endsAt = Math.max(session.endsAt, endsAt);
@@ -99,6 +111,7 @@
 
   /** Ends the session of an entry. */
   end(entry: ProcessIdentifier): void {
+    this.#earliestExpiry = undefined;
     this.#open.delete(entry);
   }
 
@@ -110,6 +123,7 @@
     now: Milliseconds,
     readUntil: Milliseconds,
   ): readonly ProcessIdentifier[] {
+    if (now < this.nextExpiry(readUntil)) return NO_ENTRIES;
     const expired = [...this.#open].flatMap(([entry, session]) =>
       now >= expiryOf(session, readUntil) ? [entry] : []
     );
@@ -119,10 +133,14 @@
 
   /** When the next session expires. */
   nextExpiry(readUntil: Milliseconds): Milliseconds {
-    const times = [...this.#open.values()].map((session) =>
-      expiryOf(session, readUntil)
-    );
-    return Math.min(Infinity, ...times);
+    if (this.#earliestExpiry?.readUntil !== readUntil) {
+      let at = Infinity;
+      for (const session of this.#open.values()) {
+        at = Math.min(at, expiryOf(session, readUntil));
+      }
+      this.#earliestExpiry = { readUntil, at };
+    }
+    return this.#earliestExpiry.at;
   }
 }
 
--- a/domain/worker_guard/src/incarnation_checks.ts
+++ b/domain/worker_guard/src/incarnation_checks.ts
@@ -99,6 +99,7 @@
     call: RequestIdentifier,
     answer: WorkerAnswer,
   ): ConfirmedIncarnation | undefined {
+    if (this.#checks.size === 0) return undefined;
     const check = [...this.#checks.values()].find((item) => item.call === call);
     if (check === undefined) return undefined;
     check.call = undefined;
@@ -121,6 +122,7 @@
 
   /** Repeats the checks that are due, and ends those that had no answer for too long. */
   tick(): void {
+    if (this.#checks.size === 0) return;
     const { now } = this.#options.collector;
     for (const check of this.#checks.values()) {
       if (now >= check.since + CHECK_MILLISECONDS) {
@@ -131,12 +133,13 @@
 
   /** When the next check is due. */
   nextAlarm(): Milliseconds | undefined {
+    if (this.#checks.size === 0) return undefined;
     const times = [...this.#checks.values()].map(({ call, askedAt, since }) =>
       call === undefined
         ? askedAt + RETRY_MILLISECONDS
         : since + CHECK_MILLISECONDS
     );
-    return times.length === 0 ? undefined : Math.min(...times);
+    return Math.min(...times);
   }
 
   #ask(check: Check): void {
--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -91,6 +91,7 @@
   /** Resources that are offered to other entries than the given one. */
   offeredToOthers(entry: ProcessIdentifier): Resources {
     let sum = NO_RESOURCES;
+    if (this.#offers.size === 0) return sum;
     for (const [other, { resources }] of this.#offers) {
       if (other !== entry) sum = addResources(sum, resources);
     }
@@ -100,16 +101,14 @@
   /** Offers free capacity to the most urgent watches that it suffices for. */
   offerCapacity(): void {
     this.#expireOffers();
-    if (this.#watches.size === 0) return;
+    const due = this.#dueWatches();
+    if (due.length === 0) return;
     const free = this.#options.free();
     if (free === undefined) return;
     const { now } = this.#options.collector;
     const expiresAt = now + OFFER_MILLISECONDS;
-    const byUrgency = [...this.#watches].sort(([, left], [, right]) =>
-      compareWatches(left, right)
-    );
-    for (const [entry, watch] of byUrgency) {
-      if (!this.#isDue(entry, watch)) continue;
+    due.sort(([, left], [, right]) => compareWatches(left, right));
+    for (const [entry, watch] of due) {
       const { resources } = watch.demand;
       const left = subtractResources(free, this.offeredToOthers(entry));
       if (!isWithin(resources, left)) continue;
@@ -119,9 +118,19 @@
     }
   }
 
+  /** The watches that may be answered now. */
+  #dueWatches(): [ProcessIdentifier, Watch][] {
+    const due: [ProcessIdentifier, Watch][] = [];
+    for (const [entry, watch] of this.#watches) {
+      if (this.#isDue(entry, watch)) due.push([entry, watch]);
+    }
+    return due;
+  }
+
   /** Offers free capacity and answers the watches of the entries that got an offer. */
   tick(): void {
     this.offerCapacity();
+    if (this.#unanswered.size === 0) return;
     for (const [entry, watch] of this.#unanswered) this.#reply(entry, watch);
     this.#unanswered.clear();
   }
@@ -129,15 +138,20 @@
   /** When an offer expires or the next watch may be answered. */
   nextAlarm(): Milliseconds | undefined {
     const { now } = this.#options.collector;
-    const times = [...this.#offers.values()].map(({ expiresAt }) => expiresAt);
+    let next = Infinity;
+    for (const { expiresAt } of this.#offers.values()) {
+      next = Math.min(next, expiresAt);
+    }
     for (const [entry, watch] of this.#watches) {
+      if (!this.#isNews(watch)) continue;
       const dueAt = this.#dueAt(entry, watch);
-      if (dueAt > now && this.#isNews(watch)) times.push(dueAt);
+      if (dueAt > now) next = Math.min(next, dueAt);
     }
-    return times.length === 0 ? undefined : Math.min(...times);
+    return next === Infinity ? undefined : next;
   }
 
   #expireOffers(): void {
+    if (this.#offers.size === 0) return;
     const { now } = this.#options.collector;
     for (const [entry, { expiresAt }] of this.#offers) {
       if (now < expiresAt) continue;
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -32,9 +32,9 @@
   WorkerCallKind,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
-import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
+import { RunPhase, type WorkerRun } from "./worker_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
-import { type PendingCall, PendingCalls, runKey } from "./pending_call.ts";
+import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
@@ -189,10 +189,10 @@
 
   #sendStart(run: WorkerRun, number: number): void {
     const { collector, link } = this.#options;
-    const key = jobTaskKey(run.task);
+    const { key } = run;
     this.#startCalls.set(key, (this.#startCalls.get(key) ?? 0) + 1);
-    this.#runNumbers.record(collector.now, { task: run.task, run: number });
     const reference = { task: run.task, run: number };
+    this.#runNumbers.record(collector.now, reference);
     const call = this.#calls.send({
       kind: WorkerCallKind.Start,
       run: reference,
@@ -269,7 +269,7 @@
     const { now } = this.#options.collector;
     switch (kind) {
       case WorkerCallKind.Start:
-        this.#startCalls.delete(jobTaskKey(run.task));
+        this.#startCalls.delete(run.key);
         this.#markRunning(run);
         return;
       case WorkerCallKind.Stop:
@@ -296,8 +296,7 @@
   }
 
   #retryStart(run: WorkerRun, reason: WorkerRefusalReason): void {
-    const key = jobTaskKey(run.task);
-    const calls = this.#startCalls.get(key) ?? 0;
+    const calls = this.#startCalls.get(run.key) ?? 0;
     const isRepeatable = reason === WorkerRefusalReason.Fenced ||
       reason === WorkerRefusalReason.Superseded;
     if (isRepeatable && calls < MAXIMUM_START_CALLS) {
@@ -352,9 +351,11 @@
     // A list of a later incarnation does not show which calls have reached it; the lifecycle checks that.
     if (answer.bornAt !== known) return true;
     for (const end of answer.ended) this.#onEnd(end);
-    const listed = new Map(
-      answer.running.map((item) => [runKey(item.run), item]),
-    );
+    const listed = new Map<WorkerRun, ListedRun>();
+    for (const item of answer.running) {
+      const run = this.#findRun(item.run);
+      if (run !== undefined) listed.set(run, item);
+    }
     this.#reconcile(listed, sentAt);
     this.#stopUnknownRuns(answer.running);
     return true;
@@ -373,12 +374,12 @@
   }
 
   /** Compares the expected runs with a list that was requested at the given time. */
-  #reconcile(listed: Map<string, ListedRun>, requestedAt: Milliseconds): void {
+  #reconcile(
+    listed: ReadonlyMap<WorkerRun, ListedRun>,
+    requestedAt: Milliseconds,
+  ): void {
     for (const run of this.#options.table.sentToWorker()) {
-      const target = runReferenceOf(run);
-      const item = target === undefined
-        ? undefined
-        : listed.get(runKey(target));
+      const item = listed.get(run);
       const { state } = run;
       switch (state.phase) {
         case RunPhase.Waiting:
@@ -473,7 +474,7 @@
         },
       });
     }
-    this.#startCalls.delete(jobTaskKey(run.task));
+    this.#startCalls.delete(run.key);
     table.settle(run, settlement);
   }
 
@@ -490,6 +491,8 @@
     if (target === undefined) return undefined;
     const run = this.#options.table.find(target.task);
     if (run === undefined) return undefined;
-    return runReferenceOf(run)?.run === target.run ? run : undefined;
+    return run.state.phase !== RunPhase.Waiting && run.state.run === target.run
+      ? run
+      : undefined;
   }
 }
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -109,7 +109,8 @@
     const { collector, calls, table, runNumbers } = this.#options;
     const unknownRuns = running.filter(({ run: { task, run } }) => {
       const known = table.find(task);
-      return known === undefined || runReferenceOf(known)?.run !== run;
+      return known === undefined || known.state.phase === RunPhase.Waiting ||
+        known.state.run !== run;
     });
     for (const { run } of unknownRuns) {
       runNumbers.record(collector.now, run);
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -116,7 +116,9 @@
   /** Adds a new attempt, whose resources must be free. */
   add(waiter: RunWaiter, message: RunTask): WorkerRun {
     const { session, task, attempt, content, resources } = message;
+    const key = jobTaskKey(task);
     const run: WorkerRun = {
+      key,
       task,
       attempt,
       entry: waiter.from,
@@ -131,7 +133,7 @@
       request: waiter.request,
       state: { phase: RunPhase.Waiting },
     };
-    this.#runs.set(jobTaskKey(task), run);
+    this.#runs.set(key, run);
     this.#snapshot = undefined;
     this.#unsent.push(run);
     if (run.suspectRoute !== undefined) this.#suspectCount += 1;
@@ -144,7 +146,7 @@
   nextToStart(): WorkerRun | undefined {
     if (this.#unsent.length === 0) return undefined;
     this.#unsent = this.#unsent.filter((run) =>
-      run.state.phase === RunPhase.Waiting && this.find(run.task) === run
+      run.state.phase === RunPhase.Waiting && this.#runs.get(run.key) === run
     );
     return this.#unsent[0];
   }
@@ -156,7 +158,7 @@
 
   /** Removes an attempt, frees its resources and sends the settlement to its entry. */
   settle(run: WorkerRun, settlement: TaskSettlement): void {
-    this.#runs.delete(jobTaskKey(run.task));
+    this.#runs.delete(run.key);
     this.#snapshot = undefined;
     if (run.suspectRoute !== undefined) this.#suspectCount -= 1;
     this.#used = subtractResources(this.#used, run.resources);
--- a/domain/worker_guard/src/worker_lifecycle.ts
+++ b/domain/worker_guard/src/worker_lifecycle.ts
@@ -73,12 +73,12 @@
   /** When the next check or settlement is due. */
   nextAlarm(): Milliseconds | undefined {
     const { link } = this.#options;
-    const times = [
-      this.#incarnationChecks.nextAlarm(),
-      this.#stoppedAt,
-      link.isSilentAfterGoodbye ? link.leaseExpiresAt : undefined,
-    ].filter((time) => time !== undefined);
-    return times.length === 0 ? undefined : Math.min(...times);
+    const next = Math.min(
+      this.#incarnationChecks.nextAlarm() ?? Infinity,
+      this.#stoppedAt ?? Infinity,
+      link.isSilentAfterGoodbye ? link.leaseExpiresAt : Infinity,
+    );
+    return next === Infinity ? undefined : next;
   }
 
   /**
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -100,6 +100,8 @@
 
 /** The run of an accepted attempt. */
 export interface WorkerRun {
+  /** Key of the task, under which the run is found. */
+  readonly key: string;
   readonly task: JobTaskReference;
   readonly attempt: number;
   readonly entry: ProcessIdentifier;
