perf(dispatcher): keep the earliest time at which a link is due

Cause: each step of an entry copied the list of its links up to five times and looked at every link, in tick and in nextAlarm.

Change: the links in use are one list until they change. The earliest time at which a link is due is kept until a link changes; a step before that time, without waiting tasks, skips the links. The times move to link_alarms.ts.

--- a/domain/dispatcher/src/worker_link_set.ts
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -37,6 +37,9 @@
   readonly #options: WorkerLinkSetOptions;
   readonly #links = new Map<string, WorkerLinkState>();
   readonly #used = new Set<WorkerLinkState>();
+  /** The links in use as `all` returned them last; undefined since one was added or removed. */
+  #snapshot: readonly WorkerLinkState[] | undefined;
+  #revision = 0;
   #selected: ReadonlySet<string> = new Set();
   #membersRevision = -1;
   #isReleasePending = false;
@@ -47,9 +50,15 @@
     this.#options = options;
   }
 
-  /** The links in use, with or without a session. */
-  get used(): ReadonlySet<WorkerLinkState> {
-    return this.#used;
+  /** The links in use, with or without a session. The list does not change when links are added or removed. */
+  all(): readonly WorkerLinkState[] {
+    this.#snapshot ??= [...this.#used];
+    return this.#snapshot;
+  }
+
+  /** Rises whenever a link was added or removed, or its session was closed. */
+  get revision(): number {
+    return this.#revision;
   }
 
   /** Whether known sidecars are not in use. */
@@ -69,6 +78,7 @@
 
   /** Ends the session of a link. A link that is still selected requests a new one. */
   close(link: WorkerLinkState): void {
+    this.#recordChange();
     if (link.state.phase === LinkPhase.Open) link.givenUp = link.state.session;
     if (this.#selected.has(link.address)) {
       link.state = newOpeningLink();
@@ -89,10 +99,16 @@
     this.#isWidened = isWidened;
     if (hasChanged) this.#select();
     this.#isReleasePending = false;
-    for (const link of [...this.#used]) this.#releaseUnselected(link);
+    for (const link of this.all()) this.#releaseUnselected(link);
+  }
+
+  #recordChange(): void {
+    this.#snapshot = undefined;
+    this.#revision += 1;
   }
 
   #select(): void {
+    this.#recordChange();
     const { directory, self } = this.#options;
     const sidecars = directory.membersOf(Role.Sidecar);
     const addresses = new Set(sidecars.map(({ address }) => address));
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -38,14 +38,13 @@
   updateClock,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
+import {
+  LinkAlarms,
+  nextRenewal,
+  REPLY_TIMEOUT_MILLISECONDS,
+} from "./link_alarms.ts";
 import { WorkerLinkSet } from "./worker_link_set.ts";
 
-/** Interval of renewals: a third of the duration of a session. */
-const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 200;
-/** Renewals are due at multiples of this time, so that one wake-up of the process sends several. */
-const RENEWAL_ALIGNMENT_MILLISECONDS: Milliseconds = 50;
-/** Time without a reply after which a sidecar counts as lost: two unanswered renewals. */
-const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 450;
 /** Gap between two steps after which replies may be waiting to be read: timers run before reads. */
 const STALL_MILLISECONDS: Milliseconds = 100;
 /** Time in which the replies that arrived during a stall of this process are read. */
@@ -75,12 +74,11 @@
   readonly #options: WorkerLinksOptions;
   readonly #links: WorkerLinkSet;
   readonly #calls: LinkCalls;
+  readonly #alarms = new LinkAlarms();
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
   #tickedAt: Milliseconds | undefined;
   #loadRevision = 0;
-  /** Time before which no sidecar counts as lost, since its replies may not have been read. */
-  #readUntil: Milliseconds = 0;
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
@@ -90,7 +88,7 @@
 
   /** Returns the links in use. */
   all(): readonly WorkerLinkState[] {
-    return [...this.#links.used];
+    return this.#links.all();
   }
 
   /** Returns the link to an address. */
@@ -132,15 +130,17 @@
     this.#links.update();
     const { now } = this.#options.collector;
     if (now - (this.#tickedAt ?? now) > STALL_MILLISECONDS) {
-      this.#readUntil = now + READ_MILLISECONDS;
+      this.#alarms.deferLosses(now + READ_MILLISECONDS);
     }
     this.#tickedAt = now;
     const changes: LinkChange[] = [];
     const demand = this.#options.waitingDemand();
+    if (demand === undefined && now < this.#earliestAlarm()) return changes;
+    this.#alarms.recordChange();
     for (const link of this.all()) {
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
-        now >= this.#lostAt(state);
+        now >= this.#alarms.lostAt(state);
       if (isLost) {
         changes.push(this.#giveUp(link, state, "no answer to renewals"));
       }
@@ -151,21 +151,11 @@
 
   /** Returns the time of the next due request or timeout. */
   nextAlarm(): Milliseconds | undefined {
-    const times = this.all().map(({ state }) => {
-      switch (state.phase) {
-        case LinkPhase.Unused:
-          return Infinity;
-        case LinkPhase.Opening:
-          return state.pendingRequest === undefined
-            ? state.nextOpenAt
-            : state.pendingSince + REPLY_TIMEOUT_MILLISECONDS;
-        case LinkPhase.Open:
-          return Math.min(state.nextRenewAt, this.#lostAt(state));
-        default:
-          return assertNever(state);
-      }
-    });
-    return times.length === 0 ? undefined : Math.min(...times);
+    return this.all().length === 0 ? undefined : this.#earliestAlarm();
+  }
+
+  #earliestAlarm(): Milliseconds {
+    return this.#alarms.earliest(this.all(), this.#links.revision);
   }
 
   /** Handles the reply to a request that this object sent. */
@@ -218,11 +208,10 @@
   /** Handles a connection loss: the session is renewed at once over a new connection. */
   handleConnectionLoss(link: WorkerLinkState): void {
     if (link.state.phase !== LinkPhase.Open) return;
-    const { now } = this.#options.collector;
     link.state.watch = undefined;
     if (this.#interrupted.has(link.address)) return;
     this.#interrupted.add(link.address);
-    link.state.nextRenewAt = now;
+    this.#renewNow(link.state);
   }
 
   /** Updates the load of a link from a reply, unless a newer load is known. */
@@ -236,7 +225,7 @@
       const isNewWorker = worker !== undefined &&
         worker !== state.unprofiledWorker;
       state.unprofiledWorker = worker;
-      if (isNewWorker) state.nextRenewAt = this.#options.collector.now;
+      if (isNewWorker) this.#renewNow(state);
       state.load = undefined;
       return;
     }
@@ -250,7 +239,7 @@
   refreshProfile({ state }: WorkerLinkState): void {
     if (state.phase !== LinkPhase.Open) return;
     state.profile = undefined;
-    state.nextRenewAt = this.#options.collector.now;
+    this.#renewNow(state);
   }
 
   /** Handles a reply in which another incarnation of the sidecar identified itself. */
@@ -273,15 +262,14 @@
     );
   }
 
-  /** When a sidecar counts as lost unless it replies. */
-  #lostAt({ lastReplyAt }: OpenLink): Milliseconds {
-    return Math.max(lastReplyAt + REPLY_TIMEOUT_MILLISECONDS, this.#readUntil);
-  }
-
   #recordReply(state: OpenLink): void {
     this.#loadRevision += 1;
-    state.lastReplyAt = this.#options.collector.now;
-    state.unansweredSince = undefined;
+    this.#alarms.recordReply(state, this.#options.collector.now);
+  }
+
+  #renewNow(state: OpenLink): void {
+    state.nextRenewAt = this.#options.collector.now;
+    this.#alarms.recordChange();
   }
 
   #sendDue(link: WorkerLinkState, demand: WaitingDemand | undefined): void {
@@ -319,6 +307,7 @@
   }
 
   #scheduleOpen(state: OpeningLink): void {
+    this.#alarms.recordChange();
     state.pendingRequest = undefined;
     state.nextOpenAt = this.#options.collector.now + state.retryInterval;
     state.retryInterval = Math.min(
@@ -387,6 +376,7 @@
       unprofiledWorker: undefined,
     };
     link.state = opened;
+    this.#alarms.recordChange();
     this.#options.collector.record(
       EventNumber.SessionOpened,
       "a session with a sidecar was opened",
@@ -493,8 +483,3 @@
     return { kind: LinkChangeKind.Lost, link, sessionEndsAt };
   }
 }
-
-function nextRenewal(now: Milliseconds): Milliseconds {
-  const due = now + RENEWAL_INTERVAL_MILLISECONDS;
-  return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
-}
