perf(dispatcher): choose workers without intermediate lists, and index attempts by job

Cause: each placement sorted the slowness of all workers and computed their mean failure rate, which only a worker that fails often needs; each choice built a candidate for every worker that suffices. Each claim searched all attempts for those of its job.

Change: the median slowness is kept until a load with another slowness arrives or a link opens or closes; the mean failure rate is computed when it is needed; the choice keeps only the best worker; attempts are indexed by job.

--- a/domain/dispatcher/src/task_attempt_index.ts
+++ b/domain/dispatcher/src/task_attempt_index.ts
@@ -34,6 +34,8 @@
 export class TaskAttemptIndex {
   readonly #byRequest = new Map<RequestIdentifier, TaskAttempt>();
   readonly #byAddress = new Map<string, Set<TaskAttempt>>();
+  /** By job identifier, in the order in which the attempts' latest requests were sent. */
+  readonly #byJob = new Map<string, Set<TaskAttempt>>();
 
   /** Number of unsettled attempts. */
   get size(): number {
@@ -43,9 +45,8 @@
   /** Adds an attempt under its request and its address. */
   add(attempt: TaskAttempt): void {
     this.#byRequest.set(attempt.request, attempt);
-    const atAddress = this.#byAddress.get(attempt.address) ?? new Set();
-    atAddress.add(attempt);
-    this.#byAddress.set(attempt.address, atAddress);
+    addTo(this.#byAddress, attempt.address, attempt);
+    addTo(this.#byJob, attempt.job.id, attempt);
   }
 
   /** Returns the attempt that a request belongs to. */
@@ -63,12 +64,15 @@
     attempt.request = request;
     attempt.requestPosition = position;
     this.#byRequest.set(request, attempt);
+    removeFrom(this.#byJob, attempt.job.id, attempt);
+    addTo(this.#byJob, attempt.job.id, attempt);
   }
 
   /** Removes an attempt that was settled or lost. */
   remove(attempt: TaskAttempt): void {
     this.#byRequest.delete(attempt.request);
     this.#byAddress.get(attempt.address)?.delete(attempt);
+    removeFrom(this.#byJob, attempt.job.id, attempt);
   }
 
   /** Returns whether a sidecar holds attempts. */
@@ -83,26 +87,45 @@
 
   /** Returns the attempts of all tasks of one job. */
   ofJob(job: DispatchJob): readonly TaskAttempt[] {
-    return [...this.#byRequest.values()].filter((attempt) =>
+    return [...this.#byJob.get(job.id) ?? []].filter((attempt) =>
       attempt.job === job
     );
   }
 
   /** Returns whether there are attempts of tasks of a job, or of an earlier copy of it. */
   hasJob(id: string): boolean {
-    for (const { job } of this.#byRequest.values()) {
-      if (job.id === id) return true;
-    }
-    return false;
+    return this.#byJob.has(id);
   }
 
   /** Resources of the attempts at a sidecar that were sent after the first `requestsTaken` requests. */
   unreportedResources(address: string, requestsTaken: number): Resources {
     let sum = NO_RESOURCES;
-    for (const attempt of this.#byAddress.get(address) ?? []) {
+    const atAddress = this.#byAddress.get(address);
+    if (atAddress === undefined) return sum;
+    for (const attempt of atAddress) {
       if (attempt.requestPosition <= requestsTaken) continue;
       sum = addResources(sum, attempt.task.step.resources);
     }
     return sum;
   }
 }
+
+function addTo(
+  index: Map<string, Set<TaskAttempt>>,
+  key: string,
+  attempt: TaskAttempt,
+): void {
+  const known = index.get(key);
+  if (known === undefined) index.set(key, new Set([attempt]));
+  else known.add(attempt);
+}
+
+function removeFrom(
+  index: Map<string, Set<TaskAttempt>>,
+  key: string,
+  attempt: TaskAttempt,
+): void {
+  const known = index.get(key);
+  known?.delete(attempt);
+  if (known?.size === 0) index.delete(key);
+}
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -30,10 +30,9 @@
 import { CrashPolicy } from "./crash_policy.ts";
 import {
   isSlowWorker,
-  medianSlowness,
   requirementsOf,
   type WorkerChoice,
-  workerStatistics,
+  WorkerStatistics,
 } from "./worker_choice.ts";
 import { RUN_AFTER_SESSION_MILLISECONDS } from "./ending_runs.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
@@ -101,7 +100,11 @@
     const ready = job.readyTasks(now);
     if (ready.length === 0) return true;
     const links = this.#options.links.all();
-    const statistics = workerStatistics(now, links);
+    const statistics = new WorkerStatistics({
+      now,
+      links,
+      medianSlowness: this.#options.links.medianSlowness,
+    });
     let last: WorkerLinkState | undefined;
     for (const task of ready) {
       const options = {
@@ -140,7 +143,7 @@
       RESCHEDULING_INTERVAL_MILLISECONDS;
     this.#isConfirmationPending = false;
     const all = links.all();
-    const median = medianSlowness(all);
+    const median = links.medianSlowness;
     for (const link of all) {
       if (!this.#isConfirmedSlow(link, all, median)) continue;
       for (const attempt of attempts.atSidecar(link.address)) {
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -8,6 +8,7 @@
   isWithin,
   meetsRequirements,
   type Milliseconds,
+  NO_RESOURCES,
   subtractResources,
   type WorkerProfile,
   type WorkerRequirements,
@@ -39,10 +40,40 @@
   readonly isSlow: boolean;
 }
 
-/** Averages over the workers in use, by which outliers are recognised. */
-export interface WorkerStatistics {
+/** What `WorkerStatistics` are computed from. */
+export interface WorkerStatisticsOptions {
+  readonly now: Milliseconds;
+  readonly links: readonly WorkerLinkState[];
   readonly medianSlowness: number;
-  readonly meanFailureRate: number;
+}
+
+/** Averages over the workers in use, by which outliers are recognised. */
+export class WorkerStatistics {
+  readonly #options: WorkerStatisticsOptions;
+  #meanFailureRate: number | undefined;
+
+  constructor(options: WorkerStatisticsOptions) {
+    this.#options = options;
+  }
+
+  /** Median of the workers' run times as multiples of the expected ones. */
+  get medianSlowness(): number {
+    return this.#options.medianSlowness;
+  }
+
+  /** Mean failure rate of the workers that may get tasks; computed once it is needed. */
+  get meanFailureRate(): number {
+    this.#meanFailureRate ??= this.#computeMeanFailureRate();
+    return this.#meanFailureRate;
+  }
+
+  #computeMeanFailureRate(): number {
+    const { now, links } = this.#options;
+    const rates = links
+      .filter(({ avoidUntil }) => now >= avoidUntil)
+      .map(({ detector }) => detector.failureRate);
+    return mean(rates);
+  }
 }
 
 /** The task, the known workers and the attempts that they hold. */
@@ -57,45 +88,50 @@
   readonly availabilityZone: string;
 }
 
-interface Candidate {
-  readonly link: WorkerLinkState;
-  readonly session: number;
-  readonly isSlow: boolean;
-  /** Free millicores, less the penalty for another availability zone. */
-  readonly preference: number;
-}
+/** Preference of a worker that gets no task now. */
+const EXCLUDED = -Infinity;
 
 /** Chooses a worker, or returns undefined when the task must wait at the entry. */
 export function chooseWorker(
   options: WorkerChoiceOptions,
 ): WorkerChoice | undefined {
-  return bestCandidate(findCandidates(options), options.task.avoidedAddress);
+  const { links, job, task } = options;
+  const requirements = requirementsOf(job, task.step);
+  let best: WorkerLinkState | undefined;
+  let highest = EXCLUDED;
+  let avoided: WorkerLinkState | undefined;
+  for (const link of links) {
+    const preference = preferenceFor(options, requirements, link);
+    if (preference === EXCLUDED) continue;
+    if (link.address === task.avoidedAddress) avoided ??= link;
+    else if (preference > highest) {
+      best = link;
+      highest = preference;
+    }
+  }
+  return choiceOf(best ?? avoided, options.statistics);
+}
+
+function choiceOf(
+  link: WorkerLinkState | undefined,
+  { medianSlowness }: WorkerStatistics,
+): WorkerChoice | undefined {
+  if (link?.state.phase !== LinkPhase.Open) return undefined;
+  const { session } = link.state;
+  return { link, session, isSlow: isSlowWorker(link, medianSlowness) };
 }
 
 /** Returns whether any known worker could ever run the task. */
 export function isCapableWorkerKnown(
   { links, job, task }: Pick<WorkerChoiceOptions, "links" | "job" | "task">,
 ): boolean {
+  const requirements = requirementsOf(job, task.step);
   return links.some(({ state }) => {
     const profile = state.phase === LinkPhase.Open ? state.profile : undefined;
-    return profile !== undefined && isCapable(profile, job, task);
+    return profile !== undefined && isCapable(profile, requirements, task);
   });
 }
 
-/** Returns the averages over the workers that may get tasks. */
-export function workerStatistics(
-  now: Milliseconds,
-  links: readonly WorkerLinkState[],
-): WorkerStatistics {
-  const rates = links
-    .filter(({ avoidUntil }) => now >= avoidUntil)
-    .map(({ detector }) => detector.failureRate);
-  return {
-    medianSlowness: medianSlowness(links),
-    meanFailureRate: mean(rates),
-  };
-}
-
 /** Returns the median of the workers' run times as multiples of the expected ones; 1 if no load is known. */
 export function medianSlowness(links: readonly WorkerLinkState[]): number {
   const known = links
@@ -117,59 +153,50 @@
     state.load.slowness > SLOW_FACTOR * median;
 }
 
-function findCandidates(options: WorkerChoiceOptions): readonly Candidate[] {
-  const candidates: Candidate[] = [];
-  for (const link of options.links) {
-    const candidate = candidateAt(options, link);
-    if (candidate !== undefined) candidates.push(candidate);
-  }
-  return candidates;
-}
-
-/** Returns a worker as a candidate, or undefined when it gets no task now. */
-function candidateAt(
+/** Returns the free millicores of a worker, less the penalty for another zone; `EXCLUDED` if it gets no task now. */
+function preferenceFor(
   options: WorkerChoiceOptions,
+  requirements: WorkerRequirements,
   link: WorkerLinkState,
-): Candidate | undefined {
+): number {
   const { now, statistics, attempts, job, task } = options;
   const { state, detector } = link;
-  if (now < link.avoidUntil || state.phase !== LinkPhase.Open) return undefined;
+  if (now < link.avoidUntil || state.phase !== LinkPhase.Open) return EXCLUDED;
   const { load, profile } = state;
-  if (load?.isTakingWork !== true || profile === undefined) return undefined;
+  if (load?.isTakingWork !== true || profile === undefined) return EXCLUDED;
   const isSilent = state.unansweredSince !== undefined &&
     now >= state.unansweredSince + SILENCE_MILLISECONDS;
-  if (isSilent) return undefined;
+  if (isSilent) return EXCLUDED;
   const { resources } = task.step;
   // Most links of a busy fleet are excluded here, before the costlier conditions.
-  if (!isWithin(resources, load.free)) return undefined;
-  if (!isCapable(profile, job, task)) return undefined;
-  const free = subtractResources(
-    load.free,
-    attempts.unreportedResources(link.address, load.requestsTaken),
+  if (!isWithin(resources, load.free)) return EXCLUDED;
+  if (!isCapable(profile, requirements, task)) return EXCLUDED;
+  const unreported = attempts.unreportedResources(
+    link.address,
+    load.requestsTaken,
   );
-  if (!isWithin(resources, free)) return undefined;
-  if (isAtStepLimit(options, link.address)) return undefined;
-  const isProbed = !detector.isOutlier(statistics.meanFailureRate) ||
+  const free = unreported === NO_RESOURCES
+    ? load.free
+    : subtractResources(load.free, unreported);
+  if (!isWithin(resources, free)) return EXCLUDED;
+  if (isAtStepLimit(options, link.address)) return EXCLUDED;
+  const isProbed = !detector.mayBeOutlier ||
+    !detector.isOutlier(statistics.meanFailureRate) ||
     detector.isProbeTaskDue(now, job.tasks.length);
-  if (!isProbed) return undefined;
+  if (!isProbed) return EXCLUDED;
   const isSlow = isSlowWorker(link, statistics.medianSlowness);
-  if (isSlow && now < link.nextProbeAt) return undefined;
+  if (isSlow && now < link.nextProbeAt) return EXCLUDED;
   const isNear = link.availabilityZone === options.availabilityZone;
-  return {
-    link,
-    session: state.session,
-    isSlow,
-    preference: free.processorMillicores -
-      (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES),
-  };
+  return free.processorMillicores -
+    (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES);
 }
 
 function isCapable(
   profile: WorkerProfile,
-  job: DispatchJob,
+  requirements: WorkerRequirements,
   { step }: DispatchTask,
 ): boolean {
-  return meetsRequirements(profile, requirementsOf(job, step)) &&
+  return meetsRequirements(profile, requirements) &&
     isWithin(step.resources, profile.capacity);
 }
 
@@ -197,23 +224,6 @@
   return sameStep.length >= maximumPerWorker;
 }
 
-function bestCandidate(
-  candidates: readonly Candidate[],
-  avoidedAddress: string | undefined,
-): Candidate | undefined {
-  const others = candidates.filter(({ link }) =>
-    link.address !== avoidedAddress
-  );
-  const preferred = others.length > 0 ? others : candidates;
-  let best: Candidate | undefined;
-  for (const candidate of preferred) {
-    const isBetter = best === undefined ||
-      candidate.preference > best.preference;
-    if (isBetter) best = candidate;
-  }
-  return best;
-}
-
 function mean(values: readonly number[]): number {
   if (values.length === 0) return 0;
   return values.reduce((sum, value) => sum + value, 0) / values.length;
--- a/domain/dispatcher/src/worker_link_set.ts
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -10,12 +10,15 @@
   type Milliseconds,
   type OutputCollector,
   Role,
+  type WorkerLoad,
 } from "@eelgrassfront/model";
+import { medianSlowness } from "./worker_choice.ts";
 import { selectSidecars } from "./sidecar_selection.ts";
 import {
   LinkPhase,
   newLink,
   newOpeningLink,
+  type OpenLink,
   UNUSED_LINK,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
@@ -39,6 +42,8 @@
   readonly #used = new Set<WorkerLinkState>();
   /** The links in use as `all` returned them last; undefined since one was added or removed. */
   #snapshot: readonly WorkerLinkState[] | undefined;
+  /** Undefined since a worker's slowness has changed, or a link was opened or closed. */
+  #medianSlowness: number | undefined;
   #revision = 0;
   #selected: ReadonlySet<string> = new Set();
   #membersRevision = -1;
@@ -56,7 +61,13 @@
     return this.#snapshot;
   }
 
-  /** Rises whenever a link was added or removed, or its session was closed. */
+  /** Median of the workers' run times as multiples of the expected ones. */
+  get medianSlowness(): number {
+    this.#medianSlowness ??= medianSlowness(this.all());
+    return this.#medianSlowness;
+  }
+
+  /** Rises whenever a link was added or removed, or its session was opened or closed. */
   get revision(): number {
     return this.#revision;
   }
@@ -76,6 +87,20 @@
     this.#widenedUntil = this.#options.collector.now + WIDENED_MILLISECONDS;
   }
 
+  /** Sets the load of an open link. */
+  setLoad(state: OpenLink, load: WorkerLoad | undefined): void {
+    if (load?.slowness !== state.load?.slowness) {
+      this.#medianSlowness = undefined;
+    }
+    state.load = load;
+  }
+
+  /** Begins the session of a link. */
+  open(link: WorkerLinkState, state: OpenLink): void {
+    this.#recordChange();
+    link.state = state;
+  }
+
   /** Ends the session of a link. A link that is still selected requests a new one. */
   close(link: WorkerLinkState): void {
     this.#recordChange();
@@ -104,6 +129,7 @@
 
   #recordChange(): void {
     this.#snapshot = undefined;
+    this.#medianSlowness = undefined;
     this.#revision += 1;
   }
 
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -115,6 +115,11 @@
     return this.#loadRevision;
   }
 
+  /** Median of the workers' run times as multiples of the expected ones. */
+  get medianSlowness(): number {
+    return this.#links.medianSlowness;
+  }
+
   /** Opens sessions with every sidecar for some time, because no selected one can run a job. */
   useAll(): void {
     this.#links.useAll();
@@ -226,15 +231,16 @@
         worker !== state.unprofiledWorker;
       state.unprofiledWorker = worker;
       if (isNewWorker) this.#renewNow(state);
-      state.load = undefined;
+      this.#links.setLoad(state, undefined);
       return;
     }
     const known = state.load;
     const isOlder = known !== undefined && (load.revision < known.revision ||
       load.requestsTaken < known.requestsTaken);
-    if (!isOlder) state.load = load;
+    if (!isOlder) this.#links.setLoad(state, load);
   }
 
+
   /** Forgets the profile of a worker that a sidecar has found unsuitable by it, and requests the present one. */
   refreshProfile({ state }: WorkerLinkState): void {
     if (state.phase !== LinkPhase.Open) return;
@@ -375,8 +381,7 @@
       watch: undefined,
       unprofiledWorker: undefined,
     };
-    link.state = opened;
-    this.#alarms.recordChange();
+    this.#links.open(link, opened);
     this.#options.collector.record(
       EventNumber.SessionOpened,
       "a session with a sidecar was opened",
--- a/domain/placement/src/outlier_detector.ts
+++ b/domain/placement/src/outlier_detector.ts
@@ -42,9 +42,14 @@
     this.#backoff = Math.min(2 * this.#backoff, MAXIMUM_BACKOFF_MILLISECONDS);
   }
 
+  /** Whether the runner fails so often that it is an outlier unless its peers fail as well. */
+  get mayBeOutlier(): boolean {
+    return this.#failureRate > MINIMUM_OUTLIER_RATE;
+  }
+
   /** Returns whether the runner fails far more often than its peers. */
   isOutlier(meanPeerRate: number): boolean {
-    return this.#failureRate > MINIMUM_OUTLIER_RATE &&
+    return this.mayBeOutlier &&
       this.#failureRate > PEER_FACTOR * meanPeerRate;
   }
 
