perf(dispatcher): keep the earliest deadline and the earliest claim

Cause: each step of an entry copied its jobs three times, to enforce deadlines and to compute the next alarm, and looked at every claim three times. With waiting jobs it copied the queue three times more.

Change: the earliest deadline is kept until its job ends (job_deadlines.ts), the earliest claim until a claim changes; steps before them skip the jobs and claims. Queued jobs are filtered instead of copied.

--- a/domain/dispatcher/src/dispatch_job.ts
+++ b/domain/dispatcher/src/dispatch_job.ts
@@ -115,6 +115,20 @@
     return !this.mayHaveStarted && this.placedTaskCount === 0;
   }
 
+  /** Whether tasks wait to be placed, now or once an earlier run has ended. */
+  get hasWaitingTasks(): boolean {
+    return this.tasks.some(({ phase }) => phase === TaskPhase.Ready);
+  }
+
+  /** Allows the tasks that a lost sidecar held to be placed again, since they have ended there. */
+  releaseTasksHeldAt(address: string): void {
+    for (const task of this.tasks) {
+      const isHeld = task.phase === TaskPhase.Ready &&
+        task.sidecarAddress === address;
+      if (isHeld) task.notBefore = 0;
+    }
+  }
+
   /** Returns the tasks that can be placed now. */
   readyTasks(now: Milliseconds): readonly DispatchTask[] {
     return this.tasks.filter((task) =>
@@ -122,15 +136,24 @@
     );
   }
 
+  /** Returns the first of the tasks that can be placed now. */
+  firstReadyTask(now: Milliseconds): DispatchTask | undefined {
+    return this.tasks.find((task) =>
+      task.phase === TaskPhase.Ready && now >= task.notBefore
+    );
+  }
+
   /** Expected work of the unplaced tasks, in millicores times milliseconds. */
   get waitingWork(): number {
     const runMilliseconds = this.expectedRunMilliseconds;
-    return this.tasks.reduce((sum, { phase, step }) => {
+    let sum = 0;
+    for (const { phase, step } of this.tasks) {
       const isWaiting = phase === TaskPhase.Ready ||
         phase === TaskPhase.Blocked;
-      const work = step.resources.processorMillicores * runMilliseconds;
-      return isWaiting ? sum + work : sum;
-    }, 0);
+      if (!isWaiting) continue;
+      sum += step.resources.processorMillicores * runMilliseconds;
+    }
+    return sum;
   }
 
   /** Marks tasks as ready when all steps that they depend on have completed. */
--- a/domain/dispatcher/src/job_claims.ts
+++ b/domain/dispatcher/src/job_claims.ts
@@ -123,6 +123,8 @@
   /** The latest answers that another entry holds a job. */
   readonly #held = new Map<DispatchJob, HeldAnswer>();
   #rankingRevision = 0;
+  /** Time of the next claim or timeout; undefined since a claim has changed. */
+  #nextAlarm: Milliseconds | undefined;
 
   constructor(options: JobClaimsOptions) {
     this.#options = options;
@@ -140,6 +142,7 @@
 
   /** Drops the claims of a job that has ended. */
   forget(job: DispatchJob): void {
+    this.#nextAlarm = undefined;
     this.#pending.delete(job);
     this.#granted.delete(job);
     this.#held.delete(job);
@@ -154,6 +157,7 @@
     const { now } = this.#options.collector;
     const dueAt = now + RETRY_INTERVAL_MILLISECONDS;
     const state: WaitingClaim = { phase: ClaimPhase.Waiting, dueAt };
+    this.#nextAlarm = undefined;
     this.#granted.delete(job);
     this.#pending.set(job, { failures: 0, state });
   }
@@ -204,8 +208,11 @@
 
   /** Repeats the claims that are due, and those of the jobs that run here. */
   tick(): readonly ClaimChange[] {
-    const { now } = this.#options.collector;
+    const { collector: { now }, ranking } = this.#options;
     const changes: ClaimChange[] = [];
+    const isIdle = now < this.nextAlarm() &&
+      ranking.revision(now) === this.#rankingRevision;
+    if (isIdle) return changes;
     for (const [job, claim] of [...this.#pending]) {
       const { state, failures } = claim;
       if (now < state.dueAt || this.#isDeferred(job, claim)) continue;
@@ -227,6 +234,7 @@
     if (state.phase !== ClaimPhase.Sent || state.isDeferred) return false;
     if (now - state.dueAt < LATE_ALARM_MILLISECONDS) return false;
     const dueAt = now + READ_MILLISECONDS;
+    this.#nextAlarm = undefined;
     this.#pending.set(job, {
       failures,
       state: { ...state, dueAt, isDeferred: true },
@@ -262,6 +270,7 @@
 
   /** Returns the time of the next claim or timeout. */
   nextAlarm(): Milliseconds {
+    if (this.#nextAlarm !== undefined) return this.#nextAlarm;
     let next = Infinity;
     for (const { state } of this.#pending.values()) {
       next = Math.min(next, state.dueAt);
@@ -269,6 +278,7 @@
     for (const { renewAt } of this.#granted.values()) {
       next = Math.min(next, renewAt);
     }
+    this.#nextAlarm = next;
     return next;
   }
 
@@ -352,6 +362,7 @@
   }
 
   #recordGrant(job: DispatchJob, arbiter: ProcessIdentifier): void {
+    this.#nextAlarm = undefined;
     this.#pending.delete(job);
     this.#held.delete(job);
     const renewAt = this.#options.collector.now +
@@ -387,6 +398,7 @@
       dueAt,
       isDeferred: false,
     };
+    this.#nextAlarm = undefined;
     this.#granted.delete(job);
     this.#pending.set(job, { failures, state });
     return false;
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -19,10 +19,11 @@
 import { EndingRuns } from "./ending_runs.ts";
 import type { YieldRequest } from "./job_arbiter.ts";
 import { CrashVerdict } from "./crash_suspects.ts";
-import { type DispatchJob, TaskPhase } from "./dispatch_job.ts";
+import type { DispatchJob } from "./dispatch_job.ts";
 import { BacklogEstimator, type BacklogSource } from "./backlog_estimator.ts";
 import { canStartInTime, expectedWait, retryAfter } from "./job_admission.ts";
 import type { JobAnswers } from "./job_answers.ts";
+import { JobDeadlines } from "./job_deadlines.ts";
 import { JobGauges } from "./job_gauges.ts";
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
@@ -64,6 +65,7 @@
   readonly #options: JobSchedulerOptions;
   readonly #jobs = new Map<string, DispatchJob>();
   readonly #byRequest = new Map<RequestIdentifier, DispatchJob>();
+  readonly #deadlines = new JobDeadlines();
   readonly #queue = new JobQueue();
   readonly #arrivalRates = new ArrivalRates();
   readonly #gauges: JobGauges;
@@ -97,7 +99,7 @@
     const { now } = this.#options.collector;
     for (const job of this.#queue.jobs) {
       if (job.isSuspect) return undefined;
-      const [task] = job.readyTasks(now);
+      const task = job.firstReadyTask(now);
       if (task === undefined) continue;
       return {
         resources: task.step.resources,
@@ -149,6 +151,7 @@
     const { now } = this.#options.collector;
     this.#arrivalRates.add(now, job.route.priority, job.waitingWork);
     this.#jobs.set(job.id, job);
+    this.#deadlines.add(job);
     if (request !== undefined) this.#byRequest.set(request, job);
     answers.recordAccepted(job);
     if (this.#queue.isBehind(job) && this.#refuseIfOverloaded(job)) return;
@@ -171,8 +174,7 @@
 
   /** Removes a job from the queue unless a task waits for the end of an earlier run. */
   #removePlaced(job: DispatchJob): void {
-    const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
-    if (!isWaiting) this.#queue.remove(job);
+    if (!job.hasWaitingTasks) this.#queue.remove(job);
   }
 
   /** Applies the change of a claim to its job. */
@@ -257,7 +259,7 @@
     if (this.#endIfHopeless(job)) return;
     this.#options.placer.crashes.classify(job);
     job.unblockTasks();
-    const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
+    const isWaiting = job.hasWaitingTasks;
     if (isWaiting && !this.#options.claims.isPending(job)) this.#queue.add(job);
   }
 
@@ -294,13 +296,7 @@
 
   /** Allows the tasks of a lost sidecar to be placed again, since they have ended there. */
   releaseHeldTasks(address: string): void {
-    for (const job of this.#jobs.values()) {
-      for (const task of job.tasks) {
-        const isHeld = task.phase === TaskPhase.Ready &&
-          task.sidecarAddress === address;
-        if (isHeld) task.notBefore = 0;
-      }
-    }
+    for (const job of this.#jobs.values()) job.releaseTasksHeldAt(address);
   }
 
   /** Handles a client's disconnection; a job without waiting requests is cancelled. */
@@ -352,12 +348,13 @@
 
   /** Returns the time of the next deadline or placement attempt. */
   nextAlarm(): Milliseconds {
-    const times = [...this.#jobs.values()].map(({ deadlineAt }) => deadlineAt);
-    if (this.#queue.size > 0) {
-      times.push(this.#options.collector.now + PLACEMENT_INTERVAL_MILLISECONDS);
-    }
-    times.push(this.#options.claims.nextAlarm());
-    return Math.min(...times);
+    return Math.min(
+      this.#deadlines.earliest(this.#jobs.values()),
+      this.#queue.size === 0
+        ? Infinity
+        : this.#options.collector.now + PLACEMENT_INTERVAL_MILLISECONDS,
+      this.#options.claims.nextAlarm(),
+    );
   }
 
   /** Marks the waiting jobs that run apart after a crash, or no longer do so. */
@@ -372,14 +369,14 @@
 
   /** Ends the jobs whose verdict was put off. */
   #endHopeless(): void {
-    for (const job of [...this.#queue.jobs]) {
-      if (job.isSuspect) this.#endIfHopeless(job);
-    }
+    const suspects = this.#queue.jobs.filter(({ isSuspect }) => isSuspect);
+    for (const job of suspects) this.#endIfHopeless(job);
   }
 
   #placeWaiting(): void {
     const isSuspectWaiting = this.#queue.jobs.at(-1)?.isSuspect === true;
     this.#options.placer.crashes.setSuspectWaiting(isSuspectWaiting);
+    if (this.#queue.size === 0) return;
     if (this.#isHeld || this.#isStillBlocked()) return;
     let isBlocked = false;
     for (const job of [...this.#queue.jobs]) {
@@ -420,6 +417,7 @@
 
   #enforceDeadlines(): void {
     const { now } = this.#options.collector;
+    if (now < this.#deadlines.earliest(this.#jobs.values())) return;
     for (const job of [...this.#jobs.values()]) {
       if (now < job.deadlineAt) continue;
       if (job.isRefusable) this.#refuse(job, JobRefusalReason.WaitedTooLong);
@@ -428,13 +426,13 @@
   }
 
   #refuseLate(): void {
+    if (this.#queue.size === 0) return;
     const { now } = this.#options.collector;
     const grace = this.hasWorkers() ? 0 : NO_WORKER_GRACE_MILLISECONDS;
-    for (const job of [...this.#queue.jobs]) {
-      const isLate = job.isRefusable && now > job.startBy &&
-        now > job.arrivedAt + grace;
-      if (isLate) this.#refuse(job, JobRefusalReason.WaitedTooLong);
-    }
+    const late = this.#queue.jobs.filter((job) =>
+      job.isRefusable && now > job.startBy && now > job.arrivedAt + grace
+    );
+    for (const job of late) this.#refuse(job, JobRefusalReason.WaitedTooLong);
   }
 
   /** Refuses a job that no known worker could ever run, provided that workers are known. */
@@ -492,6 +490,7 @@
 
   #remove(job: DispatchJob): void {
     this.#jobs.delete(job.id);
+    this.#deadlines.remove(job);
     this.#queue.remove(job);
     this.#options.claims.forget(job);
     this.#endingRuns.record(job, this.#options.collector.now);
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -240,7 +240,6 @@
     if (!isOlder) this.#links.setLoad(state, load);
   }
 
-
   /** Forgets the profile of a worker that a sidecar has found unsuitable by it, and requests the present one. */
   refreshProfile({ state }: WorkerLinkState): void {
     if (state.phase !== LinkPhase.Open) return;
