perf(worker_guard): look for due stops and watches only while there are some

Every listed run and every call copied an object property by property.

Change: runs that are being stopped are remembered, so that the other runs are looked at only while there is one; a watch holds the time at which it is due; the copies are object literals with fixed properties.

--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -35,6 +35,8 @@
 interface Watch extends RequestedWatch {
   /** Latest start of the waiting job that meets its objective. */
   readonly startBy: Milliseconds;
+  /** Earliest time of the answer. */
+  readonly dueAt: Milliseconds;
 }
 
 interface Offer {
@@ -72,7 +74,9 @@
     if (earlier !== undefined) this.#reply(entry, earlier);
     const { now } = this.#options.collector;
     const startBy = now + requested.demand.slackMilliseconds;
-    this.#watches.set(entry, { ...requested, startBy });
+    const dueAt = (this.#repliedAt.get(entry) ?? -Infinity) +
+      requested.intervalMilliseconds;
+    this.#watches.set(entry, { ...requested, startBy, dueAt });
   }
 
   /** Drops the watch and the offer of an entry. */
@@ -121,8 +125,13 @@
   /** The watches that may be answered now. */
   #dueWatches(): [ProcessIdentifier, Watch][] {
     const due: [ProcessIdentifier, Watch][] = [];
+    if (this.#watches.size === 0) return due;
+    const { collector: { now }, revision } = this.#options;
+    const current = revision();
     for (const [entry, watch] of this.#watches) {
-      if (this.#isDue(entry, watch)) due.push([entry, watch]);
+      // An entry that knows the present load gets no answer.
+      if (watch.knownRevision === current || now < watch.dueAt) continue;
+      due.push([entry, watch]);
     }
     return due;
   }
@@ -142,10 +151,10 @@
     for (const { expiresAt } of this.#offers.values()) {
       next = Math.min(next, expiresAt);
     }
-    for (const [entry, watch] of this.#watches) {
-      if (!this.#isNews(watch)) continue;
-      const dueAt = this.#dueAt(entry, watch);
-      if (dueAt > now) next = Math.min(next, dueAt);
+    const revision = this.#options.revision();
+    for (const { knownRevision, dueAt } of this.#watches.values()) {
+      if (knownRevision === revision || dueAt <= now) continue;
+      next = Math.min(next, dueAt);
     }
     return next === Infinity ? undefined : next;
   }
@@ -160,23 +169,6 @@
     }
   }
 
-  #isDue(entry: ProcessIdentifier, watch: Watch): boolean {
-    return this.#isNews(watch) &&
-      this.#options.collector.now >= this.#dueAt(entry, watch);
-  }
-
-  /** Whether the load has changed since the entry learnt it. */
-  #isNews({ knownRevision }: Watch): boolean {
-    return knownRevision !== this.#options.revision();
-  }
-
-  #dueAt(
-    entry: ProcessIdentifier,
-    { intervalMilliseconds }: Watch,
-  ): Milliseconds {
-    return (this.#repliedAt.get(entry) ?? -Infinity) + intervalMilliseconds;
-  }
-
   #reply(entry: ProcessIdentifier, { request }: Watch): void {
     const { collector, load } = this.#options;
     this.#repliedAt.set(entry, collector.now);
--- a/domain/worker_guard/src/pending_call.ts
+++ b/domain/worker_guard/src/pending_call.ts
@@ -45,12 +45,15 @@
     const { fencingToken } = link;
     const identifier = link.call(call);
     if (identifier === undefined) return undefined;
-    this.#calls.set(identifier, {
-      ...context,
-      kind: call.kind,
-      sentAt: collector.now,
-      fencingToken,
-    });
+    const { kind } = call;
+    const { run } = context;
+    const sentAt = collector.now;
+    this.#calls.set(
+      identifier,
+      run === undefined
+        ? { kind, sentAt, fencingToken }
+        : { kind, run, sentAt, fencingToken },
+    );
     return identifier;
   }
 
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -32,7 +32,7 @@
   WorkerCallKind,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
-import { RunPhase, type WorkerRun } from "./worker_run.ts";
+import { RunPhase, withProgress, type WorkerRun } from "./worker_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
 import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
@@ -434,8 +434,7 @@
     const { now } = this.#options.collector;
     this.#slowness.observe(now, run, percent);
     const hasProgressed = percent !== state.percent;
-    const progressAt = hasProgressed ? now : state.progressAt;
-    run.state = { ...state, percent, listedAt: now, progressAt };
+    run.state = withProgress(state, percent, now);
     if (hasProgressed) return;
     if (now - state.progressAt < STALL_MILLISECONDS) return;
     this.stop(run, InterruptionReason.NoProgress);
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -42,6 +42,8 @@
 /** Stops the runs of one worker. */
 export class RunStops {
   readonly #options: RunStopsOptions;
+  /** Runs whose stop was sent, of which some may have ended since. */
+  readonly #stopping = new Set<WorkerRun>();
   #hasUnknownRuns = false;
 
   constructor(options: RunStopsOptions) {
@@ -50,10 +52,20 @@
 
   /** Whether the worker has not accepted a stop yet, or its latest list had a run without an attempt. */
   get isStopPending(): boolean {
-    return this.#hasUnknownRuns ||
-      this.#options.table.all().some(({ state }) =>
-        state.phase === RunPhase.Stopping && state.acceptedAt === undefined
-      );
+    if (this.#hasUnknownRuns) return true;
+    if (!this.#isAnyStopping()) return false;
+    return this.#options.table.all().some(({ state }) =>
+      state.phase === RunPhase.Stopping && state.acceptedAt === undefined
+    );
+  }
+
+  /** Whether a run is being stopped; most of the time none is, and the other runs need not be looked at. */
+  #isAnyStopping(): boolean {
+    for (const run of this.#stopping) {
+      if (this.#options.table.has(run)) return true;
+      this.#stopping.delete(run);
+    }
+    return false;
   }
 
   /** Stops an attempt whose start was sent to the worker. */
@@ -73,6 +85,7 @@
       nextStopAt: this.#options.collector.now,
       isRepeated: false,
     };
+    this.#stopping.add(run);
     this.#sendStop(run);
   }
 
@@ -83,6 +96,7 @@
 
   /** Repeats the stop calls that are due. */
   tick(): void {
+    if (!this.#isAnyStopping()) return;
     const { collector, table } = this.#options;
     for (const run of table.all()) {
       const { state } = run;
@@ -97,6 +111,7 @@
   /** When the next stop call is due. */
   nextAlarm(): Milliseconds | undefined {
     let next: Milliseconds | undefined;
+    if (!this.#isAnyStopping()) return next;
     for (const { state } of this.#options.table.all()) {
       if (state.phase !== RunPhase.Stopping) continue;
       next = Math.min(next ?? Infinity, state.nextStopAt);
--- a/domain/worker_guard/src/run_table.ts
+++ b/domain/worker_guard/src/run_table.ts
@@ -108,6 +108,11 @@
     return this.#runs.get(jobTaskKey(task));
   }
 
+  /** Whether an attempt has not been settled. */
+  has(run: WorkerRun): boolean {
+    return this.#runs.get(run.key) === run;
+  }
+
   /** Raises the revision because another part of the load has changed. */
   raiseRevision(): void {
     this.#revision += 1;
@@ -146,7 +151,7 @@
   nextToStart(): WorkerRun | undefined {
     if (this.#unsent.length === 0) return undefined;
     this.#unsent = this.#unsent.filter((run) =>
-      run.state.phase === RunPhase.Waiting && this.#runs.get(run.key) === run
+      run.state.phase === RunPhase.Waiting && this.has(run)
     );
     return this.#unsent[0];
   }
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -149,3 +149,19 @@
       return assertNever(state);
   }
 }
+
+/** Returns the state of an active run whose progress the worker has listed. */
+export function withProgress(
+  { run, startedAt, percent: earlier, progressAt }: ActiveRun,
+  percent: number,
+  now: Milliseconds,
+): ActiveRun {
+  return {
+    phase: RunPhase.Running,
+    run,
+    startedAt,
+    percent,
+    listedAt: now,
+    progressAt: percent === earlier ? progressAt : now,
+  };
+}
