perf(dispatcher): skip the links while every load is watched

Cause: while tasks wait, each step of an entry looked at every link for a load that is not watched yet, though all are watched after the first such step. The median slowness was sorted with a comparison function whenever one worker's slowness changed.

Change: the requests to watch loads move to load_watch_requests.ts, which knows until when all loads are watched; the median is sorted as numbers; renewals are built without spread objects.

--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -134,14 +134,16 @@
 
 /** Returns the median of the workers' run times as multiples of the expected ones; 1 if no load is known. */
 export function medianSlowness(links: readonly WorkerLinkState[]): number {
-  const known = links
-    .flatMap(({ state }) =>
-      state.phase === LinkPhase.Open && state.load !== undefined
-        ? [state.load.slowness]
-        : []
-    )
-    .sort((left, right) => left - right);
-  return known[Math.floor(known.length / 2)] ?? 1;
+  const known = new Float64Array(links.length);
+  let count = 0;
+  for (const { state } of links) {
+    if (state.phase !== LinkPhase.Open || state.load === undefined) continue;
+    known[count] = state.load.slowness;
+    count += 1;
+  }
+  if (count === 0) return 1;
+  // Numbers of a typed array are sorted without calls of a comparison function.
+  return known.subarray(0, count).sort()[Math.floor(count / 2)] ?? 1;
 }
 
 /** Returns whether a worker is far slower than the median worker. */
--- a/domain/dispatcher/src/worker_link_set.ts
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -45,6 +45,7 @@
   /** Undefined since a worker's slowness has changed, or a link was opened or closed. */
   #medianSlowness: number | undefined;
   #revision = 0;
+  #takersRevision = 0;
   #selected: ReadonlySet<string> = new Set();
   #membersRevision = -1;
   #isReleasePending = false;
@@ -61,6 +62,11 @@
     return this.#snapshot;
   }
 
+  /** Rises whenever other workers may take work than before. */
+  get takersRevision(): number {
+    return this.#takersRevision;
+  }
+
   /** Median of the workers' run times as multiples of the expected ones. */
   get medianSlowness(): number {
     this.#medianSlowness ??= medianSlowness(this.all());
@@ -92,6 +98,9 @@
     if (load?.slowness !== state.load?.slowness) {
       this.#medianSlowness = undefined;
     }
+    if (load?.isTakingWork !== state.load?.isTakingWork) {
+      this.#takersRevision += 1;
+    }
     state.load = load;
   }
 
@@ -131,6 +140,7 @@
     this.#snapshot = undefined;
     this.#medianSlowness = undefined;
     this.#revision += 1;
+    this.#takersRevision += 1;
   }
 
   #select(): void {
--- a/domain/dispatcher/src/worker_link_state.ts
+++ b/domain/dispatcher/src/worker_link_state.ts
@@ -115,18 +115,21 @@
 /** A change of one link. */
 export type LinkChange = LinkLost | LinkOpened;
 
+/** What the entry knows of a worker, as a renewal states it. */
+export type KnownState = Omit<RenewSession, "kind" | "session">;
+
+type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] };
+
 /** Returns what the entry knows of a worker, which the reply to a renewal leaves out. */
 export function knownStateOf(
   { profile, load, sidecarClock }: OpenLink,
-): Omit<RenewSession, "kind" | "session"> {
-  return {
-    ...(sidecarClock === undefined ? {} : { knownClock: sidecarClock }),
-    ...(profile === undefined ? {} : { knownWorker: profile.worker }),
-    ...(profile?.revision === undefined
-      ? {}
-      : { knownProfile: profile.revision }),
-    ...(load === undefined ? {} : { knownRevision: load.revision }),
-  };
+): KnownState {
+  const known: Mutable<KnownState> = {};
+  if (sidecarClock !== undefined) known.knownClock = sidecarClock;
+  if (profile !== undefined) known.knownWorker = profile.worker;
+  if (profile?.revision !== undefined) known.knownProfile = profile.revision;
+  if (load !== undefined) known.knownRevision = load.revision;
+  return known;
 }
 
 /** Returns an unused link to a newly discovered sidecar. */
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -43,6 +43,7 @@
   nextRenewal,
   REPLY_TIMEOUT_MILLISECONDS,
 } from "./link_alarms.ts";
+import { LoadWatchRequests } from "./load_watch_requests.ts";
 import { WorkerLinkSet } from "./worker_link_set.ts";
 
 /** Gap between two steps after which replies may be waiting to be read: timers run before reads. */
@@ -52,12 +53,6 @@
 /** Longest interval between attempts to open a session; the interval doubles up to this bound. */
 const MAXIMUM_OPEN_INTERVAL_MILLISECONDS: Milliseconds = 500;
 
-/**
- * Shortest interval of load reports while jobs wait: several round trips. While there is free capacity, the
- * loads in the replies to renewals and in settlements are sufficient.
- */
-const WATCH_INTERVAL_MILLISECONDS: Milliseconds = 20;
-
 /** The directory that lists the sidecars, the attempts there, and the demand for load reports. */
 export interface WorkerLinksOptions {
   readonly self: FleetMember;
@@ -74,6 +69,7 @@
   readonly #options: WorkerLinksOptions;
   readonly #links: WorkerLinkSet;
   readonly #calls: LinkCalls;
+  readonly #watches: LoadWatchRequests;
   readonly #alarms = new LinkAlarms();
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
@@ -84,6 +80,7 @@
     this.#options = options;
     this.#links = new WorkerLinkSet(options);
     this.#calls = new LinkCalls(options.collector);
+    this.#watches = new LoadWatchRequests(this.#calls);
   }
 
   /** Returns the links in use. */
@@ -140,7 +137,8 @@
     this.#tickedAt = now;
     const changes: LinkChange[] = [];
     const demand = this.#options.waitingDemand();
-    if (demand === undefined && now < this.#earliestAlarm()) return changes;
+    const isWatchDue = this.#watches.isDue(demand, this.#links.takersRevision);
+    if (!isWatchDue && now < this.#earliestAlarm()) return changes;
     this.#alarms.recordChange();
     for (const link of this.all()) {
       const { state } = link;
@@ -151,6 +149,7 @@
       }
       this.#sendDue(link, demand);
     }
+    this.#watches.recordWatched(demand, this.#links.takersRevision);
     return changes;
   }
 
@@ -213,7 +212,7 @@
   /** Handles a connection loss: the session is renewed at once over a new connection. */
   handleConnectionLoss(link: WorkerLinkState): void {
     if (link.state.phase !== LinkPhase.Open) return;
-    link.state.watch = undefined;
+    this.#watches.end(link.state);
     if (this.#interrupted.has(link.address)) return;
     this.#interrupted.add(link.address);
     this.#renewNow(link.state);
@@ -289,7 +288,7 @@
         if (this.#options.collector.now >= state.nextRenewAt) {
           this.#renew(link, state);
         }
-        if (demand !== undefined) this.#watch(link, state, demand);
+        if (demand !== undefined) this.#watches.send(link, state, demand);
         return;
       default:
         assertNever(state);
@@ -333,20 +332,6 @@
     });
   }
 
-  /** Watches the load for a waiting task, unless it is watched for one that is as urgent. */
-  #watch(link: WorkerLinkState, state: OpenLink, demand: WaitingDemand): void {
-    const { watch, load, session } = state;
-    const isWatched = watch !== undefined && watch.priority <= demand.priority;
-    if (isWatched || load?.isTakingWork !== true) return;
-    const request = this.#calls.send(link, CallPurpose.Watch, session, {
-      kind: DispatchRequestKind.WatchLoad,
-      knownRevision: load.revision,
-      intervalMilliseconds: WATCH_INTERVAL_MILLISECONDS,
-      demand,
-    });
-    state.watch = { request, priority: demand.priority };
-  }
-
   #handleGranted(
     link: WorkerLinkState,
     { session, profile, load, clock }: SessionGranted,
@@ -442,7 +427,7 @@
   ): void {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return;
-    if (state.watch?.request === request) state.watch = undefined;
+    if (state.watch?.request === request) this.#watches.end(state);
     this.updateLoad(link, load);
   }
 
