perf(worker_guard): look at watches only when one may be due

Cause: the load is computed for each settlement and each reply, and each time all watches were looked at and the due ones sorted, even if the free capacity suffices for none.

Change: the time before which no watch is due is kept for the present revision of the load; only watches for which the free capacity suffices are sorted.

--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -39,6 +39,15 @@
   readonly dueAt: Milliseconds;
 }
 
+type EntryWatch = readonly [ProcessIdentifier, Watch];
+
+const NO_WATCHES: readonly EntryWatch[] = [];
+
+interface IdlePeriod {
+  readonly revision: number;
+  readonly until: Milliseconds;
+}
+
 interface Offer {
   readonly resources: Resources;
   readonly expiresAt: Milliseconds;
@@ -62,6 +71,8 @@
   readonly #offers = new Map<ProcessIdentifier, Offer>();
   /** Watches whose entry got an offer and no reply yet. */
   readonly #unanswered = new Map<ProcessIdentifier, Watch>();
+  /** Time before which no watch is due while the load has the same revision; undefined since one was added. */
+  #idle: IdlePeriod | undefined;
   readonly #repliedAt = new Map<ProcessIdentifier, Milliseconds>();
 
   constructor(options: LoadWatchesOptions) {
@@ -76,6 +87,7 @@
     const startBy = now + requested.demand.slackMilliseconds;
     const dueAt = (this.#repliedAt.get(entry) ?? -Infinity) +
       requested.intervalMilliseconds;
+    this.#idle = undefined;
     this.#watches.set(entry, { ...requested, startBy, dueAt });
   }
 
@@ -111,8 +123,13 @@
     if (free === undefined) return;
     const { now } = this.#options.collector;
     const expiresAt = now + OFFER_MILLISECONDS;
-    due.sort(([, left], [, right]) => compareWatches(left, right));
-    for (const [entry, watch] of due) {
+    const sufficed = due.filter(([, { demand }]) =>
+      isWithin(demand.resources, free)
+    );
+    if (sufficed.length > 1) {
+      sufficed.sort(([, left], [, right]) => compareWatches(left, right));
+    }
+    for (const [entry, watch] of sufficed) {
       const { resources } = watch.demand;
       const left = subtractResources(free, this.offeredToOthers(entry));
       if (!isWithin(resources, left)) continue;
@@ -123,16 +140,21 @@
   }
 
   /** The watches that may be answered now. */
-  #dueWatches(): [ProcessIdentifier, Watch][] {
-    const due: [ProcessIdentifier, Watch][] = [];
-    if (this.#watches.size === 0) return due;
+  #dueWatches(): readonly EntryWatch[] {
+    if (this.#watches.size === 0) return NO_WATCHES;
     const { collector: { now }, revision } = this.#options;
     const current = revision();
+    const idle = this.#idle;
+    if (idle?.revision === current && now < idle.until) return NO_WATCHES;
+    const due: EntryWatch[] = [];
+    let until = Infinity;
     for (const [entry, watch] of this.#watches) {
       // An entry that knows the present load gets no answer.
-      if (watch.knownRevision === current || now < watch.dueAt) continue;
-      due.push([entry, watch]);
+      if (watch.knownRevision === current) continue;
+      until = Math.min(until, watch.dueAt);
+      if (now >= watch.dueAt) due.push([entry, watch]);
     }
+    this.#idle = { revision: current, until };
     return due;
   }
 
