--- a/adapters/peers_trpc/src/dispatch_message_checks.ts
+++ b/adapters/peers_trpc/src/dispatch_message_checks.ts
@@ -58,7 +58,8 @@
       return isMember(fields["sender"]) &&
         isCount(fields["configurationVersion"]) &&
         isInteger(fields["membersDigest"]) &&
-        isOptional(fields["configuration"], isConfiguration);
+        isOptional(fields["configuration"], isConfiguration) &&
+        isOptional(fields["evacuationOffset"], isCount);
     case DispatchRequestKind.ReportCrash:
       return isArrayOf(fields["suspects"], isSuspect);
     case DispatchRequestKind.ClaimJob:
@@ -128,7 +129,14 @@
     isOptional(fields["knownWorker"], isText) &&
     isOptional(fields["knownProfile"], isCount) &&
     isOptional(fields["knownRevision"], isCount) &&
-    isOptional(fields["knownClock"], isAmount);
+    isOptional(fields["knownClock"], isAmount) &&
+    isOptional(fields["evacuations"], isEvacuationState);
+}
+
+function isEvacuationState(value: unknown): boolean {
+  const fields = fieldsOf(value);
+  return fields !== undefined && isCount(fields["offset"]) &&
+    isArrayOf(fields["zones"], isText);
 }
 
 function isRunTask(fields: Fields): boolean {
@@ -201,7 +209,8 @@
   return fields !== undefined && isCount(fields["revision"]) &&
     isText(fields["worker"]) && isResources(fields["free"]) &&
     isAmount(fields["slowness"]) && isBoolean(fields["isTakingWork"]) &&
-    isCount(fields["requestsTaken"]);
+    isCount(fields["requestsTaken"]) &&
+    (fields["isCold"] === undefined || fields["isCold"] === true);
 }
 
 function isProfile(value: unknown): boolean {
@@ -232,6 +241,7 @@
   const fields = fieldsOf(value);
   return fields !== undefined &&
     isOptional(fields["configuration"], isConfiguration) &&
+    isOptional(fields["evacuations"], isEvacuationState) &&
     isArrayOf(fields["members"], isMember);
 }
 
--- a/domain/dispatcher/src/kind_speeds.ts
+++ b/domain/dispatcher/src/kind_speeds.ts
@@ -33,12 +33,18 @@
   /** Run time by kind of worker as a multiple of that at the fastest kind; empty while kinds are not distinct. */
   #relativeRunTimes: ReadonlyMap<string, number> = new Map();
   #runsUntilComparison = RUNS_PER_COMPARISON;
+  #revision = 0;
 
   /** Whether kinds differ so much that it matters where a task runs. */
   get areDistinct(): boolean {
     return this.#relativeRunTimes.size > 0;
   }
 
+  /** Rises whenever the kinds were compared anew and differ. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Adds a completed run of a kind of work. */
   observe(
     worker: KindOfWorker,
@@ -84,6 +90,7 @@
       ([kind, values]) => [kind, Math.exp(mean(values))] as const,
     );
     const areDistinct = factors.some(([, factor]) => factor >= DISTINCT_FACTOR);
+    if (areDistinct || this.areDistinct) this.#revision += 1;
     this.#relativeRunTimes = new Map(areDistinct ? factors : []);
   }
 }
--- a/domain/dispatcher/src/task_placer.ts
+++ b/domain/dispatcher/src/task_placer.ts
@@ -30,14 +30,12 @@
 import { CrashPolicy } from "./crash_policy.ts";
 import {
   isSlowWorker,
-  medianSlowness,
   requirementsOf,
   type WorkerChoice,
-  workerStatistics,
+  WorkerStatistics,
 } from "./worker_choice.ts";
 import { RUN_AFTER_SESSION_MILLISECONDS } from "./ending_runs.ts";
 import type { JobRunTimes } from "./job_run_times.ts";
-import { KindSpeeds } from "./kind_speeds.ts";
 import { isSidecarUnavailable, isWorkerFault } from "./settlement_reasons.ts";
 import {
   type LinkLost,
@@ -85,7 +83,6 @@
   /** Keeps tasks that may crash their workers apart. */
   readonly crashes: CrashPolicy;
   readonly #options: TaskPlacerOptions;
-  readonly #speeds = new KindSpeeds();
   #lastAttempt = 0;
   #nextReschedulingAt: Milliseconds = 0;
   /** Whether a worker appears slow and the replies of its peers are awaited. */
@@ -103,14 +100,18 @@
     const ready = job.readyTasks(now);
     if (ready.length === 0) return true;
     const links = this.#options.links.all();
-    const statistics = workerStatistics(now, links, this.#speeds);
+    const statistics = new WorkerStatistics({
+      now,
+      links,
+      medianSlowness: this.#options.links.medianSlowness,
+    });
     let last: WorkerLinkState | undefined;
     for (const task of ready) {
       const options = {
         now,
         statistics,
         attempts,
-        speeds: this.#speeds,
+        speeds: this.#options.links.speeds,
         job,
         task,
         availabilityZone: this.#options.availabilityZone,
@@ -143,7 +144,7 @@
       RESCHEDULING_INTERVAL_MILLISECONDS;
     this.#isConfirmationPending = false;
     const all = links.all();
-    const median = medianSlowness(all, this.#speeds);
+    const median = links.medianSlowness;
     for (const link of all) {
       if (!this.#isConfirmedSlow(link, all, median)) continue;
       for (const attempt of attempts.atSidecar(link.address)) {
@@ -164,7 +165,7 @@
     const { state } = link;
     if (
       state.phase !== LinkPhase.Open ||
-      !isSlowWorker(link, median, this.#speeds)
+      !isSlowWorker(link, median, this.#options.links.speeds)
     ) {
       link.slowSince = undefined;
       return false;
@@ -342,7 +343,7 @@
       case SettlementKind.Completed:
         link.detector.recordSuccess();
         if (link.state.phase === LinkPhase.Open && link.state.profile) {
-          this.#speeds.observe(
+          this.#options.links.speeds.observe(
             link.state.profile,
             job.route.name,
             settlement.runMilliseconds,
--- a/domain/dispatcher/src/worker_link_set.ts
+++ b/domain/dispatcher/src/worker_link_set.ts
@@ -10,12 +10,16 @@
   type Milliseconds,
   type OutputCollector,
   Role,
+  type WorkerLoad,
 } from "@eelgrassfront/model";
+import { KindSpeeds } from "./kind_speeds.ts";
+import { medianSlowness } from "./worker_choice.ts";
 import { selectSidecars } from "./sidecar_selection.ts";
 import {
   LinkPhase,
   newLink,
   newOpeningLink,
+  type OpenLink,
   UNUSED_LINK,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
@@ -37,6 +41,15 @@
   readonly #options: WorkerLinkSetOptions;
   readonly #links = new Map<string, WorkerLinkState>();
   readonly #used = new Set<WorkerLinkState>();
+  /** How fast the kinds of worker are. */
+  readonly speeds = new KindSpeeds();
+  /** The links in use as `all` returned them last; undefined since one was added or removed. */
+  #snapshot: readonly WorkerLinkState[] | undefined;
+  /** Undefined since a worker's slowness has changed, or a link was opened or closed. */
+  #medianSlowness: number | undefined;
+  #speedsRevision = 0;
+  #revision = 0;
+  #takersRevision = 0;
   #selected: ReadonlySet<string> = new Set();
   #membersRevision = -1;
   #isReleasePending = false;
@@ -47,9 +60,30 @@
     this.#options = options;
   }
 
-  /** The links in use, with or without a session. */
-  get used(): ReadonlySet<WorkerLinkState> {
-    return this.#used;
+  /** The links in use, with or without a session. The list does not change when links are added or removed. */
+  all(): readonly WorkerLinkState[] {
+    this.#snapshot ??= [...this.#used];
+    return this.#snapshot;
+  }
+
+  /** Rises whenever other workers may take work than before. */
+  get takersRevision(): number {
+    return this.#takersRevision;
+  }
+
+  /** Median of the workers' run times as multiples of the expected ones. */
+  get medianSlowness(): number {
+    if (this.#speedsRevision !== this.speeds.revision) {
+      this.#speedsRevision = this.speeds.revision;
+      this.#medianSlowness = undefined;
+    }
+    this.#medianSlowness ??= medianSlowness(this.all(), this.speeds);
+    return this.#medianSlowness;
+  }
+
+  /** Rises whenever a link was added or removed, or its session was opened or closed. */
+  get revision(): number {
+    return this.#revision;
   }
 
   /** Whether known sidecars are not in use. */
@@ -67,8 +101,26 @@
     this.#widenedUntil = this.#options.collector.now + WIDENED_MILLISECONDS;
   }
 
+  /** Sets the load of an open link. */
+  setLoad(state: OpenLink, load: WorkerLoad | undefined): void {
+    if (load?.slowness !== state.load?.slowness) {
+      this.#medianSlowness = undefined;
+    }
+    if (load?.isTakingWork !== state.load?.isTakingWork) {
+      this.#takersRevision += 1;
+    }
+    state.load = load;
+  }
+
+  /** Begins the session of a link. */
+  open(link: WorkerLinkState, state: OpenLink): void {
+    this.#recordChange();
+    link.state = state;
+  }
+
   /** Ends the session of a link. A link that is still selected requests a new one. */
   close(link: WorkerLinkState): void {
+    this.#recordChange();
     if (link.state.phase === LinkPhase.Open) link.givenUp = link.state.session;
     if (this.#selected.has(link.address)) {
       link.state = newOpeningLink();
@@ -84,7 +136,9 @@
     const { evacuations } = this.#options.directory;
     if (!evacuations.isInUse) return;
     for (const link of this.#links.values()) {
-      link.isEvacuated = evacuations.isEvacuated(link.availabilityZone);
+      const isEvacuated = evacuations.isEvacuated(link.availabilityZone);
+      if (link.isEvacuated !== isEvacuated) this.#takersRevision += 1;
+      link.isEvacuated = isEvacuated;
     }
   }
 
@@ -98,10 +152,18 @@
     this.#isWidened = isWidened;
     if (hasChanged) this.#select();
     this.#isReleasePending = false;
-    for (const link of [...this.#used]) this.#releaseUnselected(link);
+    for (const link of this.all()) this.#releaseUnselected(link);
+  }
+
+  #recordChange(): void {
+    this.#snapshot = undefined;
+    this.#medianSlowness = undefined;
+    this.#revision += 1;
+    this.#takersRevision += 1;
   }
 
   #select(): void {
+    this.#recordChange();
     const { directory, self } = this.#options;
     const sidecars = directory.membersOf(Role.Sidecar);
     const addresses = new Set(sidecars.map(({ address }) => address));
--- a/domain/dispatcher/src/worker_links.ts
+++ b/domain/dispatcher/src/worker_links.ts
@@ -5,6 +5,7 @@
  * session.
  */
 import type { FleetDirectory } from "@eelgrassfront/directory";
+import type { KindSpeeds } from "./kind_speeds.ts";
 import {
   assertNever,
   type DispatchOutput,
@@ -39,14 +40,14 @@
   updateClock,
   type WorkerLinkState,
 } from "./worker_link_state.ts";
+import {
+  LinkAlarms,
+  nextRenewal,
+  REPLY_TIMEOUT_MILLISECONDS,
+} from "./link_alarms.ts";
+import { LoadWatchRequests } from "./load_watch_requests.ts";
 import { WorkerLinkSet } from "./worker_link_set.ts";
 
-/** Interval of renewals: a third of the duration of a session. */
-const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 200;
-/** Renewals are due at multiples of this time, so that one wake-up of the process sends several. */
-const RENEWAL_ALIGNMENT_MILLISECONDS: Milliseconds = 50;
-/** Time without a reply after which a sidecar counts as lost: two unanswered renewals. */
-const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 450;
 /** Gap between two steps after which replies may be waiting to be read: timers run before reads. */
 const STALL_MILLISECONDS: Milliseconds = 100;
 /** Time in which the replies that arrived during a stall of this process are read. */
@@ -54,12 +55,6 @@
 /** Longest interval between attempts to open a session; the interval doubles up to this bound. */
 const MAXIMUM_OPEN_INTERVAL_MILLISECONDS: Milliseconds = 500;
 
-/**
- * Shortest interval of load reports while jobs wait: several round trips. While there is free capacity, the
- * loads in the replies to renewals and in settlements are sufficient.
- */
-const WATCH_INTERVAL_MILLISECONDS: Milliseconds = 20;
-
 /** The directory that lists the sidecars, the attempts there, and the demand for load reports. */
 export interface WorkerLinksOptions {
   readonly self: FleetMember;
@@ -76,22 +71,23 @@
   readonly #options: WorkerLinksOptions;
   readonly #links: WorkerLinkSet;
   readonly #calls: LinkCalls;
+  readonly #watches: LoadWatchRequests;
+  readonly #alarms = new LinkAlarms();
   /** Addresses of links whose connection was lost since their last answered renewal. */
   readonly #interrupted = new Set<string>();
   #tickedAt: Milliseconds | undefined;
   #loadRevision = 0;
-  /** Time before which no sidecar counts as lost, since its replies may not have been read. */
-  #readUntil: Milliseconds = 0;
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
     this.#links = new WorkerLinkSet(options);
     this.#calls = new LinkCalls(options.collector);
+    this.#watches = new LoadWatchRequests(this.#calls);
   }
 
   /** Returns the links in use. */
   all(): readonly WorkerLinkState[] {
-    return [...this.#links.used];
+    return this.#links.all();
   }
 
   /** Returns the link to an address. */
@@ -118,6 +114,16 @@
     return this.#loadRevision;
   }
 
+  /** How fast the kinds of worker are. */
+  get speeds(): KindSpeeds {
+    return this.#links.speeds;
+  }
+
+  /** Median of the workers' run times as multiples of the expected ones. */
+  get medianSlowness(): number {
+    return this.#links.medianSlowness;
+  }
+
   /** Opens sessions with every sidecar for some time, because no selected one can run a job. */
   useAll(): void {
     this.#links.useAll();
@@ -133,40 +139,34 @@
     this.#links.update();
     const { now } = this.#options.collector;
     if (now - (this.#tickedAt ?? now) > STALL_MILLISECONDS) {
-      this.#readUntil = now + READ_MILLISECONDS;
+      this.#alarms.deferLosses(now + READ_MILLISECONDS);
     }
     this.#tickedAt = now;
     const changes: LinkChange[] = [];
     const demand = this.#options.waitingDemand();
+    const isWatchDue = this.#watches.isDue(demand, this.#links.takersRevision);
+    if (!isWatchDue && now < this.#earliestAlarm()) return changes;
+    this.#alarms.recordChange();
     for (const link of this.all()) {
       const { state } = link;
       const isLost = state.phase === LinkPhase.Open &&
-        now >= this.#lostAt(state);
+        now >= this.#alarms.lostAt(state);
       if (isLost) {
         changes.push(this.#giveUp(link, state, "no answer to renewals"));
       }
       this.#sendDue(link, demand);
     }
+    this.#watches.recordWatched(demand, this.#links.takersRevision);
     return changes;
   }
 
   /** Returns the time of the next due request or timeout. */
   nextAlarm(): Milliseconds | undefined {
-    const times = this.all().map(({ state }) => {
-      switch (state.phase) {
-        case LinkPhase.Unused:
-          return Infinity;
-        case LinkPhase.Opening:
-          return state.pendingRequest === undefined
-            ? state.nextOpenAt
-            : state.pendingSince + REPLY_TIMEOUT_MILLISECONDS;
-        case LinkPhase.Open:
-          return Math.min(state.nextRenewAt, this.#lostAt(state));
-        default:
-          return assertNever(state);
-      }
-    });
-    return times.length === 0 ? undefined : Math.min(...times);
+    return this.all().length === 0 ? undefined : this.#earliestAlarm();
+  }
+
+  #earliestAlarm(): Milliseconds {
+    return this.#alarms.earliest(this.all(), this.#links.revision);
   }
 
   /** Handles the reply to a request that this object sent. */
@@ -219,13 +219,12 @@
   /** Handles a connection loss: the session is renewed at once over a new connection. */
   handleConnectionLoss(link: WorkerLinkState): void {
     if (link.state.phase !== LinkPhase.Open) return;
-    const { now } = this.#options.collector;
-    link.state.watch = undefined;
+    this.#watches.end(link.state);
     // A renewal with evacuated zones may be among what was lost.
     link.state.carriedEvacuations = undefined;
     if (this.#interrupted.has(link.address)) return;
     this.#interrupted.add(link.address);
-    link.state.nextRenewAt = now;
+    this.#renewNow(link.state);
   }
 
   /** Updates the load of a link from a reply, unless a newer load is known. */
@@ -239,21 +238,21 @@
       const isNewWorker = worker !== undefined &&
         worker !== state.unprofiledWorker;
       state.unprofiledWorker = worker;
-      if (isNewWorker) state.nextRenewAt = this.#options.collector.now;
-      state.load = undefined;
+      if (isNewWorker) this.#renewNow(state);
+      this.#links.setLoad(state, undefined);
       return;
     }
     const known = state.load;
     const isOlder = known !== undefined && (load.revision < known.revision ||
       load.requestsTaken < known.requestsTaken);
-    if (!isOlder) state.load = load;
+    if (!isOlder) this.#links.setLoad(state, load);
   }
 
   /** Forgets the profile of a worker that a sidecar has found unsuitable by it, and requests the present one. */
   refreshProfile({ state }: WorkerLinkState): void {
     if (state.phase !== LinkPhase.Open) return;
     state.profile = undefined;
-    state.nextRenewAt = this.#options.collector.now;
+    this.#renewNow(state);
   }
 
   /** Handles a reply in which another incarnation of the sidecar identified itself. */
@@ -276,15 +275,14 @@
     );
   }
 
-  /** When a sidecar counts as lost unless it replies. */
-  #lostAt({ lastReplyAt }: OpenLink): Milliseconds {
-    return Math.max(lastReplyAt + REPLY_TIMEOUT_MILLISECONDS, this.#readUntil);
-  }
-
   #recordReply(state: OpenLink): void {
     this.#loadRevision += 1;
-    state.lastReplyAt = this.#options.collector.now;
-    state.unansweredSince = undefined;
+    this.#alarms.recordReply(state, this.#options.collector.now);
+  }
+
+  #renewNow(state: OpenLink): void {
+    state.nextRenewAt = this.#options.collector.now;
+    this.#alarms.recordChange();
   }
 
   #sendDue(link: WorkerLinkState, demand: WaitingDemand | undefined): void {
@@ -299,7 +297,7 @@
         if (this.#options.collector.now >= state.nextRenewAt) {
           this.#renew(link, state);
         }
-        if (demand !== undefined) this.#watch(link, state, demand);
+        if (demand !== undefined) this.#watches.send(link, state, demand);
         return;
       default:
         assertNever(state);
@@ -322,6 +320,7 @@
   }
 
   #scheduleOpen(state: OpeningLink): void {
+    this.#alarms.recordChange();
     state.pendingRequest = undefined;
     state.nextOpenAt = this.#options.collector.now + state.retryInterval;
     state.retryInterval = Math.min(
@@ -339,20 +338,6 @@
     this.#calls.send(link, CallPurpose.Renew, state.session, renewal);
   }
 
-  /** Watches the load for a waiting task, unless it is watched for one that is as urgent. */
-  #watch(link: WorkerLinkState, state: OpenLink, demand: WaitingDemand): void {
-    const { watch, load, session } = state;
-    const isWatched = watch !== undefined && watch.priority <= demand.priority;
-    if (isWatched || load?.isTakingWork !== true) return;
-    const request = this.#calls.send(link, CallPurpose.Watch, session, {
-      kind: DispatchRequestKind.WatchLoad,
-      knownRevision: load.revision,
-      intervalMilliseconds: WATCH_INTERVAL_MILLISECONDS,
-      demand,
-    });
-    state.watch = { request, priority: demand.priority };
-  }
-
   #handleGranted(
     link: WorkerLinkState,
     granted: SessionGranted,
@@ -375,7 +360,7 @@
     link.requestsSent = 0;
     this.#loadRevision += 1;
     this.#interrupted.delete(link.address);
-    link.state = newOpenLink(granted, now, nextRenewal(now));
+    this.#links.open(link, newOpenLink(granted, now, nextRenewal(now)));
     this.#options.collector.record(
       EventNumber.SessionOpened,
       "a session with a sidecar was opened",
@@ -437,7 +422,7 @@
   ): void {
     const { state } = link;
     if (state.phase !== LinkPhase.Open || state.session !== session) return;
-    if (state.watch?.request === request) state.watch = undefined;
+    if (state.watch?.request === request) this.#watches.end(state);
     this.updateLoad(link, load);
   }
 
@@ -482,8 +467,3 @@
     return { kind: LinkChangeKind.Lost, link, sessionEndsAt };
   }
 }
-
-function nextRenewal(now: Milliseconds): Milliseconds {
-  const due = now + RENEWAL_INTERVAL_MILLISECONDS;
-  return due - due % RENEWAL_ALIGNMENT_MILLISECONDS;
-}
--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -35,6 +35,17 @@
 interface Watch extends RequestedWatch {
   /** Latest start of the waiting job that meets its objective. */
   readonly startBy: Milliseconds;
+  /** Earliest time of the answer. */
+  readonly dueAt: Milliseconds;
+}
+
+type EntryWatch = readonly [ProcessIdentifier, Watch];
+
+const NO_WATCHES: readonly EntryWatch[] = [];
+
+interface IdlePeriod {
+  readonly revision: number;
+  readonly until: Milliseconds;
 }
 
 interface Offer {
@@ -60,6 +71,8 @@
   readonly #offers = new Map<ProcessIdentifier, Offer>();
   /** Watches whose entry got an offer and no reply yet. */
   readonly #unanswered = new Map<ProcessIdentifier, Watch>();
+  /** Time before which no watch is due while the load has the same revision; undefined since one was added. */
+  #idle: IdlePeriod | undefined;
   readonly #repliedAt = new Map<ProcessIdentifier, Milliseconds>();
 
   constructor(options: LoadWatchesOptions) {
@@ -72,7 +85,10 @@
     if (earlier !== undefined) this.#reply(entry, earlier);
     const { now } = this.#options.collector;
     const startBy = now + requested.demand.slackMilliseconds;
-    this.#watches.set(entry, { ...requested, startBy });
+    const dueAt = (this.#repliedAt.get(entry) ?? -Infinity) +
+      requested.intervalMilliseconds;
+    this.#idle = undefined;
+    this.#watches.set(entry, { ...requested, startBy, dueAt });
   }
 
   /** Drops the watch and the offer of an entry. */
@@ -91,6 +107,7 @@
   /** Resources that are offered to other entries than the given one. */
   offeredToOthers(entry: ProcessIdentifier): Resources {
     let sum = NO_RESOURCES;
+    if (this.#offers.size === 0) return sum;
     for (const [other, { resources }] of this.#offers) {
       if (other !== entry) sum = addResources(sum, resources);
     }
@@ -100,16 +117,19 @@
   /** Offers free capacity to the most urgent watches that it suffices for. */
   offerCapacity(): void {
     this.#expireOffers();
-    if (this.#watches.size === 0) return;
+    const due = this.#dueWatches();
+    if (due.length === 0) return;
     const free = this.#options.free();
     if (free === undefined) return;
     const { now } = this.#options.collector;
     const expiresAt = now + OFFER_MILLISECONDS;
-    const byUrgency = [...this.#watches].sort(([, left], [, right]) =>
-      compareWatches(left, right)
+    const sufficed = due.filter(([, { demand }]) =>
+      isWithin(demand.resources, free)
     );
-    for (const [entry, watch] of byUrgency) {
-      if (!this.#isDue(entry, watch)) continue;
+    if (sufficed.length > 1) {
+      sufficed.sort(([, left], [, right]) => compareWatches(left, right));
+    }
+    for (const [entry, watch] of sufficed) {
       const { resources } = watch.demand;
       const left = subtractResources(free, this.offeredToOthers(entry));
       if (!isWithin(resources, left)) continue;
@@ -119,9 +139,29 @@
     }
   }
 
+  /** The watches that may be answered now. */
+  #dueWatches(): readonly EntryWatch[] {
+    if (this.#watches.size === 0) return NO_WATCHES;
+    const { collector: { now }, revision } = this.#options;
+    const current = revision();
+    const idle = this.#idle;
+    if (idle?.revision === current && now < idle.until) return NO_WATCHES;
+    const due: EntryWatch[] = [];
+    let until = Infinity;
+    for (const [entry, watch] of this.#watches) {
+      // An entry that knows the present load gets no answer.
+      if (watch.knownRevision === current) continue;
+      until = Math.min(until, watch.dueAt);
+      if (now >= watch.dueAt) due.push([entry, watch]);
+    }
+    this.#idle = { revision: current, until };
+    return due;
+  }
+
   /** Offers free capacity and answers the watches of the entries that got an offer. */
   tick(): void {
     this.offerCapacity();
+    if (this.#unanswered.size === 0) return;
     for (const [entry, watch] of this.#unanswered) this.#reply(entry, watch);
     this.#unanswered.clear();
   }
@@ -129,15 +169,20 @@
   /** When an offer expires or the next watch may be answered. */
   nextAlarm(): Milliseconds | undefined {
     const { now } = this.#options.collector;
-    const times = [...this.#offers.values()].map(({ expiresAt }) => expiresAt);
-    for (const [entry, watch] of this.#watches) {
-      const dueAt = this.#dueAt(entry, watch);
-      if (dueAt > now && this.#isNews(watch)) times.push(dueAt);
+    let next = Infinity;
+    for (const { expiresAt } of this.#offers.values()) {
+      next = Math.min(next, expiresAt);
+    }
+    const revision = this.#options.revision();
+    for (const { knownRevision, dueAt } of this.#watches.values()) {
+      if (knownRevision === revision || dueAt <= now) continue;
+      next = Math.min(next, dueAt);
     }
-    return times.length === 0 ? undefined : Math.min(...times);
+    return next === Infinity ? undefined : next;
   }
 
   #expireOffers(): void {
+    if (this.#offers.size === 0) return;
     const { now } = this.#options.collector;
     for (const [entry, { expiresAt }] of this.#offers) {
       if (now < expiresAt) continue;
@@ -146,23 +191,6 @@
     }
   }
 
-  #isDue(entry: ProcessIdentifier, watch: Watch): boolean {
-    return this.#isNews(watch) &&
-      this.#options.collector.now >= this.#dueAt(entry, watch);
-  }
-
-  /** Whether the load has changed since the entry learnt it. */
-  #isNews({ knownRevision }: Watch): boolean {
-    return knownRevision !== this.#options.revision();
-  }
-
-  #dueAt(
-    entry: ProcessIdentifier,
-    { intervalMilliseconds }: Watch,
-  ): Milliseconds {
-    return (this.#repliedAt.get(entry) ?? -Infinity) + intervalMilliseconds;
-  }
-
   #reply(entry: ProcessIdentifier, { request }: Watch): void {
     const { collector, load } = this.#options;
     this.#repliedAt.set(entry, collector.now);
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -32,9 +32,9 @@
   WorkerCallKind,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
-import { RunPhase, runReferenceOf, type WorkerRun } from "./worker_run.ts";
+import { RunPhase, withProgress, type WorkerRun } from "./worker_run.ts";
 import { reasonOf, type RunTable } from "./run_table.ts";
-import { type PendingCall, PendingCalls, runKey } from "./pending_call.ts";
+import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
@@ -139,15 +139,12 @@
   /** When the next call or expiry is due. */
   nextAlarm(): Milliseconds | undefined {
     if (this.#options.link.description === undefined) return undefined;
-    const times: Milliseconds[] = [this.#stops.nextAlarm() ?? Infinity];
-    if (this.#pollCall === undefined) {
-      times.push(
-        this.#isReconciled
-          ? this.#nextPollAt
-          : Math.max(this.#nextPollAt, this.#nextReconciliationAt),
-      );
-    }
-    return Math.min(...times);
+    const stopAt = this.#stops.nextAlarm() ?? Infinity;
+    if (this.#pollCall !== undefined) return stopAt;
+    const pollAt = this.#isReconciled
+      ? this.#nextPollAt
+      : Math.max(this.#nextPollAt, this.#nextReconciliationAt);
+    return Math.min(stopAt, pollAt);
   }
 
   /** Handles an answer of the worker. Returns false when this incarnation of the worker has ended. */
@@ -192,10 +189,10 @@
 
   #sendStart(run: WorkerRun, number: number): void {
     const { collector, link } = this.#options;
-    const key = jobTaskKey(run.task);
+    const { key } = run;
     this.#startCalls.set(key, (this.#startCalls.get(key) ?? 0) + 1);
-    this.#runNumbers.record(collector.now, { task: run.task, run: number });
     const reference = { task: run.task, run: number };
+    this.#runNumbers.record(collector.now, reference);
     const call = this.#calls.send({
       kind: WorkerCallKind.Start,
       run: reference,
@@ -225,7 +222,7 @@
     const isEarly = !this.#isReconciled &&
       collector.now < this.#nextReconciliationAt;
     if (isEarly) return;
-    const isActive = this.#isReconciled && table.sentToWorker().length > 0;
+    const isActive = this.#isReconciled && table.hasSentToWorker;
     const isWithheld = this.#isRenewalWithheld();
     this.#pollCall = this.#calls.send({
       kind: WorkerCallKind.PollRuns,
@@ -272,7 +269,7 @@
     const { now } = this.#options.collector;
     switch (kind) {
       case WorkerCallKind.Start:
-        this.#startCalls.delete(jobTaskKey(run.task));
+        this.#startCalls.delete(run.key);
         this.#markRunning(run);
         return;
       case WorkerCallKind.Stop:
@@ -299,8 +296,7 @@
   }
 
   #retryStart(run: WorkerRun, reason: WorkerRefusalReason): void {
-    const key = jobTaskKey(run.task);
-    const calls = this.#startCalls.get(key) ?? 0;
+    const calls = this.#startCalls.get(run.key) ?? 0;
     const isRepeatable = reason === WorkerRefusalReason.Fenced ||
       reason === WorkerRefusalReason.Superseded;
     if (isRepeatable && calls < MAXIMUM_START_CALLS) {
@@ -355,9 +351,11 @@
     // A list of a later incarnation does not show which calls have reached it; the lifecycle checks that.
     if (answer.bornAt !== known) return true;
     for (const end of answer.ended) this.#onEnd(end);
-    const listed = new Map(
-      answer.running.map((item) => [runKey(item.run), item]),
-    );
+    const listed = new Map<WorkerRun, ListedRun>();
+    for (const item of answer.running) {
+      const run = this.#findRun(item.run);
+      if (run !== undefined) listed.set(run, item);
+    }
     this.#reconcile(listed, sentAt);
     this.#stopUnknownRuns(answer.running);
     return true;
@@ -376,12 +374,12 @@
   }
 
   /** Compares the expected runs with a list that was requested at the given time. */
-  #reconcile(listed: Map<string, ListedRun>, requestedAt: Milliseconds): void {
+  #reconcile(
+    listed: ReadonlyMap<WorkerRun, ListedRun>,
+    requestedAt: Milliseconds,
+  ): void {
     for (const run of this.#options.table.sentToWorker()) {
-      const target = runReferenceOf(run);
-      const item = target === undefined
-        ? undefined
-        : listed.get(runKey(target));
+      const item = listed.get(run);
       const { state } = run;
       switch (state.phase) {
         case RunPhase.Waiting:
@@ -436,8 +434,7 @@
     const { now } = this.#options.collector;
     this.#slowness.observe(now, run, percent);
     const hasProgressed = percent !== state.percent;
-    const progressAt = hasProgressed ? now : state.progressAt;
-    run.state = { ...state, percent, listedAt: now, progressAt };
+    run.state = withProgress(state, percent, now);
     if (hasProgressed) return;
     if (now - state.progressAt < STALL_MILLISECONDS) return;
     this.stop(run, InterruptionReason.NoProgress);
@@ -476,7 +473,7 @@
         },
       });
     }
-    this.#startCalls.delete(jobTaskKey(run.task));
+    this.#startCalls.delete(run.key);
     table.settle(run, settlement);
   }
 
@@ -493,6 +490,8 @@
     if (target === undefined) return undefined;
     const run = this.#options.table.find(target.task);
     if (run === undefined) return undefined;
-    return runReferenceOf(run)?.run === target.run ? run : undefined;
+    return run.state.phase !== RunPhase.Waiting && run.state.run === target.run
+      ? run
+      : undefined;
   }
 }
--- a/domain/worker_guard/src/run_stops.ts
+++ b/domain/worker_guard/src/run_stops.ts
@@ -42,6 +42,8 @@
 /** Stops the runs of one worker. */
 export class RunStops {
   readonly #options: RunStopsOptions;
+  /** Runs whose stop was sent, of which some may have ended since. */
+  readonly #stopping = new Set<WorkerRun>();
   #hasUnknownRuns = false;
 
   constructor(options: RunStopsOptions) {
@@ -50,10 +52,20 @@
 
   /** Whether the worker has not accepted a stop yet, or its latest list had a run without an attempt. */
   get isStopPending(): boolean {
-    return this.#hasUnknownRuns ||
-      this.#options.table.sentToWorker().some(({ state }) =>
-        state.phase === RunPhase.Stopping && state.acceptedAt === undefined
-      );
+    if (this.#hasUnknownRuns) return true;
+    if (!this.#isAnyStopping()) return false;
+    return this.#options.table.all().some(({ state }) =>
+      state.phase === RunPhase.Stopping && state.acceptedAt === undefined
+    );
+  }
+
+  /** Whether a run is being stopped; most of the time none is, and the other runs need not be looked at. */
+  #isAnyStopping(): boolean {
+    for (const run of this.#stopping) {
+      if (this.#options.table.has(run)) return true;
+      this.#stopping.delete(run);
+    }
+    return false;
   }
 
   /** Stops an attempt whose start was sent to the worker. */
@@ -73,6 +85,7 @@
       nextStopAt: this.#options.collector.now,
       isRepeated: false,
     };
+    this.#stopping.add(run);
     this.#sendStop(run);
   }
 
@@ -83,8 +96,9 @@
 
   /** Repeats the stop calls that are due. */
   tick(): void {
+    if (!this.#isAnyStopping()) return;
     const { collector, table } = this.#options;
-    for (const run of table.sentToWorker()) {
+    for (const run of table.all()) {
       const { state } = run;
       const isDue = state.phase === RunPhase.Stopping &&
         collector.now >= state.nextStopAt;
@@ -96,10 +110,13 @@
 
   /** When the next stop call is due. */
   nextAlarm(): Milliseconds | undefined {
-    const times = this.#options.table.sentToWorker().flatMap(({ state }) =>
-      state.phase === RunPhase.Stopping ? [state.nextStopAt] : []
-    );
-    return times.length === 0 ? undefined : Math.min(...times);
+    let next: Milliseconds | undefined;
+    if (!this.#isAnyStopping()) return next;
+    for (const { state } of this.#options.table.all()) {
+      if (state.phase !== RunPhase.Stopping) continue;
+      next = Math.min(next ?? Infinity, state.nextStopAt);
+    }
+    return next;
   }
 
   /** Stops the listed runs without an active attempt. Returns whether there were any. */
@@ -107,7 +124,8 @@
     const { collector, calls, table, runNumbers } = this.#options;
     const unknownRuns = running.filter(({ run: { task, run } }) => {
       const known = table.find(task);
-      return known === undefined || runReferenceOf(known)?.run !== run;
+      return known === undefined || known.state.phase === RunPhase.Waiting ||
+        known.state.run !== run;
     });
     for (const { run } of unknownRuns) {
       runNumbers.record(collector.now, run);
