--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -176,7 +176,7 @@
     meaning:
       "A best-effort job was refused: none of its tasks has run or will run. The line contains the reason and the backlog on which the decision is based.",
     action:
-      "For `overloaded` and `waited-too-long` check the free processor time of the workers; for `no-capable-worker` check the requirements of the job.",
+      "For `overloaded` and `waited-too-long` check the free processor time of the workers; for `no-capable-worker` check the requirements of the job; for `zones-evacuated` restore a zone (2501).",
   },
   [EventNumber.JobGivenUp]: {
     meaning:
