--- a/emulator/src/evacuation_harness.ts
+++ b/emulator/src/evacuation_harness.ts
@@ -2,13 +2,13 @@
  * Test harness of a fleet in three availability zones under constant load, whose operators evacuate and restore a
  * zone. The test chooses which processes can reach the operators' topic, and when.
  */
-import type { EventNumber } from "@eelgrassfront/model";
 import {
   type ClientAnswer,
   type DispatchInput,
   DispatchInputKind,
   type DispatchOutput,
   EvacuationReadKind,
+  type EventNumber,
   JobRequestKind,
   type Milliseconds,
   OutputKind,
