fix(worker-guard): give the reason of an evacuation only to entries that know it

Cause: an entry of an earlier version rejects a reply with an unknown reason, takes the request for lost, renews the session and sends the task again at once, as long as it keeps the job (found by reading trpc_peers.ts; not run with two versions).

--- a/domain/worker_guard/src/entry_request_handler.ts
+++ b/domain/worker_guard/src/entry_request_handler.ts
@@ -221,7 +221,7 @@
       known !== undefined;
     if (isStale) return NotStartedReason.StaleSession;
     if (this.#options.isDraining()) return NotStartedReason.Leaving;
-    if (this.#options.isEvacuated()) return NotStartedReason.ZoneEvacuated;
+    if (this.#options.isEvacuated()) return this.evacuationReason(from);
     if (description === undefined || !this.#options.link.isConfirmed) {
       return NotStartedReason.NoWorker;
     }
@@ -245,6 +245,16 @@
       : NotStartedReason.InsufficientCapacity;
   }
 
+  /**
+   * The reason by which an entry is told that the zone is evacuated. An entry of an earlier version would reject the
+   * reply as invalid, and send the task again and again.
+   */
+  evacuationReason(entry: ProcessIdentifier): NotStartedReason {
+    return this.#options.sessions.knowsEvacuations(entry)
+      ? NotStartedReason.ZoneEvacuated
+      : NotStartedReason.Draining;
+  }
+
   #cancelAttempt(
     { from, request }: RunWaiter,
     { session, task, attempt }: CancelTaskAttempt,
--- a/domain/worker_guard/src/entry_sessions.ts
+++ b/domain/worker_guard/src/entry_sessions.ts
@@ -27,6 +27,8 @@
   /** When the session ends for its entry, however long the renewals wait to be read. */
   endsAt: Milliseconds;
   requestsTaken: number;
+  /** Whether the entry has sent evacuated zones. */
+  knowsEvacuations: boolean;
 }
 
 /** The open sessions, at most one for each entry. */
@@ -59,6 +61,7 @@
       expiresAt,
       endsAt: now + MAXIMUM_SESSION_MILLISECONDS,
       requestsTaken: 0,
+      knowsEvacuations: false,
     });
     return this.#lastNumber;
   }
@@ -67,7 +70,7 @@
   renew(
     now: Milliseconds,
     entry: ProcessIdentifier,
-    { session: number, knownClock = now }: RenewSession,
+    { session: number, knownClock = now, evacuations }: RenewSession,
   ): boolean {
     const session = this.#open.get(entry);
     if (session?.number !== number) return false;
@@ -76,6 +79,7 @@
     session.endsAt = Math.max(session.endsAt, endsAt);
     session.expiresAt = Math.max(session.expiresAt, expiresAt);
     session.renewedAt = now;
+    session.knowsEvacuations ||= evacuations !== undefined;
     return true;
   }
 
@@ -97,6 +101,11 @@
     return this.#open.get(entry)?.requestsTaken ?? 0;
   }
 
+  /** Whether an entry has sent evacuated zones in its open session; one of an earlier version never does. */
+  knowsEvacuations(entry: ProcessIdentifier): boolean {
+    return this.#open.get(entry)?.knowsEvacuations === true;
+  }
+
   /** Ends the session of an entry. */
   end(entry: ProcessIdentifier): void {
     this.#open.delete(entry);
--- a/domain/worker_guard/src/worker_guard_decisions.ts
+++ b/domain/worker_guard/src/worker_guard_decisions.ts
@@ -391,16 +391,16 @@
   }
 
   #refuseWaitingRuns(): void {
-    const reason = !this.#link.isConfirmed ||
-        this.#link.description === undefined
-      ? NotStartedReason.NoWorker
-      : this.#link.isUnresponsive
-      ? NotStartedReason.WorkerUnresponsive
-      : this.#isEvacuated
-      ? NotStartedReason.ZoneEvacuated
-      : NotStartedReason.Draining;
+    const { isConfirmed, isUnresponsive, description } = this.#link;
     for (const run of this.#table.all()) {
       if (run.state.phase !== RunPhase.Waiting) continue;
+      const reason = !isConfirmed || description === undefined
+        ? NotStartedReason.NoWorker
+        : isUnresponsive
+        ? NotStartedReason.WorkerUnresponsive
+        : this.#isEvacuated
+        ? this.#requests.evacuationReason(run.entry)
+        : NotStartedReason.Draining;
       this.#table.settle(run, notStarted(reason));
     }
   }
