fix(dispatcher): ask unused sidecars before a job is refused for an evacuation

Cause: an entry of a large fleet uses a part of the sidecars. With those in the evacuated zone it refused a waiting job in the same step in which it began to ask the others. Change: a waiting job is refused by the same rule as a submitted one. Conclusion: a job is refused once no known worker outside the zone can run it.

--- a/domain/dispatcher/src/evacuated_zones_test.ts
+++ b/domain/dispatcher/src/evacuated_zones_test.ts
@@ -7,15 +7,20 @@
   DispatchInputKind,
   DispatchRequestKind,
   EvacuationReadKind,
+  type FleetMember,
   JobRefusalReason,
+  processIdentifier,
   Role,
   SettlementKind,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
+import { jobOf } from "./claims_harness.ts";
 import { DispatcherHarness } from "./dispatcher_harness.ts";
+import { selectSidecars } from "./sidecar_selection.ts";
 
 const ZONE = "zone-a";
 const OTHER_ZONE = "zone-b";
+const OTHER_ENTRIES = 19;
 
 function read(
   harness: DispatcherHarness,
@@ -56,6 +61,32 @@
   return harness;
 }
 
+/** Returns a sidecar that the entry uses, or one that it does not use, among many entries. */
+function sidecarOf(
+  prefix: string,
+  availabilityZone: string,
+  isUsed: boolean,
+): FleetMember {
+  const memberOf = (name: string, role: Role, zone: string): FleetMember => ({
+    process: processIdentifier(name, "a"),
+    role,
+    address: name,
+    availabilityZone: zone,
+  });
+  const self = memberOf("entry-1", Role.Entry, ZONE);
+  const entries = Array.from(
+    { length: OTHER_ENTRIES },
+    (_, index) => memberOf(`entry-${index + 2}`, Role.Entry, ZONE),
+  );
+  for (let index = 0; index < 1_000; index += 1) {
+    const name = `${prefix}-${index}`;
+    const sidecar = memberOf(name, Role.Sidecar, availabilityZone);
+    const used = selectSidecars({ self, entries, sidecars: [sidecar] });
+    if (used.has(name) === isUsed) return sidecar;
+  }
+  throw new Error(`no sidecar ${prefix} is found`);
+}
+
 const JOB = { tasks: 1, millicores: 1_000 };
 
 describe("an entry during an evacuation", () => {
@@ -76,6 +107,28 @@
     expect(harness.placementAddresses()).toEqual([]);
   });
 
+  it("asks sidecars that it does not use before it refuses a job: other zones may have capable workers", () => {
+    const near = sidecarOf("near", ZONE, true);
+    const far = sidecarOf("far", OTHER_ZONE, false);
+    const free = { [near.address]: 8_000 };
+    const harness = DispatcherHarness.ready([near.address], free);
+    harness.setFree(far.address, 8_000);
+    harness.learnEntries(OTHER_ENTRIES);
+    harness.step({
+      kind: DispatchInputKind.MembersRead,
+      members: [far],
+      removedNames: [],
+    });
+    harness.runTo(400);
+    harness.takeRenewals();
+    read(harness, 1, [ZONE]);
+    const id = jobOf("entry-1", OTHER_ENTRIES);
+    harness.submit(1, { ...JOB, id });
+    harness.runTo(500);
+    expect(harness.answerTo(1)).toEqual(undefined);
+    expect(harness.placementAddresses()).toEqual([far.address]);
+  });
+
   it("keeps the promise of the refusal when the zone is restored at once: nothing of the job is placed", () => {
     const harness = DispatcherHarness.ready(["one"], { one: 8_000 });
     read(harness, 1, [ZONE]);
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -400,9 +400,10 @@
 
   /** Refuses a job that waits only for evacuated zones, or lets others overtake it once it may have started. */
   #skipEvacuated(job: DispatchJob): boolean {
-    const links = this.#options.source.links.all();
-    if (!isConfinedToEvacuatedZones(job, links)) return false;
-    if (job.isRefusable) this.#refuse(job, JobRefusalReason.ZonesEvacuated);
+    const { links } = this.#options.source;
+    if (!isConfinedToEvacuatedZones(job, links.all())) return false;
+    const reason = findCapabilityRefusal(job, links);
+    if (reason !== undefined && job.isRefusable) this.#refuse(job, reason);
     return true;
   }
 
