fix(dispatcher): choose no trial workers in evacuated zones

Cause: up to a third of the workers run suspect jobs; with all of these in an evacuated zone a suspect job waited until it was refused (found by reading). Change: links of an evacuated zone are no trial workers. Conclusion: suspects move with the evacuation, the same way at all entries that know of it.

--- a/domain/dispatcher/src/evacuated_zones_test.ts
+++ b/domain/dispatcher/src/evacuated_zones_test.ts
@@ -5,6 +5,7 @@
 import {
   ClientAnswerKind,
   DispatchInputKind,
+  DispatchReplyKind,
   DispatchRequestKind,
   EvacuationReadKind,
   type FleetMember,
@@ -17,6 +18,12 @@
 import { jobOf } from "./claims_harness.ts";
 import { DispatcherHarness } from "./dispatcher_harness.ts";
 import { selectSidecars } from "./sidecar_selection.ts";
+import { TrialWorkers } from "./trial_workers.ts";
+import {
+  newLink,
+  newOpenLink,
+  type WorkerLinkState,
+} from "./worker_link_state.ts";
 
 const ZONE = "zone-a";
 const OTHER_ZONE = "zone-b";
@@ -87,6 +94,24 @@
   throw new Error(`no sidecar ${prefix} is found`);
 }
 
+function openLinkTo(address: string): WorkerLinkState {
+  const link = newLink({
+    process: processIdentifier(address, "a"),
+    role: Role.Sidecar,
+    address,
+    availabilityZone: ZONE,
+  });
+  const capacity = {
+    processorMillicores: 8_000,
+    memoryMegabytes: 1,
+    accelerators: 0,
+  };
+  const profile = { worker: address, service: "service", labels: [], capacity };
+  const kind = DispatchReplyKind.SessionGranted;
+  link.state = newOpenLink({ kind, session: 1, profile }, 0, 0);
+  return link;
+}
+
 const JOB = { tasks: 1, millicores: 1_000 };
 
 describe("an entry during an evacuation", () => {
@@ -189,6 +214,19 @@
     expect(harness.carriedEvacuations().length).toEqual(2);
   });
 
+  it("chooses trial workers outside the zone: suspect jobs would wait there until they are refused", () => {
+    const links = ["one", "two", "three"].map(openLinkTo);
+    const workers = new TrialWorkers();
+    workers.observe(0, links);
+    const [trial] = workers.of("service");
+    const evacuated = links.find(({ address }) => address === trial);
+    if (evacuated === undefined) throw new TypeError("no trial worker");
+    evacuated.isEvacuated = true;
+    workers.observe(100, links);
+    expect(workers.of("service").has(evacuated.address)).toEqual(false);
+    expect(workers.of("service").size).toEqual(1);
+  });
+
   it("prefers warm workers after the restoration, so that cold ones get work by degrees", () => {
     const harness = DispatcherHarness.ready(["cold", "warm"], {
       cold: 8_000,
--- a/domain/dispatcher/src/trial_workers.ts
+++ b/domain/dispatcher/src/trial_workers.ts
@@ -25,8 +25,9 @@
   /** Takes note of the present workers, so that they are still ranked after a crash. */
   observe(now: Milliseconds, links: readonly WorkerLinkState[]): void {
     const open = new Set<string>();
-    for (const { address, state } of links) {
-      if (state.phase !== LinkPhase.Open) continue;
+    for (const { address, state, isEvacuated } of links) {
+      // In an evacuated zone a suspect would wait for the restoration while others could run it.
+      if (state.phase !== LinkPhase.Open || isEvacuated) continue;
       open.add(address);
       const { profile } = state;
       if (profile === undefined) continue;
