--- a/emulator/src/dispatch_system.ts
+++ b/emulator/src/dispatch_system.ts
@@ -44,6 +44,7 @@
   RESUBMISSION_MILLISECONDS,
   STOP_MILLISECONDS,
   vmNameOf,
+  workerSizeOf,
   zoneOf,
 } from "./dispatch_vm.ts";
 import { FakeNetwork, LOSS_DETECTION_MILLISECONDS } from "./fake_network.ts";
@@ -255,13 +256,12 @@
     id: string,
     labels: readonly string[],
   ): FakeWorker {
-    const { capacityMillicores, observer, runMilliseconds, crashMilliseconds } =
-      this.#options;
+    const { observer, runMilliseconds, crashMilliseconds } = this.#options;
     return new FakeWorker({
       id,
       bornAt: this.time.now,
       service: "service",
-      capacityMillicores,
+      ...workerSizeOf(this.#options, vm.name),
       labels,
       time: this.time,
       random: this.random,
--- a/emulator/src/dispatch_vm.ts
+++ b/emulator/src/dispatch_vm.ts
@@ -40,11 +40,20 @@
   readonly zones: number;
 }
 
+/** A kind of worker: its size, and its run times as a multiple of the nominal ones. */
+export interface WorkerKind {
+  readonly label: string;
+  readonly capacityMillicores: number;
+  readonly runFactor: number;
+}
+
 /** Options of a `DispatchSystem`. */
 export interface DispatchSystemOptions {
   readonly seed: number;
   readonly fleet: FleetSize;
   readonly capacityMillicores: number;
+  /** Kinds of the workers, repeated over the sidecars; `capacityMillicores` applies without them. */
+  readonly workerKinds?: readonly WorkerKind[];
   /** Labels of the first worker of each sidecar, by its index; none by default. */
   readonly workerLabels?: readonly (readonly string[])[];
   readonly observer: WorkerObserver;
@@ -76,6 +85,31 @@
   return `zone-${number % zones}`;
 }
 
+/**
+ * Returns the size and the speed of a sidecar's worker, by the number of its VM. The kinds are rotated, since
+ * zones are assigned by the number too and each zone has workers of all kinds.
+ */
+export function workerSizeOf(
+  { workerKinds = [], capacityMillicores }: DispatchSystemOptions,
+  vmName: string,
+): Pick<WorkerKind, "capacityMillicores" | "runFactor"> {
+  const index = Number(vmName.split("-").at(-1)) - 1;
+  const kind = workerKindAt(workerKinds, index);
+  return {
+    capacityMillicores: kind?.capacityMillicores ?? capacityMillicores,
+    runFactor: kind?.runFactor ?? 1,
+  };
+}
+
+/** Returns the kind of the worker with this position among the sidecars. */
+export function workerKindAt(
+  kinds: readonly WorkerKind[],
+  index: number,
+): WorkerKind | undefined {
+  const count = Math.max(1, kinds.length);
+  return kinds[(index + Math.floor(index / count)) % count];
+}
+
 /** Returns the name for the network, without an incarnation: links are cut between VMs. */
 export function vmNameOf({ identifier }: DispatchProcess): ProcessIdentifier {
   return processIdentifier(processName(identifier), "");
--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -78,6 +78,8 @@
   readonly bornAt: Milliseconds;
   readonly service: string;
   readonly capacityMillicores: number;
+  /** Run time of a task as a multiple of the nominal one; 1 by default. */
+  readonly runFactor?: number;
   readonly labels: readonly string[];
   readonly time: VirtualTime;
   readonly random: SeededRandom;
@@ -335,12 +337,13 @@
       return refused(WorkerRefusalReason.Superseded);
     }
     this.#newestRunNumbers.set(key, reference.run);
-    const { time, random, observer, runMilliseconds } = this.options;
+    const { time, random, observer, runMilliseconds, runFactor = 1 } =
+      this.options;
     const isHanging = random.happens(this.faults.hangs) ||
       this.slowdown === Infinity;
     const duration = isHanging
       ? Infinity
-      : this.slowdown * runMilliseconds(content);
+      : this.slowdown * runFactor * runMilliseconds(content);
     const run = { reference, startedAt: time.now, endsAt: time.now + duration };
     this.#running.set(key, run);
     observer.onStart(this, reference);
--- a/emulator/src/load_bound.ts
+++ b/emulator/src/load_bound.ts
@@ -1,7 +1,7 @@
 /**
  * Upper bound for the results of a load, from a clairvoyant scheduler: one scheduler for all workers that
  * knows every run time, starts a task as soon as any worker has free capacity, and avoids slow workers. The
- * scheduler orders jobs like an entry does: by priority, then jobs that have started, then the earliest
+ * scheduler uses the fastest kind of worker with free capacity. It orders jobs like an entry does: by priority, then jobs that have started, then the earliest
  * required start. It refuses a job that can no longer start in time.
  */
 import type { Milliseconds } from "@eelgrassfront/model";
@@ -13,9 +13,10 @@
   DRAIN_MILLISECONDS,
   type KindOutcome,
   type PlayedLoad,
+  SMALL_FLEET,
   WORKER_MILLICORES,
-  WORKERS,
 } from "./load_player.ts";
+import { workerKindAt } from "./dispatch_vm.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 interface BoundJob {
@@ -25,6 +26,17 @@
   unfinishedTasks: number;
 }
 
+/** The workers of one kind, taken together. */
+interface WorkerPool {
+  readonly runFactor: number;
+  /** Capacity of each worker by its position in the fleet. */
+  readonly workers: readonly {
+    readonly index: number;
+    readonly millicores: number;
+  }[];
+  usedMillicores: number;
+}
+
 /** Returns the results that an ideal scheduler reaches for a load. */
 export function computeLoadBound(load: PlayedLoad): readonly KindOutcome[] {
   return new ClairvoyantScheduler(load).play();
@@ -35,11 +47,13 @@
   readonly #time = new VirtualTime();
   readonly #outcomes: Map<string, KindOutcome>;
   #queue: BoundJob[] = [];
-  #usedMillicores = 0;
+  /** Kinds of workers, the fastest first. */
+  readonly #pools: readonly WorkerPool[];
 
   constructor(load: PlayedLoad) {
     this.#load = load;
     this.#outcomes = createOutcomes(load.kinds);
+    this.#pools = createPools(load);
   }
 
   play(): readonly KindOutcome[] {
@@ -60,7 +74,8 @@
   #enqueue(job: ArrivingJob): void {
     const outcome = this.#outcomes.get(job.kind.name);
     if (outcome !== undefined) outcome.submitted += 1;
-    const slack = job.objectiveMilliseconds - job.runMilliseconds;
+    const slack = job.objectiveMilliseconds -
+      job.runMilliseconds * (this.#pools[0]?.runFactor ?? 1);
     const latestStart = job.at + slack;
     const queued = {
       job,
@@ -78,10 +93,10 @@
     this.#queue.sort(compareBoundJobs);
     for (const queued of this.#queue) {
       const { millicores } = queued.job;
-      while (
-        queued.unstartedTasks > 0 && millicores <= this.#freeMillicores()
-      ) {
-        this.#startTask(queued);
+      while (queued.unstartedTasks > 0) {
+        const pool = this.#findPool(millicores);
+        if (pool === undefined) break;
+        this.#startTask(queued, pool);
       }
       if (queued.unstartedTasks > 0) break;
     }
@@ -100,12 +115,12 @@
     });
   }
 
-  #startTask(queued: BoundJob): void {
+  #startTask(queued: BoundJob, pool: WorkerPool): void {
     const { job } = queued;
     queued.unstartedTasks -= 1;
-    this.#usedMillicores += job.millicores;
-    this.#time.after(job.runMilliseconds, () => {
-      this.#usedMillicores -= job.millicores;
+    pool.usedMillicores += job.millicores;
+    this.#time.after(job.runMilliseconds * pool.runFactor, () => {
+      pool.usedMillicores -= job.millicores;
       queued.unfinishedTasks -= 1;
       const outcome = this.#outcomes.get(job.kind.name);
       if (queued.unfinishedTasks === 0 && outcome !== undefined) {
@@ -116,16 +131,47 @@
     });
   }
 
-  #freeMillicores(): number {
+  #findPool(millicores: number): WorkerPool | undefined {
+    const slow = this.#slowWorkerCount();
+    return this.#pools.find(({ workers, usedMillicores }) => {
+      const capacity = workers.reduce(
+        (sum, worker) => worker.index < slow ? sum : sum + worker.millicores,
+        0,
+      );
+      return millicores <= capacity - usedMillicores;
+    });
+  }
+
+  #slowWorkerCount(): number {
     const { now } = this.#time;
     const { slowWorkers = [] } = this.#load;
-    const slow = slowWorkers
+    return slowWorkers
       .filter(({ from, until }) => now >= from && now < until)
       .reduce((sum, { count }) => sum + count, 0);
-    return (WORKERS - slow) * WORKER_MILLICORES - this.#usedMillicores;
   }
 }
 
+function createPools(
+  { fleet = SMALL_FLEET, workerKinds = [] }: PlayedLoad,
+): readonly WorkerPool[] {
+  const workers = Array.from({ length: fleet.workers }, (_, index) => {
+    const kind = workerKindAt(workerKinds, index);
+    return {
+      index,
+      millicores: kind?.capacityMillicores ?? WORKER_MILLICORES,
+      runFactor: kind?.runFactor ?? 1,
+    };
+  });
+  const factors = [...new Set(workers.map(({ runFactor }) => runFactor))];
+  return factors
+    .sort((left, right) => left - right)
+    .map((factor) => ({
+      runFactor: factor,
+      workers: workers.filter(({ runFactor }) => runFactor === factor),
+      usedMillicores: 0,
+    }));
+}
+
 function compareBoundJobs(left: BoundJob, right: BoundJob): number {
   return left.job.kind.priority - right.job.kind.priority ||
     Number(hasStartedTasks(right)) - Number(hasStartedTasks(left)) ||
--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -19,7 +19,11 @@
 import type { WorkerObserver } from "./fake_worker.ts";
 import { startOutages, type WorkerOutages } from "./worker_outages.ts";
 import { DispatchSystem } from "./dispatch_system.ts";
-import type { FleetSize } from "./dispatch_vm.ts";
+import {
+  type FleetSize,
+  type WorkerKind,
+  workerKindAt,
+} from "./dispatch_vm.ts";
 import {
   ArrivalGenerator,
   type ArrivingJob,
@@ -76,6 +80,8 @@
   readonly countFrom?: Milliseconds;
   /** Size of the fleet; that of the users' smallest deployments by default. */
   readonly fleet?: FleetSize;
+  /** Kinds of the workers, repeated over the fleet; workers of 36 cores by default. */
+  readonly workerKinds?: readonly WorkerKind[];
 }
 
 /** Results of the jobs of one kind of work. */
@@ -92,7 +98,11 @@
 
 /** Number of workers in the users' smallest deployments. */
 export const WORKERS = 11;
-const SMALL_FLEET: FleetSize = { entries: 3, workers: WORKERS, zones: 3 };
+export const SMALL_FLEET: FleetSize = {
+  entries: 3,
+  workers: WORKERS,
+  zones: 3,
+};
 /** Capacity of each worker. Two thirds of the users' workers have 32 cores, one third 48 faster ones. */
 export const WORKER_MILLICORES = 36_000;
 const NO_OBSERVER: WorkerObserver = { onStart: () => {}, onEnd: () => {} };
@@ -152,11 +162,16 @@
     this.#crashRandom = new SeededRandom(load.seed + CRASH_SEED_OFFSET);
     this.#outcomes = createOutcomes(load.kinds);
     const { fleet = SMALL_FLEET, observer = NO_OBSERVER } = load;
-    const { crashingJobs, onEvent } = load;
+    const { crashingJobs, onEvent, workerKinds = [] } = load;
     this.#system = new DispatchSystem({
       seed: load.seed,
       fleet,
       capacityMillicores: WORKER_MILLICORES,
+      workerKinds,
+      workerLabels: Array.from({ length: fleet.workers }, (_, index) => {
+        const kind = workerKindAt(workerKinds, index);
+        return kind === undefined ? [] : [kind.label];
+      }),
       observer,
       onEvent: (process, event) =>
         onEvent?.(process, event, this.#system.time.now),
--- a/emulator/src/mod.ts
+++ b/emulator/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./load_arrivals.ts";
 export * from "./load_bound.ts";
 export * from "./load_player.ts";
+export * from "./load_value.ts";
 export * from "./randomized_run.ts";
 export * from "./run_checker.ts";
 export * from "./sample_work.ts";
--- a/measure/src/best_effort_load_measure.ts
+++ b/measure/src/best_effort_load_measure.ts
@@ -10,10 +10,13 @@
   playLoad,
   shareInObjective,
   USER_LOADS,
+  valuePerCoreSecond,
 } from "@eelgrassfront/emulator";
 
 const SEEDS = [1, 2, 3];
 const DIGITS = 3;
+/** Value for each core-second is shown in thousandths. */
+const VALUE_UNIT = 1_000;
 
 /** Figures of one kind of work under one load. Shares are of the jobs that were submitted. */
 export interface BestEffortLoadRow {
@@ -27,6 +30,9 @@
   readonly late: string;
   readonly refused: string;
   readonly failed: string;
+  /** Thousandths of value for each core-second of the load, all kinds together; 0 for loads without values. */
+  readonly value: string;
+  readonly valueBound: string;
   /** Mean time from submission to refusal. */
   readonly refusedAfterMilliseconds: number;
 }
@@ -47,16 +53,20 @@
   const bound = addOutcomes(
     SEEDS.map((seed) => computeLoadBound({ ...load, seed })),
   );
-  return outcomes.map((outcome, index) =>
-    summarizeKind(name, outcome, bound[index])
-  );
+  const format = (all: readonly KindOutcome[]) =>
+    (VALUE_UNIT * valuePerCoreSecond(load, all) / SEEDS.length).toFixed(DIGITS);
+  const values = { value: format(outcomes), valueBound: format(bound) };
+  return outcomes.map((outcome, index) => ({
+    ...summarizeKind(name, outcome, bound[index]),
+    ...values,
+  }));
 }
 
 function summarizeKind(
   load: string,
   outcome: KindOutcome,
   bound: KindOutcome | undefined,
-): BestEffortLoadRow {
+): Omit<BestEffortLoadRow, "value" | "valueBound"> {
   const { kind, submitted, late, refused, failed } = outcome;
   const formatShare = (count: number) => (count / submitted).toFixed(DIGITS);
   return {
