feat(dispatcher): order by need, and leave workers to more urgent work of other entries

Cause: queues and offers were ordered by the latest start; a job of which some tasks were placed was not moved ahead; and an entry placed its least urgent work on capacity for which urgent work of another entry waited, because the watch of that entry was not due (10 ms) when the capacity became free.

Change: JobQueue and LoadWatches use compareUrgency of domain/overload. A job counts as started once a task is placed. Load reports contain, by priority, the demands that wait at other entries, and an entry places no less urgent work there, except on a third of what it runs at that worker. A waiting job that cannot end before its deadline is refused at once. All message fields are optional.

--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -93,6 +93,8 @@
       priority: amount,
       hasStarted: zod.boolean(),
       slackMilliseconds: amount,
+      isLate: zod.boolean().optional(),
+      workPerCaller: amount.optional(),
     }),
   }),
   zod.looseObject({
@@ -141,6 +143,8 @@
   slowness: amount,
   isTakingWork: zod.boolean(),
   requestsTaken: count,
+  waiting: zod.array(zod.looseObject({ priority: amount, millicores: amount }))
+    .optional(),
 });
 
 const profile = zod.looseObject({
--- a/domain/dispatcher/src/dispatch_job.ts
+++ b/domain/dispatcher/src/dispatch_job.ts
@@ -10,6 +10,7 @@
   type RequestIdentifier,
   type WorkRoute,
 } from "@eelgrassfront/model";
+import type { Urgency, WorkTimes } from "@eelgrassfront/overload";
 
 /** Phases of a task at its entry. */
 export enum TaskPhase {
@@ -52,7 +53,7 @@
 }
 
 /** A job that has not been answered. */
-export class DispatchJob {
+export class DispatchJob implements Urgency, WorkTimes {
   readonly id: string;
   readonly content: string;
   /** The job as the client submitted it. */
@@ -77,6 +78,10 @@
   attemptCount = 0;
   /** Whether the job may crash workers and therefore runs apart from others. */
   isSuspect = false;
+  /** Whether the job has not started and can no longer meet its objective. */
+  isLate = false;
+  /** Expected work of all tasks, in millicores times milliseconds. */
+  readonly totalWork: number;
   /** Position among the suspects; the lowest runs first. */
   trialRank = 0;
 
@@ -103,6 +108,7 @@
         notBefore: 0,
       }))
     );
+    this.totalWork = this.waitingWork;
   }
 
   /** Whether every task has completed. */
@@ -115,6 +121,21 @@
     return !this.mayHaveStarted && this.placedTaskCount === 0;
   }
 
+  /** Priority of the kind of work. */
+  get priority(): number {
+    return this.route.priority;
+  }
+
+  /** Whether a task was placed, so that the clients wait only for the rest. */
+  get hasStarted(): boolean {
+    return !this.isRefusable;
+  }
+
+  /** Work of the job for each client request that waits for it. */
+  get workPerCaller(): number {
+    return this.totalWork / Math.max(1, this.requests.length);
+  }
+
   /** Returns the tasks that can be placed now. */
   readyTasks(now: Milliseconds): readonly DispatchTask[] {
     return this.tasks.filter((task) =>
--- a/domain/dispatcher/src/job_queue.ts
+++ b/domain/dispatcher/src/job_queue.ts
@@ -1,9 +1,10 @@
 /**
  * Priority queue of an entry's jobs that have tasks to place. Jobs are ordered by the priority of their
- * kind of work; then jobs that have started go first, since their clients wait for the last task; then the
- * job with the earliest required start. Suspect jobs follow all others, by their rank. Under overload, less urgent jobs thus do not delay a job that can
- * still meet its objective.
+ * kind of work; then jobs of which a task was placed go first, since their clients wait for the last task; then
+ * the job that needs least work for each client (`compareUrgency`). Suspect jobs follow all others, by their
+ * rank. Under overload, less urgent jobs thus do not delay a job that can still meet its objective.
  */
+import { compareUrgency } from "@eelgrassfront/overload";
 import type { DispatchJob } from "./dispatch_job.ts";
 
 /** Jobs with tasks to place, in the order in which they are served. */
@@ -54,7 +55,5 @@
 export function compareJobs(left: DispatchJob, right: DispatchJob): number {
   return Number(left.isSuspect) - Number(right.isSuspect) ||
     left.trialRank - right.trialRank ||
-    left.route.priority - right.route.priority ||
-    Number(right.mayHaveStarted) - Number(left.mayHaveStarted) ||
-    left.startBy - right.startBy;
+    compareUrgency(left, right);
 }
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -13,6 +13,7 @@
   type RequestIdentifier,
   type WaitingDemand,
 } from "@eelgrassfront/model";
+import { isRefused, Prospect, prospectOf } from "@eelgrassfront/overload";
 import { ArrivalRates } from "./arrival_rates.ts";
 import type { ClaimExchange } from "./claim_exchange.ts";
 import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
@@ -26,6 +27,7 @@
 import { JobGauges } from "./job_gauges.ts";
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
+import { firstDemand } from "./waiting_demand.ts";
 import { isCapableWorkerKnown } from "./worker_choice.ts";
 import { LinkPhase } from "./worker_link_state.ts";
 
@@ -94,19 +96,7 @@
 
   /** Returns the task that waits first for free capacity. */
   waitingDemand(): WaitingDemand | undefined {
-    const { now } = this.#options.collector;
-    for (const job of this.#queue.jobs) {
-      if (job.isSuspect) return undefined;
-      const [task] = job.readyTasks(now);
-      if (task === undefined) continue;
-      return {
-        resources: task.step.resources,
-        priority: job.route.priority,
-        hasStarted: job.mayHaveStarted,
-        slackMilliseconds: Math.round(job.startBy - now),
-      };
-    }
-    return undefined;
+    return firstDemand(this.#queue, this.#options.collector.now);
   }
 
   /** Returns an unanswered job. */
@@ -166,6 +156,7 @@
       this.#removePlaced(job);
       return;
     }
+    if (job.hasStarted) this.#queue.add(job);
     this.#refuseIfOverloaded(job);
   }
 
@@ -173,6 +164,7 @@
   #removePlaced(job: DispatchJob): void {
     const isWaiting = job.tasks.some(({ phase }) => phase === TaskPhase.Ready);
     if (!isWaiting) this.#queue.remove(job);
+    else this.#queue.add(job);
   }
 
   /** Applies the change of a claim to its job. */
@@ -387,6 +379,7 @@
       if (isBlocked && !job.isSuspect) continue;
       if (this.#isOnTrial(job)) continue;
       if (!this.#options.placer.place(job)) {
+        if (job.hasStarted) this.#queue.add(job);
         if (job === this.#queue.jobs[0]) this.#recordBlocked(job);
         if (job.isSuspect) return;
         isBlocked = true;
@@ -431,9 +424,14 @@
     const { now } = this.#options.collector;
     const grace = this.hasWorkers() ? 0 : NO_WORKER_GRACE_MILLISECONDS;
     for (const job of [...this.#queue.jobs]) {
-      const isLate = job.isRefusable && now > job.startBy &&
-        now > job.arrivedAt + grace;
-      if (isLate) this.#refuse(job, JobRefusalReason.WaitedTooLong);
+      const prospect = prospectOf(job, now);
+      if (!job.isRefusable || !isRefused(prospect)) continue;
+      const isKept = prospect === Prospect.Late && now <= job.arrivedAt + grace;
+      if (!isKept) this.#refuse(job, JobRefusalReason.WaitedTooLong);
+      else if (!job.isLate) {
+        job.isLate = true;
+        this.#queue.add(job);
+      }
     }
   }
 
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -9,9 +9,11 @@
   meetsRequirements,
   type Milliseconds,
   subtractResources,
+  type WorkerLoad,
   type WorkerProfile,
   type WorkerRequirements,
 } from "@eelgrassfront/model";
+import { isMoreUrgentWaiting, isWithinFloor } from "@eelgrassfront/overload";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
 import type { TaskAttemptIndex } from "./task_attempt_index.ts";
 import { LinkPhase, type WorkerLinkState } from "./worker_link_state.ts";
@@ -148,6 +150,7 @@
     attempts.unreportedResources(link.address, load.requestsTaken),
   );
   if (!isWithin(resources, free)) return undefined;
+  if (isBehindOthers(load, options, link.address)) return undefined;
   if (isAtStepLimit(options, link.address)) return undefined;
   const isProbed = !detector.isOutlier(statistics.meanFailureRate) ||
     detector.isProbeTaskDue(now, job.tasks.length);
@@ -164,6 +167,31 @@
   };
 }
 
+/** Whether the job must leave the worker to more urgent work of other entries. */
+function isBehindOthers(
+  { waiting = [] }: WorkerLoad,
+  { attempts, job, task }: WorkerChoiceOptions,
+  address: string,
+): boolean {
+  if (job.hasStarted || !isMoreUrgentWaiting(waiting, job.priority)) {
+    return false;
+  }
+  let totalMillicores = 0;
+  let lessUrgentMillicores = 0;
+  for (const attempt of attempts.atSidecar(address)) {
+    const { processorMillicores } = attempt.task.step.resources;
+    totalMillicores += processorMillicores;
+    if (attempt.job.priority >= job.priority) {
+      lessUrgentMillicores += processorMillicores;
+    }
+  }
+  return !isWithinFloor({
+    totalMillicores,
+    lessUrgentMillicores,
+    requestedMillicores: task.step.resources.processorMillicores,
+  });
+}
+
 function isCapable(
   profile: WorkerProfile,
   job: DispatchJob,
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -101,6 +101,10 @@
   readonly hasStarted: boolean;
   /** Time until the job must start to meet its objective. */
   readonly slackMilliseconds: Milliseconds;
+  /** Whether the job can no longer meet its objective; absent from earlier versions. */
+  readonly isLate?: boolean;
+  /** Work of the job for each of its callers, in millicores times milliseconds; absent from earlier versions. */
+  readonly workPerCaller?: number;
 }
 
 /**
@@ -246,6 +250,17 @@
   readonly isTakingWork: boolean;
   /** Number of the entry's requests to run tasks, in its current session, that this load includes. */
   readonly requestsTaken: number;
+  /**
+   * Demands of other entries that wait for this worker, by priority; absent while none waits, and from earlier
+   * versions.
+   */
+  readonly waiting?: readonly WaitingTotal[];
+}
+
+/** Demand of one priority that waits for a worker. */
+export interface WaitingTotal {
+  readonly priority: number;
+  readonly millicores: number;
 }
 
 /** Why a task attempt did not start. Each reason is proof that the attempt never starts. */
--- a/domain/worker_guard/src/load_report.ts
+++ b/domain/worker_guard/src/load_report.ts
@@ -42,6 +42,7 @@
     if (link.description === undefined) return undefined;
     // What is offered to an entry must not appear as free in a settlement to another one.
     watches.offerCapacity();
+    const waiting = watches.waitingAtOthers(entry);
     return {
       revision: table.revision,
       worker: link.description.incarnation.id,
@@ -54,6 +55,7 @@
       slowness: roundSlowness(runController.slowness),
       isTakingWork: this.#isTakingWork(),
       requestsTaken: sessions.requestsTaken(entry),
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 
--- a/domain/worker_guard/src/load_watches.ts
+++ b/domain/worker_guard/src/load_watches.ts
@@ -18,8 +18,10 @@
   type Resources,
   subtractResources,
   type WaitingDemand,
+  type WaitingTotal,
   type WorkerLoad,
 } from "@eelgrassfront/model";
+import { compareUrgency, type Urgency } from "@eelgrassfront/overload";
 
 /** Time for which offered capacity is hidden from other entries: a few round trips between zones. */
 const OFFER_MILLISECONDS: Milliseconds = 20;
@@ -97,6 +99,24 @@
     return sum;
   }
 
+  /** Demands by priority that wait at other entries than the given one; undefined while there is none. */
+  waitingAtOthers(
+    entry: ProcessIdentifier,
+  ): readonly WaitingTotal[] | undefined {
+    const byPriority = new Map<number, number>();
+    for (const [other, { demand }] of this.#watches) {
+      if (other === entry) continue;
+      const { priority, resources } = demand;
+      const millicores = resources.processorMillicores;
+      byPriority.set(priority, (byPriority.get(priority) ?? 0) + millicores);
+    }
+    if (byPriority.size === 0) return undefined;
+    return [...byPriority].map(([priority, millicores]) => ({
+      priority,
+      millicores,
+    }));
+  }
+
   /** Offers free capacity to the most urgent watches that it suffices for. */
   offerCapacity(): void {
     this.#expireOffers();
@@ -179,9 +199,12 @@
   }
 }
 
+function urgencyOf({ demand, startBy }: Watch): Urgency {
+  const { isLate = false, workPerCaller = 0 } = demand;
+  return { ...demand, isLate, workPerCaller, startBy };
+}
+
 /** Compares two watches in the order in which entries serve jobs; negative when the left one goes first. */
 function compareWatches(left: Watch, right: Watch): number {
-  return left.demand.priority - right.demand.priority ||
-    Number(right.demand.hasStarted) - Number(left.demand.hasStarted) ||
-    left.startBy - right.startBy;
+  return compareUrgency(urgencyOf(left), urgencyOf(right));
 }
--- a/emulator/src/load_bound.ts
+++ b/emulator/src/load_bound.ts
@@ -1,10 +1,10 @@
 /**
  * Upper bound for the results of a load, from a clairvoyant scheduler: one scheduler for all workers that
  * knows every run time, starts a task as soon as any worker has free capacity, and avoids slow workers. The
- * scheduler uses the fastest kind of worker with free capacity. It orders jobs like an entry does: by priority, then jobs that have started, then the earliest
- * required start. It refuses a job that can no longer start in time.
+ * scheduler uses the fastest kind of worker with free capacity. It orders jobs like an entry does: by priority, then jobs that have started, then the least work. It refuses a job that can no longer start in time.
  */
 import type { Milliseconds } from "@eelgrassfront/model";
+import { compareUrgency, type Urgency } from "@eelgrassfront/overload";
 import { ArrivalGenerator, type ArrivingJob } from "./load_arrivals.ts";
 import {
   countCompleted,
@@ -173,9 +173,18 @@
 }
 
 function compareBoundJobs(left: BoundJob, right: BoundJob): number {
-  return left.job.kind.priority - right.job.kind.priority ||
-    Number(hasStartedTasks(right)) - Number(hasStartedTasks(left)) ||
-    left.latestStart - right.latestStart;
+  return compareUrgency(urgencyOf(left), urgencyOf(right));
+}
+
+function urgencyOf(queued: BoundJob): Urgency {
+  const { kind, tasks, millicores, runMilliseconds } = queued.job;
+  return {
+    priority: kind.priority,
+    hasStarted: hasStartedTasks(queued),
+    isLate: false,
+    workPerCaller: tasks * millicores * runMilliseconds,
+    startBy: queued.latestStart,
+  };
 }
 
 function hasStartedTasks({ job, unstartedTasks }: BoundJob): boolean {
