--- a/domain/dispatcher/src/dispatch_job.ts
+++ b/domain/dispatcher/src/dispatch_job.ts
@@ -108,7 +108,7 @@
         notBefore: 0,
       }))
     );
-    this.totalWork = this.waitingWork;
+    this.totalWork = this.#sumWaitingWork();
   }
 
   /** Whether every task has completed. */
@@ -145,6 +145,11 @@
 
   /** Expected work of the unplaced tasks, in millicores times milliseconds. */
   get waitingWork(): number {
+    // The backlog of each arrival adds up the queue, where most jobs have no task placed.
+    return this.isRefusable ? this.totalWork : this.#sumWaitingWork();
+  }
+
+  #sumWaitingWork(): number {
     const runMilliseconds = this.expectedRunMilliseconds;
     return this.tasks.reduce((sum, { phase, step }) => {
       const isWaiting = phase === TaskPhase.Ready ||
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -20,6 +20,7 @@
   Role,
   Step,
   type TaskSettlement,
+  type WaitingTotal,
   type WorkerLoad,
 } from "@eelgrassfront/model";
 import { DispatcherDecisions } from "./dispatcher_decisions.ts";
@@ -64,6 +65,7 @@
   readonly #renewals: string[] = [];
   readonly #free = new Map<string, number>();
   readonly #slowness = new Map<string, number>();
+  readonly #waiting = new Map<string, readonly WaitingTotal[]>();
   #revision = 1;
   #now = 0;
 
@@ -128,6 +130,11 @@
     this.#slowness.set(address, slowness);
   }
 
+  /** Sets the demands of other entries that a sidecar reports from its next load on. */
+  setWaiting(address: string, waiting: readonly WaitingTotal[]): void {
+    this.#waiting.set(address, waiting);
+  }
+
   nextAlarm(): number | undefined {
     return this.#entry.nextAlarm();
   }
@@ -337,6 +344,7 @@
   #loadOf(address: string): WorkerLoad {
     this.#revision += 1;
     const resources = { memoryMegabytes: 1_000, accelerators: 0 };
+    const waiting = this.#waiting.get(address);
     return {
       revision: this.#revision,
       worker: `worker-${address}`,
@@ -347,6 +355,7 @@
       slowness: this.#slowness.get(address) ?? 1,
       isTakingWork: true,
       requestsTaken: 0,
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 
