--- a/adapters/peers_trpc/src/dispatch_message_checks.ts
+++ b/adapters/peers_trpc/src/dispatch_message_checks.ts
@@ -171,7 +171,19 @@
   const fields = fieldsOf(value);
   return fields !== undefined && isResources(fields["resources"]) &&
     isAmount(fields["priority"]) && isBoolean(fields["hasStarted"]) &&
-    isAmount(fields["slackMilliseconds"]);
+    isAmount(fields["slackMilliseconds"]) &&
+    isOptional(fields["isLate"], isBoolean) &&
+    isOptional(fields["workPerCaller"], isAmount);
+}
+
+function isWaitingTotal(value: unknown): boolean {
+  const fields = fieldsOf(value);
+  return fields !== undefined && isAmount(fields["priority"]) &&
+    isAmount(fields["millicores"]);
+}
+
+function isWaitingTotals(value: unknown): boolean {
+  return isArrayOf(value, isWaitingTotal);
 }
 
 function isMember(value: unknown): boolean {
@@ -210,7 +222,8 @@
     isText(fields["worker"]) && isResources(fields["free"]) &&
     isAmount(fields["slowness"]) && isBoolean(fields["isTakingWork"]) &&
     isCount(fields["requestsTaken"]) &&
-    (fields["isCold"] === undefined || fields["isCold"] === true);
+    (fields["isCold"] === undefined || fields["isCold"] === true) &&
+    isOptional(fields["waiting"], isWaitingTotals);
 }
 
 function isProfile(value: unknown): boolean {
--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -99,6 +99,8 @@
       priority: amount,
       hasStarted: zod.boolean(),
       slackMilliseconds: amount,
+      isLate: zod.boolean().optional(),
+      workPerCaller: amount.optional(),
     }),
   }),
   zod.looseObject({
@@ -149,6 +151,8 @@
   isTakingWork: zod.boolean(),
   isCold: zod.literal(true).optional(),
   requestsTaken: count,
+  waiting: zod.array(zod.looseObject({ priority: amount, millicores: amount }))
+    .optional(),
 });
 
 const profile = zod.looseObject({
--- a/domain/dispatcher/src/dispatcher_harness.ts
+++ b/domain/dispatcher/src/dispatcher_harness.ts
@@ -20,6 +20,7 @@
   Role,
   Step,
   type TaskSettlement,
+  type WaitingTotal,
   type WorkerLoad,
 } from "@eelgrassfront/model";
 import { DispatcherDecisions } from "./dispatcher_decisions.ts";
@@ -72,6 +73,7 @@
   readonly #slowness = new Map<string, number>();
   readonly #cold = new Set<string>();
   readonly #carriedEvacuations: CarriedEvacuations[] = [];
+  readonly #waiting = new Map<string, readonly WaitingTotal[]>();
   #revision = 1;
   #now = 0;
 
@@ -141,6 +143,11 @@
     this.#cold.add(address);
   }
 
+  /** Sets the demands of other entries that a sidecar reports from its next load on. */
+  setWaiting(address: string, waiting: readonly WaitingTotal[]): void {
+    this.#waiting.set(address, waiting);
+  }
+
   nextAlarm(): number | undefined {
     return this.#entry.nextAlarm();
   }
@@ -355,6 +362,7 @@
   #loadOf(address: string): WorkerLoad {
     this.#revision += 1;
     const resources = { memoryMegabytes: 1_000, accelerators: 0 };
+    const waiting = this.#waiting.get(address);
     return {
       revision: this.#revision,
       worker: `worker-${address}`,
@@ -366,6 +374,7 @@
       isTakingWork: true,
       requestsTaken: 0,
       ...(this.#cold.has(address) ? { isCold: true } : {}),
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -13,6 +13,7 @@
   type RequestIdentifier,
   type WaitingDemand,
 } from "@eelgrassfront/model";
+import { isRefused, Prospect, prospectOf } from "@eelgrassfront/overload";
 import { ArrivalRates } from "./arrival_rates.ts";
 import type { ClaimExchange } from "./claim_exchange.ts";
 import { type ClaimChange, ClaimChangeKind } from "./job_claims.ts";
@@ -31,6 +32,7 @@
 import { JobGauges } from "./job_gauges.ts";
 import { JobQueue } from "./job_queue.ts";
 import type { TaskPlacer } from "./task_placer.ts";
+import { firstDemand } from "./waiting_demand.ts";
 import { isTakingWork } from "./worker_link_state.ts";
 
 /** Collaborators of a `JobScheduler`. */
@@ -99,19 +101,7 @@
 
   /** Returns the task that waits first for free capacity. */
   waitingDemand(): WaitingDemand | undefined {
-    const { now } = this.#options.collector;
-    for (const job of this.#queue.jobs) {
-      if (job.isSuspect) return undefined;
-      const task = job.firstReadyTask(now);
-      if (task === undefined) continue;
-      return {
-        resources: task.step.resources,
-        priority: job.route.priority,
-        hasStarted: job.mayHaveStarted,
-        slackMilliseconds: Math.round(job.startBy - now),
-      };
-    }
-    return undefined;
+    return firstDemand(this.#queue, this.#options.collector.now);
   }
 
   /** Returns an unanswered job. */
@@ -170,12 +160,14 @@
       this.#removePlaced(job);
       return;
     }
+    if (job.hasStarted) this.#queue.add(job);
     this.#refuseIfOverloaded(job);
   }
 
   /** Removes a job from the queue unless a task waits for the end of an earlier run. */
   #removePlaced(job: DispatchJob): void {
-    if (!job.hasWaitingTasks) this.#queue.remove(job);
+    if (job.hasWaitingTasks) this.#queue.add(job);
+    else this.#queue.remove(job);
   }
 
   /** Applies the change of a claim to its job. */
@@ -386,6 +378,7 @@
       if (this.#isOnTrial(job)) continue;
       if (!this.#options.placer.place(job)) {
         if (this.#skipEvacuated(job)) continue;
+        if (job.hasStarted) this.#queue.add(job);
         if (job === this.#queue.jobs[0]) this.#recordBlocked(job);
         if (job.isSuspect) return;
         isBlocked = true;
@@ -440,10 +433,16 @@
     if (this.#queue.size === 0) return;
     const { now } = this.#options.collector;
     const grace = this.hasWorkers() ? 0 : NO_WORKER_GRACE_MILLISECONDS;
-    const late = this.#queue.jobs.filter((job) =>
-      job.isRefusable && now > job.startBy && now > job.arrivedAt + grace
-    );
-    for (const job of late) this.#refuse(job, JobRefusalReason.WaitedTooLong);
+    for (const job of [...this.#queue.jobs]) {
+      const prospect = prospectOf(job, now);
+      if (!job.isRefusable || !isRefused(prospect)) continue;
+      const isKept = prospect === Prospect.Late && now <= job.arrivedAt + grace;
+      if (!isKept) this.#refuse(job, JobRefusalReason.WaitedTooLong);
+      else if (!job.isLate) {
+        job.isLate = true;
+        this.#queue.add(job);
+      }
+    }
   }
 
   /** Refuses a job that no known worker could ever run. */
--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -10,9 +10,11 @@
   type Milliseconds,
   NO_RESOURCES,
   subtractResources,
+  type WorkerLoad,
   type WorkerProfile,
   type WorkerRequirements,
 } from "@eelgrassfront/model";
+import { isMoreUrgentWaiting, isWithinFloor } from "@eelgrassfront/overload";
 import type { DispatchJob, DispatchTask } from "./dispatch_job.ts";
 import type { KindSpeeds } from "./kind_speeds.ts";
 import type { TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -213,6 +215,7 @@
     ? load.free
     : subtractResources(load.free, unreported);
   if (!isWithin(resources, free)) return EXCLUDED;
+  if (isBehindOthers(load, options, link.address)) return EXCLUDED;
   if (isAtStepLimit(options, link.address)) return EXCLUDED;
   const isProbed = !detector.mayBeOutlier ||
     !detector.isOutlier(statistics.meanFailureRate) ||
@@ -227,6 +230,31 @@
     (isNear ? 0 : OTHER_ZONE_PENALTY_TASKS * resources.processorMillicores);
 }
 
+/** Whether the job must leave the worker to more urgent work of other entries. */
+function isBehindOthers(
+  { waiting = [] }: WorkerLoad,
+  { attempts, job, task }: WorkerChoiceOptions,
+  address: string,
+): boolean {
+  if (job.hasStarted || !isMoreUrgentWaiting(waiting, job.priority)) {
+    return false;
+  }
+  let totalMillicores = 0;
+  let lessUrgentMillicores = 0;
+  for (const attempt of attempts.atSidecar(address)) {
+    const { processorMillicores } = attempt.task.step.resources;
+    totalMillicores += processorMillicores;
+    if (attempt.job.priority >= job.priority) {
+      lessUrgentMillicores += processorMillicores;
+    }
+  }
+  return !isWithinFloor({
+    totalMillicores,
+    lessUrgentMillicores,
+    requestedMillicores: task.step.resources.processorMillicores,
+  });
+}
+
 function isCapable(
   profile: WorkerProfile,
   requirements: WorkerRequirements,
--- a/domain/worker_guard/src/load_report.ts
+++ b/domain/worker_guard/src/load_report.ts
@@ -46,6 +46,7 @@
     if (link.description === undefined) return undefined;
     // What is offered to an entry must not appear as free in a settlement to another one.
     watches.offerCapacity();
+    const waiting = watches.waitingAtOthers(entry);
     return {
       revision: table.revision,
       worker: link.description.incarnation.id,
@@ -59,6 +60,7 @@
       isTakingWork: this.#isTakingWork(),
       requestsTaken: sessions.requestsTaken(entry),
       ...(this.isReportedCold ? { isCold: true } : {}),
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 
