--- a/adapters/bounded_http/src/bounded_http_server.ts
+++ b/adapters/bounded_http/src/bounded_http_server.ts
@@ -64,7 +64,8 @@
   readonly #limits: FrontLimits;
   readonly #sockets = new Map<FrontConnection, Socket>();
   readonly #connections = new WeakMap<Duplex, FrontConnection>();
-  readonly #responses = new WeakMap<IncomingMessage, ServerResponse>();
+  /** Response to the latest request of a connection, which is the one whose body is received. */
+  readonly #responses = new Map<FrontConnection, ServerResponse>();
   /** Connections that the limits have paused, with what was read and not yet parsed. */
   readonly #paused = new Map<Socket, SlicedReader | undefined>();
   readonly #readers = new WeakMap<Socket, SlicedReader>();
@@ -133,7 +134,7 @@
     const connection = this.#connections.get(message.socket);
     if (connection === undefined) return false;
     const decision = this.#limits.receiveBody(connection, bytes);
-    return this.#perform(connection, decision, this.#responses.get(message));
+    return this.#perform(connection, decision, this.#responses.get(connection));
   }
 
   /** Reports that a body was received entirely. */
@@ -240,7 +241,7 @@
     const connection = this.#connections.get(request.socket);
     // Requests that follow in the data of a connection that was refused or closed.
     if (connection === undefined) return false;
-    this.#responses.set(request, response);
+    this.#responses.set(connection, response);
     response.on("close", () => {
       this.#perform(
         connection,
@@ -290,6 +291,7 @@
   #forget(connection: FrontConnection, socket: Socket): void {
     this.#limits.close(connection);
     this.#sockets.delete(connection);
+    this.#responses.delete(connection);
     this.#paused.delete(socket);
     this.#connections.delete(socket);
   }
