--- a/domain/dispatcher/src/link_alarms_test.ts
+++ b/domain/dispatcher/src/link_alarms_test.ts
@@ -64,6 +64,7 @@
     load: undefined,
     watch: undefined,
     unprofiledWorker: undefined,
+    carriedEvacuations: undefined,
   };
 }
 
