--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -25,8 +25,10 @@
  * or three tasks, so that tasks cross zones only when this evens out the load.
  */
 const OTHER_ZONE_PENALTY_MILLICORES = 8_000;
-/** More than the capacity of any worker, so that kinds of worker and cold workers are preferred in this order. */
+/** More than the capacity of any worker, so that the tier of a worker goes before its free capacity. */
 const TIER_MILLICORES = 1e9;
+/** Tier of cold workers, behind those of all kinds: their relative run times are below it. */
+const COLD_TIER = 10;
 /**
  * Multiple of the median slowness above which a worker counts as slow: healthy workers differ by a factor
  * below 2, by their speed and by the actual run time of their tasks.
@@ -224,8 +226,8 @@
   const isSlow = isSlowWorker(link, statistics.medianSlowness, speeds);
   if (isSlow && now < link.nextProbeAt) return EXCLUDED;
   const isNear = link.availabilityZone === options.availabilityZone;
-  const tier = (load.isCold === true ? 10 : 0) +
-    speeds.relativeRunTime(profile) - 1;
+  const kindTier = speeds.relativeRunTime(profile) - 1;
+  const tier = load.isCold === true ? COLD_TIER + kindTier : kindTier;
   return free.processorMillicores - TIER_MILLICORES * tier -
     (isNear ? 0 : OTHER_ZONE_PENALTY_MILLICORES);
 }
