--- a/review/stand-ins-2/case.mjs
+++ b/review/stand-ins-2/case.mjs
@@ -28,6 +28,9 @@
     () => void finish(COULD_NOT_RUN, "the case took too long"),
     LIMIT_MILLISECONDS,
   );
+  for (const event of ["unhandledRejection", "uncaughtException"]) {
+    process.once(event, (error) => void finish(COULD_NOT_RUN, error.stack));
+  }
   async function finish(exitCode, reason) {
     clearTimeout(limit);
     if (reason !== undefined) recorder.line(`could not run: ${reason}`);
