feat(dispatcher,worker-guard): show what proves the crashes under a job

The lines did not tell the hypotheses of the incident apart: 4109 showed the phase of a run but not what was known of its beginning (a start call whose connection broke and one that timed out are both 'doubtful'), 3101 listed crashes without their sidecars, and 3103 listed none.

4109 now contains what was known of the beginning of each run, 3101 the sidecar of each crash, and 3103 the crashes as 3101 does.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -168,7 +168,7 @@
   },
   [EventNumber.JobEnded]: {
     meaning:
-      "A best-effort job completed or failed; the line contains its waiting time and the number of attempts of its tasks. With the reason workers-crashed it also lists the crashes under the tasks, the first one first, each with its evidence and the milliseconds since.",
+      "A best-effort job completed or failed; the line contains its waiting time and the number of attempts of its tasks. With the reason workers-crashed it also lists the crashes under the tasks, the first one first, each with its evidence, its sidecar and the milliseconds since.",
     action:
       "Nothing; for a failed job check the failed attempts of its tasks, and the crashes (4109) at the times listed.",
   },
@@ -180,7 +180,7 @@
   },
   [EventNumber.JobGivenUp]: {
     meaning:
-      "A best-effort job was given up after some of its tasks may have run; its running tasks were stopped.",
+      "A best-effort job was given up after some of its tasks may have run; its running tasks were stopped. The line lists the crashes under its tasks as 3101 does.",
     action:
       "Search for the attempts of its tasks by the identifier of the job.",
   },
@@ -293,7 +293,7 @@
   },
   [EventNumber.WorkerCrashed]: {
     meaning:
-      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since it was accepted and the phase of its run, how many there were, and how many of them are suspects.",
+      "A worker ended without notice. The line contains the tasks that ran there, the latest start first, each with the milliseconds since it was accepted, the phase of its run and what was known of its beginning, how many there were, and how many of them are suspects.",
     action:
       "If a job or a kind of work recurs among the first tasks of several such lines, it crashes the workers.",
   },
--- a/domain/dispatcher/src/crash_suspects.ts
+++ b/domain/dispatcher/src/crash_suspects.ts
@@ -87,6 +87,7 @@
 }
 
 interface TaskCrash extends SuspectedCrash {
+  readonly sidecar: string;
   evidence: CrashEvidence;
   /** Whether workers crashed at the time under no run that explains it. */
   readonly isAmongUnexplained: boolean;
@@ -219,16 +220,16 @@
     return at >= this.#options.collector.now - MEMORY_MILLISECONDS;
   }
 
-  /** Describes the crashes under the tasks of a job: their evidence and age, the first crash first. */
+  /** Describes the crashes under the tasks of a job: evidence, sidecar and age of each, the first crash first. */
   describe({ id }: DispatchJob): string {
     const { now } = this.#options.collector;
     return this.#crashesOf(id).flat()
       .sort((left, right) => left.at - right.at)
       .slice(0, MAXIMUM_DOUBTFUL_CRASHES)
       .map((crash) => {
-        const { at, evidence } = crash;
+        const { at, evidence, sidecar } = crash;
         const outage = this.#history.isOutage(crash, at) ? " outage" : "";
-        return `${evidence}${outage} ${Math.round(now - at)}`;
+        return `${evidence}${outage} ${sidecar} ${Math.round(now - at)}`;
       })
       .join(", ");
   }
@@ -326,7 +327,14 @@
     const key = jobTaskKey(task);
     const earlier = tasks.get(key)?.filter(({ at }) => this.#isRemembered(at));
     const isAmongUnexplained = this.#history.hasUnexplained;
-    const crash = { at: now, job, workKind, evidence, isAmongUnexplained };
+    const crash = {
+      at: now,
+      job,
+      workKind,
+      sidecar,
+      evidence,
+      isAmongUnexplained,
+    };
     tasks.set(key, [...earlier ?? [], crash]);
     this.#jobs.set(now, job, tasks);
     if (evidence === CrashEvidence.Beside) return;
--- a/domain/dispatcher/src/job_answers.ts
+++ b/domain/dispatcher/src/job_answers.ts
@@ -66,7 +66,7 @@
     this.#options.collector.count(Counter.JobsFailed, reason);
     this.#answerEnded(job, BestEffortJobState.Failed, {
       reason,
-      ...(crashes === "" ? {} : { crashes }),
+      ...crashContext(crashes),
     });
   }
 
@@ -117,15 +117,20 @@
 
   /**
    * Answers a job that may have run in part. Its attempts have been cancelled, or end with the sessions of
-   * lost sidecars.
+   * lost sidecars. The log event names the crashes under its tasks.
    */
-  answerGivenUp(job: DispatchJob, reason: GivenUpReason): void {
+  answerGivenUp(
+    job: DispatchJob,
+    reason: GivenUpReason,
+    crashes: string,
+  ): void {
     this.#answerAll(job, { kind: ClientAnswerKind.GivenUp, reason });
     this.#options.collector.count(Counter.JobsGivenUp, reason);
     this.#record(EventNumber.JobGivenUp, "a job was given up", job, {
       reason,
       placedTasks: job.placedTaskCount,
       waitedMilliseconds: this.#placementWait(job),
+      ...crashContext(crashes),
     });
   }
 
@@ -182,3 +187,7 @@
     });
   }
 }
+
+function crashContext(crashes: string): Readonly<Record<string, string>> {
+  return crashes === "" ? {} : { crashes };
+}
--- a/domain/dispatcher/src/job_scheduler.ts
+++ b/domain/dispatcher/src/job_scheduler.ts
@@ -481,9 +481,10 @@
   }
 
   #giveUp(job: DispatchJob, reason: GivenUpReason): void {
-    this.#options.placer.cancelTasks(job);
+    const { answers, placer } = this.#options;
+    placer.cancelTasks(job);
     this.#remove(job);
-    this.#options.answers.answerGivenUp(job, reason);
+    answers.answerGivenUp(job, reason, placer.crashes.describe(job));
   }
 
   #remove(job: DispatchJob): void {
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -138,14 +138,17 @@
     const { collector } = this.#options;
     collector.count(Counter.WorkerCrashes);
     const tasks = runs
-      .map(({ task, acceptedAt, state }) => ({
-        task: jobTaskKey(task),
-        age: collector.now - acceptedAt,
-        phase: state.phase,
-      }))
+      .map((run) => ({ run, age: collector.now - run.acceptedAt }))
       .sort((left, right) => left.age - right.age)
       .slice(0, MAXIMUM_TASKS_IN_EVENT)
-      .map(({ task, age, phase }) => `${task} ${Math.round(age)} ${phase}`);
+      .map(({ run, age }) =>
+        [
+          jobTaskKey(run.task),
+          Math.round(age),
+          run.state.phase,
+          beginningOf(run),
+        ].join(" ")
+      );
     collector.record(EventNumber.WorkerCrashed, "a worker has crashed", {
       severity: Severity.Warning,
       context: {
