emulator: let calls break with the connection that a crash leaves open

Cause: after a breaking crash, the fake worker refused every call at once, so no start call was on its way on a connection whose end the sidecar had not noticed. On real machines such a call fails with a lost connection, though the run never began.

Change: until breakMilliseconds after the crash, calls that reach the address break at the end of that time; later ones are refused. Without that time (as with CLEAN_CRASH) nothing changes. A poll that waits breaks as before.

--- a/emulator/src/fake_worker.ts
+++ b/emulator/src/fake_worker.ts
@@ -24,6 +24,7 @@
   answerAfterCrash,
   breakCall,
   CLEAN_CRASH,
+  type CrashedCall,
   type WorkerCrash,
 } from "./worker_crash.ts";
 import {
@@ -124,8 +125,8 @@
   #fence = 0;
   #leaseUntil: Milliseconds = 0;
   #sequence = 0;
-  /** How the worker has crashed; undefined while it runs. */
-  #crash: WorkerCrash | undefined;
+  /** How and when the worker has crashed; undefined while it runs. */
+  #crash: Pick<CrashedCall, "crash" | "crashedAt"> | undefined;
   #waitingPolls: (() => void)[] = [];
 
   constructor(options: FakeWorkerOptions) {
@@ -175,7 +176,7 @@
 
   /** Ends the worker and all its runs. */
   crash(crash: WorkerCrash = CLEAN_CRASH): void {
-    this.#crash = crash;
+    this.#crash = { crash, crashedAt: this.options.time.now };
     for (const { reference } of this.#running.values()) {
       this.options.observer.onEnd(this, reference);
     }
@@ -188,7 +189,7 @@
     const { time, random } = this.options;
     const { request, fencingToken, timeoutMilliseconds: timeout } = output;
     if (this.#crash !== undefined) {
-      answerAfterCrash({ crash: this.#crash, time, output, answer });
+      answerAfterCrash({ ...this.#crash, time, output, answer });
       return;
     }
     if (this.isRefusingConnections) {
@@ -223,7 +224,7 @@
     const sentAt = time.now;
     time.after(ANSWER_MILLISECONDS / 2, () => {
       if (this.#crash !== undefined) {
-        answerAfterCrash({ crash: this.#crash, time, output, answer });
+        answerAfterCrash({ ...this.#crash, time, output, answer });
         return;
       }
       const result = this.#execute(request, fencingToken);
@@ -235,7 +236,7 @@
         time.after(ANSWER_MILLISECONDS / 2, () => {
           if (this.#crash !== undefined) {
             const left = sentAt + timeout - time.now;
-            breakCall({ crash: this.#crash, time, output, answer, left });
+            breakCall({ ...this.#crash, time, output, answer, left });
             return;
           }
           answer(
--- a/emulator/src/worker_crash.ts
+++ b/emulator/src/worker_crash.ts
@@ -26,7 +26,10 @@
 /** A crash that breaks connections. */
 export interface BreakingCrash {
   readonly kind: CrashKind.Breaking;
-  /** Time after which a poll that waits notices the end of its connection. */
+  /**
+   * Time after which the sidecar notices the end of its connections. A call that it sends before goes to a
+   * connection that was open at the crash, and breaks with it although the worker never gets it.
+   */
   readonly breakMilliseconds: Milliseconds;
 }
 
@@ -38,7 +41,7 @@
 /** A crash of a worker. */
 export type WorkerCrash = BreakingCrash | SilentCrash;
 
-/** A crash that breaks all connections at once. */
+/** A crash whose broken connections the sidecar notices at once. */
 export const CLEAN_CRASH: WorkerCrash = {
   kind: CrashKind.Breaking,
   breakMilliseconds: 0,
@@ -47,6 +50,7 @@
 /** A call to a crashed worker. */
 export interface CrashedCall {
   readonly crash: WorkerCrash;
+  readonly crashedAt: Milliseconds;
   readonly time: VirtualTime;
   readonly output: CallWorker;
   readonly answer: (answer: WorkerAnswer) => void;
@@ -54,20 +58,12 @@
 
 /** Answers a call that the worker has executed before it crashed; its timeout has so much time left. */
 export function breakCall(
-  { crash, time, output, answer, left }: CrashedCall & {
-    readonly left: Milliseconds;
-  },
+  call: CrashedCall & { readonly left: Milliseconds },
 ): void {
+  const { crash, time, output, answer, left } = call;
   switch (crash.kind) {
     case CrashKind.Breaking:
-      if (crash.breakMilliseconds < left) {
-        time.after(
-          crash.breakMilliseconds,
-          () => answer(connectionLost(output)),
-        );
-        return;
-      }
-      time.after(left, () => answer(unanswered(output)));
+      loseConnection(call, crash.breakMilliseconds, left);
       return;
     case CrashKind.Silent:
       time.after(left, () => answer(unanswered(output)));
@@ -77,20 +73,34 @@
   }
 }
 
-/** Answers a call that reaches the address of the crashed worker. */
-export function answerAfterCrash(
-  { crash, time, output, answer }: CrashedCall,
-): void {
+/** Answers a call that reaches the address of the crashed worker, which never gets it. */
+export function answerAfterCrash(call: CrashedCall): void {
+  const { crash, crashedAt, time, output, answer } = call;
+  const { timeoutMilliseconds } = output;
   switch (crash.kind) {
-    case CrashKind.Breaking:
+    case CrashKind.Breaking: {
+      const untilBreak = crashedAt + crash.breakMilliseconds - time.now;
+      if (untilBreak > 0) {
+        loseConnection(call, untilBreak, timeoutMilliseconds);
+        return;
+      }
       time.after(ANSWER_MILLISECONDS, () => answer(connectionRefused(output)));
       return;
-    case CrashKind.Silent: {
-      const { timeoutMilliseconds } = output;
+    }
+    case CrashKind.Silent:
       time.after(timeoutMilliseconds, () => answer(unanswered(output)));
       return;
-    }
     default:
       assertNever(crash);
   }
 }
+
+/** Breaks the connection of a call after a time, unless the call's timeout ends before. */
+function loseConnection(
+  { time, output, answer }: CrashedCall,
+  after: Milliseconds,
+  left: Milliseconds,
+): void {
+  if (after < left) time.after(after, () => answer(connectionLost(output)));
+  else time.after(left, () => answer(unanswered(output)));
+}
