emulator: check that two workers have ended under a task of a failed job

Cause: the runs beside outages checked failures only for jobs that crash no worker. The failure of a job that crashes workers was not checked at all, although the entry may count crashes that ended no run of it.

Change: a second rule for all jobs, by the crashes that the fake workers saw; load_player passes on the answers to jobs that crash workers. The first rule is unchanged.

--- a/emulator/src/load_player.ts
+++ b/emulator/src/load_player.ts
@@ -76,6 +76,12 @@
     job: ArrivingJob,
     elapsed: Milliseconds,
   ) => void;
+  /** Called with each answer to a job that crashes workers. */
+  readonly onCrashingJobAnswer?: (
+    answer: ClientAnswer,
+    job: ArrivingJob,
+    elapsed: Milliseconds,
+  ) => void;
   /** Jobs that arrive earlier are not counted; time since the start of the load. */
   readonly countFrom?: Milliseconds;
   /** Size of the fleet; that of the users' smallest deployments by default. */
@@ -252,7 +258,7 @@
     const outcome = this.#outcomes.get(kind.name);
     const entry = entries[Math.floor(job.entry * entries.length)];
     if (entry === undefined || outcome === undefined) return;
-    const { countFrom = 0, onAnswer } = this.#load;
+    const { countFrom = 0, onAnswer, onCrashingJobAnswer } = this.#load;
     const isCrashing = this.#isCrashing(job);
     const isCounted = job.at >= countFrom && !isCrashing;
     if (isCounted) outcome.submitted += 1;
@@ -280,6 +286,7 @@
       CLIENT_WAIT_MILLISECONDS,
       (answer) => {
         const elapsed = time.now - sentAt;
+        if (isCrashing) onCrashingJobAnswer?.(answer, job, elapsed);
         if (!isCounted) return;
         countAnswer(outcome, answer, elapsed, objectiveMilliseconds);
         onAnswer?.(answer, job, elapsed);
--- a/emulator/src/outage_run.ts
+++ b/emulator/src/outage_run.ts
@@ -33,6 +33,9 @@
 export enum OutageRule {
   /** A job that crashes no worker is not shown as failed. */
   FalseFailure = "shown as failed, though it crashes no worker",
+  /** A job is shown as failed only once two workers have ended under one of its tasks, whatever ended them. */
+  UnprovenFailure =
+    "shown as failed, though fewer than two workers ended under a task",
   /** A task that crashes workers is not started three times more once three workers have crashed under it. */
   Budget = "started too often after crashes",
 }
@@ -91,6 +94,8 @@
 /** Time after an outage in which jobs are counted apart. */
 const OUTAGE_MILLISECONDS: Milliseconds = 2 * SECOND;
 const DEADLY_SHARE = 0.1;
+/** Crashes under a task without which its job may not be shown as failed. */
+const MINIMUM_FAILURE_CRASHES = 2;
 /** Crashes under a task from which on its starts are counted. */
 const MAXIMUM_CRASHES = 3;
 /** Number of such starts that is a violation. */
@@ -200,6 +205,8 @@
   readonly #outcomesInOutages = createOutcomes(KINDS);
   /** Crashes of workers under each task, whatever their cause. */
   readonly #crashes = new Map<string, number>();
+  /** The most crashes of workers under one task of each job. */
+  readonly #jobCrashes = new Map<string, number>();
   /** Starts of each task after the maximum number of crashes. */
   readonly #lateStarts = new Map<string, number>();
   /** Tasks that have crashed a worker themselves. */
@@ -234,6 +241,8 @@
       },
       onEvent: (process, event, at) => this.#onEvent(process, event, at),
       onAnswer: (answer, job, elapsed) => this.#onAnswer(answer, job, elapsed),
+      onCrashingJobAnswer: (answer, job, elapsed) =>
+        this.#checkProof(answer, job, elapsed),
     });
     return {
       seed,
@@ -271,8 +280,12 @@
   }
 
   #onCrash(worker: FakeWorker, cause: string): void {
+    for (const { task } of worker.running) {
+      const count = increment(this.#crashes, jobTaskKey(task));
+      const most = Math.max(count, this.#jobCrashes.get(task.job) ?? 0);
+      this.#jobCrashes.set(task.job, most);
+    }
     const tasks = worker.running.map(({ task }) => jobTaskKey(task));
-    for (const task of tasks) increment(this.#crashes, task);
     const { id, time } = worker.options;
     const text = `${id} ${cause} under ${tasks.join(", ")}`;
     this.#trace.push({ at: time.now, isCrash: true, text });
@@ -306,12 +319,35 @@
       this.#answers,
       isEnded ? `${answer.kind} ${answer.state}` : answer.kind,
     );
-    if (!isEnded || answer.state !== BestEffortJobState.Failed) return;
+    if (!isShownAsFailed(answer)) return;
+    this.#reportFailure(OutageRule.FalseFailure, job, elapsed);
+    this.#checkProof(answer, job, elapsed);
+  }
+
+  /** Checks that a job which is shown as failed has met enough crashes, whether or not it crashes workers. */
+  #checkProof(
+    answer: ClientAnswer,
+    job: ArrivingJob,
+    elapsed: Milliseconds,
+  ): void {
+    if (!isShownAsFailed(answer)) return;
+    const crashes = this.#jobCrashes.get(`job${job.number}`) ?? 0;
+    if (crashes >= MINIMUM_FAILURE_CRASHES) return;
+    this.#reportFailure(OutageRule.UnprovenFailure, job, elapsed);
+  }
+
+  #reportFailure(
+    rule: OutageRule,
+    { kind, number, at: arrivesAt }: ArrivingJob,
+    elapsed: Milliseconds,
+  ): void {
+    const submittedAt = START_MILLISECONDS + arrivesAt;
+    const at = submittedAt + elapsed;
     this.#violations.push({
-      rule: OutageRule.FalseFailure,
-      at: at + elapsed,
-      detail: `${job.kind.name} ${job.number}, submitted at ${at.toFixed(1)}`,
-      trace: this.#traceOf(`job${job.number}`, at + elapsed),
+      rule,
+      at,
+      detail: `${kind.name} ${number}, submitted at ${submittedAt.toFixed(1)}`,
+      trace: this.#traceOf(`job${number}`, at),
     });
   }
 
@@ -327,6 +363,11 @@
   }
 }
 
+function isShownAsFailed(answer: ClientAnswer): boolean {
+  return answer.kind === ClientAnswerKind.Ended &&
+    answer.state === BestEffortJobState.Failed;
+}
+
 function deadlyScans(crashMilliseconds: Milliseconds): CrashingJobs {
   return {
     kind: "scan",
