emulator: print given-up jobs by reason and violations by rule in the soak's sums

The run beside outages counted all given-up jobs together, so that a change which gives jobs up after crashes in place of showing them as failed could not be told from deadlines that pass.

--- a/emulator/src/outage_run.ts
+++ b/emulator/src/outage_run.ts
@@ -4,6 +4,7 @@
  * comes with the crashes around it.
  */
 import {
+  assertNever,
   BestEffortJobState,
   type ClientAnswer,
   ClientAnswerKind,
@@ -59,7 +60,7 @@
 export interface OutageSummary {
   readonly seed: number;
   readonly starts: number;
-  /** Number of answers by kind and state. */
+  /** Number of answers to jobs that crash no worker, by kind and state or reason. */
   readonly answers: ReadonlyMap<string, number>;
   readonly violations: readonly OutageViolation[];
 }
@@ -314,11 +315,7 @@
         countAnswer(outcome, answer, elapsed, job.objectiveMilliseconds);
       }
     }
-    const isEnded = answer.kind === ClientAnswerKind.Ended;
-    increment(
-      this.#answers,
-      isEnded ? `${answer.kind} ${answer.state}` : answer.kind,
-    );
+    increment(this.#answers, nameOf(answer));
     if (!isShownAsFailed(answer)) return;
     this.#reportFailure(OutageRule.FalseFailure, job, elapsed);
     this.#checkProof(answer, job, elapsed);
@@ -363,6 +360,26 @@
   }
 }
 
+/** Names the answers that are counted together. */
+function nameOf(answer: ClientAnswer): string {
+  switch (answer.kind) {
+    case ClientAnswerKind.Ended:
+      return `${answer.kind} ${answer.state}`;
+    case ClientAnswerKind.GivenUp:
+      return `${answer.kind} ${answer.reason}`;
+    case ClientAnswerKind.Refused:
+    case ClientAnswerKind.Cancelled:
+    case ClientAnswerKind.Malformed:
+    case ClientAnswerKind.NoSuchJob:
+    case ClientAnswerKind.NoSuchRoute:
+    case ClientAnswerKind.Pending:
+    case ClientAnswerKind.State:
+      return answer.kind;
+    default:
+      return assertNever(answer);
+  }
+}
+
 function isShownAsFailed(answer: ClientAnswer): boolean {
   return answer.kind === ClientAnswerKind.Ended &&
     answer.state === BestEffortJobState.Failed;
--- a/emulator/src/soak.ts
+++ b/emulator/src/soak.ts
@@ -37,6 +37,8 @@
 class Totals {
   readonly #failedSeeds: number[] = [];
   readonly #answers = new Map<string, number>();
+  /** Number of violations by rule. */
+  readonly #violations = new Map<string, number>();
   #starts = 0;
 
   get hasFailed(): boolean {
@@ -48,6 +50,9 @@
     for (const [kind, count] of report.answers) {
       this.#answers.set(kind, (this.#answers.get(kind) ?? 0) + count);
     }
+    for (const { rule } of report.violations) {
+      this.#violations.set(rule, (this.#violations.get(rule) ?? 0) + 1);
+    }
     if (report.violations.length > 0) this.#failedSeeds.push(report.seed);
   }
 
@@ -56,6 +61,7 @@
       failedSeeds: this.#failedSeeds,
       starts: this.#starts,
       answers: Object.fromEntries(this.#answers),
+      violations: Object.fromEntries(this.#violations),
     };
   }
 }
