fix(dispatcher,worker-guard): show a job as failed only for crashes that are proven

Cause: a job failed after two crashes under a task, and what counted as a crash under it was an inference. A start call whose connection broke was taken for a run that had begun, so a retry that reached another worker of the same outage, whose end its sidecar had not noticed, was the second crash, one of a run that ran apart. And a run that ran apart was taken for the cause although older runs of other jobs were at the worker.

Change: a sidecar says of each suspect whether the worker had confirmed the run and whether runs of other jobs were there (reasons worker-crashed, shared-crash, unconfirmed-crash, also in its reports). An unconfirmed crash makes the job run apart, but counts for no verdict and no quarantine. A blamed job is shown as failed only if one of its crashes was alone at its worker; otherwise it is given up (502), which claims nothing.

Why it works: no time decides on the answer any more. A false suspicion costs a run apart or, at worst, an answer that is still true.

--- a/adapters/peers_trpc/src/dispatch_message_checks.ts
+++ b/adapters/peers_trpc/src/dispatch_message_checks.ts
@@ -6,6 +6,7 @@
  * schemas in `dispatch_message_schema.ts`.
  */
 import {
+  CRASH_REASONS,
   DispatchReplyKind,
   DispatchRequestKind,
   InterruptionReason,
@@ -32,6 +33,7 @@
 const NOT_STARTED_REASONS: ReadonlySet<unknown> = new Set(
   Object.values(NotStartedReason),
 );
+const CRASH_REASON_VALUES: ReadonlySet<unknown> = new Set(CRASH_REASONS);
 const INTERRUPTION_REASONS: ReadonlySet<unknown> = new Set(
   Object.values(InterruptionReason),
 );
@@ -193,9 +195,14 @@
     isText(fields["availabilityZone"]);
 }
 
+function isCrashReason(value: unknown): boolean {
+  return CRASH_REASON_VALUES.has(value);
+}
+
 function isSuspect(value: unknown): boolean {
   const fields = fieldsOf(value);
   return fields !== undefined && isTask(fields["task"]) &&
+    isOptional(fields["reason"], isCrashReason) &&
     isOptional(fields["route"], isText) &&
     isOptional(fields["workKind"], isText);
 }
--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -4,6 +4,7 @@
  * version may have sent them.
  */
 import {
+  CRASH_REASONS,
   DispatchReplyKind,
   DispatchRequestKind,
   InterruptionReason,
@@ -116,6 +117,7 @@
     suspects: zod.array(
       zod.looseObject({
         task,
+        reason: zod.enum(CRASH_REASONS).optional(),
         route: zod.string().optional(),
         workKind: zod.string().optional(),
       }),
--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -202,7 +202,7 @@
   },
   [EventNumber.TaskSuspected]: {
     meaning:
-      "A worker crashed shortly after it had started a task; the job of the task runs apart from now on, and fails if that crashes a worker too.",
+      "A worker crashed that had started a task shortly before, or was about to; the job of the task runs apart from now on, and ends if that crashes a worker too. The evidence tells what is known of the run.",
     action:
       "Nothing for single lines; if one kind of work recurs, check what its jobs have in common.",
   },
@@ -210,7 +210,7 @@
     meaning:
       "A task crashed a worker on which no other job had started beside it. All jobs of its kind of work run apart, on a third of the workers, until no such crash has happened for 5 s.",
     action:
-      "Check the jobs of this kind that failed with the reason workers-crashed, and stop their source.",
+      "Check the jobs of this kind that failed or were given up with the reason workers-crashed, and stop their source.",
   },
   [EventNumber.CrashUnexplained]: {
     meaning:
--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -188,10 +188,11 @@
   if (settlement.kind !== SettlementKind.Interrupted) return undefined;
   switch (settlement.reason) {
     case InterruptionReason.WorkerCrashed:
-      if (isApart) return CrashEvidence.Apart;
-      return now < sentAt + LATE_MILLISECONDS
-        ? CrashEvidence.Suspected
-        : CrashEvidence.Late;
+      return isApart ? CrashEvidence.Alone : evidenceAmongOthers(sentAt, now);
+    case InterruptionReason.SharedCrash:
+      return isApart ? CrashEvidence.Apart : evidenceAmongOthers(sentAt, now);
+    case InterruptionReason.UnconfirmedCrash:
+      return CrashEvidence.Unconfirmed;
     case InterruptionReason.BesideCrash:
       return CrashEvidence.Beside;
     case InterruptionReason.Cancelled:
@@ -203,3 +204,13 @@
       return undefined;
   }
 }
+
+/** What a crash says of a task that did not run apart. */
+function evidenceAmongOthers(
+  sentAt: Milliseconds,
+  now: Milliseconds,
+): CrashEvidence {
+  return now < sentAt + LATE_MILLISECONDS
+    ? CrashEvidence.Suspected
+    : CrashEvidence.Late;
+}
--- a/domain/model/src/dispatch_message.ts
+++ b/domain/model/src/dispatch_message.ts
@@ -168,6 +168,8 @@
 /** A task that was started shortly before its worker crashed. */
 export interface CrashSuspect {
   readonly task: JobTaskReference;
+  /** What is known of the run; sidecars of earlier versions do not say it. */
+  readonly reason?: CrashReason;
   /** Kind of work, where the task ran apart: then hardly another task has crashed the worker. */
   readonly route?: string;
   /** Kind of work of the task, if its entry has said it. */
@@ -299,8 +301,12 @@
   SessionEnded = "session-ended",
   /** The worker left as announced, or its list no longer contains a run that was not to be stopped. */
   WorkerLost = "worker-lost",
-  /** The worker ended without notice, perhaps because of this task. */
+  /** The worker ended without notice under the run, which it had confirmed, and no other job ran there. */
   WorkerCrashed = "worker-crashed",
+  /** The same, but runs of other jobs were there, too. */
+  SharedCrash = "shared-crash",
+  /** The worker ended without notice, perhaps because of this task, but it had not confirmed the run. */
+  UnconfirmedCrash = "unconfirmed-crash",
   /** The worker ended without notice, more likely because of another task. */
   BesideCrash = "beside-crash",
   NoProgress = "no-progress",
@@ -311,6 +317,16 @@
   SidecarLost = "sidecar-lost",
 }
 
+/** The reasons of runs that may have crashed their worker. */
+export const CRASH_REASONS = [
+  InterruptionReason.WorkerCrashed,
+  InterruptionReason.SharedCrash,
+  InterruptionReason.UnconfirmedCrash,
+] as const;
+
+/** What is known of a run that may have crashed its worker. */
+export type CrashReason = (typeof CRASH_REASONS)[number];
+
 /** Ways in which a task attempt ends. */
 export enum SettlementKind {
   Completed = "completed",
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -7,6 +7,7 @@
 import {
   assertNever,
   Counter,
+  type CrashReason,
   type CrashSuspect,
   type DispatchOutput,
   DispatchRequestKind,
@@ -87,22 +88,26 @@
     }
     const suspects = suspectRuns.suspectsOf(runs);
     this.#recordCrash(worker, runs, suspects);
+    const reasons = new Map(
+      suspects.map((run) => [run, reasonOfSuspect(run, runs)]),
+    );
     if (suspectRuns.isUnexplained(runs)) this.#reportUnexplained();
-    else this.#reportSuspects(suspects);
+    else this.#reportSuspects(reasons);
     for (const run of runs) {
-      const reason = suspects.includes(run)
-        ? InterruptionReason.WorkerCrashed
-        : reasonBeside(run);
-      table.settle(run, interrupted(reason));
+      table.settle(run, interrupted(reasons.get(run) ?? reasonBeside(run)));
     }
   }
 
   /** Tells each entry with a session the suspects of the other entries. */
-  #reportSuspects(runs: readonly WorkerRun[]): void {
+  #reportSuspects(reasons: ReadonlyMap<WorkerRun, CrashReason>): void {
     const { sessions } = this.#options;
     for (const entry of sessions.entries()) {
-      const others = runs.filter((run) => run.entry !== entry);
-      if (others.length > 0) this.#report(entry, others.map(suspectOf));
+      const others = [...reasons].filter(([run]) => run.entry !== entry);
+      if (others.length === 0) continue;
+      this.#report(
+        entry,
+        others.map(([run, reason]) => suspectOf(run, reason)),
+      );
     }
   }
 
@@ -161,6 +166,19 @@
   }
 }
 
+/** What is known of a suspect among the runs of a crashed worker. */
+function reasonOfSuspect(
+  suspect: WorkerRun,
+  runs: readonly WorkerRun[],
+): CrashReason {
+  if (beginningOf(suspect) !== RunBeginning.Confirmed) {
+    return InterruptionReason.UnconfirmedCrash;
+  }
+  return runs.every(({ task }) => task.job === suspect.task.job)
+    ? InterruptionReason.WorkerCrashed
+    : InterruptionReason.SharedCrash;
+}
+
 /** Why a run ended with its worker that is not a suspect of the crash. */
 function reasonBeside(run: WorkerRun): InterruptionReason {
   const beginning = beginningOf(run);
@@ -168,7 +186,8 @@
     case RunBeginning.Unproven:
       return InterruptionReason.WorkerLost;
     case RunBeginning.Possible:
-    case RunBeginning.Evident:
+    case RunBeginning.Likely:
+    case RunBeginning.Confirmed:
       return InterruptionReason.BesideCrash;
     default:
       return assertNever(beginning);
@@ -177,9 +196,11 @@
 
 function suspectOf(
   { task, suspectRoute: route, workKind }: WorkerRun,
+  reason: CrashReason,
 ): CrashSuspect {
   return {
     task,
+    reason,
     ...(route === undefined ? {} : { route }),
     ...(workKind === undefined ? {} : { workKind }),
   };
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -4,6 +4,7 @@
  * started. Runs that started earlier continue beside it.
  */
 import {
+  assertNever,
   type DispatchOutput,
   type Milliseconds,
   type OutputCollector,
@@ -71,9 +72,7 @@
 
   /** The runs among those of a crashed worker that may have crashed it: where none has just begun, all that run. */
   suspectsOf(runs: readonly WorkerRun[]): readonly WorkerRun[] {
-    const begun = runs.filter((run) =>
-      beginningOf(run) === RunBeginning.Evident
-    );
+    const begun = runs.filter(hasBegun);
     const recent = begun.filter((run) => this.#isRecent(run));
     const candidates = recent.length > 0 ? recent : begun;
     const apart = candidates.filter(({ suspectRoute }) =>
@@ -105,3 +104,17 @@
     return this.#options.collector.now < acceptedAt + SUSPICION_MILLISECONDS;
   }
 }
+
+function hasBegun(run: WorkerRun): boolean {
+  const beginning = beginningOf(run);
+  switch (beginning) {
+    case RunBeginning.Likely:
+    case RunBeginning.Confirmed:
+      return true;
+    case RunBeginning.Unproven:
+    case RunBeginning.Possible:
+      return false;
+    default:
+      return assertNever(beginning);
+  }
+}
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -94,8 +94,10 @@
   Unproven = "unproven",
   /** The worker was there, but did not answer the start call in time. */
   Possible = "possible",
-  /** The worker has answered the start call or listed the run, or ended while it handled the call. */
-  Evident = "evident",
+  /** The connection of the start call to a responsive worker broke, perhaps while the worker handled the call. */
+  Likely = "likely",
+  /** The worker has answered the start call or listed the run. */
+  Confirmed = "confirmed",
 }
 
 /** The run of an accepted attempt. */
@@ -139,10 +141,10 @@
       return RunBeginning.Unproven;
     case RunPhase.Indeterminate:
       return state.hasConnectionBroken
-        ? RunBeginning.Evident
+        ? RunBeginning.Likely
         : RunBeginning.Possible;
     case RunPhase.Running:
-      return RunBeginning.Evident;
+      return RunBeginning.Confirmed;
     case RunPhase.Stopping:
       return state.beginning;
     default:
