refactor(worker_guard): record the events of runs in a module of their own

Change: the records of settlements and of unanswered start calls are in run_events.ts. The events, their order and their fields are the same.

--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -10,12 +10,9 @@
   assertNever,
   Counter,
   type DispatchOutput,
-  DispatchOutputKind,
   ErrorTag,
   EventNumber,
-  Histogram,
   InterruptionReason,
-  jobTaskKey,
   type ListedRun,
   type Milliseconds,
   NotStartedReason,
@@ -25,7 +22,6 @@
   RunEndKind,
   type RunReference,
   type RunsListed,
-  Severity,
   type TaskSettlement,
   type WorkerAnswer,
   WorkerAnswerKind,
@@ -33,9 +29,10 @@
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
 import { RunPhase, withProgress, type WorkerRun } from "./worker_run.ts";
-import { reasonOf, type RunTable } from "./run_table.ts";
+import type { RunTable } from "./run_table.ts";
 import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
+import { recordDoubtfulRun, recordSettlement } from "./run_events.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -324,14 +321,7 @@
     if (run?.state.phase !== RunPhase.Starting) return;
     const { collector } = this.#options;
     collector.count(Counter.RunsDoubtful);
-    collector.record(
-      EventNumber.RunDoubtful,
-      "the worker did not answer a start call; its list of runs shows whether the task started",
-      {
-        severity: Severity.Warning,
-        context: { job: run.task.job, task: jobTaskKey(run.task) },
-      },
-    );
+    recordDoubtfulRun(collector, run);
     run.state = {
       phase: RunPhase.Indeterminate,
       run: run.state.run,
@@ -453,26 +443,7 @@
 
   #settle(run: WorkerRun, settlement: TaskSettlement): void {
     const { collector, table } = this.#options;
-    const reason = reasonOf(settlement);
-    if ("runMilliseconds" in settlement) {
-      collector.add({
-        kind: DispatchOutputKind.ObserveDuration,
-        histogram: Histogram.RunDuration,
-        label: settlement.kind,
-        milliseconds: settlement.runMilliseconds,
-      });
-    } else {
-      const { task, entry, attempt } = run;
-      collector.record(EventNumber.RunSettled, "an attempt ended", {
-        context: {
-          job: task.job,
-          task: jobTaskKey(task),
-          entry,
-          attempt,
-          reason,
-        },
-      });
-    }
+    recordSettlement(collector, run, settlement);
     this.#startCalls.delete(run.key);
     table.settle(run, settlement);
   }
