fix(platform): tell a start call that was not sent from one without an answer

Cause: before the first start call on a connection the adapter asks which incarnation of the worker answers there. When that question timed out or its connection broke, the start call had not been sent, and was answered as "unanswered: timed out" or "connection lost". The sidecar took the run for one that may have begun: it stopped it and waited for the proof, or counted a crash of its worker under the task.

Change: the answer is a case of its own, WorkerAnswerKind.NotSent. The sidecar settles the run as not started (worker-silent) at once, stops nothing, and records event 4112 with the error. The call counts against the worker's health and in worker.calls_missing as before. It does not raise the fencing token: nothing is on its way that a later call would have to void.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -309,4 +309,10 @@
     action:
       "One such line beside a restart of the worker is harmless. If it recurs, find the other writer of reports by `worker` and `service`.",
   },
+  [EventNumber.RunNotSent]: {
+    meaning:
+      "The start of a task was not sent to its worker: the worker did not confirm its incarnation on a new connection before. The line contains the error. The task has not started and is placed again.",
+    action:
+      "Nothing for single lines; otherwise check the worker and the processor time of its VM.",
+  },
 };
--- a/cli/src/metric_explanations.ts
+++ b/cli/src/metric_explanations.ts
@@ -31,7 +31,8 @@
   [Counter.TasksInterrupted]:
     "Attempts of an entry that ended without completion and whose task is rescheduled, by reason.",
   [Counter.RunsRefused]: "Calls that a worker refused, by reason.",
-  [Counter.RunsDoubtful]: "Task starts that a worker did not answer.",
+  [Counter.RunsDoubtful]:
+    "Task starts that were sent to a worker and not answered.",
   [Counter.JobsContested]:
     "Jobs that an entry claimed while another one held them, counted by their arbiter.",
   [Counter.ClaimsUnanswered]:
@@ -41,7 +42,7 @@
   [Counter.SessionsEnded]:
     "Sessions of entries that a sidecar ended, by reason.",
   [Counter.WorkerCallsMissing]:
-    "Calls that a worker did not answer, by kind of call.",
+    "Calls that a worker did not answer or that were not sent to it, by kind of call.",
   [Counter.WorkerCrashes]: "Workers that ended without notice.",
   [Counter.TasksSuspected]:
     "Tasks that a worker had started shortly before it crashed.",
--- a/domain/model/src/event.ts
+++ b/domain/model/src/event.ts
@@ -63,6 +63,7 @@
   WorkerCrashed = 4109,
   WorkerUnconfirmed = 4110,
   WorkerLeaving = 4111,
+  RunNotSent = 4112,
 }
 
 /** Severity of an event. */
--- a/domain/model/src/worker_call.ts
+++ b/domain/model/src/worker_call.ts
@@ -126,6 +126,8 @@
   Listed = "listed",
   /** No usable answer: the worker may have carried out the call, or may still do so. */
   Unanswered = "missing",
+  /** The call was not sent and will not be: it has no effect. The worker's process may run or not. */
+  NotSent = "not-sent",
   /** Nothing listens at the worker's address, so the worker's process has ended. */
   ConnectionRefused = "gone",
 }
@@ -173,6 +175,15 @@
   readonly error: ProcessError;
 }
 
+/**
+ * The call was not sent: the incarnation that a start call is meant for did not confirm itself on the connection
+ * before. The error is that of the confirmation.
+ */
+export interface CallNotSent {
+  readonly kind: WorkerAnswerKind.NotSent;
+  readonly error: ProcessError;
+}
+
 /** The connection to the worker was refused, since its process has ended. */
 export interface WorkerConnectionRefused {
   readonly kind: WorkerAnswerKind.ConnectionRefused;
@@ -185,4 +196,5 @@
   | CallRefused
   | RunsListed
   | CallUnanswered
+  | CallNotSent
   | WorkerConnectionRefused;
--- a/domain/worker_guard/src/incarnation_checks.ts
+++ b/domain/worker_guard/src/incarnation_checks.ts
@@ -114,6 +114,7 @@
         return undefined;
       case WorkerAnswerKind.Accepted:
       case WorkerAnswerKind.Unanswered:
+      case WorkerAnswerKind.NotSent:
         return undefined;
       default:
         return assertNever(answer);
--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -3,7 +3,7 @@
  *
  * A start call without an answer may have taken effect, or may still take effect until its deadline. The
  * list of runs resolves it: a listed run is adopted; a run that is not listed is stopped, and the stop also
- * prevents a delayed start. Resources are freed only when the run has certainly ended: its end is listed, a
+ * prevents a delayed start. A start call that was not sent has no effect, and its run is settled at once. Resources are freed only when the run has certainly ended: its end is listed, a
  * list requested after its start or stop was accepted lacks it, or its lease or the incarnation has ended.
  */
 import {
@@ -17,6 +17,7 @@
   type Milliseconds,
   NotStartedReason,
   type OutputCollector,
+  type ProcessError,
   type RequestIdentifier,
   type RunEnd,
   RunEndKind,
@@ -32,7 +33,11 @@
 import type { RunTable } from "./run_table.ts";
 import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
-import { recordDoubtfulRun, recordSettlement } from "./run_events.ts";
+import {
+  recordDoubtfulRun,
+  recordSettlement,
+  recordUnsentRun,
+} from "./run_events.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -168,6 +173,11 @@
       case WorkerAnswerKind.Listed:
         link.recordAnswer(answer.clock);
         return this.#onListed(pending, answer);
+      case WorkerAnswerKind.NotSent:
+        link.recordUnanswered();
+        collector.count(Counter.WorkerCallsMissing, pending.kind);
+        this.#onNotSent(pending, answer.error);
+        return true;
       case WorkerAnswerKind.Unanswered:
         link.recordUnanswered();
         // A late stop does no harm, and a higher token would void those that are on their way.
@@ -316,6 +326,15 @@
     this.#settle(run, notStarted(NotStartedReason.NoWorker));
   }
 
+  /** Settles the run of a start call that was not sent: nothing has begun, so nothing is stopped. */
+  #onNotSent(pending: PendingCall, error: ProcessError): void {
+    const run = this.#findStartingRun(pending);
+    if (run === undefined) return;
+    recordUnsentRun(this.#options.collector, run, error);
+    this.#settle(run, notStarted(NotStartedReason.WorkerUnresponsive));
+    this.#pollNow();
+  }
+
   #onUnanswered(pending: PendingCall, tag: ErrorTag): void {
     const run = this.#findStartingRun(pending);
     if (run?.state.phase !== RunPhase.Starting) return;
--- a/domain/worker_guard/src/run_events.ts
+++ b/domain/worker_guard/src/run_events.ts
@@ -8,6 +8,7 @@
   Histogram,
   jobTaskKey,
   type OutputCollector,
+  type ProcessError,
   Severity,
   type TaskSettlement,
 } from "@eelgrassfront/model";
@@ -54,3 +55,19 @@
     },
   );
 }
+
+/** Records a run whose start call was not sent, so that it has not begun. */
+export function recordUnsentRun(
+  collector: OutputCollector<DispatchOutput>,
+  { task }: WorkerRun,
+  { tag, detail }: ProcessError,
+): void {
+  collector.record(
+    EventNumber.RunNotSent,
+    "a start call was not sent to the worker; the task has not started",
+    {
+      severity: Severity.Warning,
+      context: { job: task.job, task: jobTaskKey(task), tag, detail },
+    },
+  );
+}
--- a/domain/worker_guard/src/unstarted_runs_test.ts
+++ b/domain/worker_guard/src/unstarted_runs_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import {
   ErrorTag,
+  EventNumber,
   InterruptionReason,
   NotStartedReason,
   Step,
@@ -17,6 +18,7 @@
   BORN_AT,
   CONNECTION_REFUSED,
   ENTRY,
+  notSent,
   WorkerGuardHarness,
 } from "./worker_guard_harness.ts";
 
@@ -42,6 +44,65 @@
   );
 });
 
+for (const tag of [ErrorTag.TimedOut, ErrorTag.ConnectionLost] as const) {
+  test(`a run whose start call was not sent (${tag}) is settled at once as not started, and nothing is stopped`, () => {
+    const harness = WorkerGuardHarness.ready();
+    harness.runTask(10, { job: "a", millicores: 1_000 });
+    harness.answer(harness.takeCalls("start")[0], notSent(tag));
+    expect(harness.settlementOf(10)).toEqual(
+      notStarted(NotStartedReason.WorkerUnresponsive),
+    );
+    harness.answerPoll({});
+    expect(harness.takeCalls("stop")).toEqual([]);
+  });
+}
+
+test("a run whose start call was not sent does not count as a crash under its task", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.learnEntries([ENTRY]);
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.answer(
+    harness.takeCalls("start")[0],
+    notSent(ErrorTag.ConnectionLost),
+  );
+  harness.answer(harness.takeCalls("hold").at(-1), CONNECTION_REFUSED);
+  expect(harness.settlementOf(10)).toEqual(
+    notStarted(NotStartedReason.WorkerUnresponsive),
+  );
+  expect(harness.eventContexts(EventNumber.RunDoubtful)).toEqual([]);
+});
+
+test("start calls that were not sent count for the worker's health, and it is offered again once it answers", () => {
+  const harness = WorkerGuardHarness.ready();
+  for (let request = 10; request < 14; request += 1) {
+    harness.runTask(request, { job: `job-${request}`, millicores: 1_000 });
+    harness.answer(harness.takeCalls("start")[0], notSent(ErrorTag.TimedOut));
+  }
+  harness.runTask(14, { job: "a", millicores: 1_000 });
+  expect(harness.takeCalls("start")).toEqual([]);
+  expect(harness.settlementOf(14)).toEqual(
+    notStarted(NotStartedReason.WorkerUnresponsive),
+  );
+  harness.answerPoll({});
+  harness.runTask(15, { job: "b", millicores: 1_000 });
+  expect(harness.takeCalls("start").length).toEqual(1);
+});
+
+test("a run that was cancelled before its start call turned out not to be sent is stopped as before", () => {
+  const harness = WorkerGuardHarness.ready();
+  harness.runTask(10, { job: "a", millicores: 1_000 });
+  harness.cancelTask(11, { job: "a" });
+  harness.answer(harness.takeCalls("start")[0], notSent(ErrorTag.TimedOut));
+  expect(harness.settlementOf(10)).toEqual(undefined);
+  harness.answer(harness.takeCalls("stop")[0], {
+    kind: WorkerAnswerKind.Accepted,
+  });
+  harness.answerPoll({});
+  expect(harness.settlementOf(10)).toEqual(
+    interrupted(InterruptionReason.Cancelled),
+  );
+});
+
 test("a run whose start call has no answer yet does not count among those of a crash", () => {
   const harness = WorkerGuardHarness.ready();
   harness.runTask(10, { job: "a", millicores: 1_000 });
--- a/domain/worker_guard/src/worker_guard_harness.ts
+++ b/domain/worker_guard/src/worker_guard_harness.ts
@@ -462,6 +462,21 @@
   };
 }
 
+/** Returns the answer that a call gets which was not sent, with what kept it from being sent. */
+export function notSent(
+  tag: ErrorTag.TimedOut | ErrorTag.ConnectionLost,
+): WorkerAnswer {
+  return {
+    kind: WorkerAnswerKind.NotSent,
+    error: {
+      tag,
+      step: Step.ExecuteTask,
+      peer: "i-1",
+      detail: "the worker did not confirm its incarnation",
+    },
+  };
+}
+
 /** The answer of the worker's VM when nothing listens at the worker's address. */
 export const CONNECTION_REFUSED: WorkerAnswer = {
   kind: WorkerAnswerKind.ConnectionRefused,
