fix(platform): tell a request that was never written from one without an answer

Cause: a request that waits for a connection is not written when its timeout expires or the connection ends, and failed as one that the peer may have received. A start call behind a poll on a connection that broke, or that this process closed, counted as "connection lost", an evident start.

A refused connection is still told as one.

--- a/cli/src/event_explanations.ts
+++ b/cli/src/event_explanations.ts
@@ -311,7 +311,7 @@
   },
   [EventNumber.RunNotSent]: {
     meaning:
-      "The start of a task was not sent to its worker: the worker did not confirm its incarnation on a new connection before. The line contains the error. The task has not started and is placed again.",
+      "The start of a task was not sent to its worker: the worker did not confirm its incarnation on a new connection, or the connection broke or the time ran out before the call was written. The line contains the error. The task has not started and is placed again.",
     action:
       "Nothing for single lines; otherwise check the worker and the processor time of its VM.",
   },
--- a/domain/model/src/worker_call.ts
+++ b/domain/model/src/worker_call.ts
@@ -176,8 +176,9 @@
 }
 
 /**
- * The call was not sent: the incarnation that a start call is meant for did not confirm itself on the connection
- * before. The error is that of the confirmation.
+ * The call was not sent: its connection broke or its timeout expired before anything of it was written, or the
+ * incarnation that a start call is meant for did not confirm itself on the connection before. The error is that of
+ * the connection or of the confirmation.
  */
 export interface CallNotSent {
   readonly kind: WorkerAnswerKind.NotSent;
