--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -3,29 +3,26 @@
  *
  * A start call without an answer may have taken effect, or may still take effect until its deadline. The
  * list of runs resolves it: a listed run is adopted; a run that is not listed is stopped, and the stop also
- * prevents a delayed start. Resources are freed only when the run has certainly ended: its end is listed, a
+ * prevents a delayed start. A start call that was not sent has no effect, and its run is settled at once. Resources are freed only when the run has certainly ended: its end is listed, a
  * list requested after its start or stop was accepted lacks it, or its lease or the incarnation has ended.
  */
 import {
   assertNever,
   Counter,
   type DispatchOutput,
-  DispatchOutputKind,
   ErrorTag,
   EventNumber,
-  Histogram,
   InterruptionReason,
-  jobTaskKey,
   type ListedRun,
   type Milliseconds,
   NotStartedReason,
   type OutputCollector,
+  type ProcessError,
   type RequestIdentifier,
   type RunEnd,
   RunEndKind,
   type RunReference,
   type RunsListed,
-  Severity,
   type TaskSettlement,
   type WorkerAnswer,
   WorkerAnswerKind,
@@ -33,9 +30,14 @@
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
 import { RunPhase, withProgress, type WorkerRun } from "./worker_run.ts";
-import { reasonOf, type RunTable } from "./run_table.ts";
+import type { RunTable } from "./run_table.ts";
 import { type PendingCall, PendingCalls } from "./pending_call.ts";
 import { RunNumbers } from "./run_numbers.ts";
+import {
+  recordDoubtfulRun,
+  recordSettlement,
+  recordUnsentRun,
+} from "./run_events.ts";
 import { interrupted, notStarted, settlementOf } from "./run_settlement.ts";
 import { RunStops, STOP_INTERVAL_MILLISECONDS } from "./run_stops.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -171,6 +173,11 @@
       case WorkerAnswerKind.Listed:
         link.recordAnswer(answer.clock);
         return this.#onListed(pending, answer);
+      case WorkerAnswerKind.NotSent:
+        link.recordUnanswered();
+        collector.count(Counter.WorkerCallsMissing, pending.kind);
+        this.#onNotSent(pending, answer.error);
+        return true;
       case WorkerAnswerKind.Unanswered:
         link.recordUnanswered();
         // A late stop does no harm, and a higher token would void those that are on their way.
@@ -319,19 +326,21 @@
     this.#settle(run, notStarted(NotStartedReason.NoWorker));
   }
 
+  /** Settles the run of a start call that was not sent: nothing has begun, so nothing is stopped. */
+  #onNotSent(pending: PendingCall, error: ProcessError): void {
+    const run = this.#findStartingRun(pending);
+    if (run === undefined) return;
+    recordUnsentRun(this.#options.collector, run, error);
+    this.#settle(run, notStarted(NotStartedReason.WorkerUnresponsive));
+    this.#pollNow();
+  }
+
   #onUnanswered(pending: PendingCall, tag: ErrorTag): void {
     const run = this.#findStartingRun(pending);
     if (run?.state.phase !== RunPhase.Starting) return;
     const { collector } = this.#options;
     collector.count(Counter.RunsDoubtful);
-    collector.record(
-      EventNumber.RunDoubtful,
-      "the worker did not answer a start call; its list of runs shows whether the task started",
-      {
-        severity: Severity.Warning,
-        context: { job: run.task.job, task: jobTaskKey(run.task) },
-      },
-    );
+    recordDoubtfulRun(collector, run);
     run.state = {
       phase: RunPhase.Indeterminate,
       run: run.state.run,
@@ -453,26 +462,7 @@
 
   #settle(run: WorkerRun, settlement: TaskSettlement): void {
     const { collector, table } = this.#options;
-    const reason = reasonOf(settlement);
-    if ("runMilliseconds" in settlement) {
-      collector.add({
-        kind: DispatchOutputKind.ObserveDuration,
-        histogram: Histogram.RunDuration,
-        label: settlement.kind,
-        milliseconds: settlement.runMilliseconds,
-      });
-    } else {
-      const { task, entry, attempt } = run;
-      collector.record(EventNumber.RunSettled, "an attempt ended", {
-        context: {
-          job: task.job,
-          task: jobTaskKey(task),
-          entry,
-          attempt,
-          reason,
-        },
-      });
-    }
+    recordSettlement(collector, run, settlement);
     this.#startCalls.delete(run.key);
     table.settle(run, settlement);
   }
