--- a/domain/worker_guard/src/run_controller.ts
+++ b/domain/worker_guard/src/run_controller.ts
@@ -3,8 +3,9 @@
  *
  * A start call without an answer may have taken effect, or may still take effect until its deadline. The
  * list of runs resolves it: a listed run is adopted; a run that is not listed is stopped, and the stop also
- * prevents a delayed start. A start call that was not sent has no effect, and its run is settled at once. Resources are freed only when the run has certainly ended: its end is listed, a
- * list requested after its start or stop was accepted lacks it, or its lease or the incarnation has ended.
+ * prevents a delayed start. A start call that was not sent has no effect, and its run is settled at once. Resources
+ * are freed only when the run has certainly ended: its end is listed, a list requested after its start or stop was
+ * accepted lacks it, or its lease or the incarnation has ended.
  */
 import {
   assertNever,
