fix(dispatcher): try a failed task again where no other has failed lately

Callers saw: jobs that can be done were shown as failed while some workers failed everything that they started. Cause: a task that had failed avoided only the worker of its latest failure. A worker that fails everything may be the one with the most free capacity, and an entry takes it for an outlier after three failures, while a task has three attempts. Change: a task that has failed goes to a worker with a failure rate of at most 0.1 if one has free capacity, else to the one with the lowest rate. First attempts are placed as before. Why it works: a single failure of any task of the entry marks the worker for tasks that cannot afford another one; an outlier needs three.

--- a/domain/dispatcher/src/worker_choice.ts
+++ b/domain/dispatcher/src/worker_choice.ts
@@ -96,6 +96,8 @@
   readonly availabilityZone: string;
 }
 
+/** Largest failure rate of a worker that a failed task does not avoid: one failure, and four successes after it. */
+const MAXIMUM_RISK = 0.1;
 /** Preference of a worker that gets no task now. */
 const EXCLUDED = -Infinity;
 
@@ -108,11 +110,16 @@
   let best: WorkerLinkState | undefined;
   let highest = EXCLUDED;
   let avoided: WorkerLinkState | undefined;
+  let lowestRisk = Infinity;
   for (const link of links) {
     const preference = preferenceFor(options, requirements, link);
     if (preference === EXCLUDED) continue;
-    if (link.address === task.avoidedAddress) avoided ??= link;
-    else if (preference > highest) {
+    const risk = riskAt(link, task);
+    if (risk > MAXIMUM_RISK) {
+      if (risk >= lowestRisk) continue;
+      avoided = link;
+      lowestRisk = risk;
+    } else if (preference > highest) {
       best = link;
       highest = preference;
     }
@@ -120,6 +127,19 @@
   return choiceOf(best ?? avoided, options);
 }
 
+/**
+ * Returns how likely a task ends in vain at a worker, by what happened to it and to others there. Only a task that has
+ * failed keeps away from workers where others have failed, too: another worker that fails all its tasks, and is not
+ * known as an outlier yet, would use up the task's attempts.
+ */
+function riskAt(
+  { address, detector }: WorkerLinkState,
+  { avoidedAddress, failures }: DispatchTask,
+): number {
+  if (address === avoidedAddress) return 1;
+  return failures > 0 ? detector.failureRate : 0;
+}
+
 function choiceOf(
   link: WorkerLinkState | undefined,
   { statistics, speeds }: WorkerChoiceOptions,
