--- a/domain/model/src/mod.ts
+++ b/domain/model/src/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./best_effort_job.ts";
 export * from "./configuration.ts";
+export * from "./crash_suspect.ts";
 export * from "./decisions.ts";
 export * from "./dispatch_input.ts";
 export * from "./dispatch_message.ts";
