--- a/emulator/src/flapping_workers_run.ts
+++ b/emulator/src/flapping_workers_run.ts
@@ -67,6 +67,8 @@
   readonly kinds: readonly LoadKind[];
   /** Probability that a worker leaves a call unanswered and executes it seconds later. */
   readonly delayedCalls?: number;
+  /** Whether start calls to a worker that has ended are lost, until its sidecar can notice the end of a connection. */
+  readonly hasLostStarts?: boolean;
   /** Whether entries are drained and restarted, several at once, and workers leave and are replaced. */
   readonly hasPlannedWork?: boolean;
 }
@@ -281,10 +283,14 @@
     for (const { task } of worker.running) {
       increment(this.#crashes, jobTaskKey(task));
     }
-    worker.crash({
-      kind: CrashKind.Breaking,
-      breakMilliseconds: this.#random.between(0, MAXIMUM_BREAK_MILLISECONDS),
-    });
+    const breakMilliseconds = this.#random.between(
+      0,
+      MAXIMUM_BREAK_MILLISECONDS,
+    );
+    worker.crash({ kind: CrashKind.Breaking, breakMilliseconds });
+    if (this.#options.hasLostStarts === true) {
+      this.#loseStarts(worker, breakMilliseconds);
+    }
     this.#system.time.after(down, () => {
       if (vm.worker !== worker) return;
       this.#system.startWorker(vm, false);
@@ -295,6 +301,21 @@
     });
   }
 
+  #loseStarts(worker: FakeWorker, milliseconds: Milliseconds): void {
+    const { time } = this.#system;
+    const until = time.now + milliseconds;
+    const call = worker.call.bind(worker);
+    worker.call = (output, answer) => {
+      const isLost = output.request.kind === WorkerCallKind.Start &&
+        time.now < until;
+      if (!isLost) {
+        call(output, answer);
+        return;
+      }
+      time.after(ANSWER_MILLISECONDS, () => answer(connectionLost(output)));
+    };
+  }
+
   #failRuns(vms: readonly DispatchVm[]): void {
     const { delayedCalls = 0 } = this.#options;
     const set = (failures: number) => {
