--- a/emulator/src/failing_workers_seeds_test.ts
+++ b/emulator/src/failing_workers_seeds_test.ts
@@ -4,11 +4,8 @@
  */
 import { test } from "node:test";
 import { expect } from "earl";
-import {
-  kindsOfLargeTasks,
-  runFlappingWorkers,
-  WorkerTrouble,
-} from "./flapping_workers_run.ts";
+import { runFlappingWorkers, WorkerTrouble } from "./flapping_workers_run.ts";
+import { kindsOfLargeTasks } from "./large_task_load.ts";
 
 for (const seed of [25, 108]) {
   test(`no job is shown as failed for workers that fail everything, seed ${seed}`, () => {
--- a/emulator/src/flapping_workers_run.ts
+++ b/emulator/src/flapping_workers_run.ts
@@ -5,7 +5,6 @@
  */
 import {
   assertNever,
-  BestEffortJobState,
   type CallWorker,
   type ClientAnswer,
   ClientAnswerKind,
@@ -17,22 +16,27 @@
   type ProcessEvent,
   type ProcessIdentifier,
   type RunReference,
-  type WorkConfiguration,
   type WorkerAnswer,
   WorkerCallKind,
   WorkerPhase,
   WorkerRefusalReason,
 } from "@eelgrassfront/model";
 import { DispatchSystem } from "./dispatch_system.ts";
-import type { DispatchVm, FleetSize } from "./dispatch_vm.ts";
+import type { DispatchVm } from "./dispatch_vm.ts";
 import { type FakeWorker, NO_WORKER_FAULTS } from "./fake_worker.ts";
 import {
   ArrivalGenerator,
   type ArrivingJob,
   type LoadKind,
-  OBJECTIVE_ALLOWANCE_MILLISECONDS,
-  OBJECTIVE_SLACK_FACTOR,
 } from "./load_arrivals.ts";
+import { increment, isShownAsFailed, nameOfAnswer } from "./answer_counts.ts";
+import {
+  FLEET,
+  HOST,
+  largeTaskConfiguration,
+  MAXIMUM_ATTEMPTS,
+  WORKER_MILLICORES,
+} from "./large_task_load.ts";
 import { SeededRandom } from "./seeded_random.ts";
 import { ProcessState } from "./virtual_process.ts";
 import { CrashKind } from "./worker_crash.ts";
@@ -67,8 +71,6 @@
   readonly kinds: readonly LoadKind[];
   /** Probability that a worker leaves a call unanswered and executes it seconds later. */
   readonly delayedCalls?: number;
-  /** Whether start calls to a worker that has ended are lost, until its sidecar can notice the end of a connection. */
-  readonly hasLostStarts?: boolean;
   /** Whether entries are drained and restarted, several at once, and workers leave and are replaced. */
   readonly hasPlannedWork?: boolean;
 }
@@ -77,7 +79,8 @@
 export interface JobFinding {
   readonly at: Milliseconds;
   readonly job: string;
-  readonly answer: string;
+  /** Whether it was shown as failed. */
+  readonly isFailed: boolean;
   /** Largest number of workers that went down under one of its tasks. */
   readonly crashes: number;
   /** Largest number of runs of one of its tasks that failed. */
@@ -99,9 +102,7 @@
 }
 
 const SECOND: Milliseconds = 1_000;
-const FLEET: FleetSize = { entries: 4, workers: 21, zones: 3 };
 const TROUBLED_WORKERS = FLEET.workers / 7;
-const WORKER_MILLICORES = 64_000;
 const START_MILLISECONDS: Milliseconds = 3 * SECOND;
 const DURATION_MILLISECONDS: Milliseconds = 12 * SECOND;
 const END_MILLISECONDS: Milliseconds = 8 * SECOND;
@@ -118,28 +119,8 @@
 const DRAIN_INTERVAL_MILLISECONDS: Milliseconds = 4 * SECOND;
 const WORKER_INTERVAL_MILLISECONDS: Milliseconds = 700;
 const NOTICE_MILLISECONDS: Milliseconds = 2 * SECOND;
-const MAXIMUM_ATTEMPTS = 3;
 const MAXIMUM_CRASHES = 2;
 const SEED_OFFSET = 9_000_011;
-const HOST = "checks.example";
-
-/** The three kinds of work, at a rate that uses this share of the workers. */
-export function kindsOfLargeTasks(utilisation: number): readonly LoadKind[] {
-  // Each kind uses a third of the capacity.
-  const shape: readonly [string, number, number, number][] = [
-    ["check", 0, 8, 73],
-    ["report", 2, 4, 1_100],
-    ["place", 1, 2, 243],
-  ];
-  const cores = FLEET.workers * WORKER_MILLICORES / SECOND;
-  return shape.map(([name, priority, tasks, mean]) => ({
-    name,
-    priority,
-    jobsPerSecond: utilisation * cores / 3 / (tasks * mean / SECOND * 6.6),
-    meanTasks: tasks,
-    meanRunMilliseconds: mean,
-  }));
-}
 
 /** Plays the load once. */
 export function runFlappingWorkers(
@@ -199,9 +180,7 @@
     this.#system.runUntil(
       START_MILLISECONDS + DURATION_MILLISECONDS + END_MILLISECONDS,
     );
-    const failed = this.#findings.filter(({ answer }) =>
-      answer === BestEffortJobState.Failed
-    );
+    const failed = this.#findings.filter(({ isFailed }) => isFailed);
     return {
       submitted: this.#submitted,
       answers: this.#answers,
@@ -215,7 +194,9 @@
   }
 
   #publish(): void {
-    this.#system.publish(configurationOf(this.#version, this.#options.kinds));
+    this.#system.publish(
+      largeTaskConfiguration(this.#version, this.#options.kinds),
+    );
     this.#version += 1;
   }
 
@@ -288,9 +269,6 @@
       MAXIMUM_BREAK_MILLISECONDS,
     );
     worker.crash({ kind: CrashKind.Breaking, breakMilliseconds });
-    if (this.#options.hasLostStarts === true) {
-      this.#loseStarts(worker, breakMilliseconds);
-    }
     this.#system.time.after(down, () => {
       if (vm.worker !== worker) return;
       this.#system.startWorker(vm, false);
@@ -301,21 +279,6 @@
     });
   }
 
-  #loseStarts(worker: FakeWorker, milliseconds: Milliseconds): void {
-    const { time } = this.#system;
-    const until = time.now + milliseconds;
-    const call = worker.call.bind(worker);
-    worker.call = (output, answer) => {
-      const isLost = output.request.kind === WorkerCallKind.Start &&
-        time.now < until;
-      if (!isLost) {
-        call(output, answer);
-        return;
-      }
-      time.after(ANSWER_MILLISECONDS, () => answer(connectionLost(output)));
-    };
-  }
-
   #failRuns(vms: readonly DispatchVm[]): void {
     const { delayedCalls = 0 } = this.#options;
     const set = (failures: number) => {
@@ -445,17 +408,15 @@
 
   #onAnswer(job: string, answer: ClientAnswer, at: Milliseconds): void {
     this.#open.delete(job);
-    const text = describeAnswer(answer);
-    increment(this.#answers, text);
-    const isFinding = text === BestEffortJobState.Failed ||
-      answer.kind === ClientAnswerKind.GivenUp;
-    if (!isFinding) return;
+    increment(this.#answers, nameOfAnswer(answer));
+    const isFailed = isShownAsFailed(answer);
+    if (!isFailed && answer.kind !== ClientAnswerKind.GivenUp) return;
     // The event that describes the end of the job follows its answer.
     this.#system.time.after(0, () =>
       this.#findings.push({
         at,
         job,
-        answer: text,
+        isFailed,
         crashes: largestOf(this.#crashes, job),
         failedRuns: largestOf(this.#failedRuns, job),
         trace: this.#events.get(job) ?? [],
@@ -505,25 +466,6 @@
   }
 }
 
-function describeAnswer(answer: ClientAnswer): string {
-  switch (answer.kind) {
-    case ClientAnswerKind.Ended:
-      return answer.state;
-    case ClientAnswerKind.Refused:
-    case ClientAnswerKind.GivenUp:
-      return `${answer.kind} ${answer.reason}`;
-    case ClientAnswerKind.Cancelled:
-    case ClientAnswerKind.Malformed:
-    case ClientAnswerKind.NoSuchJob:
-    case ClientAnswerKind.NoSuchRoute:
-    case ClientAnswerKind.Pending:
-    case ClientAnswerKind.State:
-      return answer.kind;
-    default:
-      return assertNever(answer);
-  }
-}
-
 /** The largest count of a task of a job. */
 function largestOf(counts: ReadonlyMap<string, number>, job: string): number {
   let largest = 0;
@@ -534,26 +476,3 @@
   }
   return largest;
 }
-
-function increment(counts: Map<string, number>, key: string): void {
-  counts.set(key, (counts.get(key) ?? 0) + 1);
-}
-
-function configurationOf(
-  version: number,
-  kinds: readonly LoadKind[],
-): WorkConfiguration {
-  return {
-    version,
-    routes: kinds.map(({ name, priority }) => ({
-      name,
-      host: HOST,
-      requestPrefix: `/${name}/`,
-      service: "service",
-      priority,
-      maximumAttempts: MAXIMUM_ATTEMPTS,
-      slackFactor: OBJECTIVE_SLACK_FACTOR,
-      latencyAllowanceMilliseconds: OBJECTIVE_ALLOWANCE_MILLISECONDS,
-    })),
-  };
-}
--- a/emulator/src/flapping_workers_test.ts
+++ b/emulator/src/flapping_workers_test.ts
@@ -4,11 +4,8 @@
  */
 import { test } from "node:test";
 import { expect } from "earl";
-import {
-  kindsOfLargeTasks,
-  runFlappingWorkers,
-  WorkerTrouble,
-} from "./flapping_workers_run.ts";
+import { runFlappingWorkers, WorkerTrouble } from "./flapping_workers_run.ts";
+import { kindsOfLargeTasks } from "./large_task_load.ts";
 
 for (const seed of [2, 10]) {
   test(`no job is shown as failed for crashes that no run of it has met, seed ${seed}`, () => {
@@ -16,7 +13,6 @@
       seed,
       trouble: WorkerTrouble.Flapping,
       kinds: kindsOfLargeTasks(0.6),
-      hasLostStarts: true,
     });
     expect(falselyFailed.flatMap(({ trace }) => trace)).toEqual([]);
   });
--- a/emulator/src/outage_run.ts
+++ b/emulator/src/outage_run.ts
@@ -4,10 +4,7 @@
  * comes with the crashes around it.
  */
 import {
-  assertNever,
-  BestEffortJobState,
   type ClientAnswer,
-  ClientAnswerKind,
   EventNumber,
   jobTaskKey,
   type Milliseconds,
@@ -15,6 +12,7 @@
   type ProcessIdentifier,
   type RunReference,
 } from "@eelgrassfront/model";
+import { increment, isShownAsFailed, nameOfAnswer } from "./answer_counts.ts";
 import type { FleetSize } from "./dispatch_vm.ts";
 import type { FakeWorker } from "./fake_worker.ts";
 import type { ArrivingJob } from "./load_arrivals.ts";
@@ -315,7 +313,7 @@
         countAnswer(outcome, answer, elapsed, job.objectiveMilliseconds);
       }
     }
-    increment(this.#answers, nameOf(answer));
+    increment(this.#answers, nameOfAnswer(answer));
     if (!isShownAsFailed(answer)) return;
     this.#reportFailure(OutageRule.FalseFailure, job, elapsed);
     this.#checkProof(answer, job, elapsed);
@@ -360,31 +358,6 @@
   }
 }
 
-/** Names the answers that are counted together. */
-function nameOf(answer: ClientAnswer): string {
-  switch (answer.kind) {
-    case ClientAnswerKind.Ended:
-      return `${answer.kind} ${answer.state}`;
-    case ClientAnswerKind.GivenUp:
-      return `${answer.kind} ${answer.reason}`;
-    case ClientAnswerKind.Refused:
-    case ClientAnswerKind.Cancelled:
-    case ClientAnswerKind.Malformed:
-    case ClientAnswerKind.NoSuchJob:
-    case ClientAnswerKind.NoSuchRoute:
-    case ClientAnswerKind.Pending:
-    case ClientAnswerKind.State:
-      return answer.kind;
-    default:
-      return assertNever(answer);
-  }
-}
-
-function isShownAsFailed(answer: ClientAnswer): boolean {
-  return answer.kind === ClientAnswerKind.Ended &&
-    answer.state === BestEffortJobState.Failed;
-}
-
 function deadlyScans(crashMilliseconds: Milliseconds): CrashingJobs {
   return {
     kind: "scan",
@@ -394,10 +367,3 @@
     crashMilliseconds,
   };
 }
-
-/** Adds 1 to the count of a key, and returns it. */
-function increment(counts: Map<string, number>, key: string): number {
-  const count = (counts.get(key) ?? 0) + 1;
-  counts.set(key, count);
-  return count;
-}
