fix(dispatcher,worker-guard): send the proof of a crash beside its reason, and ask it of both crashes

And entries of an earlier version reject the new reasons, so that an upgrade in the documented order, sidecars first, would have sent the tasks of crashed workers again and again (read, not run).

Cause: unconfirmed crashes counted for too little, one lone crash counted as proof of both, and a new reason is not a compatible way to say more.

Change: the reason stays worker-crashed. The proof is a field of its own (alone, shared, unconfirmed), which earlier entries ignore; without it a crash counts as shared. A job fails only if two suspected crashes of a task were alone. Two unconfirmed crashes of a task end its job, given up, and put its kind under quarantine. A run whose stop the worker has accepted is no longer confirmed: it may have ended before its worker.

--- a/adapters/peers_trpc/src/dispatch_message_checks.ts
+++ b/adapters/peers_trpc/src/dispatch_message_checks.ts
@@ -6,7 +6,7 @@
  * schemas in `dispatch_message_schema.ts`.
  */
 import {
-  CRASH_REASONS,
+  CrashProof,
   DispatchReplyKind,
   DispatchRequestKind,
   InterruptionReason,
@@ -33,7 +33,7 @@
 const NOT_STARTED_REASONS: ReadonlySet<unknown> = new Set(
   Object.values(NotStartedReason),
 );
-const CRASH_REASON_VALUES: ReadonlySet<unknown> = new Set(CRASH_REASONS);
+const CRASH_PROOFS: ReadonlySet<unknown> = new Set(Object.values(CrashProof));
 const INTERRUPTION_REASONS: ReadonlySet<unknown> = new Set(
   Object.values(InterruptionReason),
 );
@@ -195,14 +195,14 @@
     isText(fields["availabilityZone"]);
 }
 
-function isCrashReason(value: unknown): boolean {
-  return CRASH_REASON_VALUES.has(value);
+function isCrashProof(value: unknown): boolean {
+  return CRASH_PROOFS.has(value);
 }
 
 function isSuspect(value: unknown): boolean {
   const fields = fieldsOf(value);
   return fields !== undefined && isTask(fields["task"]) &&
-    isOptional(fields["reason"], isCrashReason) &&
+    isOptional(fields["proof"], isCrashProof) &&
     isOptional(fields["route"], isText) &&
     isOptional(fields["workKind"], isText);
 }
@@ -251,7 +251,8 @@
     case SettlementKind.NotStarted:
       return NOT_STARTED_REASONS.has(fields["reason"]);
     case SettlementKind.Interrupted:
-      return INTERRUPTION_REASONS.has(fields["reason"]);
+      return INTERRUPTION_REASONS.has(fields["reason"]) &&
+        isOptional(fields["proof"], isCrashProof);
     default:
       return rejectUnknown(kind);
   }
--- a/adapters/peers_trpc/src/dispatch_message_schema.ts
+++ b/adapters/peers_trpc/src/dispatch_message_schema.ts
@@ -4,7 +4,7 @@
  * version may have sent them.
  */
 import {
-  CRASH_REASONS,
+  CrashProof,
   DispatchReplyKind,
   DispatchRequestKind,
   InterruptionReason,
@@ -117,7 +117,7 @@
     suspects: zod.array(
       zod.looseObject({
         task,
-        reason: zod.enum(CRASH_REASONS).optional(),
+        proof: zod.enum(CrashProof).optional(),
         route: zod.string().optional(),
         workKind: zod.string().optional(),
       }),
@@ -181,6 +181,7 @@
   zod.looseObject({
     kind: zod.literal(SettlementKind.Interrupted),
     reason: zod.enum(InterruptionReason),
+    proof: zod.enum(CrashProof).optional(),
   }),
 ]);
 
--- a/domain/dispatcher/src/crash_policy.ts
+++ b/domain/dispatcher/src/crash_policy.ts
@@ -3,6 +3,7 @@
  * reports show, marks the jobs that run apart, and chooses workers so that suspects and others keep apart.
  */
 import {
+  assertNever,
   Counter,
   type CrashSuspect,
   type DispatchOutput,
@@ -18,8 +19,10 @@
 } from "@eelgrassfront/model";
 import {
   CrashEvidence,
+  type CrashFinding,
   CrashSuspects,
   type CrashVerdict,
+  findingOf,
 } from "./crash_suspects.ts";
 import type { DispatchJob } from "./dispatch_job.ts";
 import type { TaskAttempt, TaskAttemptIndex } from "./task_attempt_index.ts";
@@ -80,16 +83,17 @@
   applySettlement(attempt: TaskAttempt, settlement: TaskSettlement): void {
     const { job, task, address, isApart, sentAt } = attempt;
     const { collector } = this.#options;
-    const evidence = evidenceOf(attempt, settlement, collector.now);
+    const finding = findingOfSettlement(attempt, settlement, collector.now);
+    const evidence = finding?.evidence;
     const hasOutlivedCrash = evidence === CrashEvidence.Beside &&
       collector.now >= sentAt + SUSPICION_MILLISECONDS;
     const hasSurvived = isApart &&
       (hasOutlivedCrash || settlement.kind === SettlementKind.Completed);
     if (hasSurvived) this.#suspects.clear(task.name);
-    if (evidence === undefined) return;
+    if (finding === undefined) return;
     this.#observe();
     const sidecar = this.#options.links.find(address)?.process ?? address;
-    this.#suspects.record(sidecar, job, task.name, evidence);
+    this.#suspects.record(sidecar, job, task.name, finding);
     if (evidence === CrashEvidence.Beside) return;
     collector.count(Counter.TasksSuspected);
     collector.record(
@@ -101,7 +105,8 @@
           task: jobTaskKey(task.name),
           route: job.route.name,
           sidecar: address,
-          evidence,
+          evidence: finding.evidence,
+          isAlone: finding.isAlone,
         },
       },
     );
@@ -180,21 +185,19 @@
   }
 }
 
-function evidenceOf(
-  { isApart, sentAt }: TaskAttempt,
+/** What a settlement shows of a crash under its task; undefined if it shows none. */
+function findingOfSettlement(
+  attempt: TaskAttempt,
   settlement: TaskSettlement,
   now: Milliseconds,
-): CrashEvidence | undefined {
+): CrashFinding | undefined {
   if (settlement.kind !== SettlementKind.Interrupted) return undefined;
-  switch (settlement.reason) {
+  const { reason, proof } = settlement;
+  switch (reason) {
     case InterruptionReason.WorkerCrashed:
-      return isApart ? CrashEvidence.Alone : evidenceAmongOthers(sentAt, now);
-    case InterruptionReason.SharedCrash:
-      return isApart ? CrashEvidence.Apart : evidenceAmongOthers(sentAt, now);
-    case InterruptionReason.UnconfirmedCrash:
-      return CrashEvidence.Unconfirmed;
+      return findingOf(confirmedEvidence(attempt, now), proof);
     case InterruptionReason.BesideCrash:
-      return CrashEvidence.Beside;
+      return { evidence: CrashEvidence.Beside, isAlone: false };
     case InterruptionReason.Cancelled:
     case InterruptionReason.LeaseExpired:
     case InterruptionReason.SessionEnded:
@@ -202,14 +205,17 @@
     case InterruptionReason.NoProgress:
     case InterruptionReason.SidecarLost:
       return undefined;
+    default:
+      return assertNever(reason);
   }
 }
 
-/** What a crash says of a task that did not run apart. */
-function evidenceAmongOthers(
-  sentAt: Milliseconds,
+/** What a crash says of a task whose run the worker had confirmed. */
+function confirmedEvidence(
+  { isApart, sentAt }: TaskAttempt,
   now: Milliseconds,
 ): CrashEvidence {
+  if (isApart) return CrashEvidence.Apart;
   return now < sentAt + LATE_MILLISECONDS
     ? CrashEvidence.Suspected
     : CrashEvidence.Late;
--- a/domain/dispatcher/src/outage_crash_test.ts
+++ b/domain/dispatcher/src/outage_crash_test.ts
@@ -6,6 +6,7 @@
   BestEffortJobState,
   type ClientAnswer,
   ClientAnswerKind,
+  CrashProof,
   type CrashSuspect,
   DispatchRequestKind,
   GivenUpReason,
@@ -43,6 +44,7 @@
   harness.settleAll({
     kind: SettlementKind.Interrupted,
     reason: InterruptionReason.WorkerCrashed,
+    proof: CrashProof.Alone,
   });
 }
 
--- a/domain/dispatcher/src/settlement_reasons.ts
+++ b/domain/dispatcher/src/settlement_reasons.ts
@@ -39,8 +39,6 @@
     case InterruptionReason.SessionEnded:
     case InterruptionReason.WorkerLost:
     case InterruptionReason.WorkerCrashed:
-    case InterruptionReason.SharedCrash:
-    case InterruptionReason.UnconfirmedCrash:
     case InterruptionReason.BesideCrash:
     case InterruptionReason.SidecarLost:
       return false;
--- a/domain/worker_guard/src/lost_runs.ts
+++ b/domain/worker_guard/src/lost_runs.ts
@@ -7,7 +7,7 @@
 import {
   assertNever,
   Counter,
-  type CrashReason,
+  CrashProof,
   type CrashSuspect,
   type DispatchOutput,
   DispatchRequestKind,
@@ -26,7 +26,7 @@
 import type { FleetDirectory } from "@eelgrassfront/directory";
 import type { EntrySessions } from "./entry_sessions.ts";
 import { runKey } from "./pending_call.ts";
-import { interrupted } from "./run_settlement.ts";
+import { crashed, interrupted } from "./run_settlement.ts";
 import type { RunTable } from "./run_table.ts";
 import type { SuspectRuns } from "./suspect_runs.ts";
 import {
@@ -88,25 +88,29 @@
     }
     const suspects = suspectRuns.suspectsOf(runs);
     this.#recordCrash(worker, runs, suspects);
-    const reasons = new Map(
-      suspects.map((run) => [run, reasonOfSuspect(run, runs)]),
+    const proofs = new Map(
+      suspects.map((run) => [run, proofOf(run, runs)]),
     );
     if (suspectRuns.isUnexplained(runs)) this.#reportUnexplained();
-    else this.#reportSuspects(reasons);
+    else this.#reportSuspects(proofs);
     for (const run of runs) {
-      table.settle(run, interrupted(reasons.get(run) ?? reasonBeside(run)));
+      const proof = proofs.get(run);
+      table.settle(
+        run,
+        proof === undefined ? interrupted(reasonBeside(run)) : crashed(proof),
+      );
     }
   }
 
   /** Tells each entry with a session the suspects of the other entries. */
-  #reportSuspects(reasons: ReadonlyMap<WorkerRun, CrashReason>): void {
+  #reportSuspects(proofs: ReadonlyMap<WorkerRun, CrashProof>): void {
     const { sessions } = this.#options;
     for (const entry of sessions.entries()) {
-      const others = [...reasons].filter(([run]) => run.entry !== entry);
+      const others = [...proofs].filter(([run]) => run.entry !== entry);
       if (others.length === 0) continue;
       this.#report(
         entry,
-        others.map(([run, reason]) => suspectOf(run, reason)),
+        others.map(([run, proof]) => suspectOf(run, proof)),
       );
     }
   }
@@ -167,16 +171,16 @@
 }
 
 /** What is known of a suspect among the runs of a crashed worker. */
-function reasonOfSuspect(
+function proofOf(
   suspect: WorkerRun,
   runs: readonly WorkerRun[],
-): CrashReason {
+): CrashProof {
   if (beginningOf(suspect) !== RunBeginning.Confirmed) {
-    return InterruptionReason.UnconfirmedCrash;
+    return CrashProof.Unconfirmed;
   }
   return runs.every(({ task }) => task.job === suspect.task.job)
-    ? InterruptionReason.WorkerCrashed
-    : InterruptionReason.SharedCrash;
+    ? CrashProof.Alone
+    : CrashProof.Shared;
 }
 
 /** Why a run ended with its worker that is not a suspect of the crash. */
@@ -196,11 +200,11 @@
 
 function suspectOf(
   { task, suspectRoute: route, workKind }: WorkerRun,
-  reason: CrashReason,
+  proof: CrashProof,
 ): CrashSuspect {
   return {
     task,
-    reason,
+    proof,
     ...(route === undefined ? {} : { route }),
     ...(workKind === undefined ? {} : { workKind }),
   };
--- a/domain/worker_guard/src/run_settlement.ts
+++ b/domain/worker_guard/src/run_settlement.ts
@@ -3,6 +3,7 @@
  */
 import {
   assertNever,
+  type CrashProof,
   InterruptionReason,
   type Milliseconds,
   type NotStartedReason,
@@ -43,6 +44,15 @@
   return { kind: SettlementKind.Interrupted, reason };
 }
 
+/** The settlement of an attempt that may have crashed its worker. */
+export function crashed(proof: CrashProof): TaskSettlement {
+  return {
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.WorkerCrashed,
+    proof,
+  };
+}
+
 /** The settlement of an attempt that did not start and never will start. */
 export function notStarted(reason: NotStartedReason): TaskSettlement {
   return { kind: SettlementKind.NotStarted, reason };
--- a/domain/worker_guard/src/worker_guard_test.ts
+++ b/domain/worker_guard/src/worker_guard_test.ts
@@ -5,6 +5,7 @@
  */
 import { test } from "node:test";
 import {
+  CrashProof,
   type DispatchReply,
   DispatchReplyKind,
   ErrorTag,
@@ -427,6 +428,7 @@
   expect(harness.settlementOf(10)).toEqual({
     kind: SettlementKind.Interrupted,
     reason: InterruptionReason.WorkerCrashed,
+    proof: CrashProof.Alone,
   });
 });
 
--- a/domain/worker_guard/src/worker_run.ts
+++ b/domain/worker_guard/src/worker_run.ts
@@ -146,12 +146,21 @@
     case RunPhase.Running:
       return RunBeginning.Confirmed;
     case RunPhase.Stopping:
-      return state.beginning;
+      return beginningOfStopped(state);
     default:
       return assertNever(state);
   }
 }
 
+/** What is known of a run that is being stopped; once the worker has accepted the stop, it may have ended. */
+function beginningOfStopped(
+  { beginning, acceptedAt }: StoppingRun,
+): RunBeginning {
+  const mayHaveEnded = acceptedAt !== undefined &&
+    beginning !== RunBeginning.Unproven;
+  return mayHaveEnded ? RunBeginning.Possible : beginning;
+}
+
 /** Returns the state of an active run whose progress the worker has listed. */
 export function withProgress(
   { run, startedAt, percent: earlier, progressAt }: ActiveRun,
