--- a/domain/dispatcher/src/crash_proof_test.ts
+++ b/domain/dispatcher/src/crash_proof_test.ts
@@ -148,7 +148,20 @@
   expect(areApart(harness)).toEqual([true]);
 });
 
-test("a job is not failed for a reported run that its worker had not confirmed", () => {
+test("a suspect that outlives the next crash beside it is cleared of an unconfirmed one", () => {
+  const harness = harnessWithJob();
+  crashWorkers(harness, CrashProof.Unconfirmed);
+  harness.runTo(200);
+  harness.settleAll({
+    kind: SettlementKind.Interrupted,
+    reason: InterruptionReason.BesideCrash,
+  });
+  crashWorkers(harness, CrashProof.Unconfirmed);
+  expect(harness.answerTo(1)).toEqual(undefined);
+});
+
+/** A job under which a reported crash has happened elsewhere, where it ran apart, and then one here, alone. */
+function answerAfterReport(proof: CrashProof | undefined) {
   const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
   const harness = DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
   harness.step({
@@ -159,13 +172,26 @@
       kind: DispatchRequestKind.ReportCrash,
       suspects: [{
         task: { job: "a", step: 0, index: 0 },
-        proof: CrashProof.Unconfirmed,
         route: "scan",
+        ...(proof === undefined ? {} : { proof }),
       }],
     },
   });
   submit(harness, 1, "a");
   expect(areApart(harness)).toEqual([true]);
   crashWorkers(harness, CrashProof.Alone);
-  expect(harness.answerTo(1)).toEqual(undefined);
+  return harness.answerTo(1);
+}
+
+test("a reported crash proves as much as one of the entry's own", () => {
+  expect(answerAfterReport(CrashProof.Alone)).toEqual(FAILED);
+  expect(answerAfterReport(CrashProof.Shared)).toEqual(GIVEN_UP);
+});
+
+test("a job is not failed for a reported run that its worker had not confirmed", () => {
+  expect(answerAfterReport(CrashProof.Unconfirmed)).toEqual(undefined);
+});
+
+test("a job is not failed for the report of a sidecar that does not say what it knows", () => {
+  expect(answerAfterReport(undefined)).toEqual(GIVEN_UP);
 });
--- a/domain/worker_guard/src/suspect_runs.ts
+++ b/domain/worker_guard/src/suspect_runs.ts
@@ -72,7 +72,7 @@
 
   /** The runs among those of a crashed worker that may have crashed it: where none has just begun, all that run. */
   suspectsOf(runs: readonly WorkerRun[]): readonly WorkerRun[] {
-    const begun = runs.filter(hasBegun);
+    const begun = runs.filter(hasLikelyBegun);
     const recent = begun.filter((run) => this.#isRecent(run));
     const candidates = recent.length > 0 ? recent : begun;
     const apart = candidates.filter(({ suspectRoute }) =>
@@ -105,7 +105,7 @@
   }
 }
 
-function hasBegun(run: WorkerRun): boolean {
+function hasLikelyBegun(run: WorkerRun): boolean {
   const beginning = beginningOf(run);
   switch (beginning) {
     case RunBeginning.Likely:
