test(dispatcher): one harness for the tests of crashes

Three files had the same sidecars, answers and settlements. What they assert is unchanged; a settlement of a run beside a crash has no proof now, as a sidecar sends it. 121 tests of the package pass.

--- a/domain/dispatcher/src/crash_proof_test.ts
+++ b/domain/dispatcher/src/crash_proof_test.ts
@@ -3,7 +3,6 @@
  */
 import { test } from "node:test";
 import {
-  BestEffortJobState,
   type ClientAnswer,
   ClientAnswerKind,
   CrashProof,
@@ -15,52 +14,27 @@
 } from "@eelgrassfront/model";
 import { expect } from "earl";
 import {
-  CAPACITY_MILLICORES,
-  DispatcherHarness,
-} from "./dispatcher_harness.ts";
+  completeAll,
+  COMPLETED,
+  crashWorkers,
+  crashWorkersBeside,
+  FAILED,
+  readyHarness,
+  submit,
+} from "./crash_harness.ts";
+import type { DispatcherHarness } from "./dispatcher_harness.ts";
 
-const SIDECARS = ["a", "b", "c", "d", "e", "f"];
-const COMPLETED: ClientAnswer = {
-  kind: ClientAnswerKind.Ended,
-  state: BestEffortJobState.Completed,
-};
-const FAILED: ClientAnswer = {
-  kind: ClientAnswerKind.Ended,
-  state: BestEffortJobState.Failed,
-};
 const GIVEN_UP: ClientAnswer = {
   kind: ClientAnswerKind.GivenUp,
   reason: GivenUpReason.WorkersCrashed,
 };
 
 function harnessWithJob(): DispatcherHarness {
-  const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
-  const harness = DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
+  const harness = readyHarness();
   submit(harness, 1, "a");
   return harness;
 }
 
-function submit(harness: DispatcherHarness, request: number, id: string): void {
-  harness.submit(request, { id, tasks: 1, millicores: 1_000 });
-}
-
-function crashWorkers(
-  harness: DispatcherHarness,
-  ...proofs: readonly CrashProof[]
-): void {
-  for (const proof of proofs) {
-    harness.settleAll({
-      kind: SettlementKind.Interrupted,
-      reason: InterruptionReason.WorkerCrashed,
-      proof,
-    });
-  }
-}
-
-function completeAll(harness: DispatcherHarness): void {
-  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 100 });
-}
-
 /** Whether each run that is not settled runs apart. */
 function areApart(harness: DispatcherHarness): readonly boolean[] {
   return harness.sent(DispatchRequestKind.RunTask).map(({ message }) =>
@@ -152,18 +126,14 @@
   const harness = harnessWithJob();
   crashWorkers(harness, CrashProof.Unconfirmed);
   harness.runTo(200);
-  harness.settleAll({
-    kind: SettlementKind.Interrupted,
-    reason: InterruptionReason.BesideCrash,
-  });
+  crashWorkersBeside(harness);
   crashWorkers(harness, CrashProof.Unconfirmed);
   expect(harness.answerTo(1)).toEqual(undefined);
 });
 
 /** A job under which a reported crash has happened elsewhere, where it ran apart, and then one here, alone. */
 function answerAfterReport(proof: CrashProof | undefined) {
-  const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
-  const harness = DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
+  const harness = readyHarness();
   harness.step({
     kind: InputKind.PeerRequestArrived,
     from: "a~a",
--- a/domain/dispatcher/src/outage_crash_test.ts
+++ b/domain/dispatcher/src/outage_crash_test.ts
@@ -3,54 +3,24 @@
  */
 import { test } from "node:test";
 import {
-  BestEffortJobState,
-  type ClientAnswer,
   ClientAnswerKind,
-  CrashProof,
   type CrashSuspect,
   DispatchRequestKind,
   GivenUpReason,
   InputKind,
-  InterruptionReason,
-  SettlementKind,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
 import {
-  CAPACITY_MILLICORES,
-  DispatcherHarness,
-} from "./dispatcher_harness.ts";
+  completeAll,
+  COMPLETED,
+  crashWorkers,
+  FAILED,
+  readyHarness,
+  submit,
+} from "./crash_harness.ts";
+import type { DispatcherHarness } from "./dispatcher_harness.ts";
 
-const SIDECARS = ["a", "b", "c", "d", "e", "f"];
 const SECOND = 1_000;
-const FAILED: ClientAnswer = {
-  kind: ClientAnswerKind.Ended,
-  state: BestEffortJobState.Failed,
-};
-const COMPLETED: ClientAnswer = {
-  kind: ClientAnswerKind.Ended,
-  state: BestEffortJobState.Completed,
-};
-
-function readyHarness(): DispatcherHarness {
-  const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
-  return DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
-}
-
-function submit(harness: DispatcherHarness, request: number, id: string): void {
-  harness.submit(request, { id, tasks: 1, millicores: 1_000 });
-}
-
-function crashWorkers(harness: DispatcherHarness): void {
-  harness.settleAll({
-    kind: SettlementKind.Interrupted,
-    reason: InterruptionReason.WorkerCrashed,
-    proof: CrashProof.Alone,
-  });
-}
-
-function completeAll(harness: DispatcherHarness): void {
-  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 100 });
-}
 
 /** Reports a crash at a sidecar; without suspects no run there explains it. */
 function reportCrash(
--- a/domain/dispatcher/src/worker_crash_test.ts
+++ b/domain/dispatcher/src/worker_crash_test.ts
@@ -3,37 +3,21 @@
  */
 import { test } from "node:test";
 import {
-  BestEffortJobState,
-  ClientAnswerKind,
   CrashProof,
   DispatchRequestKind,
   InputKind,
-  InterruptionReason,
-  SettlementKind,
 } from "@eelgrassfront/model";
 import { expect } from "earl";
 import {
-  CAPACITY_MILLICORES,
-  DispatcherHarness,
-} from "./dispatcher_harness.ts";
-
-const SIDECARS = ["a", "b", "c", "d", "e", "f"];
-
-function readyHarness(): DispatcherHarness {
-  const free = SIDECARS.map((name) => [name, CAPACITY_MILLICORES] as const);
-  return DispatcherHarness.ready(SIDECARS, Object.fromEntries(free));
-}
-
-function crashWorkers(
-  harness: DispatcherHarness,
-  reason = InterruptionReason.WorkerCrashed,
-): void {
-  harness.settleAll({
-    kind: SettlementKind.Interrupted,
-    reason,
-    proof: CrashProof.Alone,
-  });
-}
+  completeAll,
+  COMPLETED,
+  crashWorkers,
+  crashWorkersBeside,
+  FAILED,
+  readyHarness,
+  SIDECARS,
+} from "./crash_harness.ts";
+import type { DispatcherHarness } from "./dispatcher_harness.ts";
 
 /** The job, address and kind of work, if it runs apart, of each task that was sent and not settled. */
 function runs(harness: DispatcherHarness) {
@@ -49,19 +33,12 @@
     );
 }
 
-function completeAll(harness: DispatcherHarness): void {
-  harness.settleAll({ kind: SettlementKind.Completed, runMilliseconds: 100 });
-}
-
 test("a task that crashes each worker that starts it is started twice, and its job fails at once", () => {
   const harness = readyHarness();
   harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
   for (let crash = 1; crash <= 5; crash += 1) crashWorkers(harness);
   expect(harness.placementAddresses().length).toEqual(2);
-  expect(harness.answerTo(1)).toEqual({
-    kind: ClientAnswerKind.Ended,
-    state: BestEffortJobState.Failed,
-  });
+  expect(harness.answerTo(1)).toEqual(FAILED);
 });
 
 test("suspects use at most a third of the workers, and other jobs use the others", () => {
@@ -103,14 +80,11 @@
 test("a job is not failed for two workers that crashed because of other tasks", () => {
   const harness = readyHarness();
   harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
-  crashWorkers(harness, InterruptionReason.BesideCrash);
+  crashWorkersBeside(harness);
   crashWorkers(harness);
-  crashWorkers(harness, InterruptionReason.BesideCrash);
+  crashWorkersBeside(harness);
   completeAll(harness);
-  expect(harness.answerTo(1)).toEqual({
-    kind: ClientAnswerKind.Ended,
-    state: BestEffortJobState.Completed,
-  });
+  expect(harness.answerTo(1)).toEqual(COMPLETED);
 });
 
 test("a job under which a worker has crashed at another entry runs apart, and fails with the next crash", () => {
@@ -130,8 +104,5 @@
   harness.submit(1, { id: "a", tasks: 1, millicores: 1_000 });
   expect(runs(harness).map((run) => run.apart)).toEqual(["scan"]);
   crashWorkers(harness);
-  expect(harness.answerTo(1)).toEqual({
-    kind: ClientAnswerKind.Ended,
-    state: BestEffortJobState.Failed,
-  });
+  expect(harness.answerTo(1)).toEqual(FAILED);
 });
