--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -124,8 +124,14 @@
       deployment.entries.push(await deployment.#startVm("entry", index));
     }
     for (let index = 0; index < workers; index += 1) {
-      deployment.sidecars.push(await deployment.#startVm("sidecar", index));
-      deployment.workers.push(await deployment.startWorker(index, 1));
+      const worker = await deployment.#startWorker(index);
+      deployment.workers.push(worker);
+      deployment.sidecars.push(
+        await deployment.#startVm("sidecar", index, {
+          app: `127.0.0.1:${worker.port}`,
+          service: SERVICE,
+        }),
+      );
     }
     const until = performance.now() + START_MILLISECONDS;
     for (const entry of deployment.entries) {
@@ -160,10 +166,14 @@
     );
   }
 
-  async #startVm(role, index) {
-    const name = `${role}-${index + 1}`;
+  #hostOf(role, index) {
     const offset = role === "entry" ? 1 : 100;
-    const host = `127.${this.network.octet}.0.${offset + index}`;
+    return `127.${this.network.octet}.0.${offset + index}`;
+  }
+
+  async #startVm(role, index, furtherSettings = {}) {
+    const name = `${role}-${index + 1}`;
+    const host = this.#hostOf(role, index);
     const listen = role === "entry"
       ? {
         frontend: `${host}:${CLIENT_PORT}`,
@@ -184,6 +194,7 @@
         : { memoryMb: 218, maxFds: 4_096 },
       bounds: BOUNDS,
       platform: { address: `127.0.0.1:${this.store.port}` },
+      ...furtherSettings,
     };
     await writeFile(join(this.folder, name), JSON.stringify(settings));
     const vm = { name, host, role };
@@ -209,13 +220,14 @@
     vm.child.signal(signal);
   }
 
-  async startWorker(index, life) {
-    const id = `i-${index + 1}-${life}`;
+  /** Starts a worker before the sidecar on its VM, whose settings name its address. */
+  async #startWorker(index) {
+    const id = `i-${index + 1}`;
     return await PlatformWorker.listen({
       id,
       service: SERVICE,
       zone: ZONES[index % ZONES.length],
-      reportAddress: `${this.sidecars[index].host}:${CONTROL_PORT}`,
+      reportAddress: `${this.#hostOf("sidecar", index)}:${CONTROL_PORT}`,
       capacity: { cpu: 32_000, memMb: 131_072 },
       reportMilliseconds: 1_500,
       observer: this.record.observerOf(id),
