--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -133,13 +133,7 @@
         }),
       );
     }
-    const until = performance.now() + START_MILLISECONDS;
-    for (const entry of deployment.entries) {
-      while (!(await isReady(entry.host))) {
-        if (performance.now() > until) throw new Error("an entry is not ready");
-        await pause(50);
-      }
-    }
+    for (const entry of deployment.entries) await waitUntilReady(entry);
     return deployment;
   }
 
@@ -290,6 +284,15 @@
   }
 }
 
+/** Waits until an entry answers the readiness probe of the platform. */
+export async function waitUntilReady({ name, host }) {
+  const until = performance.now() + START_MILLISECONDS;
+  while (!(await isReady(host))) {
+    if (performance.now() > until) throw new Error(`${name} is not ready`);
+    await pause(50);
+  }
+}
+
 async function isReady(host) {
   return await new Promise((resolve) => {
     const call = request({
